--- /dev/null
+++ b/filter.go
@@ -0,0 +1,33 @@
+package bramleytack
+
+import "context"
+
+// Handler handles a request to its end.
+type Handler interface {
+	Handle(ctx context.Context, r *Request, w Reply) error
+}
+
+// HandlerFunc makes a function a Handler.
+type HandlerFunc func(ctx context.Context, r *Request, w Reply) error
+
+// Handle calls f.
+func (f HandlerFunc) Handle(ctx context.Context, r *Request, w Reply) error { return f(ctx, r, w) }
+
+// Filter does one step of a request and passes the request on to next. It may
+// call next more than once, or not at all.
+type Filter interface {
+	Handle(ctx context.Context, r *Request, w Reply, next Handler) error
+}
+
+// Chain returns a handler that passes a request through the filters in their
+// order and then to last.
+func Chain(last Handler, filters ...Filter) Handler {
+	h := last
+	for i := len(filters) - 1; i >= 0; i-- {
+		f, next := filters[i], h
+		h = HandlerFunc(func(ctx context.Context, r *Request, w Reply) error {
+			return f.Handle(ctx, r, w, next)
+		})
+	}
+	return h
+}
--- /dev/null
+++ b/owner.go
@@ -0,0 +1,58 @@
+package bramleytack
+
+import (
+	"context"
+	"time"
+)
+
+// Reservation asks the owner of an upstream for capacity.
+type Reservation struct {
+	Grant     GrantID
+	Upstream  UpstreamID
+	Entry     HostID
+	Request   RequestID
+	Workspace WorkspaceID
+	Model     string
+	Priority  Priority
+	// PromptTokens is the size of the prompt, MaxTokens the caller's bound on
+	// the output.
+	PromptTokens int
+	MaxTokens    int
+	// Deadline is when the request ends at the latest.
+	Deadline time.Time
+	// Suspect asks to run alone, since the request may have crashed an upstream.
+	Suspect bool
+}
+
+// Grant is a reservation that the owner gave. The entry must write the first
+// byte to the upstream before ValidUntil, by its own clock.
+type Grant struct {
+	ID       GrantID
+	Upstream UpstreamID
+	// Instance is the run of the upstream that the grant is for.
+	Instance   InstanceID
+	ViewNumber uint64
+	ValidUntil time.Time
+}
+
+// Release gives a reservation back.
+type Release struct {
+	Grant    GrantID
+	Upstream UpstreamID
+	Outcome  Outcome
+	// Failed is set when the upstream failed while it ran the request.
+	Failed bool
+	// Tokens is the length of the output.
+	Tokens int
+	// FirstToken is the time to the first token. Zero means none came.
+	FirstToken time.Duration
+}
+
+// Owner gives and takes back reservations of the upstreams in a cell. It
+// routes each to the daemon that owns the upstream.
+type Owner interface {
+	// Reserve returns a grant, or an Error with NotRun. CodeOverloaded means
+	// that the upstream has no room now.
+	Reserve(ctx context.Context, r Reservation) (Grant, error)
+	Release(ctx context.Context, r Release) error
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,112 @@
+package bramleytack
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+)
+
+// Kind says what a request asks for.
+type Kind uint8
+
+// The kinds of requests.
+const (
+	// Generate starts a generation.
+	Generate Kind = iota
+	// Resume continues a generation at a token index.
+	Resume
+	// Cancel ends a generation.
+	Cancel
+	// Call is a call of a plain service.
+	Call
+)
+
+var kindNames = [...]string{"generate", "resume", "cancel", "call"}
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "invalid"
+}
+
+// Request is one request of a caller. The front fills in what the caller
+// sent, later filters add what they decide. A request belongs to the goroutine
+// that handles it.
+type Request struct {
+	ID       RequestID
+	Kind     Kind
+	Received time.Time
+	Deadline time.Time
+	// Credential is the API key as sent. The identify filter clears it.
+	Credential string
+	Workspace  WorkspaceID
+	Priority   Priority
+
+	// Model, Prompt and MaxTokens belong to Generate.
+	Model     string
+	Prompt    string
+	MaxTokens int
+
+	// GenerationToken belongs to Resume and Cancel, From to Resume.
+	GenerationToken string
+	From            int
+
+	// Service, Method, Path, Query, Header and Body belong to Call.
+	Service string
+	Method  string
+	Path    string
+	Query   string
+	Header  http.Header
+	Body    []byte
+	// IdempotencyKey marks all sendings of one Call. It may be empty.
+	IdempotencyKey string
+
+	// Target is the upstream that the route filter chose for this attempt.
+	Target Target
+	// Attempt counts the upstreams that the request was offered to, from 1.
+	Attempt int
+}
+
+// Target is an upstream together with the reservation for one attempt.
+type Target struct {
+	Upstream *Upstream
+	Grant    Grant
+	// Version is the model version that the attempt asks for.
+	Version string
+}
+
+// Fingerprint identifies the content of a request across its repeats.
+type Fingerprint [sha256.Size]byte
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// Fingerprint returns the hash of everything that an upstream would see of the
+// request, together with its workspace.
+func (r *Request) Fingerprint() Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{
+		string(r.Workspace), r.Kind.String(), r.Model, r.Prompt,
+		r.Service, r.Method, r.Path, r.Query, string(r.Body),
+	} {
+		// A length prefix keeps neighbouring parts from running together.
+		var n [8]byte
+		for i, v := 0, uint64(len(part)); i < len(n); i, v = i+1, v>>8 {
+			n[i] = byte(v)
+		}
+		h.Write(n[:])
+		h.Write([]byte(part))
+	}
+	var f Fingerprint
+	h.Sum(f[:0])
+	return f
+}
+
+// PromptTokens estimates the tokens of the prompt at four bytes a token.
+func (r *Request) PromptTokens() int {
+	const bytesPerToken = 4
+	return (len(r.Prompt) + bytesPerToken - 1) / bytesPerToken
+}
