--- /dev/null
+++ b/btfront/failure.go
@@ -0,0 +1,50 @@
+package btfront
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"bramleytack"
+)
+
+// failureBody is the body of each error.
+type failureBody struct {
+	Error failureDetail `json:"error"`
+}
+
+type failureDetail struct {
+	Code      bramleytack.Code      `json:"code"`
+	Message   string                `json:"message"`
+	Outcome   string                `json:"outcome"`
+	RequestID bramleytack.RequestID `json:"requestId"`
+}
+
+func encodeFailure(req *bramleytack.Request, e *bramleytack.Error) []byte {
+	body, _ := json.Marshal(failureBody{failureDetail{
+		Code: e.Code, Message: e.Message, Outcome: e.Outcome.String(), RequestID: req.ID,
+	}})
+	return body
+}
+
+// fail sends an error as the whole answer.
+func (f *Front) fail(w http.ResponseWriter, req *bramleytack.Request, err error) {
+	e := bramleytack.AsError(err)
+	f.report(req, e)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRequestID, string(req.ID))
+	h.Set(HeaderOutcome, e.Outcome.String())
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(e.Code.Status())
+	_, _ = w.Write(append(encodeFailure(req, e), '\n'))
+}
+
+func (f *Front) report(req *bramleytack.Request, e *bramleytack.Error) {
+	if f.Failed != nil {
+		f.Failed(req, e)
+	}
+}
--- /dev/null
+++ b/btidentity/filter.go
@@ -0,0 +1,70 @@
+package btidentity
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"bramleytack"
+)
+
+// Bounds of a request's deadline, counted from its receipt.
+const (
+	// DefaultTimeout holds for requests that name no timeout.
+	DefaultTimeout = 10 * time.Minute
+	// DefaultMaxTimeout leaves room for outputs of tens of thousands of tokens
+	// at 70 ms each.
+	DefaultMaxTimeout = 2 * time.Hour
+)
+
+// Filter implements bramleytack.Filter.
+type Filter struct {
+	Snapshots bramleytack.Snapshots
+	Timer     bramleytack.Timer
+	// Timeout and MaxTimeout replace the defaults when positive.
+	Timeout    time.Duration
+	MaxTimeout time.Duration
+}
+
+// Handle sets the request's workspace, priority and deadline and clears its
+// credential.
+func (f *Filter) Handle(ctx context.Context, r *bramleytack.Request, w bramleytack.Reply, next bramleytack.Handler) error {
+	ws, ok := f.Snapshots.Snapshot().ByKeyHash[HashKey(r.Credential)]
+	if !ok || r.Credential == "" {
+		return bramleytack.NewError(bramleytack.CodeUnauthenticated, bramleytack.NotRun, "API key is missing or unknown")
+	}
+	r.Credential = ""
+	r.Workspace = ws.Name
+	r.Priority = min(r.Priority, ws.Priority)
+	f.limit(r)
+	if !f.Timer.Now().Before(r.Deadline) {
+		return bramleytack.NewError(bramleytack.CodeTimeout, bramleytack.NotRun, "deadline has passed")
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	return next.Handle(ctx, r, w)
+}
+
+// limit sets the deadline within its bounds.
+func (f *Filter) limit(r *bramleytack.Request) {
+	timeout, longest := f.Timeout, f.MaxTimeout
+	if timeout <= 0 {
+		timeout = DefaultTimeout
+	}
+	if longest <= 0 {
+		longest = DefaultMaxTimeout
+	}
+	if r.Deadline.IsZero() {
+		r.Deadline = r.Received.Add(min(timeout, longest))
+	}
+	if last := r.Received.Add(longest); r.Deadline.After(last) {
+		r.Deadline = last
+	}
+}
+
+// HashKey returns the hash under which a workspace's record holds an API key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/generation.go
@@ -0,0 +1,26 @@
+package bramleytack
+
+import "time"
+
+// GenerationRef identifies a running generation, so that any entry can resume
+// or cancel it.
+type GenerationRef struct {
+	Upstream  UpstreamID
+	Instance  InstanceID
+	Stream    StreamID
+	Request   RequestID
+	Attempt   int
+	Workspace WorkspaceID
+	Model     string
+	Version   string
+	// Expires is when the reference ends to be valid.
+	Expires time.Time
+}
+
+// GenerationTokens turns references into opaque tokens for callers and back.
+type GenerationTokens interface {
+	Seal(ref GenerationRef) (string, error)
+	// Open returns the reference in a token. A token that is invalid, expired
+	// or of another workspace gives an Error with CodeNotFound.
+	Open(token string, w WorkspaceID) (GenerationRef, error)
+}
