Close the connection at a crash point without a target

Cause: a Switch without a Target, as in the platform, ignored CrashAt and went on with empty writes after a point in bytes. Ruled out: an error when such a fault is set, since the caller sees the same closed connection as from a process that dies. Change: the writer aborts the response at CrashAt with or without a Target. Conclusion: CrashAt has an effect on every server.

--- a/internal/btfault/fault.go
+++ b/internal/btfault/fault.go
@@ -78,7 +78,8 @@
 	Cross bool `json:"cross,omitempty"`
 	// DuplicateToken sends the token of this number twice, counted from 1.
 	DuplicateToken int `json:"duplicateToken,omitempty"`
-	// CrashAt crashes the system at a point of the response.
+	// CrashAt crashes the system at a point of the response. A Switch without a
+	// Target closes the connection.
 	CrashAt *Point `json:"crashAt,omitempty"`
 
 	// Crash crashes the system at once.
--- a/internal/btfault/writer.go
+++ b/internal/btfault/writer.go
@@ -122,8 +122,10 @@
 	if hit(f.CrashAt) || hit(f.Cut) || hit(f.FreezeAt) {
 		w.flush()
 	}
-	if hit(f.CrashAt) && w.target != nil {
-		w.target.Crash()
+	if hit(f.CrashAt) {
+		if w.target != nil {
+			w.target.Crash()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if hit(f.Cut) {
