--- a/cmd/bramleytack-standin/engine.go
+++ b/cmd/bramleytack-standin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"os"
 	"strings"
 
@@ -42,9 +43,9 @@
 	return nil
 }
 
-func newEngineCommand(log zerolog.Logger) *ffcli.Command {
+func newEngineCommand(out io.Writer, log zerolog.Logger) *ffcli.Command {
 	fs := flag.NewFlagSet("engine", flag.ContinueOnError)
-	s := &server{out: os.Stdout, log: log}
+	s := &server{out: out, log: log}
 	opts := btengine.Options{Config: btengine.DefaultConfig(), Exit: os.Exit}
 	s.flags(fs)
 	engineFlags(fs, &opts)
--- a/cmd/bramleytack-standin/main.go
+++ b/cmd/bramleytack-standin/main.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,7 +16,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	err := newRootCommand(log).ParseAndRun(ctx, os.Args[1:])
+	err := newRootCommand(os.Stdout, log).ParseAndRun(ctx, os.Args[1:])
 	stop()
 	if errors.Is(err, flag.ErrHelp) {
 		os.Exit(2)
@@ -26,13 +27,17 @@
 	}
 }
 
-func newRootCommand(log zerolog.Logger) *ffcli.Command {
+func newRootCommand(out io.Writer, log zerolog.Logger) *ffcli.Command {
 	return &ffcli.Command{
-		Name:        "bramleytack-standin",
-		ShortUsage:  "bramleytack-standin <subcommand> [flags]",
-		ShortHelp:   "Run a simulated platform, model engine or plain service.",
-		FlagSet:     flag.NewFlagSet("bramleytack-standin", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{newPlatformCommand(log), newEngineCommand(log), newServiceCommand(log)},
+		Name:       "bramleytack-standin",
+		ShortUsage: "bramleytack-standin <subcommand> [flags]",
+		ShortHelp:  "Run a simulated platform, model engine or plain service.",
+		FlagSet:    flag.NewFlagSet("bramleytack-standin", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{
+			newPlatformCommand(out, log),
+			newEngineCommand(out, log),
+			newServiceCommand(out, log),
+		},
 		Exec: func(context.Context, []string) error {
 			return flag.ErrHelp
 		},
--- a/cmd/bramleytack-standin/platform.go
+++ b/cmd/bramleytack-standin/platform.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"net/netip"
-	"os"
 	"strings"
 	"time"
 
@@ -43,9 +43,9 @@
 	return nil
 }
 
-func newPlatformCommand(log zerolog.Logger) *ffcli.Command {
+func newPlatformCommand(out io.Writer, log zerolog.Logger) *ffcli.Command {
 	fs := flag.NewFlagSet("platform", flag.ContinueOnError)
-	s := &server{out: os.Stdout, log: log}
+	s := &server{out: out, log: log}
 	var (
 		opts  btplatform.Options
 		fault btmemstore.Fault
--- a/cmd/bramleytack-standin/service.go
+++ b/cmd/bramleytack-standin/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"flag"
+	"io"
 	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -14,9 +15,9 @@
 	"bramleytack/internal/btservice"
 )
 
-func newServiceCommand(log zerolog.Logger) *ffcli.Command {
+func newServiceCommand(out io.Writer, log zerolog.Logger) *ffcli.Command {
 	fs := flag.NewFlagSet("service", flag.ContinueOnError)
-	s := &server{out: os.Stdout, log: log}
+	s := &server{out: out, log: log}
 	opts := btservice.Options{Instance: "service", ColdFactor: 4, WarmAfter: 20, Exit: os.Exit}
 	s.flags(fs)
 	fs.Func("instance", "prefix of the instance id", func(s string) error {
