--- a/btrecord/finding.go
+++ b/btrecord/finding.go
@@ -29,6 +29,15 @@
 // MarshalText returns the severity's name.
 func (s Severity) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText reads the severity's name. Other names give Invalid.
+func (s *Severity) UnmarshalText(text []byte) error {
+	*s = Invalid
+	if string(text) == Warning.String() {
+		*s = Warning
+	}
+	return nil
+}
+
 // Finding is one fault of a record with its location.
 type Finding struct {
 	File string `json:"file,omitempty"`
