--- a/btadmin/admin_test.go
+++ b/btadmin/admin_test.go
@@ -154,6 +154,8 @@
 		s.SetFault(btmemstore.Fault{StaleReads: uint64(v)})
 		_, err = a.Drain(t.Context(), "qld-a")
 		assertCode(t, err, bramleytack.CodeConflict, bramleytack.NotRun)
+		_, err = b.Drain(t.Context(), "qld-a")
+		assert.NilError(t, err, "a daemon that knows the newest version needs no current read")
 		s.SetFault(btmemstore.Fault{})
 		_, err = a.Drain(t.Context(), "qld-a")
 		assert.NilError(t, err)
--- a/btconfig/draft.go
+++ b/btconfig/draft.go
@@ -5,10 +5,14 @@
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"bramleytack"
 	"bramleytack/btrecord"
 )
 
+var errFingerprint = errors.New("btconfig: name is not a fingerprint")
+
 func emptySnapshot() *bramleytack.Snapshot {
 	return &bramleytack.Snapshot{
 		Models:         map[string]*bramleytack.Model{},
--- a/btconfig/watcher.go
+++ b/btconfig/watcher.go
@@ -11,8 +11,6 @@
 	"bramleytack"
 )
 
-var errFingerprint = errors.New("btconfig: name is not a fingerprint")
-
 const (
 	baseBackoff = 50 * time.Millisecond
 	// maxBackoff keeps the lists of all watchers of a large deployment to a
--- a/btrecord/record.go
+++ b/btrecord/record.go
@@ -26,8 +26,8 @@
 	NewestSchema = 2
 )
 
-// Kinds returns all kinds in an order in which no record refers to a later one,
-// except that workspaces and upstreams may come in any order.
+// Kinds returns all kinds in an order in which no record refers to a record of
+// a later kind.
 func Kinds() []string {
 	return []string{
 		KindFailureDomain, KindPriorityClass, KindModel, KindService, KindWorkspace, KindUpstream, KindCommitment,
