--- /dev/null
+++ b/btroute/filter.go
@@ -0,0 +1,239 @@
+package btroute
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"slices"
+	"time"
+
+	"bramleytack"
+)
+
+const (
+	// releaseTimeout bounds the wait for an owner that does not answer a
+	// release. The owner then frees the place by load report or deadline.
+	releaseTimeout = time.Second
+	// maxRuns bounds the attempts that an upstream may have run.
+	maxRuns = 2
+)
+
+// Filter is the route step of a request. Resume and Cancel go to the upstream
+// that their generation token names and pass through unchanged.
+type Filter struct {
+	Entry     bramleytack.HostID
+	Snapshots bramleytack.Snapshots
+	Owner     bramleytack.Owner
+	Timer     bramleytack.Timer
+	Policy    Policy
+	// Retry decides about further attempts. A nil Retry allows none.
+	Retry Retry
+	// Loads may be nil.
+	Loads *Loads
+	// Holders may be nil: then each upstream in a model's list holds it.
+	Holders Holders
+	// Suspect says whether a request must run alone. It may be nil.
+	Suspect func(*bramleytack.Request) bool
+	// NewGrant returns a new grant id. A nil NewGrant uses random ids.
+	NewGrant func() bramleytack.GrantID
+}
+
+// Handle offers the request to upstreams until one completes it or no further
+// attempt is allowed.
+func (f *Filter) Handle(ctx context.Context, r *bramleytack.Request, w bramleytack.Reply, next bramleytack.Handler) error {
+	if r.Kind != bramleytack.Generate && r.Kind != bramleytack.Call {
+		return next.Handle(ctx, r, w)
+	}
+	run := &run{Filter: f, request: r, reply: w, next: next, worst: bramleytack.NotRun}
+	return run.loop(ctx)
+}
+
+// run is the state of one request over its attempts.
+type run struct {
+	*Filter
+	request *bramleytack.Request
+	reply   bramleytack.Reply
+	next    bramleytack.Handler
+
+	visits visits
+	// worst is the outcome over all attempts; runs counts the attempts that
+	// were not NotRun.
+	worst     bramleytack.Outcome
+	runs      int
+	delivered bool
+	suspect   bool
+}
+
+func (r *run) loop(ctx context.Context) error {
+	for attempt := 1; ; attempt++ {
+		err := r.attempt(ctx, attempt)
+		if err == nil {
+			return nil
+		}
+		if !r.mayRepeat(ctx, err) || !r.wait(ctx, attempt+1) {
+			return err.WithOutcome(r.worst)
+		}
+	}
+}
+
+// attempt offers the request to one upstream.
+func (r *run) attempt(ctx context.Context, attempt int) *bramleytack.Error {
+	s := r.Snapshots.Snapshot()
+	candidates, version, err := r.candidates(s, r.request)
+	if err != nil {
+		return bramleytack.AsError(err)
+	}
+	candidates = r.visits.remaining(candidates)
+	q := Query{Request: r.request, Snapshot: s, Now: r.Timer.Now(), Attempt: attempt}
+	u := candidates[r.Policy.Pick(q, candidates)].Upstream
+	r.visits.add(u.ID)
+	grant, refused := r.reserve(ctx, u.ID)
+	if refused != nil {
+		return refused
+	}
+	r.request.Attempt = attempt
+	r.request.Target = bramleytack.Target{Upstream: u, Grant: grant, Version: version}
+	return r.dispatch(ctx)
+}
+
+// reserve asks the owner. A failure is always NotRun, since a reservation
+// alone sends nothing to the upstream.
+func (r *run) reserve(ctx context.Context, id bramleytack.UpstreamID) (bramleytack.Grant, *bramleytack.Error) {
+	req := r.request
+	v := bramleytack.Reservation{
+		Grant:        r.newGrant(),
+		Upstream:     id,
+		Entry:        r.Entry,
+		Request:      req.ID,
+		Workspace:    req.Workspace,
+		Model:        req.Model,
+		Priority:     req.Priority,
+		PromptTokens: req.PromptTokens(),
+		MaxTokens:    req.MaxTokens,
+		Deadline:     req.Deadline,
+		Suspect:      r.suspect || (r.Filter.Suspect != nil && r.Filter.Suspect(req)),
+	}
+	grant, err := r.Owner.Reserve(ctx, v)
+	if err == nil {
+		return grant, nil
+	}
+	e := bramleytack.AsError(err)
+	if e.Outcome != bramleytack.NotRun {
+		// The owner may have counted the reservation although its answer
+		// was lost.
+		r.release(ctx, bramleytack.Release{Grant: v.Grant, Upstream: id, Outcome: bramleytack.NotRun})
+	}
+	return bramleytack.Grant{}, e.WithOutcome(bramleytack.NotRun)
+}
+
+func (r *run) dispatch(ctx context.Context) *bramleytack.Error {
+	grant := r.request.Target.Grant
+	id := r.request.Target.Upstream.ID
+	if r.Loads != nil {
+		r.Loads.start(id)
+		defer r.Loads.end(id)
+	}
+	rec := &recorder{reply: r.reply, timer: r.Timer, start: r.Timer.Now()}
+	err := r.next.Handle(ctx, r.request, rec)
+	e := bramleytack.AsError(err)
+	outcome := bramleytack.OutcomeOf(err)
+	r.release(ctx, bramleytack.Release{
+		Grant:      grant.ID,
+		Upstream:   id,
+		Outcome:    outcome,
+		Failed:     failed(e),
+		Tokens:     rec.tokens,
+		FirstToken: rec.firstToken,
+	})
+	r.delivered = r.delivered || rec.delivered
+	if e != nil && outcome != bramleytack.NotRun {
+		r.runs++
+		r.worst = worse(r.worst, outcome)
+		r.suspect = r.suspect || failed(e)
+	}
+	return e
+}
+
+// release gives a grant back even if the client has left.
+func (r *run) release(ctx context.Context, v bramleytack.Release) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	// Without an answer the owner finds the end by load report or deadline.
+	_ = r.Owner.Release(ctx, v)
+}
+
+func (r *run) mayRepeat(ctx context.Context, err *bramleytack.Error) bool {
+	if ctx.Err() != nil || r.delivered || final(err.Code) || r.Retry == nil {
+		return false
+	}
+	if err.Outcome == bramleytack.NotRun {
+		return true
+	}
+	return r.runs < maxRuns && r.repeatable()
+}
+
+// repeatable says whether the request may run twice.
+func (r *run) repeatable() bool {
+	req := r.request
+	if req.Kind == bramleytack.Generate {
+		return true
+	}
+	if req.Method == http.MethodGet || req.Method == http.MethodHead {
+		return true
+	}
+	s, ok := r.Snapshots.Snapshot().Services[req.Service]
+	return ok && slices.Contains(s.IdempotentMethods, req.Method)
+}
+
+func (r *run) wait(ctx context.Context, attempt int) bool {
+	deadline := r.request.Deadline
+	d, ok := r.Retry.Next(attempt, deadline)
+	if !ok || (!deadline.IsZero() && !r.Timer.Now().Add(d).Before(deadline)) {
+		return false
+	}
+	return d <= 0 || r.Timer.Sleep(ctx, d) == nil
+}
+
+func (f *Filter) newGrant() bramleytack.GrantID {
+	if f.NewGrant == nil {
+		return bramleytack.GrantID(rand.Text())
+	}
+	return f.NewGrant()
+}
+
+// final says whether another upstream would give the same answer.
+func final(c bramleytack.Code) bool {
+	switch c {
+	case bramleytack.CodeBadRequest, bramleytack.CodeBodyTooLarge,
+		bramleytack.CodeUnauthenticated, bramleytack.CodeForbidden,
+		bramleytack.CodeUnknownModel, bramleytack.CodeUnknownService,
+		bramleytack.CodeNotFound, bramleytack.CodeRateLimited,
+		bramleytack.CodeCanceled, bramleytack.CodeKeyReused,
+		bramleytack.CodeInProgress, bramleytack.CodeQuarantined,
+		bramleytack.CodeConflict:
+		return true
+	default:
+		return false
+	}
+}
+
+// failed says whether the upstream failed, in contrast to a refusal, a
+// deadline or a client that left.
+func failed(e *bramleytack.Error) bool {
+	if e == nil {
+		return false
+	}
+	return e.Code == bramleytack.CodeUpstreamFailed || e.Code == bramleytack.CodeIncomplete
+}
+
+// worse returns the outcome that promises less to a caller who wants to
+// repeat the request.
+func worse(a, b bramleytack.Outcome) bramleytack.Outcome {
+	if a == bramleytack.Ran || b == bramleytack.Ran {
+		return bramleytack.Ran
+	}
+	if a == bramleytack.Unknown || b == bramleytack.Unknown {
+		return bramleytack.Unknown
+	}
+	return bramleytack.NotRun
+}
