--- /dev/null
+++ b/btramp/ramp_test.go
@@ -0,0 +1,150 @@
+package btramp
+
+import (
+	"testing"
+	"time"
+
+	"bramleytack"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against a cold upstream that gets more than it has proved to bear,
+// under any order of events, in any mode.
+func TestNeverOverEarnedLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Config{Cold: rapid.IntRange(1, 6).Draw(t, "cold"), TokensPerSlot: 100}
+		cfg.Warm = rapid.IntRange(cfg.Cold, 40).Draw(t, "warm")
+		r := New(cfg)
+		now := start
+		var open []Mark
+		// earned is an independent upper bound: base, doubled for each
+		// base x 2 or more successes since the last reset.
+		successes, instance := 0, 0
+		r.Observe(now, "0")
+		reset := func() { successes = 0 }
+		check := func() {
+			earned := cfg.Cold
+			for left := successes; left >= earned*2 && earned < cfg.Warm; earned *= 2 {
+				left -= earned * 2
+			}
+			earned = min(earned, cfg.Warm)
+			assert.Assert(t, r.Level() <= earned, "level %d, earned %d", r.Level(), earned)
+			half := max(1, cfg.Cold/2)
+			switch r.Mode() {
+			case Fallback:
+				assert.Assert(t, r.Warm() || r.Limit() == half)
+			case ReserveHalf:
+				assert.Assert(t, r.Limit() >= 0 && r.Limit()+half <= earned)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"admit": func(t *rapid.T) {
+				if m, ok := r.Admit(now, len(open), rapid.IntRange(0, 300).Draw(t, "prompt")); ok {
+					open = append(open, m)
+					assert.Assert(t, len(open) <= r.Limit())
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(open) == 0 {
+					return
+				}
+				s := Sample{OK: rapid.Bool().Draw(t, "ok")}
+				s.Failed = !s.OK
+				r.End(now, open[0], s)
+				open = open[1:]
+				if s.OK {
+					successes++
+				}
+				if r.Level() == cfg.Cold && r.reason == Failures && r.resetAt.Equal(now) {
+					reset()
+				}
+			},
+			"restart": func(*rapid.T) {
+				instance++
+				r.Observe(now, bramleytack.InstanceID(rune('0'+instance)))
+				reset()
+				assert.Equal(t, r.Level(), cfg.Cold)
+			},
+			"mode": func(t *rapid.T) { r.SetMode(Mode(rapid.IntRange(0, 2).Draw(t, "mode"))) },
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(*rapid.T) { check() },
+		})
+	})
+}
+
+// Guards against a ramp that never rises, rises on unused capacity, or misses
+// one of the signals of a cold upstream.
+func TestSignals(t *testing.T) {
+	warm := func() *Ramp {
+		r := New(Config{Cold: 1, Warm: 8})
+		r.Observe(start, "a")
+		serve(r, start, 100, Sample{OK: true, FirstToken: 50 * time.Millisecond})
+		assert.Assert(t, r.Warm())
+		return r
+	}
+	t.Run("failures", func(t *testing.T) {
+		r := warm()
+		serve(r, start, 3, Sample{Failed: true})
+		assertReset(t, r, Failures)
+	})
+	t.Run("failures far apart", func(t *testing.T) {
+		r := warm()
+		for i := range 10 {
+			serve(r, start.Add(time.Duration(i)*time.Minute), 1, Sample{Failed: true})
+		}
+		assert.Assert(t, r.Warm())
+	})
+	t.Run("slow first tokens", func(t *testing.T) {
+		r := warm()
+		slow := Sample{OK: true, FirstToken: 3 * time.Second}
+		serve(r, start, 3, slow)
+		assert.Assert(t, r.Warm())
+		queued := slow
+		queued.Queued = true
+		serve(r, start, 10, queued)
+		assert.Assert(t, r.Warm())
+		serve(r, start, 1, slow)
+		assertReset(t, r, SlowFirstToken)
+	})
+	t.Run("a trickle of requests proves only the level it reached", func(t *testing.T) {
+		r := New(Config{Cold: 1, Warm: 8})
+		for range 100 {
+			m, _ := r.Admit(start, 0, 0)
+			r.End(start, m, Sample{OK: true})
+		}
+		assert.Equal(t, r.Level(), 2)
+	})
+	t.Run("inherit", func(t *testing.T) {
+		r := New(Config{Cold: 1, Warm: 8})
+		r.Observe(start, "a")
+		r.Inherit("b", 8, 0)
+		r.Inherit("a", 8, time.Minute)
+		assert.Equal(t, r.Level(), 1)
+		r.Inherit("a", 8, time.Second)
+		assert.Equal(t, r.Level(), 4)
+		r.Reset(start, DomainReturned)
+		r.Inherit("a", 8, time.Second)
+		assertReset(t, r, DomainReturned)
+	})
+}
+
+// serve ends n requests, each admitted with the limit nearly reached.
+func serve(r *Ramp, now time.Time, n int, s Sample) {
+	for range n {
+		m, _ := r.Admit(now, r.Limit()-1, 0)
+		r.End(now, m, s)
+	}
+}
+
+func assertReset(t *testing.T, r *Ramp, want Reason) {
+	t.Helper()
+	why, _ := r.Reason()
+	assert.Equal(t, why, want)
+	assert.Equal(t, r.Level(), 1)
+}
