--- a/btramp/ramp.go
+++ b/btramp/ramp.go
@@ -1,6 +1,7 @@
 package btramp
 
 import (
+	"cmp"
 	"time"
 
 	"bramleytack"
@@ -85,23 +86,16 @@
 func (c Config) withDefaults() Config {
 	c.Cold = max(c.Cold, 1)
 	c.Warm = max(c.Warm, c.Cold)
-	c.TokensPerSlot = or(c.TokensPerSlot, 2048)
-	c.SuccessesPerSlot = or(c.SuccessesPerSlot, 2)
-	c.Burst = or(c.Burst, 3)
-	c.Window = or(c.Window, 10*time.Second)
-	c.SlowFactor = or(c.SlowFactor, 4)
-	c.SlowFloor = or(c.SlowFloor, 500*time.Millisecond)
-	c.SlowCount = or(c.SlowCount, 4)
+	c.TokensPerSlot = cmp.Or(c.TokensPerSlot, 2048)
+	c.SuccessesPerSlot = cmp.Or(c.SuccessesPerSlot, 2)
+	c.Burst = cmp.Or(c.Burst, 3)
+	c.Window = cmp.Or(c.Window, 10*time.Second)
+	c.SlowFactor = cmp.Or(c.SlowFactor, 4)
+	c.SlowFloor = cmp.Or(c.SlowFloor, 500*time.Millisecond)
+	c.SlowCount = cmp.Or(c.SlowCount, 4)
 	return c
 }
 
-func or[T int | float64 | time.Duration](v, def T) T {
-	if v == 0 {
-		return def
-	}
-	return v
-}
-
 // Mark ties a request to the level at which it was admitted.
 type Mark struct {
 	epoch uint32
--- a/btroute/filter.go
+++ b/btroute/filter.go
@@ -137,14 +137,19 @@
 	err := r.next.Handle(ctx, r.request, rec)
 	e := bramleytack.AsError(err)
 	outcome := bramleytack.OutcomeOf(err)
-	r.release(ctx, bramleytack.Release{
+	release := bramleytack.Release{
 		Grant:      grant.ID,
 		Upstream:   id,
 		Outcome:    outcome,
 		Failed:     failed(e),
-		Tokens:     rec.tokens,
 		FirstToken: rec.firstToken,
-	})
+	}
+	// The length of an interrupted output says nothing about the length of a
+	// complete one.
+	if e == nil {
+		release.Tokens = rec.tokens
+	}
+	r.release(ctx, release)
 	r.delivered = r.delivered || rec.delivered
 	if e != nil && outcome != bramleytack.NotRun {
 		r.runs++
--- a/btroute/retry.go
+++ b/btroute/retry.go
@@ -1,6 +1,7 @@
 package btroute
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -48,7 +49,7 @@
 
 // Next implements Retry.
 func (b *Backoff) Next(attempt int, deadline time.Time) (time.Duration, bool) {
-	if attempt > or(b.Attempts, defaultAttempts) {
+	if attempt > cmp.Or(b.Attempts, defaultAttempts) {
 		return 0, false
 	}
 	b.mu.Lock()
@@ -58,9 +59,9 @@
 	if !deadline.IsZero() && !now.Add(d).Before(deadline) {
 		return 0, false
 	}
-	b.spent = max(0, b.spent-now.Sub(b.at).Seconds()*or(b.PerSecond, defaultRefill))
+	b.spent = max(0, b.spent-now.Sub(b.at).Seconds()*cmp.Or(b.PerSecond, defaultRefill))
 	b.at = now
-	if b.spent+1 > or(b.Budget, defaultBudget) {
+	if b.spent+1 > cmp.Or(b.Budget, defaultBudget) {
 		return 0, false
 	}
 	b.spent++
@@ -71,8 +72,8 @@
 	if attempt <= 2 {
 		return 0
 	}
-	limit := or(b.Max, defaultMax)
-	d := or(b.Base, defaultBase)
+	limit := cmp.Or(b.Max, defaultMax)
+	d := cmp.Or(b.Base, defaultBase)
 	for i := 3; i < attempt && d < limit; i++ {
 		d *= 2
 	}
@@ -85,10 +86,3 @@
 	}
 	return b.Float()
 }
-
-func or[T int | float64 | time.Duration](v, def T) T {
-	if v == 0 {
-		return def
-	}
-	return v
-}
