Add btowner, reservations and admission of owned upstreams

Cause: the owner is the only place that counts what an upstream runs. Ruled out: freeing the place of an expired grant, since its first byte may have been written in time; taking any first load report as complete, since a report from before the takeover misses what a dead entry left behind; an allowance for the sum of all final sizes, which ignores that generations end at different times.

--- /dev/null
+++ b/btowner/config.go
@@ -0,0 +1,72 @@
+package btowner
+
+import (
+	"cmp"
+	"time"
+
+	"bramleytack"
+	"bramleytack/btlength"
+	"bramleytack/btramp"
+)
+
+// Fixed times of the owner's bookkeeping.
+const (
+	// GrantValidity is how long an entry may use a grant after it asked.
+	GrantValidity = time.Second
+	// deadlineGrace allows for the difference of clocks and for the time that
+	// a canceled generation takes to leave the engine.
+	deadlineGrace = 2 * time.Second
+	// goneDead and goneLive are the times after a grant's expiry at which a
+	// report without the request shows that it is gone. A live entry releases
+	// by itself; the longer time covers requests that are stuck on a link.
+	goneDead = 2 * time.Second
+	goneLive = 10 * time.Second
+	// endedKept is how long ended grants are remembered, for releases and
+	// reservations that arrive out of order and for reports that lag.
+	endedKept = 10 * time.Second
+	// forgetPeriod bounds how often ended grants are searched.
+	forgetPeriod = time.Second
+	// maxLife bounds a reservation without a deadline.
+	maxLife = time.Hour
+	// interactiveRecent is how long headroom is kept after the last
+	// interactive reservation.
+	interactiveRecent = 30 * time.Second
+	// retryAfter is the advice with a refusal for lack of room.
+	retryAfter = 200 * time.Millisecond
+	// provenTokens is the output after which a generation counts as a
+	// success of a cold upstream, before its end.
+	provenTokens = 16
+)
+
+// Config holds the settings of an owner. Zero fields take defaults.
+type Config struct {
+	// Lengths forecasts outputs. It is shared by all upstreams.
+	Lengths *btlength.Estimator
+	// Ramp holds the warm-up settings. The limits come from each record.
+	Ramp btramp.Config
+	// Z is the number of standard deviations above the expected memory that
+	// must fit. 2.33 is the 99% quantile of the normal distribution.
+	Z float64
+	// Headroom is the share of concurrency and memory that each priority
+	// leaves to the higher ones while there is interactive work.
+	Headroom [bramleytack.Priorities]float64
+	// MoveAbove is the memory share above which a generation is named to be
+	// moved.
+	MoveAbove float64
+	// WithoutReports admits before the first load report. Without it, a new
+	// owner first waits to see what already runs.
+	WithoutReports bool
+}
+
+func (c Config) withDefaults() Config {
+	if c.Lengths == nil {
+		c.Lengths = btlength.New(btlength.Config{})
+	}
+	c.Z = cmp.Or(c.Z, 2.33)
+	if c.Headroom == [bramleytack.Priorities]float64{} {
+		c.Headroom[bramleytack.Batch] = 0.15
+		c.Headroom[bramleytack.Standard] = 0.05
+	}
+	c.MoveAbove = cmp.Or(c.MoveAbove, 0.97)
+	return c
+}
--- /dev/null
+++ b/btowner/held.go
@@ -0,0 +1,78 @@
+package btowner
+
+import (
+	"time"
+
+	"bramleytack"
+	"bramleytack/btlength"
+	"bramleytack/btramp"
+)
+
+// Held is a reservation that an entry holds, as it tells a new owner.
+type Held struct {
+	bramleytack.Reservation
+	Instance bramleytack.InstanceID
+	// Age is the time since the entry asked for the grant.
+	Age time.Duration
+	// Tokens is the output so far.
+	Tokens int
+}
+
+// held is a reservation with the owner's bookkeeping.
+type held struct {
+	bramleytack.Reservation
+	mark       btramp.Mark
+	granted    time.Time
+	validUntil time.Time
+	produced   int
+	// listed is the time of the last report that listed the request.
+	listed time.Time
+	// proven is set when the progress was counted as a success.
+	proven bool
+	// dead is set when the entry has left the view.
+	dead  bool
+	moved bool
+	use   moments
+}
+
+func (h *held) end() time.Time {
+	if h.Deadline.IsZero() {
+		return h.granted.Add(maxLife)
+	}
+	return h.Deadline.Add(deadlineGrace)
+}
+
+func (h *held) key() btlength.Key {
+	return btlength.Key{Workspace: h.Workspace, Model: h.Model, Priority: h.Priority}
+}
+
+// forecast computes the memory use from the tokens produced so far.
+func (h *held) forecast(e *btlength.Estimator) {
+	limit := 0
+	if h.MaxTokens > 0 {
+		limit = max(1, h.MaxTokens-h.produced)
+	}
+	c := e.Curve(h.key(), h.produced, limit)
+	h.use = forecastOf(h.PromptTokens+h.produced, &c)
+}
+
+// gone says whether a report that does not list the request, made at the given
+// time, shows that the request has ended.
+func (h *held) gone(at time.Time) bool {
+	if !h.listed.IsZero() {
+		return at.After(h.listed)
+	}
+	wait := goneLive
+	if h.dead {
+		wait = goneDead
+	}
+	return at.After(h.validUntil.Add(wait))
+}
+
+// ended is a reservation that no longer counts.
+type ended struct {
+	*held
+	at time.Time
+	// released is set when the entry has said how the request ended.
+	released bool
+}
