Add btroute's scores, digests, prefix index and subsets

Cause: the simple policies know only the entry's own requests, not the owners' counts, memory forecasts, warm-up state or prompt caches. Ruled out: scoring all candidates on the first attempt, which sends all entries to the same upstream between two digests; affinity only among two random draws, which finds a cached prefix once in n/2 requests. Change: Loads with lag-corrected digests, Prefixes (void after a gap, a restart or two minutes), Scored, Subset, a hook for granted reservations.

--- a/btroute/candidates.go
+++ b/btroute/candidates.go
@@ -1,6 +1,7 @@
 package btroute
 
 import (
+	"cmp"
 	"time"
 
 	"bramleytack"
@@ -17,51 +18,68 @@
 	Holds(id bramleytack.UpstreamID, m bramleytack.LoadedModel) bool
 }
 
-// candidates returns the upstreams that may run r under the snapshot and the
-// model version to ask for.
-func (f *Filter) candidates(s *bramleytack.Snapshot, r *bramleytack.Request) ([]Candidate, string, error) {
+// wideAttempt is the attempt from which an entry looks beyond its subset.
+const wideAttempt = 3
+
+// candidates returns the upstreams that may run the request under the snapshot
+// and the model version to ask for.
+func (f *Filter) candidates(q Query) ([]Candidate, string, error) {
+	s, r := q.Snapshot, q.Request
 	if len(s.Quarantined) > 0 && s.Quarantined[r.Fingerprint().String()] {
 		return nil, "", bramleytack.NewError(bramleytack.CodeQuarantined, bramleytack.NotRun, "request is quarantined")
 	}
 	if r.Kind == bramleytack.Call {
-		c, err := f.serviceCandidates(s, r)
+		c, err := f.serviceCandidates(q)
 		return c, "", err
 	}
-	return f.modelCandidates(s, r)
+	return f.modelCandidates(q)
 }
 
-func (f *Filter) serviceCandidates(s *bramleytack.Snapshot, r *bramleytack.Request) ([]Candidate, error) {
-	if _, ok := s.Services[r.Service]; !ok {
-		return nil, bramleytack.NewError(bramleytack.CodeUnknownService, bramleytack.NotRun, "unknown service %q", r.Service)
+func (f *Filter) serviceCandidates(q Query) ([]Candidate, error) {
+	name := q.Request.Service
+	if _, ok := q.Snapshot.Services[name]; !ok {
+		return nil, bramleytack.NewError(bramleytack.CodeUnknownService, bramleytack.NotRun, "unknown service %q", name)
 	}
-	var c []Candidate
-	for _, u := range s.ByService[r.Service] {
-		if s.Accepts(u.ID) {
-			c = append(c, f.candidate(u))
-		}
-	}
-	return c, noneError(len(c), r.Service)
+	c := f.accepting(q, q.Snapshot.ByService[name], nil)
+	return c, noneError(len(c), name)
 }
 
-func (f *Filter) modelCandidates(s *bramleytack.Snapshot, r *bramleytack.Request) ([]Candidate, string, error) {
-	m, ok := s.Models[r.Model]
+func (f *Filter) modelCandidates(q Query) ([]Candidate, string, error) {
+	s, name := q.Snapshot, q.Request.Model
+	m, ok := s.Models[name]
 	if !ok {
-		return nil, "", bramleytack.NewError(bramleytack.CodeUnknownModel, bramleytack.NotRun, "unknown model %q", r.Model)
+		return nil, "", bramleytack.NewError(bramleytack.CodeUnknownModel, bramleytack.NotRun, "unknown model %q", name)
 	}
-	want := bramleytack.LoadedModel{Model: m.Name, Version: m.Version, Adapter: m.Adapter}
+	want := &bramleytack.LoadedModel{Model: m.Name, Version: m.Version, Adapter: m.Adapter}
+	n := cmp.Or(f.SubsetSize, defaultSubset)
 	var c []Candidate
-	for _, u := range s.ByModel[r.Model] {
-		if s.Accepts(u.ID) && (f.Holders == nil || f.Holders.Holds(u.ID, want)) {
-			c = append(c, f.candidate(u))
-		}
+	if q.Attempt < wideAttempt {
+		c = f.accepting(q, f.subsets.get(s, f.Entry, name, n), want)
 	}
-	return c, m.Version, noneError(len(c), r.Model)
+	// A subset with few usable upstreams would overload them.
+	if all := s.ByModel[name]; len(c) < min(n, len(all))/2 || len(c) == 0 {
+		c = f.accepting(q, all, want)
+	}
+	return c, m.Version, noneError(len(c), name)
 }
 
-func (f *Filter) candidate(u *bramleytack.Upstream) Candidate {
-	c := Candidate{Upstream: u}
-	if f.Loads != nil {
-		c.Load = f.Loads.Load(u.ID)
+// accepting returns the upstreams that take new work and hold the model.
+func (f *Filter) accepting(q Query, ups []*bramleytack.Upstream, want *bramleytack.LoadedModel) []Candidate {
+	c := make([]Candidate, 0, len(ups))
+	for _, u := range ups {
+		if !q.Snapshot.Accepts(u.ID) {
+			continue
+		}
+		if want != nil && f.Holders != nil && !f.Holders.Holds(u.ID, *want) {
+			continue
+		}
+		x := Candidate{Upstream: u}
+		if f.Loads != nil {
+			x.Load = f.Loads.Load(q.Now, u.ID)
+		}
+		if !x.Load.Leaving {
+			c = append(c, x)
+		}
 	}
 	return c
 }
--- a/btroute/doc.go
+++ b/btroute/doc.go
@@ -11,6 +11,9 @@
 // Loads holds what the entry knows of the upstreams: the digests that owners
 // send, and the entry's own requests that the digests do not show yet.
 //
+// RoundRobin, LeastInFlight and TwoRandom are the baselines that Scored is
+// compared with.
+//
 // # Usage
 //
 //	loads := &btroute.Loads{}
@@ -20,7 +23,8 @@
 //		Owner:     owners,
 //		Timer:     timers,
 //		Loads:     loads,
-//		Policy:    &btroute.RoundRobin{},
+//		Holders:   loads,
+//		Policy:    &btroute.Scored{Domain: domain, Prefixes: &btroute.Prefixes{}},
 //		Retry:     &btroute.Backoff{Timer: timers},
 //	}
 //	path := bramleytack.Chain(dispatch, route)
--- a/btroute/filter.go
+++ b/btroute/filter.go
@@ -34,8 +34,15 @@
 	Holders Holders
 	// Suspect says whether a request must run alone. It may be nil.
 	Suspect func(*bramleytack.Request) bool
+	// SubsetSize bounds the upstreams per model that this entry uses. Zero
+	// takes a default.
+	SubsetSize int
+	// Granted is told that a request got a reservation. It may be nil.
+	Granted func(*bramleytack.Request)
 	// NewGrant returns a new grant id. A nil NewGrant uses random ids.
 	NewGrant func() bramleytack.GrantID
+
+	subsets subsets
 }
 
 // Handle offers the request to upstreams until one completes it or no further
@@ -78,13 +85,12 @@
 
 // attempt offers the request to one upstream.
 func (r *run) attempt(ctx context.Context, attempt int) *bramleytack.Error {
-	s := r.Snapshots.Snapshot()
-	candidates, version, err := r.candidates(s, r.request)
+	q := Query{Request: r.request, Snapshot: r.Snapshots.Snapshot(), Now: r.Timer.Now(), Attempt: attempt}
+	candidates, version, err := r.candidates(q)
 	if err != nil {
 		return bramleytack.AsError(err)
 	}
 	candidates = r.visits.remaining(candidates)
-	q := Query{Request: r.request, Snapshot: s, Now: r.Timer.Now(), Attempt: attempt}
 	u := candidates[r.Policy.Pick(q, candidates)].Upstream
 	r.visits.add(u.ID)
 	grant, refused := r.reserve(ctx, u.ID)
@@ -118,6 +124,9 @@
 		return grant, nil
 	}
 	e := bramleytack.AsError(err)
+	if r.Loads != nil && e.Code == bramleytack.CodeOverloaded {
+		r.Loads.refuse(r.Timer.Now(), id, e.RetryAfter)
+	}
 	if e.Outcome != bramleytack.NotRun {
 		// The owner may have counted the reservation although its answer
 		// was lost.
@@ -129,10 +138,7 @@
 func (r *run) dispatch(ctx context.Context) *bramleytack.Error {
 	grant := r.request.Target.Grant
 	id := r.request.Target.Upstream.ID
-	if r.Loads != nil {
-		r.Loads.start(id)
-		defer r.Loads.end(id)
-	}
+	r.started(id)
 	rec := &recorder{reply: r.reply, timer: r.Timer, start: r.Timer.Now()}
 	err := r.next.Handle(ctx, r.request, rec)
 	e := bramleytack.AsError(err)
@@ -150,6 +156,9 @@
 		release.Tokens = rec.tokens
 	}
 	r.release(ctx, release)
+	if r.Loads != nil {
+		r.Loads.end(id)
+	}
 	r.delivered = r.delivered || rec.delivered
 	if e != nil && outcome != bramleytack.NotRun {
 		r.runs++
@@ -159,6 +168,19 @@
 	return e
 }
 
+// started tells all that follow the entry's own requests.
+func (r *run) started(id bramleytack.UpstreamID) {
+	if r.Loads != nil {
+		r.Loads.start(id)
+	}
+	if r.Granted != nil {
+		r.Granted(r.request)
+	}
+	if o, ok := r.Policy.(Observer); ok {
+		o.Started(r.Timer.Now(), r.request, id)
+	}
+}
+
 // release gives a grant back even if the client has left.
 func (r *run) release(ctx context.Context, v bramleytack.Release) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
--- a/btroute/filter_test.go
+++ b/btroute/filter_test.go
@@ -170,7 +170,7 @@
 	})
 }
 
-func newFilter(t *testing.T, s *bramleytack.Snapshot) (*Filter, *ledger) {
+func newFilter(t testing.TB, s *bramleytack.Snapshot) (*Filter, *ledger) {
 	t.Helper()
 	timers := bttimer.New(1)
 	t.Cleanup(timers.Close)
--- a/btroute/policy.go
+++ b/btroute/policy.go
@@ -29,6 +29,11 @@
 	Pick(q Query, candidates []Candidate) int
 }
 
+// Observer is a Policy that is told of each request that an upstream gets.
+type Observer interface {
+	Started(now time.Time, r *bramleytack.Request, id bramleytack.UpstreamID)
+}
+
 // IntN returns a random number in [0, n). A nil IntN uses the global source.
 type IntN func(n int) int
 
--- /dev/null
+++ b/btroute/scored.go
@@ -0,0 +1,107 @@
+package btroute
+
+import (
+	"time"
+
+	"bramleytack"
+)
+
+// Weights of a score. A score is a load between 0 and 1 plus these.
+const (
+	// fullCost keeps candidates without a free place behind all others.
+	fullCost = 2.0
+	// refusedCost applies for a short time after a refusal.
+	refusedCost = 1.0
+	// unknownLoad is assumed without a recent digest.
+	unknownLoad = 0.7
+	// coldCost is for interactive requests, whose first token a cold upstream
+	// delays. Other work goes to cold upstreams and warms them.
+	coldCost = 0.3
+	// regionCost and remoteCost are for another failure domain of the same
+	// region and for another region.
+	regionCost = 0.05
+	remoteCost = 0.3
+	// affinityGain is for a prompt that is cached as a whole.
+	affinityGain = 0.35
+)
+
+// Scored draws two candidates and picks the one with the better score. An
+// upstream that has the prompt's prefix cached is compared with them. After a
+// refusal it picks the best of the candidates that remain.
+type Scored struct {
+	// Domain is the failure domain of this entry.
+	Domain bramleytack.FailureDomainID
+	// Prefixes may be nil.
+	Prefixes *Prefixes
+	IntN     IntN
+}
+
+// Pick implements Policy.
+func (p *Scored) Pick(q Query, candidates []Candidate) int {
+	var matches map[bramleytack.UpstreamID]float64
+	if p.Prefixes != nil && q.Request.Kind == bramleytack.Generate {
+		matches = p.Prefixes.Matches(q.Now, PrefixHashes(q.Request.Model, q.Request.Prompt))
+	}
+	if len(candidates) == 1 {
+		return 0
+	}
+	best, score := -1, 0.0
+	consider := func(i int) {
+		s := p.score(q, &candidates[i], matches)
+		if best < 0 || s < score {
+			best, score = i, s
+		}
+	}
+	// The random first two also break ties between entries.
+	i, j := p.IntN.two(len(candidates))
+	consider(i)
+	consider(j)
+	for k := range candidates {
+		_, cached := matches[candidates[k].Upstream.ID]
+		if cached || q.Attempt > 1 {
+			consider(k)
+		}
+	}
+	return best
+}
+
+// Started implements Observer.
+func (p *Scored) Started(now time.Time, r *bramleytack.Request, id bramleytack.UpstreamID) {
+	if p.Prefixes != nil && r.Kind == bramleytack.Generate {
+		p.Prefixes.Sent(now, id, PrefixHashes(r.Model, r.Prompt))
+	}
+}
+
+// score rates a candidate. Lower is better.
+func (p *Scored) score(q Query, c *Candidate, matches map[bramleytack.UpstreamID]float64) float64 {
+	s := p.load(q, &c.Load) + p.distance(q.Snapshot, c.Upstream.FailureDomain)
+	if c.Load.Refused {
+		s += refusedCost
+	}
+	return s - affinityGain*matches[c.Upstream.ID]
+}
+
+func (p *Scored) load(q Query, l *Load) float64 {
+	if !l.Known {
+		return unknownLoad + float64(l.InFlight)/100
+	}
+	if l.Running >= l.Limit {
+		return fullCost
+	}
+	s := max(float64(l.Running)/float64(l.Limit), l.Memory)
+	if !l.Warm && q.Request.Priority == bramleytack.Interactive {
+		s += coldCost
+	}
+	return s
+}
+
+func (p *Scored) distance(s *bramleytack.Snapshot, id bramleytack.FailureDomainID) float64 {
+	if id == p.Domain || p.Domain == "" {
+		return 0
+	}
+	own, there := s.FailureDomains[p.Domain], s.FailureDomains[id]
+	if own != nil && there != nil && own.Region == there.Region {
+		return regionCost
+	}
+	return remoteCost
+}
