btramp: stay at each level for a shortest time

Ruled out: more successes per level. They come faster the more requests there are, while the engine's warm-up is a matter of time too. Change: Dwell, 5 s by default, counted from the first request at a level.

--- a/btowner/report.go
+++ b/btowner/report.go
@@ -70,7 +70,7 @@
 		h.produced = max(h.produced, tokens)
 		if h.produced >= provenTokens && !h.proven {
 			h.proven = true
-			u.ramp.Progress(h.mark)
+			u.ramp.Progress(u.receivedAt, h.mark)
 		}
 	}
 	return listed
--- a/btramp/ramp.go
+++ b/btramp/ramp.go
@@ -72,6 +72,9 @@
 	// SuccessesPerSlot is the number of successes for each unit of
 	// concurrency before the limit doubles.
 	SuccessesPerSlot int
+	// Dwell is the shortest time at a level. Upstreams also warm up with
+	// time, and short requests succeed faster than that.
+	Dwell time.Duration
 	// Burst failures within Window take the ramp back to base.
 	Burst  int
 	Window time.Duration
@@ -88,6 +91,7 @@
 	c.Warm = max(c.Warm, c.Cold)
 	c.TokensPerSlot = cmp.Or(c.TokensPerSlot, 2048)
 	c.SuccessesPerSlot = cmp.Or(c.SuccessesPerSlot, 2)
+	c.Dwell = cmp.Or(c.Dwell, 5*time.Second)
 	c.Burst = cmp.Or(c.Burst, 3)
 	c.Window = cmp.Or(c.Window, 10*time.Second)
 	c.SlowFactor = cmp.Or(c.SlowFactor, 4)
@@ -127,8 +131,10 @@
 	// admitted at another level do not count.
 	epoch     uint32
 	successes int
-	reason    Reason
-	resetAt   time.Time
+	// since is when a request was first admitted at this level.
+	since   time.Time
+	reason  Reason
+	resetAt time.Time
 
 	bucket  bucket
 	burst   burst
@@ -241,17 +247,20 @@
 	if !r.Warm() {
 		r.bucket.take(now, r.rate(), float64(promptTokens))
 	}
+	if r.since.IsZero() {
+		r.since = now
+	}
 	return Mark{epoch: r.epoch, full: r.level == r.cfg.Cold || running+1 > r.level/2}, true
 }
 
 // Progress counts a request as a success before its end, when the upstream
 // reports that it produces tokens.
-func (r *Ramp) Progress(m Mark) {
+func (r *Ramp) Progress(now time.Time, m Mark) {
 	if r.mode != Normal || m.epoch != r.epoch || !m.full || r.Warm() {
 		return
 	}
 	r.successes++
-	if r.successes >= r.level*r.cfg.SuccessesPerSlot {
+	if r.successes >= r.level*r.cfg.SuccessesPerSlot && now.Sub(r.since) >= r.cfg.Dwell {
 		r.setLevel(min(r.level*2, r.cfg.Warm))
 	}
 }
@@ -267,7 +276,7 @@
 		return
 	}
 	if s.OK {
-		r.Progress(m)
+		r.Progress(now, m)
 	}
 }
 
@@ -283,6 +292,7 @@
 func (r *Ramp) setLevel(n int) {
 	r.level = n
 	r.successes = 0
+	r.since = time.Time{}
 	r.epoch++
 }
 
