Drain an upstream for a suspect that waits to run alone

Cause: a suspect runs alone, but on a busy fleet no upstream is ever idle. Ruled out: letting suspects run beside others, which would crash them too; an unbounded drain, with which a poison request resent by its client idles the fleet. Change: an owner that refuses a suspect takes no new work for a second, at most 15 s for one suspect and then not for 30 s; the route step picks the emptiest upstream and asks there every 250 ms. Measured: the unit tests of both sides; a drain was not yet measured under load. Conclusion: a suspect waits at most 15 s, then is refused truthfully.

--- a/btowner/upstream.go
+++ b/btowner/upstream.go
@@ -21,6 +21,7 @@
 	// soonest is the earliest end of a reservation by its deadline.
 	soonest time.Time
 	suspect bramleytack.GrantID
+	drain   drain
 	sum     moments
 
 	report      bramleytack.LoadReport
@@ -145,7 +146,11 @@
 // the prompt.
 func (u *Upstream) admit(now time.Time, h *held) error {
 	running := u.Running()
+	if u.drain.active(now, h.Request) {
+		return refusal(bramleytack.CodeOverloaded, "upstream drains for a suspect")
+	}
 	if u.suspect != "" || (h.Suspect && running > 0) {
+		u.drain.ask(now, h)
 		return refusal(bramleytack.CodeOverloaded, "a suspect runs alone")
 	}
 	headroom := u.headroom(now, h.Priority)
@@ -203,6 +208,7 @@
 	u.sum.add(&h.use)
 	if h.Suspect {
 		u.suspect = h.Grant
+		u.drain.until = time.Time{}
 	}
 	if end := h.end(); u.soonest.IsZero() || end.Before(u.soonest) {
 		u.soonest = end
--- a/btowner/upstream_test.go
+++ b/btowner/upstream_test.go
@@ -337,6 +337,28 @@
 		assertGranted(t, u, start, suspect)
 		assertRefused(t, u, start, reservation("2", bramleytack.Standard))
 	})
+	t.Run("an upstream drains for a suspect, for a limited time", func(t *testing.T) {
+		u := newUpstream(8, 0)
+		suspect := reservation("s", bramleytack.Standard)
+		suspect.Suspect = true
+		assertGranted(t, u, start, reservation("1", bramleytack.Standard))
+		now := start
+		ask := func(d time.Duration) {
+			for end := now.Add(d); now.Before(end); now = now.Add(500 * time.Millisecond) {
+				assertRefused(t, u, now, suspect)
+			}
+		}
+		ask(5 * time.Second)
+		assertRefused(t, u, now, reservation("2", bramleytack.Standard))
+		ask(20 * time.Second)
+		assertGranted(t, u, now, reservation("3", bramleytack.Standard))
+		for _, id := range []bramleytack.GrantID{"1", "3"} {
+			u.Release(now, bramleytack.Release{Grant: id})
+		}
+		assertGranted(t, u, now, suspect)
+		u.Release(now, bramleytack.Release{Grant: "s"})
+		assertGranted(t, u, now, reservation("4", bramleytack.Standard))
+	})
 	t.Run("the victim is the newest of the lowest priority without tokens", func(t *testing.T) {
 		u := newUpstream(1000, 0)
 		for i, p := range []bramleytack.Priority{bramleytack.Batch, bramleytack.Batch, bramleytack.Batch, bramleytack.Interactive} {
--- a/btroute/filter.go
+++ b/btroute/filter.go
@@ -14,6 +14,11 @@
 	// releaseTimeout bounds the wait for an owner that does not answer a
 	// release. The owner then frees the place by load report or deadline.
 	releaseTimeout = time.Second
+	// suspectAsk is the time between two reservations of a suspect, and
+	// suspectWait the time for which it asks. The owner drains the upstream
+	// meanwhile, so that asking elsewhere would start anew.
+	suspectAsk  = 250 * time.Millisecond
+	suspectWait = 15 * time.Second
 	// maxRuns bounds the attempts that an upstream may have run.
 	maxRuns = 2
 )
@@ -86,6 +91,7 @@
 // attempt offers the request to one upstream.
 func (r *run) attempt(ctx context.Context, attempt int) *bramleytack.Error {
 	q := Query{Request: r.request, Snapshot: r.Snapshots.Snapshot(), Now: r.Timer.Now(), Attempt: attempt}
+	q.Suspect = r.suspect || (r.Filter.Suspect != nil && r.Filter.Suspect(r.request))
 	candidates, version, err := r.candidates(q)
 	if err != nil {
 		return bramleytack.AsError(err)
@@ -93,7 +99,10 @@
 	candidates = r.visits.remaining(candidates)
 	u := candidates[r.Policy.Pick(q, candidates)].Upstream
 	r.visits.add(u.ID)
-	grant, refused := r.reserve(ctx, u.ID)
+	grant, refused := r.reserve(ctx, u.ID, q.Suspect)
+	if q.Suspect {
+		grant, refused = r.insist(ctx, u.ID, grant, refused)
+	}
 	if refused != nil {
 		return refused
 	}
@@ -104,7 +113,7 @@
 
 // reserve asks the owner. A failure is always NotRun, since a reservation
 // alone sends nothing to the upstream.
-func (r *run) reserve(ctx context.Context, id bramleytack.UpstreamID) (bramleytack.Grant, *bramleytack.Error) {
+func (r *run) reserve(ctx context.Context, id bramleytack.UpstreamID, suspect bool) (bramleytack.Grant, *bramleytack.Error) {
 	req := r.request
 	v := bramleytack.Reservation{
 		Grant:        r.newGrant(),
@@ -117,7 +126,7 @@
 		PromptTokens: req.PromptTokens(),
 		MaxTokens:    req.MaxTokens,
 		Deadline:     req.Deadline,
-		Suspect:      r.suspect || (r.Filter.Suspect != nil && r.Filter.Suspect(req)),
+		Suspect:      suspect,
 	}
 	grant, err := r.Owner.Reserve(ctx, v)
 	if err == nil {
@@ -135,6 +144,21 @@
 	return bramleytack.Grant{}, e.WithOutcome(bramleytack.NotRun)
 }
 
+// insist asks again for a suspect while its upstream drains.
+func (r *run) insist(ctx context.Context, id bramleytack.UpstreamID, grant bramleytack.Grant, refused *bramleytack.Error) (bramleytack.Grant, *bramleytack.Error) {
+	end := r.Timer.Now().Add(suspectWait)
+	if d := r.request.Deadline; !d.IsZero() && d.Before(end) {
+		end = d
+	}
+	for refused != nil && refused.Code == bramleytack.CodeOverloaded && r.Timer.Now().Add(suspectAsk).Before(end) {
+		if r.Timer.Sleep(ctx, suspectAsk) != nil || !r.Snapshots.Snapshot().Accepts(id) {
+			return grant, refused
+		}
+		grant, refused = r.reserve(ctx, id, true)
+	}
+	return grant, refused
+}
+
 func (r *run) dispatch(ctx context.Context) *bramleytack.Error {
 	grant := r.request.Target.Grant
 	id := r.request.Target.Upstream.ID
--- a/btroute/filter_test.go
+++ b/btroute/filter_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"bramleytack"
 	"bramleytack/bttimer"
@@ -21,6 +23,7 @@
 	offered  []bramleytack.UpstreamID
 	releases []bramleytack.Release
 	suspects int
+	mu       sync.Mutex
 	refuse   map[bramleytack.UpstreamID]error
 }
 
@@ -29,6 +32,8 @@
 	if r.Suspect {
 		l.suspects++
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err := l.refuse[r.Upstream]; err != nil {
 		return bramleytack.Grant{}, err
 	}
@@ -143,6 +148,22 @@
 		})
 		assert.Assert(t, f.Handle(t.Context(), r, &nullReply{}, crash) != nil)
 		assert.Equal(t, owner.suspects, 1)
+
+		// A suspect waits for one upstream that drains.
+		owner.offered = nil
+		full := bramleytack.NewError(bramleytack.CodeOverloaded, bramleytack.NotRun, "full")
+		owner.refuse = map[bramleytack.UpstreamID]error{"a": full, "b": full, "c": full}
+		f.Suspect = func(*bramleytack.Request) bool { return true }
+		go func() {
+			_ = f.Timer.Sleep(t.Context(), 5*time.Second)
+			owner.mu.Lock()
+			defer owner.mu.Unlock()
+			owner.refuse = nil
+		}()
+		assert.NilError(t, f.Handle(t.Context(), r, &nullReply{}, ok))
+		for _, id := range owner.offered {
+			assert.Equal(t, id, owner.offered[0])
+		}
 	})
 }
 
--- a/btroute/policy.go
+++ b/btroute/policy.go
@@ -21,6 +21,8 @@
 	Now      time.Time
 	// Attempt counts from 1.
 	Attempt int
+	// Suspect is set for a request that must run alone.
+	Suspect bool
 }
 
 // Policy picks one of the candidates.
--- a/btroute/scored.go
+++ b/btroute/scored.go
@@ -45,6 +45,9 @@
 	if len(candidates) == 1 {
 		return 0
 	}
+	if q.Suspect {
+		return emptiest(candidates)
+	}
 	best, score := -1, 0.0
 	consider := func(i int) {
 		s := p.score(q, &candidates[i], matches)
@@ -65,6 +68,17 @@
 	return best
 }
 
+// emptiest returns the candidate that a suspect can have to itself soonest.
+func emptiest(candidates []Candidate) int {
+	best := 0
+	for i := range candidates {
+		if candidates[i].Load.Running < candidates[best].Load.Running {
+			best = i
+		}
+	}
+	return best
+}
+
 // Started implements Observer.
 func (p *Scored) Started(now time.Time, r *bramleytack.Request, id bramleytack.UpstreamID) {
 	if p.Prefixes != nil && r.Kind == bramleytack.Generate {
