Compose the daemon

Cause: the parts of the request path need a process. Ruled out: wiring in main, which tests could not use. Change: btdaemon, btprobe, cmd/bramleytackd. Each daemon owns all upstreams for now; ownership by view follows with the peer links. Conclusion: the thin path can be tried as separate processes.

--- /dev/null
+++ b/btdaemon/path.go
@@ -0,0 +1,115 @@
+package btdaemon
+
+import (
+	"bramleytack"
+	"bramleytack/btclaim"
+	"bramleytack/btdispatch"
+	"bramleytack/btevent"
+	"bramleytack/btfront"
+	"bramleytack/btidentity"
+	"bramleytack/btlength"
+	"bramleytack/btlimit"
+	"bramleytack/btmetric"
+	"bramleytack/btowner"
+	"bramleytack/btprobe"
+	"bramleytack/btquarantine"
+	"bramleytack/btqueue"
+	"bramleytack/btroute"
+	"bramleytack/bttoken"
+)
+
+// buildOwner makes the parts that admit work to owned upstreams.
+func (d *Daemon) buildOwner() {
+	d.lengths = btlength.New(btlength.Config{})
+	d.table = btowner.NewTable(btowner.Config{Lengths: d.lengths}, d.timers)
+	d.loads = &btroute.Loads{}
+	d.probes = &btprobe.Prober{
+		Snapshots: d.config,
+		Upstreams: d.pool,
+		Timer:     d.timers,
+		Wanted:    d.table.Owns,
+		Report:    d.report,
+		Failed:    d.probeFailed,
+	}
+}
+
+// buildPath makes the filters of the request path, in the order of the design.
+func (d *Daemon) buildPath() {
+	s := d.settings
+	d.keys = &bttoken.Keyring{Store: d.store, Timer: d.timers}
+	d.suspects = &btquarantine.Table{Store: d.store, Timer: d.timers, Snapshots: d.config}
+	d.queue = &btqueue.Filter{
+		Timer: d.timers, Snapshots: d.config, MaxWaiting: s.Limits.MaxQueued, MaxWait: s.Limits.MaxQueueTime,
+	}
+	d.limiter = &btlimit.Limiter{Self: s.Host}
+	for n := range claimShards {
+		d.shards = append(d.shards, &btclaim.Shard{Store: d.store, Timer: d.timers, Cell: s.Cell, Number: n})
+	}
+	dispatch := &btdispatch.Dispatcher{Snapshots: d.config, Upstreams: d.pool, Tokens: d.keys, Timer: d.timers}
+	path := bramleytack.Chain(
+		dispatch,
+		&btmetric.Filter{Metrics: d.metrics, Timer: d.timers},
+		&btidentity.Filter{Snapshots: d.config, Timer: d.timers, MaxTimeout: s.Limits.MaxTimeout},
+		&btclaim.Filter{Snapshots: d.config, Claims: d.claims(), Entry: s.Host, Unrecorded: d.unrecorded},
+		&btlimit.Filter{Limiter: d.limiter, Snapshots: d.config, Timer: d.timers},
+		&btquarantine.Filter{Table: d.suspects},
+		d.queue,
+		&btroute.Filter{
+			Entry: s.Host, Snapshots: d.config, Owner: d.table, Timer: d.timers, Loads: d.loads, Holders: d.loads,
+			Policy:  &btroute.Scored{Domain: s.FailureDomain, Prefixes: &btroute.Prefixes{}},
+			Retry:   &btroute.Backoff{Timer: d.timers},
+			Granted: d.queue.Granted,
+		},
+		&btquarantine.Track{Table: d.suspects},
+	)
+	d.front = &btfront.Front{
+		Path: path, Timer: d.timers, Entries: d, MaxBody: s.Limits.MaxBody, MaxHeader: s.Limits.MaxHeader, Failed: d.requestFailed,
+	}
+}
+
+// claims returns the claims of all shards.
+func (d *Daemon) claims() btclaim.Claims {
+	return &btclaim.Router{Count: claimShards, Owner: func(n int) (btclaim.Claims, error) { return d.shards[n], nil }}
+}
+
+// report takes a load report of an owned upstream.
+func (d *Daemon) report(u *bramleytack.Upstream, r bramleytack.LoadReport) {
+	d.table.Report(u.ID, r)
+	g, ok := d.table.Digest(u.ID)
+	if !ok {
+		return
+	}
+	d.loads.SetDigest(d.timers.Now(), btroute.Digest(g))
+	room := g.Limit - g.Running
+	if room <= 0 {
+		return
+	}
+	for _, m := range g.Models {
+		d.queue.Wake(m.Model, room)
+	}
+	if u.Service != "" {
+		d.queue.WakeService(u.Service, room)
+	}
+}
+
+func (d *Daemon) probeFailed(u *bramleytack.Upstream, failed bool, err error) {
+	if failed {
+		d.log.Event(btevent.UpstreamFailed).Str("upstream", string(u.ID)).Err(err).Send()
+		return
+	}
+	d.log.Event(btevent.UpstreamStarted).Str("upstream", string(u.ID)).Send()
+}
+
+func (d *Daemon) unrecorded(key btclaim.ClaimKey, id bramleytack.RequestID, err error) {
+	d.log.Event(btevent.ClaimUnstored).Str("workspace", string(key.Workspace)).Str("service", key.Service).
+		Str("request", string(id)).Err(err).Send()
+}
+
+func (d *Daemon) requestFailed(r *bramleytack.Request, e *bramleytack.Error) {
+	event := btevent.RequestFailed
+	if e.Outcome == bramleytack.NotRun {
+		event = btevent.RequestRefused
+	}
+	d.log.Event(event).Str("request", string(r.ID)).Str("workspace", string(r.Workspace)).Stringer("kind", r.Kind).
+		Str("code", string(e.Code)).Stringer("outcome", e.Outcome).Str("message", e.Message).AnErr("cause", e.Cause).Send()
+}
--- /dev/null
+++ b/btdaemon/serve.go
@@ -0,0 +1,151 @@
+package btdaemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bramleytack"
+	"bramleytack/btadmin"
+	"bramleytack/btconfig"
+)
+
+// adminHeaderTimeout bounds the receipt of a header on the admin address.
+const adminHeaderTimeout = 5 * time.Second
+
+// listeners are the open addresses of a daemon.
+type listeners struct {
+	callers net.Listener
+	admin   net.Listener
+}
+
+func (d *Daemon) listen() (listeners, error) {
+	var l listeners
+	var err error
+	if l.callers, err = listen(d.settings.Listen); err != nil {
+		return l, err
+	}
+	if l.admin, err = listen(d.settings.AdminListen); err != nil {
+		_ = l.callers.Close()
+		return l, err
+	}
+	return l, nil
+}
+
+func listen(addr netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr.String())
+	return l, errors.Wrap(err, "btdaemon: listen")
+}
+
+// serve starts the HTTP servers. An error of one of them goes to failed.
+func (d *Daemon) serve(l listeners, failed chan<- error) []*http.Server {
+	callers := d.front.Server()
+	admin := &http.Server{Handler: d.adminMux(), ReadHeaderTimeout: adminHeaderTimeout}
+	d.runServer(callers, l.callers, failed)
+	d.runServer(admin, l.admin, failed)
+	return []*http.Server{callers, admin}
+}
+
+func (d *Daemon) runServer(s *http.Server, l net.Listener, failed chan<- error) {
+	d.spawn(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			select {
+			case failed <- err:
+			default:
+			}
+		}
+	})
+}
+
+func (d *Daemon) adminMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	h := &btadmin.Handler{Admin: d.admin, KeyHashes: keyHashes(d.settings.OperatorKeyHashes), Status: d.status}
+	mux.Handle("/admin/v1/", h.Mux())
+	mux.Handle("GET /debug/state", &d.dumps)
+	mux.Handle("GET /metrics", d.metrics.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /readyz", d.readyz)
+	return mux
+}
+
+// readyz says whether callers should be sent here.
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !d.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Ready says whether the daemon has a configuration and takes new callers.
+func (d *Daemon) Ready() bool {
+	return d.ready.Load() && !d.draining.Load() && d.config.Digest().Revision > 0
+}
+
+// Status is what an operator sees of a daemon.
+type Status struct {
+	Host          bramleytack.HostID          `json:"host"`
+	FailureDomain bramleytack.FailureDomainID `json:"failureDomain"`
+	Cell          bramleytack.CellID          `json:"cell"`
+	Uptime        string                      `json:"uptime"`
+	Config        btconfig.Digest             `json:"config"`
+	Ready         bool                        `json:"ready"`
+	Draining      bool                        `json:"draining"`
+	Streams       int                         `json:"streams"`
+	Queued        int                         `json:"queued"`
+}
+
+func (d *Daemon) ownStatus() Status {
+	return Status{
+		Host:          d.settings.Host,
+		FailureDomain: d.settings.FailureDomain,
+		Cell:          d.settings.Cell,
+		Uptime:        d.timers.Now().Sub(d.started).Round(time.Second).String(),
+		Config:        d.config.Digest(),
+		Ready:         d.Ready(),
+		Draining:      d.draining.Load(),
+		Streams:       d.front.Streams(),
+		Queued:        d.queue.Waiting(),
+	}
+}
+
+// ClusterStatus is the answer to the operators' status call.
+type ClusterStatus struct {
+	Daemons []Status `json:"daemons"`
+}
+
+func (d *Daemon) status(context.Context) any {
+	return ClusterStatus{Daemons: []Status{d.ownStatus()}}
+}
+
+// register adds the parts to the state dump and the metrics.
+func (d *Daemon) register() {
+	d.dumps.Add("status", func() any { return d.ownStatus() })
+	d.dumps.Add("config", func() any { return d.config.Stats() })
+	d.dumps.Add("watch", func() any { return d.watcher.Stats() })
+	d.dumps.Add("owner", func() any { return d.table.Dump() })
+	d.dumps.Add("probes", func() any { return d.probes.Dump() })
+	d.dumps.Add("store", func() any { return d.store.Counts() })
+	d.metrics.Gauge("streams_open", "Open event streams.", func() float64 { return float64(d.front.Streams()) })
+	d.metrics.Gauge("requests_queued", "Requests that wait for capacity.", func() float64 { return float64(d.queue.Waiting()) })
+	d.metrics.Gauge("config_revision", "Revision of the configuration in force.", func() float64 { return float64(d.config.Digest().Revision) })
+	d.metrics.Counter("store_reads_total", "Reads of the platform's store.", func() float64 { return float64(d.store.Counts().Reads) })
+	d.metrics.Counter("store_writes_total", "Writes to the platform's store.", func() float64 { return float64(d.store.Counts().Writes) })
+}
+
+func keyHashes(hexHashes []string) [][sha256.Size]byte {
+	hashes := make([][sha256.Size]byte, 0, len(hexHashes))
+	for _, h := range hexHashes {
+		var sum [sha256.Size]byte
+		if n, err := hex.Decode(sum[:], []byte(h)); err == nil && n == len(sum) {
+			hashes = append(hashes, sum)
+		}
+	}
+	return hashes
+}
--- /dev/null
+++ b/btprobe/prober.go
@@ -0,0 +1,114 @@
+package btprobe
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bramleytack"
+)
+
+// Defaults of a Prober.
+const (
+	// DefaultPeriod is the time between two reports of an upstream.
+	DefaultPeriod = 500 * time.Millisecond
+	// DefaultTimeout bounds the reading of one report.
+	DefaultTimeout = time.Second
+	// MissedLimit is the number of missed reports after which an upstream is
+	// taken for failed.
+	MissedLimit = 3
+	// updatePeriod is how often the set of probed upstreams is compared with
+	// the snapshot.
+	updatePeriod = 250 * time.Millisecond
+)
+
+// Prober reads load reports. Snapshots, Upstreams, Timer and Report are
+// required.
+type Prober struct {
+	Snapshots bramleytack.Snapshots
+	Upstreams bramleytack.Upstreams
+	Timer     bramleytack.Timer
+	// Wanted says whether an upstream is probed. Nil probes all.
+	Wanted func(bramleytack.UpstreamID) bool
+	// Report receives each report.
+	Report func(u *bramleytack.Upstream, r bramleytack.LoadReport)
+	// Failed is told when an upstream fails and when it answers again. It may
+	// be nil.
+	Failed func(u *bramleytack.Upstream, failed bool, err error)
+	Period time.Duration
+
+	mu     sync.Mutex
+	probes map[bramleytack.UpstreamID]*probe
+	wg     sync.WaitGroup
+}
+
+// Run keeps the set of probed upstreams until the context ends.
+func (p *Prober) Run(ctx context.Context) {
+	tick := p.Timer.Every(updatePeriod, 0)
+	defer tick.Stop()
+	p.update(ctx)
+	for {
+		select {
+		case <-tick.C():
+			p.update(ctx)
+		case <-ctx.Done():
+			p.wg.Wait()
+			return
+		}
+	}
+}
+
+// Status is the state of one probe in a dump.
+type Status struct {
+	Upstream bramleytack.UpstreamID `json:"upstream"`
+	Missed   int                    `json:"missed"`
+	LastSeen time.Time              `json:"lastSeen"`
+}
+
+// Dump returns the state of all probes.
+func (p *Prober) Dump() []Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]Status, 0, len(p.probes))
+	for _, b := range p.probes {
+		list = append(list, b.status())
+	}
+	return list
+}
+
+// update starts and stops probes.
+func (p *Prober) update(ctx context.Context) {
+	s := p.Snapshots.Snapshot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.probes == nil {
+		p.probes = map[bramleytack.UpstreamID]*probe{}
+	}
+	for id, b := range p.probes {
+		if u := s.Upstreams[id]; u == nil || u.Addr != b.record.Addr || !p.wanted(id) {
+			b.stop()
+			delete(p.probes, id)
+		}
+	}
+	for id, u := range s.Upstreams {
+		if p.probes[id] != nil || !p.wanted(id) {
+			continue
+		}
+		ctx, stop := context.WithCancel(ctx)
+		b := &probe{prober: p, record: u, stop: stop}
+		p.probes[id] = b
+		p.wg.Add(1)
+		go b.loop(ctx)
+	}
+}
+
+func (p *Prober) wanted(id bramleytack.UpstreamID) bool {
+	return p.Wanted == nil || p.Wanted(id)
+}
+
+func (p *Prober) period() time.Duration {
+	if p.Period > 0 {
+		return p.Period
+	}
+	return DefaultPeriod
+}
--- /dev/null
+++ b/cmd/bramleytackd/main.go
@@ -0,0 +1,82 @@
+// Command bramleytackd runs one daemon of the system.
+//
+// # Usage
+//
+//	bramleytackd --config FILE [flags]
+//	bramleytackd check --config FILE [flags]
+//
+// "check" reads the settings, reports all findings and starts nothing. The exit
+// status is 0 on success, 1 on a failure at run time and 2 on bad settings or
+// usage.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"bramleytack"
+	"bramleytack/btdaemon"
+	"bramleytack/btevent"
+	"bramleytack/btsettings"
+)
+
+// The exit statuses.
+const (
+	exitOK = iota
+	exitFailed
+	exitUsage
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	check := len(args) > 0 && args[0] == "check"
+	if check {
+		args = args[1:]
+	}
+	s, err := btsettings.Load(args, os.ReadFile)
+	if err != nil {
+		report(err)
+		return exitUsage
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		report(err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
+	d, err := btdaemon.New(s, btevent.New(os.Stderr, level, s.Host))
+	if err == nil {
+		err = d.Run(ctx)
+	}
+	if err != nil {
+		report(err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// report prints an error, or each finding on a line of its own.
+func report(err error) {
+	var found bramleytack.Findings
+	if errors.As(err, &found) {
+		for _, f := range found {
+			fmt.Fprintln(os.Stderr, f)
+		}
+		return
+	}
+	fmt.Fprintln(os.Stderr, "bramleytackd:", err)
+}
