btqueue: refuse early only when the wait is certain to be too long

Cause: in the fake-time trial, requests were refused with "no place is expected before the deadline" after the engines had warmed up, since the average time between places was still that of cold engines; others were refused after 30 s although their deadline was two minutes away. Ruled out: a faster average, which follows single long generations. Change: half of the estimate counts, it is forgotten when the lane is free again, and the longest wait is two minutes by default.

--- a/btqueue/filter.go
+++ b/btqueue/filter.go
@@ -13,7 +13,7 @@
 const (
 	defaultMaxWaiting = 4096
 	defaultMaxBytes   = 32 << 20
-	defaultMaxWait    = 30 * time.Second
+	defaultMaxWait    = 2 * time.Minute
 	// probeAfter is the time without events after which one waiter tries
 	// anyway, since room may have been made that this entry did not see.
 	probeAfter = 500 * time.Millisecond
--- a/btqueue/lane.go
+++ b/btqueue/lane.go
@@ -119,6 +119,7 @@
 	if l.schedule.Len() == 0 {
 		l.blocked = false
 		l.lastAt = time.Time{}
+		l.interval = 0
 	}
 	l.room(now, 1)
 	w.events = l.events
@@ -151,12 +152,16 @@
 	}
 }
 
-// expected returns the time until an item gets a place.
+// optimism divides the expected wait: capacity may grow, as when upstreams
+// warm up, and a refusal in doubt is worse than a wait.
+const optimism = 2
+
+// expected returns the time after which an item gets a place at the earliest.
 func (l *lane) expected(i *Item) time.Duration {
 	if l.interval == 0 {
 		return 0
 	}
-	return time.Duration(l.schedule.Ahead(i)) * l.interval
+	return time.Duration(l.schedule.Ahead(i)) * l.interval / optimism
 }
 
 func (l *lane) idle() bool {
