btowner: do not refill the places of failed requests before a report

Cause: when a warm engine restarts, its streams fail one by one, and waiting requests take the freed places before the failures make a burst or a report shows the new instance. Ruled out: going back to base on a single failure, which would make an upstream that fails now and then cold for 20 s each time. Change: after a failure, the limit is the base until a newer report or 5 s.

--- a/btowner/config.go
+++ b/btowner/config.go
@@ -31,6 +31,8 @@
 	// interactiveRecent is how long headroom is kept after the last
 	// interactive reservation.
 	interactiveRecent = 30 * time.Second
+	// doubtTime is how long a failure lowers the limit without a report.
+	doubtTime = 5 * time.Second
 	// retryAfter is the advice with a refusal for lack of room.
 	retryAfter = 200 * time.Millisecond
 	// provenTokens is the output after which a generation counts as a
--- a/btowner/digest.go
+++ b/btowner/digest.go
@@ -32,7 +32,7 @@
 		Instance: u.ramp.Instance(),
 		At:       now,
 		Running:  u.Running(),
-		Limit:    u.ramp.Limit(),
+		Limit:    u.limit(now),
 		Level:    u.ramp.Level(),
 		Warm:     u.ramp.Warm(),
 		Memory:   u.share(),
--- a/btowner/report.go
+++ b/btowner/report.go
@@ -21,6 +21,9 @@
 	restarted := u.reported && r.Instance != u.report.Instance
 	u.ramp.Observe(now, r.Instance)
 	u.report, u.reportAt, u.receivedAt, u.reported = r, at, now, true
+	if at.After(u.failedAt) {
+		u.failedAt = time.Time{}
+	}
 	u.settled = u.settled || !at.Before(u.since)
 	listed := u.progress(r)
 	if restarted {
--- a/btowner/upstream.go
+++ b/btowner/upstream.go
@@ -31,6 +31,7 @@
 	foreign     int
 	interactive time.Time
 	forgotAt    time.Time
+	failedAt    time.Time
 	// since is when this owner started. settled is set when it knows all that
 	// runs.
 	since   time.Time
@@ -154,7 +155,7 @@
 		return refusal(bramleytack.CodeOverloaded, "a suspect runs alone")
 	}
 	headroom := u.headroom(now, h.Priority)
-	limit := u.ramp.Limit()
+	limit := u.limit(now)
 	if running >= limit-int(headroom*float64(limit)) {
 		return refusal(bramleytack.CodeOverloaded, "upstream is at its concurrency limit")
 	}
@@ -170,6 +171,17 @@
 	return nil
 }
 
+// limit returns the concurrency limit. After a failure, which may mean that
+// the upstream restarted, it is the base until a report shows the instance:
+// requests that wait would otherwise take the places of those that failed.
+func (u *Upstream) limit(now time.Time) int {
+	limit := u.ramp.Limit()
+	if u.failedAt.IsZero() || now.Sub(u.failedAt) > doubtTime {
+		return limit
+	}
+	return min(limit, u.ramp.Base())
+}
+
 // headroom returns the share that a priority leaves free. Without interactive
 // work, lower priorities use all of the capacity.
 func (u *Upstream) headroom(now time.Time, p bramleytack.Priority) float64 {
@@ -252,6 +264,9 @@
 	if ran && v.Tokens > 0 {
 		u.cfg.Lengths.Add(now, h.key(), v.Tokens)
 	}
+	if v.Failed {
+		u.failedAt = now
+	}
 	service := u.record.Kind == bramleytack.KindService
 	u.ramp.End(now, h.mark, btramp.Sample{
 		OK:           ran && (v.Tokens > 0 || service) && !h.proven,
--- a/btowner/upstream_test.go
+++ b/btowner/upstream_test.go
@@ -283,6 +283,17 @@
 		u.Report(start, bramleytack.LoadReport{At: start.Add(1), Instance: "b"})
 		assert.Equal(t, u.Digest(start).Limit, 1)
 	})
+	t.Run("after a failure no place is refilled before a report", func(t *testing.T) {
+		u := NewUpstream(Config{}, start, &bramleytack.Upstream{ColdLimit: 1, WarmLimit: 8})
+		u.Report(start, bramleytack.LoadReport{At: start, Instance: "a"})
+		u.Inherit(start, Digest{Instance: "a", Level: 8, At: start})
+		assertGranted(t, u, start, reservation("1", bramleytack.Standard))
+		assertGranted(t, u, start, reservation("2", bramleytack.Standard))
+		u.Release(start, bramleytack.Release{Grant: "1", Failed: true})
+		assertRefused(t, u, start, reservation("3", bramleytack.Standard))
+		u.Report(start.Add(time.Second), bramleytack.LoadReport{At: start.Add(time.Second), Instance: "a"})
+		assertGranted(t, u, start.Add(time.Second), reservation("4", bramleytack.Standard))
+	})
 	t.Run("a domain that returns is cold", func(t *testing.T) {
 		rec := &bramleytack.Upstream{ColdLimit: 1, WarmLimit: 8}
 		u := NewUpstream(Config{}, start, rec)
--- a/btramp/ramp.go
+++ b/btramp/ramp.go
@@ -169,6 +169,9 @@
 // Level returns the concurrency that the upstream has earned.
 func (r *Ramp) Level() int { return r.level }
 
+// Base returns the concurrency that a started upstream bears.
+func (r *Ramp) Base() int { return r.cfg.Cold }
+
 // Warm says whether the upstream has earned its warm limit.
 func (r *Ramp) Warm() bool { return r.level >= r.cfg.Warm }
 
