Agree on the platform's wire format and store claims as one JSON value

Cause: the first run of the whole path failed at two seams. The simulated platform expected an envelope around a written value, the client sends the value itself. Claims were stored as JSON lines, which the client refuses as no JSON, so each keyed call was refused with an unknown effect in the store. Ruled out: a fault of the claim logic; its tests passed because the in-memory store took any bytes. Change: a write's body is the value; tombstones carry the change id of their delete; claims are one JSON document; the in-memory store refuses values that are not JSON, so that such a fault shows in unit tests.

--- a/btclaim/commit.go
+++ b/btclaim/commit.go
@@ -113,7 +113,7 @@
 		}
 		p.header.Segments = append(p.header.Segments, *p.rolled)
 	}
-	data, err := encodeHead(p.header, p.lines)
+	data, err := encodeDocument(p.header, p.lines)
 	if err != nil {
 		return refused, err
 	}
@@ -185,7 +185,7 @@
 		s.wakeWaiters()
 		return false, nil
 	}
-	h, lines, open, err := decodeHead(o.Data)
+	h, lines, open, err := decodeDocument(o.Data)
 	if err != nil {
 		return false, err
 	}
@@ -215,7 +215,7 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "btclaim: reading segment %s", seg.Name)
 		}
-		records, err := decodeRecords(o.Data)
+		_, _, records, err := decodeDocument(o.Data)
 		if err != nil {
 			return nil, err
 		}
@@ -229,8 +229,11 @@
 // createSegment stores the head's current records under the name that follows
 // from the head's version. Whoever created the object, its content is the same.
 func (s *Shard) createSegment(ctx context.Context, seg *segment) error {
-	o := bramleytack.Object{Key: s.object(seg.Name), Data: s.ledger.lines}
-	var err error
+	data, err := encodeDocument(header{SchemaVersion: schemaVersion}, s.ledger.lines)
+	if err != nil {
+		return err
+	}
+	o := bramleytack.Object{Key: s.object(seg.Name), Data: data}
 	if seg.Version, err = s.Store.Put(ctx, o, 0); err == nil {
 		return nil
 	}
--- a/btclaim/plan.go
+++ b/btclaim/plan.go
@@ -108,7 +108,7 @@
 // current records move to a segment.
 func (s *Shard) planHead(p *plan) {
 	l := &s.ledger
-	p.header = header{SchemaVersion: 1}
+	p.header = header{SchemaVersion: schemaVersion}
 	for _, d := range l.header.Dropped {
 		if !s.gone[d.Name] {
 			p.header.Dropped = append(p.header.Dropped, d)
--- a/btclaim/record.go
+++ b/btclaim/record.go
@@ -107,7 +107,10 @@
 	Newest time.Time `json:"newest"`
 }
 
-// header is the first line of the head object. Records follow, one a line.
+// schemaVersion is the version of the stored form.
+const schemaVersion = 1
+
+// header is the head object without its records.
 type header struct {
 	SchemaVersion int `json:"schemaVersion"`
 	// Segments lists the shard's segments, oldest first.
@@ -116,26 +119,41 @@
 	Dropped []segment `json:"dropped,omitempty"`
 }
 
-func encodeHead(h header, lines []byte) ([]byte, error) {
+// document is the stored form of the head and of a segment, which has only
+// records. A value of the store is one JSON value.
+type document struct {
+	header
+	Records []json.RawMessage `json:"records"`
+}
+
+// encodeDocument joins a header and encoded records, which are not parsed
+// again: each commit writes the whole head.
+func encodeDocument(h header, lines []byte) ([]byte, error) {
 	b, err := json.Marshal(h)
 	if err != nil {
 		return nil, errors.Wrap(err, "btclaim: encoding head")
 	}
-	b = append(b, '\n')
-	return append(b, lines...), nil
+	b = append(bytes.TrimSuffix(b, []byte{'}'}), `,"records":[`...)
+	// Encoded JSON holds no newline within a record.
+	b = append(b, bytes.ReplaceAll(bytes.TrimSuffix(lines, []byte{'\n'}), []byte{'\n'}, []byte{','})...)
+	return append(b, "]}"...), nil
 }
 
-func decodeHead(b []byte) (header, []byte, []record, error) {
-	var h header
-	first, lines, ok := bytes.Cut(b, []byte{'\n'})
-	if !ok {
-		return h, nil, nil, errors.Wrap(errFormat, "head without header")
+// decodeDocument returns the header, the encoded records and the records.
+func decodeDocument(b []byte) (header, []byte, []record, error) {
+	var d document
+	if err := json.Unmarshal(b, &d); err != nil {
+		return d.header, nil, nil, errors.Mark(errors.Wrap(err, "btclaim: decoding head"), errFormat)
 	}
-	if err := json.Unmarshal(first, &h); err != nil {
-		return h, nil, nil, errors.Mark(errors.Wrap(err, "btclaim: decoding head"), errFormat)
+	var lines bytes.Buffer
+	for _, raw := range d.Records {
+		if err := json.Compact(&lines, raw); err != nil {
+			return d.header, nil, nil, errors.Mark(errors.Wrap(err, "btclaim: decoding record"), errFormat)
+		}
+		lines.WriteByte('\n')
 	}
-	records, err := decodeRecords(lines)
-	return h, lines, records, err
+	records, err := decodeRecords(lines.Bytes())
+	return d.header, lines.Bytes(), records, err
 }
 
 func encodeRecord(r record) ([]byte, error) {
--- a/btclaim/shard_test.go
+++ b/btclaim/shard_test.go
@@ -274,17 +274,17 @@
 func FuzzDecodeHead(f *testing.F) {
 	line, err := encodeRecord(record{ClaimKey: key("k"), State: done, Answer: newAnswer(&bramleytack.Response{Status: 200})})
 	assert.NilError(f, err)
-	head, err := encodeHead(header{SchemaVersion: 1, Segments: []segment{{Name: "7"}}}, line)
+	head, err := encodeDocument(header{SchemaVersion: 1, Segments: []segment{{Name: "7"}}}, line)
 	assert.NilError(f, err)
 	f.Add(head)
 	f.Fuzz(func(t *testing.T, b []byte) {
-		h, lines, records, err := decodeHead(b)
+		h, lines, records, err := decodeDocument(b)
 		if err != nil {
 			return
 		}
-		again, err := encodeHead(h, lines)
+		again, err := encodeDocument(h, lines)
 		assert.NilError(t, err)
-		_, _, kept, err := decodeHead(again)
+		_, _, kept, err := decodeDocument(again)
 		assert.NilError(t, err)
 		assert.Equal(t, len(kept), len(records))
 		for _, r := range records {
--- a/internal/btmemstore/store.go
+++ b/internal/btmemstore/store.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net/netip"
 	"slices"
 	"strings"
@@ -118,13 +119,21 @@
 	if len(o.Data) > bramleytack.MaxObjectBytes {
 		return 0, errors.Newf("btmemstore: value of %d bytes is over the limit of %d", len(o.Data), bramleytack.MaxObjectBytes)
 	}
+	if !json.Valid(o.Data) {
+		return 0, errors.New("btmemstore: value is not JSON")
+	}
 	o.Deleted = false
 	return s.write(ctx, o, expected)
 }
 
 // Delete implements bramleytack.Store.
 func (s *Store) Delete(ctx context.Context, key bramleytack.Key, expected bramleytack.Revision) (bramleytack.Revision, error) {
-	return s.write(ctx, bramleytack.Object{Key: key, Deleted: true}, expected)
+	return s.DeleteAs(ctx, key, "", expected)
+}
+
+// DeleteAs is Delete with the change id that the tombstone will carry.
+func (s *Store) DeleteAs(ctx context.Context, key bramleytack.Key, change string, expected bramleytack.Revision) (bramleytack.Revision, error) {
+	return s.write(ctx, bramleytack.Object{Key: key, ChangeID: change, Deleted: true}, expected)
 }
 
 // Watch implements bramleytack.Store.
--- a/internal/btmemstore/store_test.go
+++ b/internal/btmemstore/store_test.go
@@ -21,10 +21,14 @@
 	t.Run("a write needs the current version", func(t *testing.T) {
 		s := New()
 		v := put(t, s, "1", 0)
-		_, err := s.Put(t.Context(), bramleytack.Object{Key: key}, 0)
+		_, err := s.Put(t.Context(), bramleytack.Object{Key: key, Data: []byte("1")}, 0)
 		assert.ErrorIs(t, err, bramleytack.ErrConflict)
 		put(t, s, "2", v)
 	})
+	t.Run("a value is one JSON value", func(t *testing.T) {
+		_, err := New().Put(t.Context(), bramleytack.Object{Key: key, Data: []byte("1 2")}, 0)
+		assert.ErrorContains(t, err, "not JSON")
+	})
 	t.Run("a lost reply leaves the write in effect", func(t *testing.T) {
 		s := New()
 		s.SetFault(Fault{LoseReplies: 1})
--- a/internal/btplatform/object.go
+++ b/internal/btplatform/object.go
@@ -60,7 +60,8 @@
 	Error string `json:"error"`
 }
 
-// maxBodyBytes bounds the body of a write: the largest value and its envelope.
+// maxBodyBytes bounds the body of a write: the largest value with some white
+// space.
 const maxBodyBytes = bramleytack.MaxObjectBytes + 4096
 
 var (
@@ -68,7 +69,7 @@
 	errTooLarge = errors.New("btplatform: value is too large")
 )
 
-// DecodeWrite reads the body of a write to key. Kind and name may be omitted.
+// DecodeWrite reads the body of a write to key, which is the JSON value itself.
 // The value loses insignificant white space.
 func DecodeWrite(r io.Reader, key bramleytack.Key) (bramleytack.Object, error) {
 	body, err := io.ReadAll(io.LimitReader(r, maxBodyBytes+1))
@@ -78,22 +79,8 @@
 	if len(body) > maxBodyBytes {
 		return bramleytack.Object{}, errTooLarge
 	}
-	var o Object
-	if err := json.Unmarshal(body, &o); err != nil {
-		return bramleytack.Object{}, errors.Mark(err, errInvalid)
-	}
-	if (o.Kind != "" && o.Kind != key.Kind) || (o.Name != "" && o.Name != key.Name) {
-		return bramleytack.Object{}, errors.Wrap(errInvalid, "kind or name differs from the path")
-	}
-	return decodeData(o, key)
-}
-
-func decodeData(o Object, key bramleytack.Key) (bramleytack.Object, error) {
-	if len(o.Data) == 0 {
-		return bramleytack.Object{}, errors.Wrap(errInvalid, "no data")
-	}
 	var data bytes.Buffer
-	if err := json.Compact(&data, o.Data); err != nil {
+	if err := json.Compact(&data, body); err != nil {
 		return bramleytack.Object{}, errors.Mark(err, errInvalid)
 	}
 	if data.Len() > bramleytack.MaxObjectBytes {
--- a/internal/btplatform/server.go
+++ b/internal/btplatform/server.go
@@ -178,7 +178,7 @@
 		writeError(w, err)
 		return
 	}
-	version, err := s.store.Delete(r.Context(), keyOf(r), expected)
+	version, err := s.store.DeleteAs(r.Context(), keyOf(r), r.Header.Get(ChangeIDHeader), expected)
 	writeVersion(w, version, err)
 }
 
--- a/internal/btplatform/server_test.go
+++ b/internal/btplatform/server_test.go
@@ -46,23 +46,23 @@
 func TestObjects(t *testing.T) {
 	s, _ := newServer(t, Options{})
 	h := s.Handler()
-	large := `{"data":"` + strings.Repeat("x", bramleytack.MaxObjectBytes) + `"}`
+	large := `"` + strings.Repeat("x", bramleytack.MaxObjectBytes) + `"`
 	for _, test := range []struct {
 		method, path, version, body string
 		status                      int
 		answer                      string
 	}{
 		{"GET", "/objects/k/n", "", "", http.StatusNotFound, ""},
-		{"PUT", "/objects/k/n", "", `{"data":1}`, http.StatusBadRequest, ""},
-		{"PUT", "/objects/k/n", "0", `{"data":`, http.StatusBadRequest, ""},
-		{"PUT", "/objects/k/n", "0", `{}`, http.StatusBadRequest, ""},
-		{"PUT", "/objects/k/n", "0", `{"name":"o","data":1}`, http.StatusBadRequest, ""},
+		{"PUT", "/objects/k/n", "", `1`, http.StatusBadRequest, ""},
+		{"PUT", "/objects/k/n", "0", `{"a":`, http.StatusBadRequest, ""},
+		{"PUT", "/objects/k/n", "0", ``, http.StatusBadRequest, ""},
+		{"PUT", "/objects/k/n", "0", `1 2`, http.StatusBadRequest, ""},
 		{"PUT", "/objects/k/n", "0", large, http.StatusRequestEntityTooLarge, ""},
-		{"PUT", "/objects/k/n", "0", `{"data":{"a": "<"}}`, http.StatusOK, `{"version":1}`},
-		{"PUT", "/objects/k/n", "0", `{"data":2}`, http.StatusPreconditionFailed, ""},
+		{"PUT", "/objects/k/n", "0", `{"a": "<"}`, http.StatusOK, `{"version":1}`},
+		{"PUT", "/objects/k/n", "0", `2`, http.StatusPreconditionFailed, ""},
 		{"GET", "/objects/k/n", "", "", http.StatusOK, `{"kind":"k","name":"n","version":1,"changeId":"c0","data":{"a":"<"}}`},
-		{"PUT", "/objects/k/n", `"1"`, `{"data":2}`, http.StatusOK, `{"version":2}`},
-		{"PUT", "/objects/k/a%2Fb", "0", `{"data":3}`, http.StatusOK, `{"version":3}`},
+		{"PUT", "/objects/k/n", `"1"`, `2`, http.StatusOK, `{"version":2}`},
+		{"PUT", "/objects/k/a%2Fb", "0", `3`, http.StatusOK, `{"version":3}`},
 		{"DELETE", "/objects/k/n", "1", "", http.StatusPreconditionFailed, ""},
 		{"DELETE", "/objects/k/n", "2", "", http.StatusOK, `{"version":4}`},
 		{"GET", "/objects/k", "", "", http.StatusOK, `{"revision":4,"objects":[{"kind":"k","name":"a/b","version":3,"changeId":"c0","data":3}]}`},
@@ -94,7 +94,7 @@
 			status, answer := write(h, "PUT", "/debug/store", "", test.fault)
 			assert.Equal(t, status, http.StatusOK)
 			assert.Equal(t, answer, test.fault)
-			status, _ = write(h, "PUT", "/objects/k/n", "0", `{"data":1}`)
+			status, _ = write(h, "PUT", "/objects/k/n", "0", `1`)
 			assert.Equal(t, status, test.status)
 			assert.Equal(t, store.Revision() == 1, test.takes)
 			status, _ = write(h, "PUT", "/debug/store", "", `{"donw":true}`)
@@ -117,9 +117,9 @@
 			return ok
 		}
 		assert.Equal(t, allowed(5), 3)
-		status, _ := write(h, "PUT", "/objects/k/n", "0", `{"data":1}`)
+		status, _ := write(h, "PUT", "/objects/k/n", "0", `1`)
 		assert.Equal(t, status, http.StatusOK)
-		status, _ = write(h, "PUT", "/objects/k/n", "1", `{"data":1}`)
+		status, _ = write(h, "PUT", "/objects/k/n", "1", `1`)
 		assert.Equal(t, status, http.StatusTooManyRequests)
 		time.Sleep(time.Second)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -186,7 +186,7 @@
 		store := btmemstore.New()
 		s := NewServer(Options{}, store, timers)
 		h := s.Handler()
-		write(h, "PUT", "/objects/k/n", "0", `{"data":1}`)
+		write(h, "PUT", "/objects/k/n", "0", `1`)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		w := &lines{ResponseRecorder: httptest.NewRecorder()}
@@ -198,7 +198,7 @@
 		list := w.take(t)
 		assert.Equal(t, len(list), 1)
 		assert.Equal(t, string(list[0].Object.Data), "1")
-		write(h, "PUT", "/objects/other/n", "0", `{"data":1}`)
+		write(h, "PUT", "/objects/other/n", "0", `1`)
 		write(h, "DELETE", "/objects/k/n", "1", "")
 		list = w.take(t)
 		assert.Equal(t, len(list), 1)
@@ -208,7 +208,7 @@
 		assert.Equal(t, len(list), 3)
 		assert.DeepEqual(t, list[2], WatchLine{Heartbeat: true, Revision: 3})
 		store.SetFault(btmemstore.Fault{SilentWatches: true})
-		write(h, "PUT", "/objects/k/n", "0", `{"data":2}`)
+		write(h, "PUT", "/objects/k/n", "0", `2`)
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, len(w.take(t)), 0)
 		store.SetFault(btmemstore.Fault{})
@@ -224,7 +224,7 @@
 	srv := httptest.NewServer(s.Handler())
 	defer srv.Close()
 	store.SetFault(btmemstore.Fault{LoseReplies: 1})
-	r, err := http.NewRequestWithContext(t.Context(), "PUT", srv.URL+"/objects/k/n", strings.NewReader(`{"data":1}`))
+	r, err := http.NewRequestWithContext(t.Context(), "PUT", srv.URL+"/objects/k/n", strings.NewReader(`1`))
 	assert.NilError(t, err)
 	r.Header.Set("If-Match", "0")
 	_, err = srv.Client().Do(r)
@@ -234,7 +234,7 @@
 
 func FuzzDecodeWrite(f *testing.F) {
 	f.Add([]byte(`{"kind":"k","name":"n","data":{"a": [1, 2]}}`), `"12"`)
-	f.Add([]byte(`{"data":null}`), "-1")
+	f.Add([]byte(`null`), "-1")
 	f.Fuzz(func(t *testing.T, data []byte, version string) {
 		if v, err := ParseVersion(version); err != nil {
 			assert.Equal(t, v, bramleytack.Revision(0))
