btlease: add the cell lease by conditional update

Cause: coordinator duties need one holder per cell with a fencing token. Ruled out: acquiring at once when a deleted object is missing. A missing object that existed before is now replaced by one without a holder and then waited out. Change: the protocol as a state machine without I/O, a loop around it, Held at the point of use, Observe and Poke to save reads, Resign and Release.

--- /dev/null
+++ b/btlease/lease_test.go
@@ -0,0 +1,303 @@
+package btlease
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bramleytack"
+	"bramleytack/bttimer"
+	"bramleytack/internal/btmemstore"
+)
+
+// gate blocks the store calls of a paused host before and after their effect.
+type gate struct {
+	bramleytack.Store
+	mu     sync.Mutex
+	paused chan struct{}
+}
+
+func (g *gate) pause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.paused == nil {
+		g.paused = make(chan struct{})
+	}
+}
+
+func (g *gate) resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.paused != nil {
+		close(g.paused)
+		g.paused = nil
+	}
+}
+
+func (g *gate) wait() {
+	g.mu.Lock()
+	c := g.paused
+	g.mu.Unlock()
+	if c != nil {
+		<-c
+	}
+}
+
+func (g *gate) Get(ctx context.Context, k bramleytack.Key) (bramleytack.Object, error) {
+	g.wait()
+	defer g.wait()
+	return g.Store.Get(ctx, k)
+}
+
+func (g *gate) Put(ctx context.Context, o bramleytack.Object, v bramleytack.Revision) (bramleytack.Revision, error) {
+	g.wait()
+	defer g.wait()
+	return g.Store.Put(context.WithoutCancel(ctx), o, v)
+}
+
+// driftTimer is a timer whose clock runs at another rate.
+type driftTimer struct {
+	bramleytack.Timer
+	base time.Time
+	rate float64
+}
+
+func (d *driftTimer) Now() time.Time {
+	return d.base.Add(time.Duration(float64(d.Timer.Now().Sub(d.base)) * d.rate))
+}
+
+func (d *driftTimer) After(wait time.Duration) bramleytack.Alarm {
+	// Rounding up lets the clock pass the due time in each firing.
+	return d.Timer.After(time.Duration(float64(wait)/d.rate) + time.Microsecond)
+}
+
+type sim struct {
+	t      *testing.T
+	store  *btmemstore.Store
+	leases []*Lease
+	gates  []*gate
+	last   bramleytack.Fence
+}
+
+// newSim starts hosts whose clocks differ by the drift that the protocol allows.
+func newSim(t *testing.T, hosts int) *sim {
+	s := &sim{t: t, store: btmemstore.New()}
+	timers := bttimer.New(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for i := range hosts {
+		g := &gate{Store: s.store}
+		l := &Lease{
+			Store: g, Timer: &driftTimer{Timer: timers, base: timers.Now(), rate: 1 + 0.0049*float64(i%3-1)},
+			Cell: "c", Host: bramleytack.HostID(fmt.Sprintf("h%d", i)), PeerAddr: netip.MustParseAddrPort("127.0.0.1:1"),
+		}
+		s.leases, s.gates = append(s.leases, l), append(s.gates, g)
+		running.Go(func() { l.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, g := range s.gates {
+			g.resume()
+		}
+		running.Wait()
+		timers.Close()
+	})
+	return s
+}
+
+// holder returns the index of the only holder, or -1. It fails the test when
+// two hosts hold the lease or when a fencing token goes back.
+func (s *sim) holder() int {
+	s.t.Helper()
+	found := -1
+	for i, l := range s.leases {
+		fence, _, ok := l.Held()
+		if !ok {
+			continue
+		}
+		if found >= 0 {
+			s.t.Fatalf("h%d and h%d hold the lease at the same instant", found, i)
+		}
+		if fence < s.last {
+			s.t.Fatalf("fencing token %d after %d", fence, s.last)
+		}
+		found, s.last = i, fence
+	}
+	return found
+}
+
+// watch samples the holders for a time and returns for how long there was one.
+func (s *sim) watch(d time.Duration) time.Duration {
+	s.t.Helper()
+	const sample = 20 * time.Millisecond
+	var held time.Duration
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(sample) {
+		if s.holder() >= 0 {
+			held += sample
+		}
+	}
+	return held
+}
+
+func (s *sim) await(limit time.Duration) int {
+	s.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if i := s.holder(); i >= 0 {
+			return i
+		}
+	}
+	s.t.Fatalf("no holder within %v", limit)
+	return -1
+}
+
+// Guards against two holders at one instant and against a cell that stays
+// without a holder after its faults are over.
+func TestNoOverlap(t *testing.T) {
+	const seeds = 12
+	table := []struct {
+		name  string
+		fault func(s *sim, r *rand.Rand)
+	}{
+		{"holder paused", func(s *sim, r *rand.Rand) {
+			if i := s.holder(); i >= 0 {
+				s.pause(i, wait(r, 25*time.Second))
+			}
+		}},
+		{"any host paused", func(s *sim, r *rand.Rand) { s.pause(r.IntN(len(s.leases)), wait(r, 25*time.Second)) }},
+		{"store down", func(s *sim, r *rand.Rand) { s.fault(btmemstore.Fault{Down: true}, wait(r, 15*time.Second)) }},
+		{"store slow", func(s *sim, r *rand.Rand) {
+			s.fault(btmemstore.Fault{Latency: wait(r, 4*time.Second)}, wait(r, 20*time.Second))
+		}},
+		{"reply lost", func(s *sim, r *rand.Rand) {
+			s.fault(btmemstore.Fault{LoseReplies: 1 + r.IntN(3)}, wait(r, 10*time.Second))
+		}},
+		{"write dropped", func(s *sim, r *rand.Rand) {
+			s.fault(btmemstore.Fault{DropWrites: 1 + r.IntN(3)}, wait(r, 10*time.Second))
+		}},
+		{"stale reads", func(s *sim, r *rand.Rand) {
+			old := max(1, uint64(s.store.Revision())-uint64(r.IntN(3)))
+			s.fault(btmemstore.Fault{StaleReads: old, LoseReplies: r.IntN(2)}, wait(r, 15*time.Second))
+		}},
+		{"object deleted", func(s *sim, _ *rand.Rand) {
+			key := s.leases[0].key()
+			if o, err := s.store.Get(s.t.Context(), key); err == nil {
+				_, err = s.store.Delete(s.t.Context(), key, o.Version)
+				assert.NilError(s.t, err)
+			}
+		}},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				synctest.Test(t, func(t *testing.T) {
+					r := rand.New(rand.NewPCG(seed, 7))
+					s := newSim(t, 3)
+					s.watch(2 * time.Second)
+					for range 4 {
+						row.fault(s, r)
+						s.watch(wait(r, 15*time.Second))
+					}
+					s.await(25 * time.Second)
+				})
+			}
+		})
+	}
+}
+
+func wait(r *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(limit)))
+}
+
+// pause stops a host's progress for a time while the others go on.
+func (s *sim) pause(i int, d time.Duration) {
+	s.gates[i].pause()
+	s.watch(d)
+	s.gates[i].resume()
+}
+
+func (s *sim) fault(f btmemstore.Fault, d time.Duration) {
+	s.store.SetFault(f)
+	s.watch(d)
+	s.store.SetFault(btmemstore.Fault{})
+}
+
+// Guards against takeovers that come too early or too late and against
+// releases that leave the cell without a holder.
+func TestTakeover(t *testing.T) {
+	run := func(name string, f func(t *testing.T, s *sim)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { f(t, newSim(t, 3)) })
+		})
+	}
+	run("a paused holder is replaced and sees it at the first check", func(t *testing.T, s *sim) {
+		first := s.await(time.Second)
+		time.Sleep(10 * time.Second)
+		s.gates[first].pause()
+		start := time.Now()
+		time.Sleep(Duration)
+		_, _, ok := s.leases[first].Held()
+		assert.Assert(t, !ok)
+		second := s.await(6 * time.Second)
+		assert.Assert(t, second != first)
+		assert.Assert(t, time.Since(start) <= RenewPeriod+WaitDuration+maxSpread+time.Second)
+		s.gates[first].resume()
+		s.watch(30 * time.Second)
+		assert.Equal(t, s.holder(), second)
+	})
+	run("a healthy holder keeps the lease and its fencing token", func(t *testing.T, s *sim) {
+		first := s.await(time.Second)
+		fence, _, _ := s.leases[first].Held()
+		held := s.watch(2 * time.Minute)
+		assert.Equal(t, held, 2*time.Minute)
+		after, _, _ := s.leases[first].Held()
+		assert.Equal(t, after, fence)
+	})
+	run("a lost reply does not cost the lease", func(t *testing.T, s *sim) {
+		first := s.await(time.Second)
+		s.store.SetFault(btmemstore.Fault{LoseReplies: 3})
+		assert.Equal(t, s.watch(15*time.Second), 15*time.Second)
+		assert.Equal(t, s.holder(), first)
+	})
+	run("a released lease is taken after a poke", func(t *testing.T, s *sim) {
+		first := s.await(time.Second)
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, s.leases[first].Release(t.Context()))
+		for _, l := range s.leases {
+			l.Poke()
+		}
+		second := s.await(time.Second)
+		assert.Assert(t, second != first)
+		s.watch(30 * time.Second)
+		assert.Equal(t, s.holder(), second)
+	})
+	run("observed versions save the candidates their reads", func(t *testing.T, s *sim) {
+		first := s.await(time.Second)
+		time.Sleep(20 * time.Second)
+		before := s.store.Counts().Reads
+		for range 60 {
+			for i, l := range s.leases {
+				if i != first {
+					l.Observe(s.leases[first].Version())
+				}
+			}
+			time.Sleep(700 * time.Millisecond)
+		}
+		assert.Equal(t, s.store.Counts().Reads, before)
+	})
+	run("a release while the store is down ends with its context", func(t *testing.T, s *sim) {
+		first := s.await(time.Second)
+		s.store.SetFault(btmemstore.Fault{Down: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, s.leases[first].Release(ctx), context.DeadlineExceeded)
+		assert.Equal(t, s.holder(), -1)
+		assert.Assert(t, s.leases[first].Dump().(State).Releasing)
+	})
+}
