Free the key of a claim whose begin got no answer

Cause: a begin at a remote owner can take effect although its answer is lost. The call is then refused as not run, but its key stayed claimed and each resend would have been answered 'unknown'. Ruled out: running the call on a second begin of the same request, since a late correction of the first attempt could free the key while the call runs. Conclusion: a lost answer costs one refusal and not the key.

--- a/btclaim/plan.go
+++ b/btclaim/plan.go
@@ -81,6 +81,9 @@
 
 // planFinish records an outcome once: the first one of an attempt stays.
 func (p *plan) planFinish(o *operation, cur record) (result, error) {
+	if o.next.Attempt == "" {
+		return p.planAbandon(o, cur)
+	}
 	if cur.Attempt != o.next.Attempt {
 		p.missing = true
 		return result{err: errNoClaim}, nil
@@ -92,6 +95,16 @@
 	return result{}, p.add(cur)
 }
 
+// planAbandon frees the key if the claim belongs to the call. Otherwise the
+// begin of the call had no effect.
+func (p *plan) planAbandon(o *operation, cur record) (result, error) {
+	if cur.State != claimed || cur.Request != o.next.Request || cur.Entry != o.next.Entry {
+		return result{}, nil
+	}
+	cur.State = notRun
+	return result{}, p.add(cur)
+}
+
 func (p *plan) add(r record) error {
 	r.Change = p.change
 	line, err := encodeRecord(r)
--- a/btclaim/shard.go
+++ b/btclaim/shard.go
@@ -115,6 +115,16 @@
 	return s.submit(ctx, o).err
 }
 
+// Abandon marks the claim of a call as notRun although its attempt is not
+// known. Only the entry of a call that will never be dispatched may use it, such
+// as one whose begin at another owner got no answer.
+func (s *Shard) Abandon(ctx context.Context, key ClaimKey, entry bramleytack.HostID, request bramleytack.RequestID) error {
+	o := newOperation(record{ClaimKey: key, State: notRun, Entry: entry, Request: request})
+	o.finish = true
+	o.refresh = true
+	return s.submit(ctx, o).err
+}
+
 // Run commits operations until ctx ends. It reads the shard when the first
 // operation arrives.
 func (s *Shard) Run(ctx context.Context) {
--- a/btclaim/shard_test.go
+++ b/btclaim/shard_test.go
@@ -116,6 +116,14 @@
 		time.Sleep(DefaultProgressLimit)
 		assertBegin(t, e.shard(), "k", NoOutcome)
 	})
+	run(t, "an abandoned begin frees the key, and no other call's claim", func(t *testing.T, e env) {
+		a := e.shard()
+		assertBegin(t, a, "k", Run)
+		assert.NilError(t, e.shard().Abandon(t.Context(), key("k"), "e", "other"))
+		assertBegin(t, e.shard(), "k", InProgress)
+		assert.NilError(t, e.shard().Abandon(t.Context(), key("k"), "e", "r"))
+		assertBegin(t, e.shard(), "k", Run)
+	})
 	run(t, "a repeat waits for the outcome", func(t *testing.T, e env) {
 		a := e.shard()
 		d := assertBegin(t, a, "k", Run)
