--- /dev/null
+++ b/btdaemon/cluster.go
@@ -0,0 +1,213 @@
+package btdaemon
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bramleytack"
+	"bramleytack/btclaim"
+	"bramleytack/btevent"
+	"bramleytack/btlease"
+	"bramleytack/btpeer"
+	"bramleytack/btremote"
+	"bramleytack/btview"
+)
+
+const (
+	// claimShards is the number of shards of a cell's claims. It must not
+	// change while claims are kept.
+	claimShards = 8
+	// leaveTimeout bounds the giving up of roles at the end of a drain.
+	leaveTimeout = 15 * time.Second
+	// hostReadsPerSecond is the rate at which the members of a cell together
+	// read the host list.
+	hostReadsPerSecond = 4
+	// watchCheck is how often a member decides whether it watches the store.
+	watchCheck = 250 * time.Millisecond
+	// heartbeatLimit is the time without a heartbeat from which on a member
+	// watches the store itself: three heartbeats and a round trip.
+	heartbeatLimit = 2500 * time.Millisecond
+	// isolationLimit is the time without an answer of the store or a peer from
+	// which on a host takes itself for isolated.
+	isolationLimit = 3 * time.Second
+)
+
+// cluster is a daemon's part in its cell.
+type cluster struct {
+	mux      *btpeer.Mux
+	node     *btpeer.Node
+	lease    *btlease.Lease
+	cell     *btview.Cell
+	owners   *btremote.Owners
+	claims   *btremote.Claims
+	spread   *btremote.Spread
+	exchange *btremote.Exchange
+	suspects *btremote.Suspects
+}
+
+// buildCluster makes the parts that speak to other daemons.
+func (d *Daemon) buildCluster() {
+	s := d.settings
+	c := &d.cluster
+	c.mux = &btpeer.Mux{}
+	c.node = &btpeer.Node{Host: s.Host, Timer: d.timers, Mux: c.mux, Plain: s.PeerTLS.Plain}
+	if !s.PeerTLS.Plain {
+		c.node.Certificates = &btpeer.Certificates{
+			CertFile: s.PeerTLS.Certificate, KeyFile: s.PeerTLS.Key, CAFile: s.PeerTLS.Authority,
+		}
+	}
+	c.lease = &btlease.Lease{Store: d.store, Timer: d.timers, Cell: s.Cell, Host: s.Host, PeerAddr: s.PeerListen}
+	c.cell = &btview.Cell{
+		Name: s.Cell, Lease: c.lease, Store: d.store, Timer: d.timers, Transport: btview.Peers{Node: c.node},
+		Self: btview.Member{
+			Host: s.Host, Incarnation: uint64(d.started.UnixNano()), PeerAddr: s.PeerListen, FailureDomain: s.FailureDomain,
+		},
+		OnView:         d.viewChanged,
+		ConfigRevision: func() bramleytack.Revision { return d.config.Digest().Revision },
+	}
+	c.owners = &btremote.Owners{Self: s.Host, Node: c.node, Cell: c.cell, Table: d.table, Loads: d.loads, Timer: d.timers}
+	d.table.Permits = c.owners
+	c.claims = &btremote.Claims{Self: s.Host, Node: c.node, Cell: c.cell}
+	for n := range claimShards {
+		c.claims.Shards = append(c.claims.Shards, &btclaim.Shard{Store: d.store, Timer: d.timers, Cell: s.Cell, Number: n})
+	}
+	c.spread = &btremote.Spread{Self: s.Host, Node: c.node, Cell: c.cell, Config: d.config, Timer: d.timers}
+	c.cell.OnConfigRevision = c.spread.Saw
+	c.exchange = &btremote.Exchange{
+		Self: s.Host, Node: c.node, Cell: c.cell, Timer: d.timers, Table: d.table, Loads: d.loads, Limiter: d.limiter,
+		Spread: c.spread, Hosts: d.hosts, Own: d.state,
+	}
+	c.suspects = &btremote.Suspects{Self: s.Host, Node: c.node, Cell: c.cell, Table: d.suspects}
+	d.suspects.Notify = c.suspects.Notify
+	btview.Register(c.mux, c.cell)
+	c.owners.Register(c.mux)
+	c.claims.Register(c.mux)
+	c.spread.Register(c.mux)
+	c.exchange.Register(c.mux)
+	c.suspects.Register(c.mux)
+}
+
+// viewChanged is called before a new view is acknowledged.
+func (d *Daemon) viewChanged(v *btview.View) {
+	d.log.Event(btevent.ViewChanged).Uint64("view", v.Number).Str("holder", string(v.Holder)).Int("members", len(v.Members)).Send()
+	hosts := make([]bramleytack.HostID, 0, len(v.Members))
+	for _, m := range v.Members {
+		hosts = append(hosts, m.Host)
+	}
+	for _, s := range d.cluster.exchange.States() {
+		if !slices.Contains(hosts, s.Host) {
+			d.table.EntryGone(s.Host)
+		}
+	}
+	d.limiter.SetMembers(hosts)
+	d.cluster.exchange.Forget(v)
+	d.own()
+	d.cluster.owners.Moved(context.Background())
+}
+
+// own brings the owned upstreams in line with the view.
+func (d *Daemon) own() {
+	for id, u := range d.snapshots.Snapshot().Upstreams {
+		if owner, _ := d.cluster.cell.Owner(id); owner != d.settings.Host {
+			d.table.Disown(id)
+			continue
+		}
+		if d.table.Owns(id) {
+			continue
+		}
+		d.table.Own(u)
+		if g, ok := d.loads.Digest(id); ok {
+			d.table.Inherit(g)
+		}
+	}
+}
+
+// state is what the daemon tells the other members.
+func (d *Daemon) state() btremote.State {
+	st := btremote.State{
+		Host: d.settings.Host, EntryAddr: d.settings.Listen, AdminAddr: d.settings.AdminListen,
+		FailureDomain: d.settings.FailureDomain, Draining: d.draining.Load(), Config: d.config.Digest(), Streams: d.front.Streams(),
+	}
+	if v := d.cluster.cell.View(); v != nil {
+		st.View = v.Number
+	}
+	return st
+}
+
+// Entries implements btfront.Entries: the members that are not draining and
+// whose failure domain is in service. If all domains are out, it lists all.
+func (d *Daemon) Entries() ([]netip.AddrPort, time.Duration) {
+	s := d.config.Snapshot()
+	var serving, all []netip.AddrPort
+	for _, st := range d.cluster.exchange.States() {
+		if st.Draining || !st.EntryAddr.IsValid() {
+			continue
+		}
+		all = append(all, st.EntryAddr)
+		if domain := s.FailureDomains[st.FailureDomain]; domain == nil || domain.State == bramleytack.DomainActive {
+			serving = append(serving, st.EntryAddr)
+		}
+	}
+	if len(serving) == 0 {
+		serving = all
+	}
+	return serving, d.settings.EntriesValidFor
+}
+
+// isolated says whether the host reaches neither the store nor a peer.
+func (d *Daemon) isolated() bool {
+	return d.timers.Now().Sub(d.cluster.cell.Contact()) > isolationLimit
+}
+
+// hostPeriod is the time between two reads of the host list by this host.
+func (d *Daemon) hostPeriod() time.Duration {
+	return time.Second * time.Duration(d.members()) / hostReadsPerSecond
+}
+
+func (d *Daemon) members() int {
+	if v := d.cluster.cell.View(); v != nil {
+		return max(len(v.Members), 1)
+	}
+	return 1
+}
+
+// runWatch watches the store while this member is one of the cell's watchers,
+// or while it hears nothing from the coordinator. The others get changes over
+// their links.
+func (d *Daemon) runWatch(ctx context.Context) {
+	tick := d.timers.Every(watchCheck, 0)
+	defer tick.Stop()
+	var stop context.CancelFunc
+	for {
+		switch wanted := d.watches(); {
+		case wanted && stop == nil:
+			var watch context.Context
+			watch, stop = context.WithCancel(ctx)
+			d.spawn(func() { _ = d.watcher.Run(watch) })
+		case !wanted && stop != nil:
+			stop()
+			stop = nil
+		}
+		select {
+		case <-tick.C():
+		case <-ctx.Done():
+			if stop != nil {
+				stop()
+			}
+			return
+		}
+	}
+}
+
+func (d *Daemon) watches() bool {
+	v := d.cluster.cell.View()
+	if v == nil || slices.Contains(v.Watchers(), d.settings.Host) {
+		return true
+	}
+	if d.config.Digest().Revision == 0 {
+		return true
+	}
+	return d.timers.Now().Sub(d.cluster.cell.Heard()) > heartbeatLimit
+}
--- a/btdaemon/daemon.go
+++ b/btdaemon/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"hash/fnv"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,11 +12,11 @@
 
 	"bramleytack"
 	"bramleytack/btadmin"
-	"bramleytack/btclaim"
 	"bramleytack/btconfig"
 	"bramleytack/btdump"
 	"bramleytack/btevent"
 	"bramleytack/btfront"
+	"bramleytack/bthost"
 	"bramleytack/btlength"
 	"bramleytack/btlimit"
 	"bramleytack/btmetric"
@@ -33,9 +32,6 @@
 	"bramleytack/btupstream"
 )
 
-// claimShards is the number of shards of a cell's claims.
-const claimShards = 8
-
 // Daemon is one process of the system.
 type Daemon struct {
 	settings btsettings.Settings
@@ -44,24 +40,27 @@
 	store    *btstore.Client
 	config   *btconfig.Config
 	watcher  *btconfig.Watcher
-	pool     *btupstream.Pool
-	lengths  *btlength.Estimator
-	table    *btowner.Table
-	loads    *btroute.Loads
-	queue    *btqueue.Filter
-	limiter  *btlimit.Limiter
-	shards   []*btclaim.Shard
-	suspects *btquarantine.Table
-	keys     *bttoken.Keyring
-	probes   *btprobe.Prober
-	front    *btfront.Front
-	admin    *btadmin.Admin
-	metrics  *btmetric.Metrics
-	dumps    btdump.Registry
+	hosts    *bthost.Watcher
+	// snapshots is the configuration with leaving hosts marked.
+	snapshots *bthost.Overlay
+	pool      *btupstream.Pool
+	lengths   *btlength.Estimator
+	table     *btowner.Table
+	loads     *btroute.Loads
+	queue     *btqueue.Filter
+	limiter   *btlimit.Limiter
+	suspects  *btquarantine.Table
+	keys      *bttoken.Keyring
+	probes    *btprobe.Prober
+	cluster   cluster
+	front     *btfront.Front
+	admin     *btadmin.Admin
+	metrics   *btmetric.Metrics
+	dumps     btdump.Registry
 
 	started  time.Time
 	draining atomic.Bool
-	ready    atomic.Bool
+	keyed    atomic.Bool
 	wg       sync.WaitGroup
 }
 
@@ -77,8 +76,12 @@
 	d.store = store
 	d.config = btconfig.New()
 	d.watcher = &btconfig.Watcher{Store: store, Config: d.config, Timer: d.timers, Seed: seed, OnError: d.watchFailed}
+	d.hosts = &bthost.Watcher{Store: store, Timer: d.timers, Period: d.hostPeriod, Changed: d.hostsChanged}
+	d.snapshots = &bthost.Overlay{Config: d.config, Hosts: d.hosts}
 	d.pool = btupstream.NewPool(btupstream.Options{})
+	d.keys = &bttoken.Keyring{Store: store, Timer: d.timers}
 	d.buildOwner()
+	d.buildCluster()
 	d.buildPath()
 	d.admin = &btadmin.Admin{Store: store, Config: d.config, Timer: d.timers}
 	d.register()
@@ -87,7 +90,7 @@
 
 // Run serves until the context ends and the requests in flight are done.
 func (d *Daemon) Run(ctx context.Context) error {
-	listeners, err := d.listen()
+	l, err := d.listen()
 	if err != nil {
 		return err
 	}
@@ -97,11 +100,13 @@
 	// The parts outlive ctx: they serve the requests that are drained.
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer d.wg.Wait()
+	defer d.cluster.node.Close()
 	defer stop()
-	d.start(parts)
+	d.start(parts, l)
 	failed := make(chan error, 1)
-	servers := d.serve(listeners, failed)
-	d.log.Event(btevent.ProcessStarted).Stringer("listen", d.settings.Listen).Stringer("admin", d.settings.AdminListen).Send()
+	servers := d.serve(l, failed)
+	d.log.Event(btevent.ProcessStarted).Stringer("listen", d.settings.Listen).Stringer("admin", d.settings.AdminListen).
+		Stringer("peer", d.settings.PeerListen).Send()
 	select {
 	case <-ctx.Done():
 		d.drain(parts, servers)
@@ -114,16 +119,24 @@
 }
 
 // start runs the daemon's parts until the context ends.
-func (d *Daemon) start(ctx context.Context) {
-	d.spawn(func() { _ = d.watcher.Run(ctx) })
+func (d *Daemon) start(ctx context.Context, l listeners) {
+	c := &d.cluster
+	d.spawn(func() { _ = c.node.Serve(ctx, l.peers) })
+	d.spawn(func() { c.lease.Run(ctx) })
+	d.spawn(func() { c.cell.Run(ctx) })
+	d.spawn(func() { c.spread.Run(ctx) })
+	d.spawn(func() { c.exchange.Run(ctx) })
+	d.spawn(func() { c.suspects.Run(ctx) })
+	for _, s := range c.claims.Shards {
+		d.spawn(func() { s.Run(ctx) })
+	}
+	d.spawn(func() { d.runWatch(ctx) })
+	d.spawn(func() { d.hosts.Run(ctx) })
 	d.spawn(func() { d.probes.Run(ctx) })
 	d.spawn(func() { d.front.Run(ctx) })
 	d.spawn(func() { d.suspects.Run(ctx) })
 	d.spawn(func() { d.runKeys(ctx) })
 	d.spawn(func() { d.runHousekeeping(ctx) })
-	for _, s := range d.shards {
-		d.spawn(func() { s.Run(ctx) })
-	}
 }
 
 func (d *Daemon) spawn(run func()) {
@@ -134,6 +147,15 @@
 	}()
 }
 
+const (
+	// keyRetry is the wait between two tries to load the signing keys.
+	keyRetry = 500 * time.Millisecond
+	// queuePeriod drives the queue's ticks.
+	queuePeriod = 250 * time.Millisecond
+	// limitPeriod is how often the limiter's shares are computed.
+	limitPeriod = time.Second
+)
+
 // runKeys loads the signing keys, which needs the store, and rotates them.
 func (d *Daemon) runKeys(ctx context.Context) {
 	for d.keys.Load(ctx) != nil {
@@ -141,25 +163,16 @@
 			return
 		}
 	}
-	d.ready.Store(true)
+	d.keyed.Store(true)
 	d.keys.Run(ctx)
 }
 
-const (
-	// keyRetry is the wait between two tries to load the signing keys.
-	keyRetry = 500 * time.Millisecond
-	// housekeepingPeriod drives the queue's and the limiter's ticks.
-	housekeepingPeriod = 250 * time.Millisecond
-	// limitPeriod is how often the limiter's shares are computed.
-	limitPeriod = time.Second
-)
-
 // runHousekeeping follows the configuration and drives what has no goroutine
 // of its own.
 func (d *Daemon) runHousekeeping(ctx context.Context) {
 	changes, cancel := d.config.Subscribe()
 	defer cancel()
-	tick := d.timers.Every(housekeepingPeriod, 0)
+	tick := d.timers.Every(queuePeriod, 0)
 	defer tick.Stop()
 	refresh := d.timers.Every(limitPeriod, 0)
 	defer refresh.Stop()
@@ -180,39 +193,42 @@
 // configure brings the owner's table and the load table in line with a new
 // snapshot.
 func (d *Daemon) configure() {
-	s := d.config.Snapshot()
+	s := d.snapshots.Snapshot()
 	d.log.Event(btevent.ConfigApplied).Uint64("revision", uint64(s.Revision)).Send()
 	d.loads.Retain(s)
-	for _, u := range s.Upstreams {
-		d.table.Own(u)
-	}
+	d.own()
 	d.table.Configure(s)
 }
 
-// Entries implements btfront.Entries.
-func (d *Daemon) Entries() ([]netip.AddrPort, time.Duration) {
-	if d.draining.Load() {
-		return nil, d.settings.EntriesValidFor
-	}
-	return []netip.AddrPort{d.settings.Listen}, d.settings.EntriesValidFor
-}
-
-// drain lets the requests in flight end.
+// drain leaves the entry list, waits for the callers that still use it, lets
+// the requests in flight end and gives up the roles.
 func (d *Daemon) drain(ctx context.Context, servers []*http.Server) {
 	d.log.Event(btevent.ProcessDraining).Int("streams", d.front.Streams()).Send()
 	d.draining.Store(true)
-	_ = d.timers.Sleep(ctx, d.settings.EntriesValidFor)
+	// The other members hear of it by their next exchange, and the lists that
+	// they gave out until then stay in use for their validity.
+	_ = d.timers.Sleep(ctx, d.settings.EntriesValidFor+2*d.cluster.exchange.Period())
 	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout)
 	defer cancel()
 	for _, s := range servers {
 		_ = s.Shutdown(ctx)
 	}
+	ctx, cancel = context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	_ = d.cluster.cell.Leave(ctx)
 }
 
 func (d *Daemon) watchFailed(kind string, err error) {
 	d.log.Event(btevent.WatchReopened).Str("kind", kind).Err(err).Send()
 }
 
+func (d *Daemon) hostsChanged(l *bthost.Leaving) {
+	d.log.Event(btevent.UpstreamLeaving).Int("hosts", l.Len()).Send()
+	if l.Has(d.settings.Listen.Addr()) {
+		d.log.Event(btevent.HostLeaving).Send()
+	}
+}
+
 func seedOf(h bramleytack.HostID) uint64 {
 	f := fnv.New64a()
 	_, _ = f.Write([]byte(h))
--- a/btdaemon/path.go
+++ b/btdaemon/path.go
@@ -15,7 +15,6 @@
 	"bramleytack/btquarantine"
 	"bramleytack/btqueue"
 	"bramleytack/btroute"
-	"bramleytack/bttoken"
 )
 
 // buildOwner makes the parts that admit work to owned upstreams.
@@ -23,6 +22,8 @@
 	d.lengths = btlength.New(btlength.Config{})
 	d.table = btowner.NewTable(btowner.Config{Lengths: d.lengths}, d.timers)
 	d.loads = &btroute.Loads{}
+	d.limiter = &btlimit.Limiter{Self: d.settings.Host}
+	d.suspects = &btquarantine.Table{Store: d.store, Timer: d.timers, Snapshots: d.config}
 	d.probes = &btprobe.Prober{
 		Snapshots: d.config,
 		Upstreams: d.pool,
@@ -36,30 +37,31 @@
 // buildPath makes the filters of the request path, in the order of the design.
 func (d *Daemon) buildPath() {
 	s := d.settings
-	d.keys = &bttoken.Keyring{Store: d.store, Timer: d.timers}
-	d.suspects = &btquarantine.Table{Store: d.store, Timer: d.timers, Snapshots: d.config}
+	c := &d.cluster
 	d.queue = &btqueue.Filter{
-		Timer: d.timers, Snapshots: d.config, MaxWaiting: s.Limits.MaxQueued, MaxWait: s.Limits.MaxQueueTime,
+		Timer: d.timers, Snapshots: d.snapshots, MaxWaiting: s.Limits.MaxQueued, MaxWait: s.Limits.MaxQueueTime,
 	}
-	d.limiter = &btlimit.Limiter{Self: s.Host}
-	for n := range claimShards {
-		d.shards = append(d.shards, &btclaim.Shard{Store: d.store, Timer: d.timers, Cell: s.Cell, Number: n})
+	dispatch := &btdispatch.Dispatcher{
+		Snapshots: d.snapshots, Upstreams: d.pool, Tokens: d.keys, Timer: d.timers, Isolated: d.isolated,
 	}
-	dispatch := &btdispatch.Dispatcher{Snapshots: d.config, Upstreams: d.pool, Tokens: d.keys, Timer: d.timers}
 	path := bramleytack.Chain(
 		dispatch,
 		&btmetric.Filter{Metrics: d.metrics, Timer: d.timers},
-		&btidentity.Filter{Snapshots: d.config, Timer: d.timers, MaxTimeout: s.Limits.MaxTimeout},
-		&btclaim.Filter{Snapshots: d.config, Claims: d.claims(), Entry: s.Host, Unrecorded: d.unrecorded},
-		&btlimit.Filter{Limiter: d.limiter, Snapshots: d.config, Timer: d.timers},
-		&btquarantine.Filter{Table: d.suspects},
+		&btidentity.Filter{Snapshots: d.snapshots, Timer: d.timers, MaxTimeout: s.Limits.MaxTimeout},
+		&btclaim.Filter{
+			Snapshots: d.snapshots, Claims: &btclaim.Router{Count: claimShards, Owner: c.claims.Owner},
+			Entry: s.Host, Unrecorded: d.unrecorded,
+		},
+		&btlimit.Filter{Limiter: d.limiter, Snapshots: d.snapshots, Timer: d.timers},
+		&btquarantine.Filter{Table: d.suspects, Arbiter: c.suspects.Arbitrate},
 		d.queue,
 		&btroute.Filter{
-			Entry: s.Host, Snapshots: d.config, Owner: d.table, Timer: d.timers, Loads: d.loads, Holders: d.loads,
+			Entry: s.Host, Snapshots: d.snapshots, Owner: c.owners, Timer: d.timers, Loads: d.loads, Holders: d.loads,
 			Policy:  &btroute.Scored{Domain: s.FailureDomain, Prefixes: &btroute.Prefixes{}},
 			Retry:   &btroute.Backoff{Timer: d.timers},
 			Granted: d.queue.Granted,
 		},
+		&btquarantine.Detector{Table: d.suspects, Snapshots: d.snapshots, Upstreams: d.pool, Crashed: d.crashed},
 		&btquarantine.Track{Table: d.suspects},
 	)
 	d.front = &btfront.Front{
@@ -67,11 +69,6 @@
 	}
 }
 
-// claims returns the claims of all shards.
-func (d *Daemon) claims() btclaim.Claims {
-	return &btclaim.Router{Count: claimShards, Owner: func(n int) (btclaim.Claims, error) { return d.shards[n], nil }}
-}
-
 // report takes a load report of an owned upstream.
 func (d *Daemon) report(u *bramleytack.Upstream, r bramleytack.LoadReport) {
 	d.table.Report(u.ID, r)
@@ -79,7 +76,7 @@
 	if !ok {
 		return
 	}
-	d.loads.SetDigest(d.timers.Now(), btroute.Digest(g))
+	d.loads.SetDigest(d.timers.Now(), g)
 	room := g.Limit - g.Running
 	if room <= 0 {
 		return
@@ -100,6 +97,10 @@
 	d.log.Event(btevent.UpstreamStarted).Str("upstream", string(u.ID)).Send()
 }
 
+func (d *Daemon) crashed(u bramleytack.UpstreamID, i bramleytack.InstanceID, fps []bramleytack.Fingerprint) {
+	d.log.Event(btevent.RequestSuspect).Str("upstream", string(u)).Str("instance", string(i)).Int("requests", len(fps)).Send()
+}
+
 func (d *Daemon) unrecorded(key btclaim.ClaimKey, id bramleytack.RequestID, err error) {
 	d.log.Event(btevent.ClaimUnstored).Str("workspace", string(key.Workspace)).Str("service", key.Service).
 		Str("request", string(id)).Err(err).Send()
--- a/btdaemon/serve.go
+++ b/btdaemon/serve.go
@@ -13,7 +13,7 @@
 
 	"bramleytack"
 	"bramleytack/btadmin"
-	"bramleytack/btconfig"
+	"bramleytack/btremote"
 )
 
 // adminHeaderTimeout bounds the receipt of a header on the admin address.
@@ -23,17 +23,26 @@
 type listeners struct {
 	callers net.Listener
 	admin   net.Listener
+	peers   net.Listener
 }
 
+// listen opens all addresses, or none.
 func (d *Daemon) listen() (listeners, error) {
 	var l listeners
-	var err error
-	if l.callers, err = listen(d.settings.Listen); err != nil {
-		return l, err
-	}
-	if l.admin, err = listen(d.settings.AdminListen); err != nil {
-		_ = l.callers.Close()
-		return l, err
+	var open []net.Listener
+	for _, a := range []struct {
+		addr netip.AddrPort
+		to   *net.Listener
+	}{{d.settings.Listen, &l.callers}, {d.settings.AdminListen, &l.admin}, {d.settings.PeerListen, &l.peers}} {
+		listener, err := listen(a.addr)
+		if err != nil {
+			for _, o := range open {
+				_ = o.Close()
+			}
+			return listeners{}, err
+		}
+		open = append(open, listener)
+		*a.to = listener
 	}
 	return l, nil
 }
@@ -83,45 +92,43 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Ready says whether the daemon has a configuration and takes new callers.
+// Ready says whether the daemon can serve new callers.
 func (d *Daemon) Ready() bool {
-	return d.ready.Load() && !d.draining.Load() && d.config.Digest().Revision > 0
+	return d.keyed.Load() && !d.draining.Load() && d.config.Digest().Revision > 0 && d.cluster.cell.View() != nil && !d.isolated()
 }
 
-// Status is what an operator sees of a daemon.
+// Status is the answer to the operators' status call: the states of all members
+// of the cell, as this daemon knows them.
 type Status struct {
-	Host          bramleytack.HostID          `json:"host"`
-	FailureDomain bramleytack.FailureDomainID `json:"failureDomain"`
-	Cell          bramleytack.CellID          `json:"cell"`
-	Uptime        string                      `json:"uptime"`
-	Config        btconfig.Digest             `json:"config"`
-	Ready         bool                        `json:"ready"`
-	Draining      bool                        `json:"draining"`
-	Streams       int                         `json:"streams"`
-	Queued        int                         `json:"queued"`
+	Host     bramleytack.HostID `json:"host"`
+	Cell     bramleytack.CellID `json:"cell"`
+	Uptime   string             `json:"uptime"`
+	Ready    bool               `json:"ready"`
+	Isolated bool               `json:"isolated"`
+	Holder   bramleytack.HostID `json:"holder"`
+	View     uint64             `json:"view"`
+	Queued   int                `json:"queued"`
+	Held     int                `json:"held"`
+	Daemons  []btremote.State   `json:"daemons"`
 }
 
+func (d *Daemon) status(context.Context) any { return d.ownStatus() }
+
 func (d *Daemon) ownStatus() Status {
-	return Status{
-		Host:          d.settings.Host,
-		FailureDomain: d.settings.FailureDomain,
-		Cell:          d.settings.Cell,
-		Uptime:        d.timers.Now().Sub(d.started).Round(time.Second).String(),
-		Config:        d.config.Digest(),
-		Ready:         d.Ready(),
-		Draining:      d.draining.Load(),
-		Streams:       d.front.Streams(),
-		Queued:        d.queue.Waiting(),
+	s := Status{
+		Host:     d.settings.Host,
+		Cell:     d.settings.Cell,
+		Uptime:   d.timers.Now().Sub(d.started).Round(time.Second).String(),
+		Ready:    d.Ready(),
+		Isolated: d.isolated(),
+		Queued:   d.queue.Waiting(),
+		Held:     d.cluster.owners.Held(),
+		Daemons:  d.cluster.exchange.States(),
 	}
-}
-
-// ClusterStatus is the answer to the operators' status call.
-type ClusterStatus struct {
-	Daemons []Status `json:"daemons"`
-}
-
-func (d *Daemon) status(context.Context) any {
-	return ClusterStatus{Daemons: []Status{d.ownStatus()}}
+	if v := d.cluster.cell.View(); v != nil {
+		s.Holder, s.View = v.Holder, v.Number
+	}
+	return s
 }
 
 // register adds the parts to the state dump and the metrics.
@@ -129,6 +136,9 @@
 	d.dumps.Add("status", func() any { return d.ownStatus() })
 	d.dumps.Add("config", func() any { return d.config.Stats() })
 	d.dumps.Add("watch", func() any { return d.watcher.Stats() })
+	d.dumps.Add("lease", func() any { return d.cluster.lease.Dump() })
+	d.dumps.Add("cell", func() any { return d.cluster.cell.Dump() })
+	d.dumps.Add("links", func() any { return d.cluster.node.Dump() })
 	d.dumps.Add("owner", func() any { return d.table.Dump() })
 	d.dumps.Add("probes", func() any { return d.probes.Dump() })
 	d.dumps.Add("store", func() any { return d.store.Counts() })
--- a/btowner/digest.go
+++ b/btowner/digest.go
@@ -8,26 +8,9 @@
 	"bramleytack"
 )
 
-// Digest is what an owner tells entries of an upstream, for routing.
-type Digest struct {
-	Upstream bramleytack.UpstreamID
-	Instance bramleytack.InstanceID
-	// At is the time of the digest. It includes all reservations up to it.
-	At      time.Time
-	Running int
-	// Limit is the concurrency allowed now, Level the one that was earned.
-	Limit int
-	Level int
-	Warm  bool
-	// Memory is the forecast peak as a share of the memory.
-	Memory  float64
-	Leaving bool
-	Models  []bramleytack.LoadedModel
-}
-
 // Digest returns the upstream's digest.
-func (u *Upstream) Digest(now time.Time) Digest {
-	return Digest{
+func (u *Upstream) Digest(now time.Time) bramleytack.UpstreamDigest {
+	return bramleytack.UpstreamDigest{
 		Upstream: u.record.ID,
 		Instance: u.ramp.Instance(),
 		At:       now,
--- a/btowner/table.go
+++ b/btowner/table.go
@@ -158,7 +158,7 @@
 func (t *Table) Settle(id bramleytack.UpstreamID) { t.with(id, (*Upstream).Settle) }
 
 // Inherit takes over the level from a digest of the previous owner.
-func (t *Table) Inherit(d Digest) {
+func (t *Table) Inherit(d bramleytack.UpstreamDigest) {
 	t.with(d.Upstream, func(u *Upstream) { u.Inherit(t.timer.Now(), d) })
 }
 
@@ -180,15 +180,15 @@
 }
 
 // Digest returns the digest of an upstream.
-func (t *Table) Digest(id bramleytack.UpstreamID) (Digest, bool) {
-	var d Digest
+func (t *Table) Digest(id bramleytack.UpstreamID) (bramleytack.UpstreamDigest, bool) {
+	var d bramleytack.UpstreamDigest
 	ok := t.with(id, func(u *Upstream) { d = u.Digest(t.timer.Now()) })
 	return d, ok
 }
 
 // Digests returns the digests of all owned upstreams.
-func (t *Table) Digests() []Digest {
-	var list []Digest
+func (t *Table) Digests() []bramleytack.UpstreamDigest {
+	var list []bramleytack.UpstreamDigest
 	now := t.timer.Now()
 	t.each(func(u *Upstream) { list = append(list, u.Digest(now)) })
 	return list
--- a/btowner/upstream.go
+++ b/btowner/upstream.go
@@ -303,7 +303,7 @@
 }
 
 // Inherit takes over the level from the previous owner's digest.
-func (u *Upstream) Inherit(now time.Time, d Digest) {
+func (u *Upstream) Inherit(now time.Time, d bramleytack.UpstreamDigest) {
 	u.ramp.Inherit(d.Instance, d.Level, now.Sub(d.At))
 }
 
--- a/btowner/upstream_test.go
+++ b/btowner/upstream_test.go
@@ -278,7 +278,7 @@
 	t.Run("a restart makes the upstream cold", func(t *testing.T) {
 		u := NewUpstream(Config{}, start, &bramleytack.Upstream{ColdLimit: 1, WarmLimit: 8})
 		u.Report(start, bramleytack.LoadReport{At: start, Instance: "a"})
-		u.Inherit(start, Digest{Instance: "a", Level: 8, At: start})
+		u.Inherit(start, bramleytack.UpstreamDigest{Instance: "a", Level: 8, At: start})
 		assert.Equal(t, u.Digest(start).Limit, 4)
 		u.Report(start, bramleytack.LoadReport{At: start.Add(1), Instance: "b"})
 		assert.Equal(t, u.Digest(start).Limit, 1)
@@ -286,7 +286,7 @@
 	t.Run("after a failure no place is refilled before a report", func(t *testing.T) {
 		u := NewUpstream(Config{}, start, &bramleytack.Upstream{ColdLimit: 1, WarmLimit: 8})
 		u.Report(start, bramleytack.LoadReport{At: start, Instance: "a"})
-		u.Inherit(start, Digest{Instance: "a", Level: 8, At: start})
+		u.Inherit(start, bramleytack.UpstreamDigest{Instance: "a", Level: 8, At: start})
 		assertGranted(t, u, start, reservation("1", bramleytack.Standard))
 		assertGranted(t, u, start, reservation("2", bramleytack.Standard))
 		u.Release(start, bramleytack.Release{Grant: "1", Failed: true})
@@ -298,7 +298,7 @@
 		rec := &bramleytack.Upstream{ColdLimit: 1, WarmLimit: 8}
 		u := NewUpstream(Config{}, start, rec)
 		u.Report(start, bramleytack.LoadReport{At: start, Instance: "a"})
-		u.Inherit(start, Digest{Instance: "a", Level: 8, At: start})
+		u.Inherit(start, bramleytack.UpstreamDigest{Instance: "a", Level: 8, At: start})
 		u.Configure(start, rec, true)
 		assertRefused(t, u, start, reservation("1", bramleytack.Standard))
 		u.Configure(start, rec, false)
--- a/btprobe/probe.go
+++ b/btprobe/probe.go
@@ -40,7 +40,7 @@
 func (b *probe) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, DefaultTimeout)
 	defer cancel()
-	r, err := b.fetch(ctx)
+	r, err := bramleytack.LoadOf(ctx, b.prober.Upstreams, b.record)
 	if err != nil {
 		if ctx.Err() == nil || context.Cause(ctx) == context.DeadlineExceeded {
 			b.miss(err)
@@ -53,21 +53,6 @@
 	b.prober.Report(b.record, r)
 }
 
-func (b *probe) fetch(ctx context.Context) (bramleytack.LoadReport, error) {
-	if b.record.Kind == bramleytack.KindEngine {
-		e, err := b.prober.Upstreams.Engine(b.record)
-		if err != nil {
-			return bramleytack.LoadReport{}, err
-		}
-		return e.Load(ctx)
-	}
-	s, err := b.prober.Upstreams.Service(b.record)
-	if err != nil {
-		return bramleytack.LoadReport{}, err
-	}
-	return s.Load(ctx)
-}
-
 // hit counts a report. It says whether the upstream had failed before.
 func (b *probe) hit() bool {
 	b.mu.Lock()
--- /dev/null
+++ b/btremote/exchange.go
@@ -0,0 +1,222 @@
+package btremote
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"bramleytack"
+	"bramleytack/btconfig"
+	"bramleytack/bthost"
+	"bramleytack/btlimit"
+	"bramleytack/btowner"
+	"bramleytack/btpeer"
+	"bramleytack/btroute"
+	"bramleytack/btview"
+	"bramleytack/btwire"
+)
+
+const (
+	// exchangesPerSecond is the rate at which a member starts exchanges. The
+	// period of one peer grows with the cell, so that the cost of a member does
+	// not.
+	exchangesPerSecond = 6
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = time.Second
+	// stateValidity is how long a peer's state is used after the last exchange.
+	stateValidity = 15 * time.Second
+)
+
+// State is what a member tells the others of itself.
+type State struct {
+	Host          bramleytack.HostID          `json:"host"`
+	EntryAddr     netip.AddrPort              `json:"entryAddr"`
+	AdminAddr     netip.AddrPort              `json:"adminAddr"`
+	FailureDomain bramleytack.FailureDomainID `json:"failureDomain"`
+	Draining      bool                        `json:"draining"`
+	Config        btconfig.Digest             `json:"config"`
+	View          uint64                      `json:"view"`
+	Streams       int                         `json:"streams"`
+	// Seen is the time of the last exchange.
+	Seen time.Time `json:"seen"`
+}
+
+// Exchange keeps the states of all members of the cell. Each member calls the
+// others in turn; the state of either side travels in one exchange.
+type Exchange struct {
+	Self    bramleytack.HostID
+	Node    *btpeer.Node
+	Cell    *btview.Cell
+	Timer   bramleytack.Timer
+	Table   *btowner.Table
+	Loads   *btroute.Loads
+	Limiter *btlimit.Limiter
+	Spread  *Spread
+	Hosts   *bthost.Watcher
+	// Own returns this member's state.
+	Own func() State
+
+	mu     sync.Mutex
+	states map[bramleytack.HostID]State
+	next   int
+}
+
+// Register makes the daemon answer exchanges.
+func (e *Exchange) Register(mux *btpeer.Mux) { btpeer.Handle(mux, e.handle) }
+
+// Run exchanges states until the context ends.
+func (e *Exchange) Run(ctx context.Context) {
+	tick := e.Timer.Every(time.Second/exchangesPerSecond, time.Second/exchangesPerSecond/4)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C():
+			e.step(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// States returns this member's state and the valid ones of the others, in the
+// order of their hosts.
+func (e *Exchange) States() []State {
+	now := e.Timer.Now()
+	own := e.Own()
+	own.Seen = now
+	list := []State{own}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.states {
+		if now.Sub(s.Seen) < stateValidity {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b State) int {
+		if a.Host < b.Host {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// Period returns the time between two exchanges with the same peer that this
+// member starts.
+func (e *Exchange) Period() time.Duration {
+	return time.Duration(max(len(e.peers()), 1)) * time.Second / exchangesPerSecond
+}
+
+// Forget drops the states of hosts that are not members.
+func (e *Exchange) Forget(v *btview.View) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for host := range e.states {
+		if !slices.ContainsFunc(v.Members, func(m btview.Member) bool { return m.Host == host }) {
+			delete(e.states, host)
+		}
+	}
+}
+
+func (e *Exchange) peers() []bramleytack.HostID {
+	v := e.Cell.View()
+	if v == nil {
+		return nil
+	}
+	var peers []bramleytack.HostID
+	for _, m := range v.Members {
+		if m.Host != e.Self {
+			peers = append(peers, m.Host)
+		}
+	}
+	return peers
+}
+
+// step exchanges states with the next peer.
+func (e *Exchange) step(ctx context.Context) {
+	peers := e.peers()
+	if len(peers) == 0 {
+		return
+	}
+	e.next++
+	host := peers[e.next%len(peers)]
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := btpeer.Call[btwire.Exchange, btwire.Exchange](ctx, e.Node, host, e.encode())
+	if err != nil {
+		return
+	}
+	e.take(host, reply)
+	e.Spread.Compare(ctx, host, digestOf(reply))
+}
+
+func (e *Exchange) handle(_ context.Context, from bramleytack.HostID, m *btwire.Exchange) (*btwire.Exchange, error) {
+	e.take(from, m)
+	return e.encode(), nil
+}
+
+func (e *Exchange) take(host bramleytack.HostID, m *btwire.Exchange) {
+	now := e.Timer.Now()
+	entry, _ := netip.ParseAddrPort(m.GetEntryAddr())
+	admin, _ := netip.ParseAddrPort(m.GetAdminAddr())
+	e.mu.Lock()
+	if e.states == nil {
+		e.states = map[bramleytack.HostID]State{}
+	}
+	e.states[host] = State{
+		Host: host, EntryAddr: entry, AdminAddr: admin, FailureDomain: bramleytack.FailureDomainID(m.GetFailureDomain()),
+		Draining: m.GetDraining(), Config: digestOf(m), View: m.GetViewNumber(), Streams: int(m.GetStreams()), Seen: now,
+	}
+	e.mu.Unlock()
+	for _, d := range m.GetUpstreams() {
+		e.Loads.SetDigest(now, decodeDigest(d, now))
+	}
+	demands := map[bramleytack.WorkspaceID]btlimit.Demand{}
+	for _, d := range m.GetDemands() {
+		demands[bramleytack.WorkspaceID(d.GetWorkspace())] = btlimit.Demand{
+			RequestsPerSecond: d.GetRequestsPerSecond(), Concurrency: d.GetConcurrency(),
+		}
+	}
+	e.Limiter.Receive(now, host, demands)
+	e.Hosts.Hear(decodeAddrs(m.GetLeavingHosts()))
+	e.Spread.Saw(host, bramleytack.Revision(m.GetConfigRevision()))
+}
+
+func (e *Exchange) encode() *btwire.Exchange {
+	now := e.Timer.Now()
+	own := e.Own()
+	m := &btwire.Exchange{
+		Host: string(e.Self), EntryAddr: own.EntryAddr.String(), AdminAddr: own.AdminAddr.String(),
+		FailureDomain: string(own.FailureDomain), Draining: own.Draining,
+		ConfigRevision: uint64(own.Config.Revision), ConfigHash: own.Config.Hash,
+		ViewNumber: own.View, Streams: int64(own.Streams),
+	}
+	for _, a := range e.Hosts.Listed() {
+		m.LeavingHosts = append(m.LeavingHosts, a.String())
+	}
+	for _, d := range e.Table.Digests() {
+		m.Upstreams = append(m.Upstreams, encodeDigest(d, now))
+	}
+	for ws, d := range e.Limiter.Demands(now) {
+		m.Demands = append(m.Demands, &btwire.WorkspaceDemand{
+			Workspace: string(ws), RequestsPerSecond: d.RequestsPerSecond, Concurrency: d.Concurrency,
+		})
+	}
+	return m
+}
+
+func digestOf(m *btwire.Exchange) btconfig.Digest {
+	return btconfig.Digest{Revision: bramleytack.Revision(m.GetConfigRevision()), Hash: m.GetConfigHash()}
+}
+
+func decodeAddrs(list []string) []netip.Addr {
+	var addrs []netip.Addr
+	for _, text := range list {
+		if a, err := netip.ParseAddr(text); err == nil {
+			addrs = append(addrs, a)
+		}
+	}
+	return addrs
+}
--- /dev/null
+++ b/btremote/owners.go
@@ -0,0 +1,251 @@
+package btremote
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"bramleytack"
+	"bramleytack/btowner"
+	"bramleytack/btpeer"
+	"bramleytack/btramp"
+	"bramleytack/btroute"
+	"bramleytack/btview"
+	"bramleytack/btwire"
+)
+
+const (
+	// reserveTimeout bounds the wait for an owner. A reservation takes one
+	// round trip between failure domains.
+	reserveTimeout = 500 * time.Millisecond
+	// adoptTimeout bounds what a change of ownership may delay the
+	// acknowledgement of a view.
+	adoptTimeout = 500 * time.Millisecond
+	// unownedRetry is the advice while an upstream has no owner: about the time
+	// to the next view.
+	unownedRetry = time.Second
+)
+
+// Owners implements bramleytack.Owner for all upstreams of a cell.
+type Owners struct {
+	Self  bramleytack.HostID
+	Node  *btpeer.Node
+	Cell  *btview.Cell
+	Table *btowner.Table
+	Loads *btroute.Loads
+	Timer bramleytack.Timer
+
+	mu   sync.Mutex
+	held map[bramleytack.GrantID]heldGrant
+}
+
+// heldGrant is a reservation that this entry uses.
+type heldGrant struct {
+	reservation bramleytack.Reservation
+	instance    bramleytack.InstanceID
+	asked       time.Time
+}
+
+// Register makes the daemon answer the reservations of other entries.
+func (o *Owners) Register(mux *btpeer.Mux) {
+	btpeer.Handle(mux, o.handleReserve)
+	btpeer.Handle(mux, o.handleRelease)
+	btpeer.Handle(mux, o.handleAdopt)
+}
+
+// Reserve implements bramleytack.Owner.
+func (o *Owners) Reserve(ctx context.Context, r bramleytack.Reservation) (bramleytack.Grant, error) {
+	asked := o.Timer.Now()
+	owner, view := o.Cell.Owner(r.Upstream)
+	var g bramleytack.Grant
+	var err error
+	switch owner {
+	case "":
+		return g, bramleytack.NewError(bramleytack.CodeNoUpstream, bramleytack.NotRun, "upstream %s has no owner", r.Upstream).
+			WithRetryAfter(unownedRetry)
+	case o.Self:
+		g, err = o.Table.Reserve(ctx, r)
+	default:
+		g, err = o.reserveAt(ctx, owner, view, r, asked)
+	}
+	if err != nil {
+		return g, err
+	}
+	o.hold(r, g, asked)
+	return g, nil
+}
+
+// reserveAt asks the owner over its link.
+func (o *Owners) reserveAt(
+	ctx context.Context, owner bramleytack.HostID, view uint64, r bramleytack.Reservation, asked time.Time,
+) (bramleytack.Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	reply, err := btpeer.Call[btwire.Reserve, btwire.ReserveReply](ctx, o.Node, owner, encodeReservation(r, view, asked))
+	if err != nil {
+		return bramleytack.Grant{}, err
+	}
+	now := o.Timer.Now()
+	for _, d := range reply.GetDigests() {
+		o.Loads.SetDigest(now, decodeDigest(d, now))
+	}
+	if reply.GetRefusal() != nil {
+		return bramleytack.Grant{}, decodeRefusal(reply.GetRefusal())
+	}
+	m := reply.GetGrant()
+	if _, current := o.Cell.Owner(r.Upstream); m.GetViewNumber() < current {
+		_ = o.releaseAt(ctx, owner, bramleytack.Release{Grant: r.Grant, Upstream: r.Upstream, Outcome: bramleytack.NotRun})
+		return bramleytack.Grant{}, bramleytack.NewError(bramleytack.CodeNoUpstream, bramleytack.NotRun, "grant is of an earlier view")
+	}
+	return bramleytack.Grant{
+		ID: r.Grant, Upstream: r.Upstream, Instance: bramleytack.InstanceID(m.GetInstance()),
+		ViewNumber: m.GetViewNumber(), ValidUntil: asked.Add(m.GetValidFor().AsDuration()),
+	}, nil
+}
+
+// Release implements bramleytack.Owner.
+func (o *Owners) Release(ctx context.Context, v bramleytack.Release) error {
+	o.mu.Lock()
+	delete(o.held, v.Grant)
+	o.mu.Unlock()
+	owner, _ := o.Cell.Owner(v.Upstream)
+	switch owner {
+	case "":
+		return nil
+	case o.Self:
+		return o.Table.Release(ctx, v)
+	default:
+		return o.releaseAt(ctx, owner, v)
+	}
+}
+
+func (o *Owners) releaseAt(ctx context.Context, owner bramleytack.HostID, v bramleytack.Release) error {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	_, err := btpeer.Call[btwire.Release, btwire.ReleaseReply](ctx, o.Node, owner, &btwire.Release{
+		Grant: string(v.Grant), Upstream: string(v.Upstream), Entry: string(o.Self), Outcome: v.Outcome.String(),
+		Failed: v.Failed, Tokens: int64(v.Tokens), FirstToken: durationpb.New(v.FirstToken),
+	})
+	return err
+}
+
+func (o *Owners) hold(r bramleytack.Reservation, g bramleytack.Grant, asked time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.held == nil {
+		o.held = map[bramleytack.GrantID]heldGrant{}
+	}
+	o.held[r.Grant] = heldGrant{reservation: r, instance: g.Instance, asked: asked}
+}
+
+// Moved tells the new owners which reservations this entry holds. It is called
+// when a view is installed, before the view is acknowledged.
+func (o *Owners) Moved(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	now := o.Timer.Now()
+	byOwner := map[bramleytack.HostID][]heldGrant{}
+	o.mu.Lock()
+	for _, h := range o.held {
+		owner, _ := o.Cell.Owner(h.reservation.Upstream)
+		byOwner[owner] = append(byOwner[owner], h)
+	}
+	o.mu.Unlock()
+	var sent sync.WaitGroup
+	for owner, list := range byOwner {
+		sent.Go(func() { o.adoptAt(ctx, owner, list, now) })
+	}
+	sent.Wait()
+}
+
+// adoptAt tells one owner. A lost message is made good by the load report,
+// which a new owner waits for.
+func (o *Owners) adoptAt(ctx context.Context, owner bramleytack.HostID, list []heldGrant, now time.Time) {
+	if owner == "" || owner == o.Self {
+		o.adopt(list, now)
+		return
+	}
+	m := &btwire.Adopt{Entry: string(o.Self)}
+	for _, h := range list {
+		m.Reservations = append(m.Reservations, &btwire.HeldReservation{
+			Reserve: encodeReservation(h.reservation, 0, now), Instance: string(h.instance), Age: durationpb.New(now.Sub(h.asked)),
+		})
+	}
+	_, _ = btpeer.Call[btwire.Adopt, btwire.AdoptReply](ctx, o.Node, owner, m)
+}
+
+func (o *Owners) adopt(list []heldGrant, now time.Time) {
+	byUpstream := map[bramleytack.UpstreamID][]btowner.Held{}
+	for _, h := range list {
+		id := h.reservation.Upstream
+		byUpstream[id] = append(byUpstream[id], btowner.Held{Reservation: h.reservation, Instance: h.instance, Age: now.Sub(h.asked)})
+	}
+	for id, held := range byUpstream {
+		o.Table.Adopt(id, held)
+	}
+}
+
+// Held returns the number of reservations that this entry uses.
+func (o *Owners) Held() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.held)
+}
+
+// Permit implements btowner.Permits by the view.
+func (o *Owners) Permit(_ time.Time, id bramleytack.UpstreamID) (btowner.Permit, bool) {
+	p := o.Cell.MayGrant(id)
+	switch p.Mode {
+	case btview.Full:
+		return btowner.Permit{View: p.ViewNumber, Mode: btramp.Normal}, true
+	case btview.Fallback:
+		return btowner.Permit{View: p.ViewNumber, Mode: btramp.Fallback}, true
+	case btview.Reserved:
+		return btowner.Permit{View: p.ViewNumber, Mode: btramp.ReserveHalf}, true
+	default:
+		return btowner.Permit{}, false
+	}
+}
+
+func (o *Owners) handleReserve(ctx context.Context, _ bramleytack.HostID, m *btwire.Reserve) (*btwire.ReserveReply, error) {
+	now := o.Timer.Now()
+	r := decodeReservation(m, now)
+	g, err := o.Table.Reserve(ctx, r)
+	reply := &btwire.ReserveReply{ViewNumber: g.ViewNumber}
+	if d, ok := o.Table.Digest(r.Upstream); ok {
+		reply.Digests = append(reply.Digests, encodeDigest(d, now))
+	}
+	if err != nil {
+		reply.Refusal = encodeRefusal(bramleytack.AsError(err))
+		return reply, nil
+	}
+	reply.Grant = &btwire.Grant{
+		Id: string(g.ID), Upstream: string(g.Upstream), Instance: string(g.Instance),
+		ViewNumber: g.ViewNumber, ValidFor: durationpb.New(btowner.GrantValidity),
+	}
+	return reply, nil
+}
+
+func (o *Owners) handleRelease(ctx context.Context, _ bramleytack.HostID, m *btwire.Release) (*btwire.ReleaseReply, error) {
+	err := o.Table.Release(ctx, bramleytack.Release{
+		Grant: bramleytack.GrantID(m.GetGrant()), Upstream: bramleytack.UpstreamID(m.GetUpstream()),
+		Outcome: bramleytack.ParseOutcome(m.GetOutcome()), Failed: m.GetFailed(), Tokens: int(m.GetTokens()),
+		FirstToken: m.GetFirstToken().AsDuration(),
+	})
+	return &btwire.ReleaseReply{Known: err == nil}, nil
+}
+
+func (o *Owners) handleAdopt(_ context.Context, _ bramleytack.HostID, m *btwire.Adopt) (*btwire.AdoptReply, error) {
+	now := o.Timer.Now()
+	list := make([]heldGrant, 0, len(m.GetReservations()))
+	for _, h := range m.GetReservations() {
+		list = append(list, heldGrant{
+			reservation: decodeReservation(h.GetReserve(), now), instance: bramleytack.InstanceID(h.GetInstance()),
+			asked: now.Add(-h.GetAge().AsDuration()),
+		})
+	}
+	o.adopt(list, now)
+	return &btwire.AdoptReply{}, nil
+}
--- /dev/null
+++ b/btremote/suspects.go
@@ -0,0 +1,154 @@
+package btremote
+
+import (
+	"context"
+	"time"
+
+	"bramleytack"
+	"bramleytack/btpeer"
+	"bramleytack/btquarantine"
+	"bramleytack/btview"
+	"bramleytack/btwire"
+)
+
+const (
+	// reportQueue bounds the reports that wait to be sent. A report that finds
+	// no place is dropped; none of them may quarantine an innocent request.
+	reportQueue = 256
+	// reportTimeout bounds the sending of one report to one peer.
+	reportTimeout = 500 * time.Millisecond
+	// suspectTimeout bounds the wait for the arbiter of a suspect's single run.
+	suspectTimeout = 500 * time.Millisecond
+)
+
+// Suspects shares what is known of crashing requests in a cell.
+type Suspects struct {
+	Self  bramleytack.HostID
+	Node  *btpeer.Node
+	Cell  *btview.Cell
+	Table *btquarantine.Table
+
+	queue chan btquarantine.Report
+}
+
+// Register makes the daemon take reports and decide single runs. It must be
+// called before Run.
+func (s *Suspects) Register(mux *btpeer.Mux) {
+	s.queue = make(chan btquarantine.Report, reportQueue)
+	btpeer.Handle(mux, s.handleReport)
+	btpeer.Handle(mux, s.handleRun)
+}
+
+// Notify queues a report for all peers.
+func (s *Suspects) Notify(r btquarantine.Report) {
+	select {
+	case s.queue <- r:
+	default:
+	}
+}
+
+// Run sends reports until the context ends.
+func (s *Suspects) Run(ctx context.Context) {
+	for {
+		select {
+		case r := <-s.queue:
+			s.send(ctx, encodeReport(r))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Suspects) send(ctx context.Context, m *btwire.QuarantineReport) {
+	v := s.Cell.View()
+	if v == nil {
+		return
+	}
+	for _, member := range v.Members {
+		if member.Host == s.Self {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		_, _ = btpeer.Call[btwire.QuarantineReport, btwire.QuarantineReportReply](ctx, s.Node, member.Host, m)
+		cancel()
+	}
+}
+
+// Arbitrate asks the member that decides about a suspect's single run. It is
+// the Arbiter of btquarantine.Filter.
+func (s *Suspects) Arbitrate(ctx context.Context, fp bramleytack.Fingerprint, request bramleytack.RequestID) error {
+	// Upstream ids hold no slash, so the name of a fingerprint never is one.
+	arbiter, _ := s.Cell.Owner(bramleytack.UpstreamID("fingerprint/" + fp.String()))
+	if arbiter == "" || arbiter == s.Self {
+		return s.Table.Grant(fp, request)
+	}
+	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
+	defer cancel()
+	_, err := btpeer.Call[btwire.SuspectRun, btwire.SuspectRunReply](ctx, s.Node, arbiter, &btwire.SuspectRun{
+		Fingerprint: fp[:], Request: string(request),
+	})
+	return err
+}
+
+func (s *Suspects) handleReport(_ context.Context, _ bramleytack.HostID, m *btwire.QuarantineReport) (*btwire.QuarantineReportReply, error) {
+	if r, ok := decodeReport(m); ok {
+		s.Table.Apply(r)
+	}
+	return &btwire.QuarantineReportReply{}, nil
+}
+
+func (s *Suspects) handleRun(_ context.Context, _ bramleytack.HostID, m *btwire.SuspectRun) (*btwire.SuspectRunReply, error) {
+	fp, ok := decodeFingerprint(m.GetFingerprint())
+	if !ok {
+		return nil, bramleytack.NewError(bramleytack.CodeBadRequest, bramleytack.NotRun, "fingerprint has the wrong length")
+	}
+	return &btwire.SuspectRunReply{}, s.Table.Grant(fp, bramleytack.RequestID(m.GetRequest()))
+}
+
+var wireKinds = map[btquarantine.ReportKind]btwire.QuarantineKind{
+	btquarantine.Crashed:   btwire.QuarantineKind_QUARANTINE_KIND_CRASHED,
+	btquarantine.Started:   btwire.QuarantineKind_QUARANTINE_KIND_STARTED,
+	btquarantine.Returned:  btwire.QuarantineKind_QUARANTINE_KIND_RETURNED,
+	btquarantine.Completed: btwire.QuarantineKind_QUARANTINE_KIND_COMPLETED,
+}
+
+func encodeReport(r btquarantine.Report) *btwire.QuarantineReport {
+	return &btwire.QuarantineReport{
+		Kind: wireKinds[r.Kind], Upstream: string(r.Upstream), Instance: string(r.Instance), Request: string(r.Request),
+		Fingerprints: encodeFingerprints(r.Fingerprints), Alone: encodeFingerprints(r.Alone),
+	}
+}
+
+// decodeReport refuses a report of a kind that it does not know.
+func decodeReport(m *btwire.QuarantineReport) (btquarantine.Report, bool) {
+	r := btquarantine.Report{
+		Upstream: bramleytack.UpstreamID(m.GetUpstream()), Instance: bramleytack.InstanceID(m.GetInstance()),
+		Request:      bramleytack.RequestID(m.GetRequest()),
+		Fingerprints: decodeFingerprints(m.GetFingerprints()), Alone: decodeFingerprints(m.GetAlone()),
+	}
+	for kind, wire := range wireKinds {
+		if wire == m.GetKind() {
+			r.Kind = kind
+			return r, true
+		}
+	}
+	return r, false
+}
+
+func encodeFingerprints(list []bramleytack.Fingerprint) [][]byte {
+	b := make([][]byte, 0, len(list))
+	for _, fp := range list {
+		b = append(b, fp[:])
+	}
+	return b
+}
+
+func decodeFingerprints(list [][]byte) []bramleytack.Fingerprint {
+	var fps []bramleytack.Fingerprint
+	for _, b := range list {
+		if fp, ok := decodeFingerprint(b); ok {
+			fps = append(fps, fp)
+		}
+	}
+	return fps
+}
--- a/btroute/loads.go
+++ b/btroute/loads.go
@@ -17,24 +17,6 @@
 	maxRefusalTime = time.Second
 )
 
-// Digest is what an owner tells entries of an upstream. Its fields are those
-// of btowner.Digest, so that one converts to the other.
-type Digest struct {
-	Upstream bramleytack.UpstreamID
-	Instance bramleytack.InstanceID
-	// At is the time of the digest. It includes all reservations up to it.
-	At      time.Time
-	Running int
-	// Limit is the concurrency allowed now, Level the one that was earned.
-	Limit int
-	Level int
-	Warm  bool
-	// Memory is the forecast peak as a share of the memory.
-	Memory  float64
-	Leaving bool
-	Models  []bramleytack.LoadedModel
-}
-
 // Load is what the entry knows of an upstream's load.
 type Load struct {
 	// InFlight counts the entry's own requests on the upstream.
@@ -55,7 +37,7 @@
 
 // record is the load of one upstream as it is kept.
 type record struct {
-	digest     Digest
+	digest     bramleytack.UpstreamDigest
 	receivedAt time.Time
 	inFlight   int
 	// change is the number of own requests that started less those that ended
@@ -96,7 +78,7 @@
 }
 
 // SetDigest takes a digest, unless a newer one is known.
-func (l *Loads) SetDigest(now time.Time, d Digest) {
+func (l *Loads) SetDigest(now time.Time, d bramleytack.UpstreamDigest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.record(d.Upstream)
@@ -112,12 +94,12 @@
 }
 
 // Digest returns the last digest of an upstream, however old.
-func (l *Loads) Digest(id bramleytack.UpstreamID) (Digest, bool) {
+func (l *Loads) Digest(id bramleytack.UpstreamID) (bramleytack.UpstreamDigest, bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	r, ok := l.upstreams[id]
 	if !ok || r.receivedAt.IsZero() {
-		return Digest{}, false
+		return bramleytack.UpstreamDigest{}, false
 	}
 	return r.digest, true
 }
--- a/btroute/scored_test.go
+++ b/btroute/scored_test.go
@@ -11,16 +11,12 @@
 	"time"
 
 	"bramleytack"
-	"bramleytack/btowner"
 
 	"gotest.tools/v3/assert"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// Guards against a digest of the owner that no longer converts.
-var _ = Digest(btowner.Digest{})
-
 func pick(s *bramleytack.Snapshot, p Policy, attempt int, loads ...Load) bramleytack.UpstreamID {
 	var c []Candidate
 	for i, u := range s.ByModel["m"] {
@@ -136,7 +132,7 @@
 // digests, and engines that get work for a version they do not hold.
 func TestLoads(t *testing.T) {
 	l := &Loads{}
-	d := Digest{Upstream: "u", At: start, Running: 4, Limit: 8, Memory: 0.4, Models: []bramleytack.LoadedModel{{Model: "m", Version: "2"}}}
+	d := bramleytack.UpstreamDigest{Upstream: "u", At: start, Running: 4, Limit: 8, Memory: 0.4, Models: []bramleytack.LoadedModel{{Model: "m", Version: "2"}}}
 	l.start("u")
 	l.SetDigest(start, d)
 	l.start("u")
@@ -247,7 +243,7 @@
 	loads := &Loads{}
 	now := time.Now()
 	for _, id := range ids {
-		loads.SetDigest(now, Digest{Upstream: id, At: now, Running: rand.IntN(8), Limit: 8, Warm: true, Models: []bramleytack.LoadedModel{{Model: "m"}}})
+		loads.SetDigest(now, bramleytack.UpstreamDigest{Upstream: id, At: now, Running: rand.IntN(8), Limit: 8, Warm: true, Models: []bramleytack.LoadedModel{{Model: "m"}}})
 	}
 	f, _ := newFilter(b, s)
 	f.Owner = granter{}
--- a/engine.go
+++ b/engine.go
@@ -131,3 +131,19 @@
 	Engine(u *Upstream) (Engine, error)
 	Service(u *Upstream) (Service, error)
 }
+
+// LoadOf reads the load report of an upstream of either kind.
+func LoadOf(ctx context.Context, ups Upstreams, u *Upstream) (LoadReport, error) {
+	if u.Kind == KindService {
+		s, err := ups.Service(u)
+		if err != nil {
+			return LoadReport{}, err
+		}
+		return s.Load(ctx)
+	}
+	e, err := ups.Engine(u)
+	if err != nil {
+		return LoadReport{}, err
+	}
+	return e.Load(ctx)
+}
--- a/owner.go
+++ b/owner.go
@@ -56,3 +56,20 @@
 	Reserve(ctx context.Context, r Reservation) (Grant, error)
 	Release(ctx context.Context, r Release) error
 }
+
+// UpstreamDigest is what an owner tells entries of an upstream, for routing.
+type UpstreamDigest struct {
+	Upstream UpstreamID
+	Instance InstanceID
+	// At is the time of the digest. It includes all reservations up to it.
+	At      time.Time
+	Running int
+	// Limit is the concurrency allowed now, Level the one that was earned.
+	Limit int
+	Level int
+	Warm  bool
+	// Memory is the forecast peak as a share of the memory.
+	Memory  float64
+	Leaving bool
+	Models  []LoadedModel
+}
