Serve all checks with one type of findings

Cause: the root package and btrecord each had a Finding, so a program that shows both needed two printers. Ruled out: a conversion at each border, which loses the severity. Findings.Err leaves warnings out for all users.

--- a/finding.go
+++ b/finding.go
@@ -5,17 +5,53 @@
 	"strings"
 )
 
+// Severity says whether a finding makes what was checked invalid.
+type Severity uint8
+
+// The severities.
+const (
+	// Invalid findings keep a file or a record from being accepted.
+	Invalid Severity = iota
+	// Warning findings point at fields that have no effect.
+	Warning
+)
+
+var severityNames = [...]string{"error", "warning"}
+
+// String returns the severity's name.
+func (s Severity) String() string {
+	if int(s) < len(severityNames) {
+		return severityNames[s]
+	}
+	return severityNames[Invalid]
+}
+
+// MarshalText returns the severity's name.
+func (s Severity) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads the severity's name. Other names give Invalid.
+func (s *Severity) UnmarshalText(text []byte) error {
+	*s = Invalid
+	if string(text) == Warning.String() {
+		*s = Warning
+	}
+	return nil
+}
+
 // Finding is one fault of a file or a record, with its place.
 type Finding struct {
 	// File is the file's name, or where else the value came from.
 	File string `json:"file,omitempty"`
 	// Line counts from 1. Zero means that the value has no line.
 	Line int `json:"line,omitempty"`
+	// Record is the kind and the name of the record, as far as they are known.
+	Record string `json:"record,omitempty"`
 	// Path is the field's path, such as spec.limits.concurrency.
 	Path    string `json:"path,omitempty"`
 	Message string `json:"message"`
 	// Allowed says what the field may hold.
-	Allowed string `json:"allowed,omitempty"`
+	Allowed  string   `json:"allowed,omitempty"`
+	Severity Severity `json:"severity"`
 }
 
 // String returns the finding on one line, place first.
@@ -28,12 +64,18 @@
 	if b.Len() > 0 {
 		b.WriteString(": ")
 	}
+	if f.Severity == Warning {
+		b.WriteString("warning: ")
+	}
+	if f.Record != "" {
+		b.WriteString(f.Record + ": ")
+	}
 	if f.Path != "" {
 		b.WriteString(f.Path + ": ")
 	}
 	b.WriteString(f.Message)
 	if f.Allowed != "" {
-		b.WriteString(" (allowed: " + f.Allowed + ")")
+		b.WriteString("; allowed: " + f.Allowed)
 	}
 	return b.String()
 }
@@ -50,10 +92,17 @@
 	return strings.Join(lines, "\n")
 }
 
-// Err returns the findings as an error, or nil if there are none.
+// Err returns the findings without the warnings as an error, or nil if there
+// are none.
 func (f Findings) Err() error {
-	if len(f) == 0 {
+	var invalid Findings
+	for _, one := range f {
+		if one.Severity == Invalid {
+			invalid = append(invalid, one)
+		}
+	}
+	if len(invalid) == 0 {
 		return nil
 	}
-	return f
+	return invalid
 }
