--- a/btoperator/client.go
+++ b/btoperator/client.go
@@ -167,7 +167,7 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		outcome = bramleytack.NotRun
 	}
-	return bramleytack.NewError(bramleytack.CodeUpstreamFailed, outcome, "%s did not answer", a).WithCause(err)
+	return bramleytack.NewError(bramleytack.CodeUpstreamFailed, outcome, "no answer from %s", a).WithCause(err)
 }
 
 // client returns the HTTP client. Connections are not kept, because an open one
--- a/btoperator/status.go
+++ b/btoperator/status.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bramleytack"
 )
 
@@ -61,6 +63,9 @@
 	Message string         `json:"message"`
 }
 
+// String returns the failure on one line.
+func (f Failure) String() string { return f.Addr.String() + ": " + f.Message }
+
 // Status is the status of all daemons that are known.
 type Status struct {
 	Daemons  []Daemon  `json:"daemons"`
@@ -82,7 +87,7 @@
 	var s Status
 	for i, a := range c.Admins {
 		if errs[i] != nil {
-			s.Failures = append(s.Failures, Failure{Addr: a, Message: bramleytack.AsError(errs[i]).Message})
+			s.Failures = append(s.Failures, Failure{Addr: a, Message: failureMessage(errs[i])})
 			continue
 		}
 		for _, d := range reports[i].Daemons {
@@ -95,6 +100,15 @@
 	return s
 }
 
+// failureMessage returns the message of a daemon's answer, or "no answer".
+func failureMessage(err error) string {
+	var answer *RejectedError
+	if errors.As(err, &answer) {
+		return answer.Detail.Message
+	}
+	return "no answer"
+}
+
 // Behind returns the daemons whose revision is lower and the addresses that did
 // not report.
 func (s Status) Behind(revision bramleytack.Revision) Status {
