--- a/cmd/bramleytack/get.go
+++ b/cmd/bramleytack/get.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -63,6 +65,9 @@
 	if err != nil {
 		return err
 	}
+	slices.SortFunc(l.Records, func(a, b btadmin.Versioned) int {
+		return cmp.Or(cmp.Compare(a.Record.Kind, b.Record.Kind), cmp.Compare(a.Record.Name, b.Record.Name))
+	})
 	t := &table{head: []string{"KIND", "NAME", "VERSION", "SCHEMA"}}
 	for _, v := range l.Records {
 		t.add(v.Record.Kind, v.Record.Name, versionCell(v.Version), v.Record.SchemaVersion)
