Count answers of the store as contact

Cause: a daemon without peers always took itself for isolated. Its only contact is the store, and the view counts only heartbeats and reads of the view. Ruled out: a longer isolation limit, since a lone holder reads no view at all. TestIsolation fails without the change. Conclusion: the rule for isolation holds for one daemon as well.

--- a/btdaemon/cluster.go
+++ b/btdaemon/cluster.go
@@ -158,7 +158,8 @@
 
 // isolated says whether the host reaches neither the store nor a peer.
 func (d *Daemon) isolated() bool {
-	return d.timers.Now().Sub(d.cluster.cell.Contact()) > isolationLimit
+	now := d.timers.Now()
+	return now.Sub(d.cluster.cell.Contact()) > isolationLimit && now.Sub(d.store.LastAnswer()) > isolationLimit
 }
 
 // hostPeriod is the time between two reads of the host list by this host.
--- a/btstore/call.go
+++ b/btstore/call.go
@@ -63,6 +63,10 @@
 	if int64(len(body)) > k.limit {
 		return reply{}, true, errors.Newf("reply is longer than %d bytes", k.limit)
 	}
+	if !unavailable(resp.StatusCode) && resp.StatusCode < http.StatusInternalServerError {
+		now := c.timer.Now()
+		c.answered.Store(&now)
+	}
 	return reply{status: resp.StatusCode, body: body}, true, nil
 }
 
--- a/btstore/client.go
+++ b/btstore/client.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,8 @@
 	transport *http.Transport
 	budget    *budget
 	counters  counters
+	// answered is the time of the last answer that was no outage.
+	answered atomic.Pointer[time.Time]
 }
 
 var _ bramleytack.Store = (*Client)(nil)
@@ -143,3 +146,12 @@
 }
 
 func formatRevision(v bramleytack.Revision) string { return strconv.FormatUint(uint64(v), 10) }
+
+// LastAnswer returns when the platform last answered a call, other than by
+// saying that it is unavailable. It is zero before the first answer.
+func (c *Client) LastAnswer() time.Time {
+	if t := c.answered.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
