btview, btlease: test points that mutated code showed to be open

Cause: trials with mutated code passed the tests when a view stayed confirmed during its successor's write, when incarnations were ignored, when a candidate waited 1% less than the lease and when a lease counted from the reply. Conclusion: keep the direct tests beside the simulations.

--- a/btlease/lease_test.go
+++ b/btlease/lease_test.go
@@ -291,6 +291,27 @@
 		}
 		assert.Equal(t, s.store.Counts().Reads, before)
 	})
+	run("the fastest clock waits out the slowest holder", func(t *testing.T, s *sim) {
+		first := s.await(time.Second)
+		for i, l := range s.leases {
+			l.Timer.(*driftTimer).rate = 1.0049
+			l.machine.spread = 0
+			if i == first {
+				l.Timer.(*driftTimer).rate = 0.9951
+			}
+		}
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); s.watch(20 * time.Millisecond) {
+			if time.Until(end) < 10*time.Second {
+				s.gates[first].pause()
+			}
+			o, err := s.store.Get(t.Context(), s.leases[0].key())
+			assert.NilError(t, err)
+			for _, l := range s.leases {
+				l.Observe(o.Version)
+			}
+		}
+		assert.Assert(t, s.await(5*time.Second) != first)
+	})
 	run("a release while the store is down ends with its context", func(t *testing.T, s *sim) {
 		first := s.await(time.Second)
 		s.store.SetFault(btmemstore.Fault{Down: true})
@@ -301,3 +322,24 @@
 		assert.Assert(t, s.leases[first].Dump().(State).Releasing)
 	})
 }
+
+// Guards against leases that count from a late reply or from a repeated
+// sending.
+func TestLeaseStart(t *testing.T) {
+	start := time.Now()
+	ids := 0
+	m := &machine{newChangeID: func() string { ids++; return fmt.Sprint(ids) }}
+	m.read(start, 0, "", Record{}, nil)
+	assert.Equal(t, m.next(start).kind, stepWrite)
+	m.wrote(start.Add(time.Second), 0, bramleytack.ErrStoreUnknown)
+	assert.Equal(t, m.next(start.Add(time.Second)).kind, stepRead)
+	m.read(start.Add(time.Second), 0, "", Record{}, nil)
+	assert.Equal(t, m.next(start.Add(2*time.Second)).kind, stepWrite)
+	m.wrote(start.Add(4*time.Second), 1, nil)
+	fence, left, ok := m.held(start.Add(5 * time.Second))
+	assert.Assert(t, ok)
+	assert.Equal(t, fence, bramleytack.Fence(1))
+	assert.Equal(t, left, Duration-5*time.Second)
+	_, _, ok = m.held(start.Add(Duration))
+	assert.Assert(t, !ok)
+}
--- a/btview/cell_test.go
+++ b/btview/cell_test.go
@@ -225,6 +225,21 @@
 			}
 		})
 	}
+	run("nothing is confirmed while the outcome of a view's write is unknown", func(t *testing.T, s *sim) {
+		h, m := s.holder(), otherThan(s, s.holder())
+		s.network.block(storeHost, h, true)
+		for _, other := range s.hosts {
+			if other != h && other != m {
+				s.stop(other)
+			}
+		}
+		s.watch(4 * time.Second)
+		_, _, held := s.network.cell(h).Lease.Held()
+		assert.Assert(t, held)
+		r, err := s.network.cell(h).HandleHeartbeat(t.Context(), m, s.network.cell(m).heartbeat())
+		assert.NilError(t, err)
+		assert.Equal(t, r.GetViewLease().AsDuration(), time.Duration(0))
+	})
 	run("a store outage ends in the fallback of the owners", func(t *testing.T, s *sim) {
 		s.store.SetFault(btmemstore.Fault{Down: true})
 		s.watch(15 * time.Second)
