btview, btpeer: redial after an unanswered heartbeat

Cause: a link is found silent after up to 4 s, a member leaves the view after 2.5 s. A silent connection alone therefore changed the view, while a new connection would have worked. A hint of the holder was also overwritten by the choice of the next daemon to ask. Ruled out: a longer silence limit, which delays the removal of dead members; a faster link heartbeat, which costs every link.

--- a/btpeer/link.go
+++ b/btpeer/link.go
@@ -138,6 +138,16 @@
 	l.sess = nil
 }
 
+// reset ends the current session.
+func (l *link) reset() {
+	l.mu.Lock()
+	sess := l.sess
+	l.mu.Unlock()
+	if sess != nil {
+		_ = sess.Close()
+	}
+}
+
 // backoff returns the wait before the next attempt: twice as long after each
 // failure, with a random half.
 func (l *link) backoff() time.Duration {
--- a/btpeer/node.go
+++ b/btpeer/node.go
@@ -92,6 +92,14 @@
 	n.active.Go(l.run)
 }
 
+// Redial replaces the link to a peer by a new one. A caller that gets no
+// answer need not wait for the link's heartbeat to find it silent.
+func (n *Node) Redial(host bramleytack.HostID) {
+	if l, ok := n.link(host); ok {
+		l.reset()
+	}
+}
+
 // RemovePeer closes the link to a peer and forgets its address.
 func (n *Node) RemovePeer(host bramleytack.HostID) {
 	n.mu.Lock()
--- a/btview/beat.go
+++ b/btview/beat.go
@@ -33,13 +33,33 @@
 	if to.host == c.Self.Host {
 		return
 	}
-	if c.exchange(ctx, to) {
+	switch c.exchange(ctx, to) {
+	case fromHolder:
+		c.failures = 0
+		return
+	case hinted:
+		c.Lease.Poke()
 		return
 	}
 	c.Lease.Poke()
+	c.failures++
+	if c.failures == 1 {
+		c.retry(ctx, to)
+		return
+	}
 	c.retarget()
 }
 
+// retry sends the next heartbeat over a new link to the same host, in time
+// before the holder's silence limit. A silent link alone then costs no change
+// of the view.
+func (c *Cell) retry(ctx context.Context, to target) {
+	c.Transport.Redial(to.host)
+	if c.Timer.Sleep(ctx, tickPeriod) == nil {
+		c.wake()
+	}
+}
+
 // heartbeatTarget returns the holder as far as it is known.
 func (c *Cell) heartbeatTarget() (target, bool) {
 	if _, _, ok := c.Lease.Held(); ok {
@@ -79,23 +99,34 @@
 	c.target = target{m.Host, m.PeerAddr}
 }
 
-// exchange sends one heartbeat. It reports whether the holder answered.
-func (c *Cell) exchange(ctx context.Context, to target) bool {
+// answer says what a heartbeat led to.
+type answer uint8
+
+const (
+	// noAnswer means that there was no reply, or one without any use.
+	noAnswer answer = iota
+	// hinted means that another daemon named the holder.
+	hinted
+	// fromHolder means that the holder replied.
+	fromHolder
+)
+
+// exchange sends one heartbeat.
+func (c *Cell) exchange(ctx context.Context, to target) answer {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	c.Transport.SetPeer(to.host, to.addr)
 	sent := c.Timer.Now()
 	r, err := c.Transport.Heartbeat(ctx, to.host, c.heartbeat())
 	if err != nil {
-		return false
+		return noAnswer
 	}
 	c.mu.Lock()
 	c.member.reached(c.Timer.Now())
 	c.mu.Unlock()
 	c.sawConfig(to.host, r.GetConfigRevision())
 	if r.GetFence() == 0 {
-		c.follow(r)
-		return false
+		return c.follow(to, r)
 	}
 	c.Lease.Observe(bramleytack.Revision(r.GetLeaseVersion()))
 	return c.confirm(sent, r)
@@ -111,11 +142,11 @@
 }
 
 // confirm takes the reply of the holder to a heartbeat.
-func (c *Cell) confirm(sent time.Time, r *btwire.HeartbeatReply) bool {
+func (c *Cell) confirm(sent time.Time, r *btwire.HeartbeatReply) answer {
 	if r.GetView() != nil {
 		v, err := decodeView(r.GetView())
 		if err != nil {
-			return false
+			return noAnswer
 		}
 		c.install(v)
 	}
@@ -125,18 +156,22 @@
 	if r.GetViewLease().AsDuration() > 0 {
 		c.member.confirm(sent, r.GetViewNumber())
 	}
-	return true
+	return fromHolder
 }
 
 // follow takes the hint of a daemon that is not the holder.
-func (c *Cell) follow(r *btwire.HeartbeatReply) {
+func (c *Cell) follow(from target, r *btwire.HeartbeatReply) answer {
+	// The link is well: nothing is gained by a new one.
+	c.failures = max(c.failures, 1)
+	host := bramleytack.HostID(r.GetHolder())
 	addr, err := netip.ParseAddrPort(r.GetHolderAddr())
-	if err != nil || r.GetHolder() == string(c.Self.Host) {
-		return
+	if err != nil || host == "" || host == c.Self.Host || host == from.host {
+		return noAnswer
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.target = target{bramleytack.HostID(r.GetHolder()), addr}
+	c.target = target{host, addr}
+	return hinted
 }
 
 // HandleHeartbeat answers a member's heartbeat.
--- a/btview/cell.go
+++ b/btview/cell.go
@@ -49,9 +49,12 @@
 	// retryAt is when the holder's loop may call the store again. Only the
 	// loop uses it.
 	retryAt time.Time
-	beat    chan struct{}
-	once    sync.Once
-	pushes  sync.WaitGroup
+	// failures counts heartbeats without the holder's answer in a row. Only
+	// the heartbeats' loop uses it.
+	failures int
+	beat     chan struct{}
+	once     sync.Once
+	pushes   sync.WaitGroup
 }
 
 // target is the daemon that heartbeats go to.
--- a/btview/sim_test.go
+++ b/btview/sim_test.go
@@ -141,6 +141,8 @@
 
 func (port) RemovePeer(bramleytack.HostID) {}
 
+func (port) Redial(bramleytack.HostID) {}
+
 // storePort is a host's way to the store.
 type storePort struct {
 	*btmemstore.Store
--- a/btview/transport.go
+++ b/btview/transport.go
@@ -20,6 +20,8 @@
 	// SetPeer makes the address of a peer known.
 	SetPeer(host bramleytack.HostID, addr netip.AddrPort)
 	RemovePeer(host bramleytack.HostID)
+	// Redial replaces the link to a peer that does not answer.
+	Redial(host bramleytack.HostID)
 }
 
 // Peers is the Transport over the links of a node.
