btview: let members find a new holder before its first view

Cause: under -race the test "the holder dies and ownership of the others goes on" failed: members that had not found the new holder within 2.5 s were left out of its first view, and their upstreams moved. Ruled out: a longer wait for all holders; the first view is still written as soon as all members but the old holder were heard. Change: members search every 0.3 s and follow the newest term that they read; the first view waits for up to 3.5 s for missing members. In btlease a test changed clock rates under running goroutines; it now uses the rates that the hosts start with, and still finds a wait that is 1% too short.

--- a/btlease/lease_test.go
+++ b/btlease/lease_test.go
@@ -292,13 +292,15 @@
 		assert.Equal(t, s.store.Counts().Reads, before)
 	})
 	run("the fastest clock waits out the slowest holder", func(t *testing.T, s *sim) {
+		// The clock of h0 is the slowest, that of h2 the fastest.
 		first := s.await(time.Second)
-		for i, l := range s.leases {
-			l.Timer.(*driftTimer).rate = 1.0049
+		for ; first != 0; first = s.await(20 * time.Second) {
+			assert.NilError(t, s.leases[first].Resign(t.Context(), 10*time.Second))
+		}
+		for _, l := range s.leases {
+			l.mu.Lock()
 			l.machine.spread = 0
-			if i == first {
-				l.Timer.(*driftTimer).rate = 0.9951
-			}
+			l.mu.Unlock()
 		}
 		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); s.watch(20 * time.Millisecond) {
 			if time.Until(end) < 10*time.Second {
--- a/btview/beat.go
+++ b/btview/beat.go
@@ -39,6 +39,7 @@
 		return
 	case hinted:
 		c.Lease.Poke()
+		c.soon(ctx)
 		return
 	}
 	c.Lease.Poke()
@@ -48,6 +49,15 @@
 		return
 	}
 	c.retarget()
+	c.soon(ctx)
+}
+
+// soon makes the next heartbeat follow early. A new holder waits for the
+// members only for a short time.
+func (c *Cell) soon(ctx context.Context) {
+	if c.Timer.Sleep(ctx, searchPeriod) == nil {
+		c.wake()
+	}
 }
 
 // retry sends the next heartbeat over a new link to the same host, in time
@@ -67,8 +77,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.target.host == "" || c.target.host == c.Self.Host {
-		r, _ := c.Lease.Holder()
+	r, _ := c.Lease.Holder()
+	if c.target.host == "" || c.target.host == c.Self.Host || r.Term > c.term {
+		c.term = r.Term
 		c.target = target{r.Holder, r.PeerAddr}
 	}
 	ok := c.target.host != "" && c.target.host != c.Self.Host && c.target.addr.IsValid()
--- a/btview/cell.go
+++ b/btview/cell.go
@@ -43,6 +43,8 @@
 	pending *viewWrite
 	hostsAt time.Time
 	target  target
+	// term is the newest term of the lease that target was taken from.
+	term    uint64
 	rotate  int
 	readAt  time.Time
 	leaving bool
--- a/btview/holder.go
+++ b/btview/holder.go
@@ -95,7 +95,7 @@
 	if h.view == nil {
 		return batchPeriod
 	}
-	return SilenceLimit
+	return gatherLimit
 }
 
 // complete reports whether all members of the last view but its holder are
--- a/btview/times.go
+++ b/btview/times.go
@@ -26,6 +26,12 @@
 	readPeriod = time.Second
 	// batchPeriod collects changes of membership into one view.
 	batchPeriod = 200 * time.Millisecond
+	// gatherLimit is how long the first view of a term waits for members. A
+	// member reads the lease object once a second while it looks for the
+	// holder, and a heartbeat to a dead host may take another second.
+	gatherLimit = 3500 * time.Millisecond
+	// searchPeriod spaces the heartbeats of a member that looks for the holder.
+	searchPeriod = 300 * time.Millisecond
 	// tickPeriod is the resolution of the holder's decisions.
 	tickPeriod = 100 * time.Millisecond
 	// callTimeout bounds a call of a peer or the store.
