Issue certificates and refuse to start without readable ones

Cause: links between daemons need mutual TLS, and operators without an authority had no way to make certificates. A daemon with unreadable files started and could never join its cell. Ruled out: self-signed certificates per host, since each host would have to know all others. Change: btcert and the command 'certificates'; New fails on unreadable files; an owner takes the entry's name from the certificate and not from the message. Measured: TestMutualTLS: two daemons of one authority form a view, a daemon of another authority and one with another host's certificate do not join. Conclusion: the links can be secured with the project's own tools.

--- a/btdaemon/cluster.go
+++ b/btdaemon/cluster.go
@@ -47,8 +47,9 @@
 	suspects *btremote.Suspects
 }
 
-// buildCluster makes the parts that speak to other daemons.
-func (d *Daemon) buildCluster() {
+// buildCluster makes the parts that speak to other daemons. It fails if the
+// certificates can't be read.
+func (d *Daemon) buildCluster() error {
 	s := d.settings
 	c := &d.cluster
 	c.mux = &btpeer.Mux{}
@@ -57,6 +58,10 @@
 		c.node.Certificates = &btpeer.Certificates{
 			CertFile: s.PeerTLS.Certificate, KeyFile: s.PeerTLS.Key, CAFile: s.PeerTLS.Authority,
 		}
+		if _, _, err := c.node.Certificates.Load(); err != nil {
+			d.log.Event(btevent.CertificateError).Err(err).Send()
+			return err
+		}
 	}
 	c.lease = &btlease.Lease{Store: d.store, Timer: d.timers, Cell: s.Cell, Host: s.Host, PeerAddr: s.PeerListen}
 	c.cell = &btview.Cell{
@@ -87,6 +92,7 @@
 	c.spread.Register(c.mux)
 	c.exchange.Register(c.mux)
 	c.suspects.Register(c.mux)
+	return nil
 }
 
 // viewChanged is called before a new view is acknowledged.
--- a/btdaemon/daemon.go
+++ b/btdaemon/daemon.go
@@ -81,7 +81,9 @@
 	d.pool = btupstream.NewPool(btupstream.Options{})
 	d.keys = &bttoken.Keyring{Store: store, Timer: d.timers}
 	d.buildOwner()
-	d.buildCluster()
+	if err := d.buildCluster(); err != nil {
+		return nil, err
+	}
 	d.buildPath()
 	d.admin = &btadmin.Admin{Store: store, Config: d.config, Timer: d.timers}
 	d.register()
--- a/btdaemon/daemon_test.go
+++ b/btdaemon/daemon_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -15,8 +17,10 @@
 	"gotest.tools/v3/poll"
 
 	"bramleytack"
+	"bramleytack/btcert"
 	"bramleytack/btevent"
 	"bramleytack/btidentity"
+	"bramleytack/btpeer"
 	"bramleytack/btsettings"
 	"bramleytack/bttimer"
 	"bramleytack/internal/btmemstore"
@@ -67,19 +71,93 @@
 	assert.Equal(t, resp.StatusCode, http.StatusUnauthorized)
 }
 
-func startDaemon(t *testing.T, store *btmemstore.Store) *Daemon {
+// Guards against daemons that join a cell without a certificate of its
+// authority, or under another name than their certificate's.
+func TestMutualTLS(t *testing.T) {
+	platform := startPlatform(t, btmemstore.New())
+	dir, stranger := t.TempDir(), t.TempDir()
+	authority := writeAuthority(t, dir)
+	daemons := map[bramleytack.HostID]*Daemon{}
+	for _, host := range []bramleytack.HostID{"a-1", "a-2"} {
+		daemons[host] = runDaemon(t, withTLS(t, platform, host, host, dir, authority))
+	}
+	for host, d := range daemons {
+		waitFor(t, "view of both hosts at "+string(host), func() bool { return d.members() == 2 })
+	}
+	foreign := runDaemon(t, withTLS(t, platform, "b-1", "b-1", stranger, writeAuthority(t, stranger)))
+	renamed := runDaemon(t, withTLS(t, platform, "c-1", "a-2", dir, authority))
+	waitFor(t, "links of another authority", func() bool { return dialed(foreign) >= 3 })
+	waitFor(t, "links under another name", func() bool { return dialed(renamed) >= 1 })
+	// Several heartbeats and views fit into this time.
+	time.Sleep(3 * time.Second)
+	assert.Equal(t, daemons["a-1"].members(), 2)
+	s := withTLS(t, platform, "d-1", "d-1", dir, authority)
+	s.PeerTLS.Key = s.PeerTLS.Certificate
+	_, err := New(s, &btevent.Logger{})
+	assert.Assert(t, err != nil)
+}
+
+// dialed returns how often a daemon has tried to link to any peer.
+func dialed(d *Daemon) int {
+	n := 0
+	for _, l := range d.cluster.node.Dump().(btpeer.State).Links {
+		n += l.Dialed + l.Fails
+	}
+	return n
+}
+
+func writeAuthority(t *testing.T, dir string) *btcert.Authority {
+	t.Helper()
+	a, err := btcert.NewAuthority("test", time.Now(), time.Hour)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "authority.pem"), a.Pair.Certificate, 0o600))
+	return a
+}
+
+// withTLS returns settings of a host with a certificate for a name.
+func withTLS(t *testing.T, platform netip.AddrPort, host, name bramleytack.HostID, dir string, a *btcert.Authority) btsettings.Settings {
+	t.Helper()
+	pair, err := a.Issue(name, time.Now(), time.Hour)
+	assert.NilError(t, err)
+	s := settingsOf(t, platform, host)
+	s.PeerTLS = btsettings.PeerTLS{
+		Certificate: filepath.Join(dir, string(host)+".pem"),
+		Key:         filepath.Join(dir, string(host)+"-key.pem"),
+		Authority:   filepath.Join(dir, "authority.pem"),
+	}
+	assert.NilError(t, os.WriteFile(s.PeerTLS.Certificate, pair.Certificate, 0o600))
+	assert.NilError(t, os.WriteFile(s.PeerTLS.Key, pair.Key, 0o600))
+	return s
+}
+
+func startPlatform(t *testing.T, store *btmemstore.Store) netip.AddrPort {
 	t.Helper()
 	timers := bttimer.New(1)
 	t.Cleanup(timers.Close)
 	platform := httptest.NewServer(btplatform.NewServer(btplatform.Options{}, store, timers).Handler())
 	t.Cleanup(platform.CloseClientConnections)
+	return netip.MustParseAddrPort(strings.TrimPrefix(platform.URL, "http://"))
+}
+
+func settingsOf(t *testing.T, platform netip.AddrPort, host bramleytack.HostID) btsettings.Settings {
+	t.Helper()
 	s := btsettings.Defaults()
-	s.Host, s.Region, s.FailureDomain, s.Cell = "a-1", "r", "a", "c"
+	s.Host, s.Region, s.FailureDomain, s.Cell = host, "r", "a", "c"
 	s.Listen, s.AdminListen, s.PeerListen = freeAddr(t), freeAddr(t), freeAddr(t)
-	s.Platform = netip.MustParseAddrPort(strings.TrimPrefix(platform.URL, "http://"))
+	s.Platform = platform
 	s.PeerTLS.Plain = true
 	s.EntriesValidFor = time.Millisecond
 	s.DrainTimeout = time.Second
+	return s
+}
+
+func startDaemon(t *testing.T, store *btmemstore.Store) *Daemon {
+	t.Helper()
+	return runDaemon(t, settingsOf(t, startPlatform(t, store), "a-1"))
+}
+
+func runDaemon(t *testing.T, s btsettings.Settings) *Daemon {
+	t.Helper()
 	d, err := New(s, &btevent.Logger{})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/btremote/owners.go
+++ b/btremote/owners.go
@@ -209,9 +209,11 @@
 	}
 }
 
-func (o *Owners) handleReserve(ctx context.Context, _ bramleytack.HostID, m *btwire.Reserve) (*btwire.ReserveReply, error) {
+func (o *Owners) handleReserve(ctx context.Context, from bramleytack.HostID, m *btwire.Reserve) (*btwire.ReserveReply, error) {
 	now := o.Timer.Now()
 	r := decodeReservation(m, now)
+	// The certificate names the entry; what the message says of it does not count.
+	r.Entry = from
 	g, err := o.Table.Reserve(ctx, r)
 	reply := &btwire.ReserveReply{ViewNumber: g.ViewNumber}
 	if d, ok := o.Table.Digest(r.Upstream); ok {
@@ -237,12 +239,14 @@
 	return &btwire.ReleaseReply{Known: err == nil}, nil
 }
 
-func (o *Owners) handleAdopt(_ context.Context, _ bramleytack.HostID, m *btwire.Adopt) (*btwire.AdoptReply, error) {
+func (o *Owners) handleAdopt(_ context.Context, from bramleytack.HostID, m *btwire.Adopt) (*btwire.AdoptReply, error) {
 	now := o.Timer.Now()
 	list := make([]heldGrant, 0, len(m.GetReservations()))
 	for _, h := range m.GetReservations() {
+		r := decodeReservation(h.GetReserve(), now)
+		r.Entry = from
 		list = append(list, heldGrant{
-			reservation: decodeReservation(h.GetReserve(), now), instance: bramleytack.InstanceID(h.GetInstance()),
+			reservation: r, instance: bramleytack.InstanceID(h.GetInstance()),
 			asked: now.Add(-h.GetAge().AsDuration()),
 		})
 	}
--- a/cmd/bramleytack/main.go
+++ b/cmd/bramleytack/main.go
@@ -73,7 +73,7 @@
 		FlagSet:    a.flagSet("bramleytack"),
 		Subcommands: []*ffcli.Command{
 			a.apply(), a.get(), a.diff(), a.delete(), a.drain(), a.returnDomain(), a.status(), a.dump(),
-			a.validate(), a.generate(), a.call(), a.hashKey(),
+			a.validate(), a.generate(), a.call(), a.hashKey(), a.certificates(),
 		},
 	}
 }
