btengine: announce the request id in the first token

Cause: a caller behind the daemons knows neither the request id nor the attempt that the engine got, so it cannot compute the text that it should receive. Ruled out: a text that depends on the prompt only, which hides tokens mixed from two attempts at one request; reading X-Request-Id, which does not name the attempt and changes when a stream is resumed. Change: the directive [[announce]] puts the id in front of the first token. Text follows it, so each later token is checked against the id. Measured: before, no directive; after, TestServer covers it and passes.

--- a/internal/btengine/batch.go
+++ b/internal/btengine/batch.go
@@ -68,6 +68,7 @@
 			Request:      r.ID,
 			PromptTokens: PromptTokens(r.Prompt),
 			seed:         textSeed(r.ID, r.Prompt),
+			announce:     d.Announce,
 		},
 		model:    m,
 		priority: priority,
--- a/internal/btengine/doc.go
+++ b/internal/btengine/doc.go
@@ -27,7 +27,8 @@
 // The text of a generation follows from its request id, its prompt and the
 // token index; see Text. A prompt can hold directives: [[tokens=120]] sets the
 // length of the output, [[crash]] crashes the engine before the first token,
-// and [[crash=5]] crashes it after five.
+// [[crash=5]] crashes it after five, and [[announce]] puts the request id in
+// front of the first token.
 //
 // # Usage
 //
--- a/internal/btengine/generation.go
+++ b/internal/btengine/generation.go
@@ -15,10 +15,17 @@
 	Tokens       int
 	Finish       FinishReason
 	seed         uint64
+	announce     bool
 }
 
 // Text returns the text of a token.
-func (p *Progress) Text(index int) string { return textOf(p.seed, index) }
+func (p *Progress) Text(index int) string {
+	text := textOf(p.seed, index)
+	if p.announce && index == 0 {
+		text = string(p.Request) + "/" + text
+	}
+	return text
+}
 
 type generation struct {
 	Progress
--- a/internal/btengine/server_test.go
+++ b/internal/btengine/server_test.go
@@ -88,6 +88,12 @@
 		assertTokens(t, list, "r", "[[tokens=5]]", 4, 5)
 		assert.Equal(t, s.Stats().Completed, 1)
 	})
+	run("the first token announces the request id", opts, func(t *testing.T, _ *Server, h http.Handler) {
+		const prompt = "[[tokens=2]] [[announce]]"
+		list, _ := chunks(t, call(t.Context(), h, "POST", path, `{"id":"r.1","model":"m","prompt":"`+prompt+`"}`))
+		assertTokens(t, list, "r.1", prompt, 0, 2)
+		assert.Assert(t, strings.HasPrefix(list[0].Text, "r.1/0-"))
+	})
 	stalled := opts
 	stalled.StepBase = 2500 * time.Millisecond
 	run("a stalled stream gets heartbeats", stalled, func(t *testing.T, _ *Server, h http.Handler) {
--- a/internal/btengine/text.go
+++ b/internal/btengine/text.go
@@ -20,9 +20,12 @@
 	return (len(prompt) + bytesPerToken - 1) / bytesPerToken
 }
 
-// Text returns the text of the token at an index, counted from 0.
+// Text returns the text of the token at an index, counted from 0. A prompt with
+// the directive [[announce]] has a first token that starts with the request id
+// and a slash.
 func Text(id bramleytack.RequestID, prompt string, index int) string {
-	return textOf(textSeed(id, prompt), index)
+	p := Progress{Request: id, seed: textSeed(id, prompt), announce: ParseDirectives(prompt).Announce}
+	return p.Text(index)
 }
 
 func textSeed(id bramleytack.RequestID, prompt string) uint64 {
@@ -64,7 +67,7 @@
 	return max(n, l.Min, 1)
 }
 
-var directivePattern = regexp.MustCompile(`\[\[(tokens|crash)(?:=([0-9]{1,7}))?\]\]`)
+var directivePattern = regexp.MustCompile(`\[\[(tokens|crash|announce)(?:=([0-9]{1,7}))?\]\]`)
 
 // Directives are instructions to the simulated engine in a prompt.
 type Directives struct {
@@ -73,6 +76,9 @@
 	// Crash makes the engine crash after CrashAfter tokens.
 	Crash      bool
 	CrashAfter int
+	// Announce puts the request id in front of the first token, so that a
+	// reader behind other systems can compute the text that it has to get.
+	Announce bool
 }
 
 // ParseDirectives returns the directives in a prompt. The last one of a kind
@@ -82,11 +88,14 @@
 	for _, m := range directivePattern.FindAllStringSubmatch(prompt, -1) {
 		// The pattern admits seven digits, so that Atoi fails only on none.
 		n, _ := strconv.Atoi(m[2])
-		if m[1] == "crash" {
+		switch m[1] {
+		case "crash":
 			d.Crash, d.CrashAfter = true, n
-			continue
+		case "announce":
+			d.Announce = true
+		default:
+			d.Tokens = min(n, maxDirectiveTokens)
 		}
-		d.Tokens = min(n, maxDirectiveTokens)
 	}
 	return d
 }
