Add btload, load that checks its responses

Cause: nothing sent streams and orders to a deployment and checked them whole. Ruled out: keeping one client for all requests, which sends all load to the entry whose list it holds.

--- a/cmd/bramleytack-standin/main.go
+++ b/cmd/bramleytack-standin/main.go
@@ -31,12 +31,13 @@
 	return &ffcli.Command{
 		Name:       "bramleytack-standin",
 		ShortUsage: "bramleytack-standin <subcommand> [flags]",
-		ShortHelp:  "Run a simulated platform, model engine or plain service.",
+		ShortHelp:  "Run a simulated platform, model engine or plain service, or send load.",
 		FlagSet:    flag.NewFlagSet("bramleytack-standin", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
 			newPlatformCommand(out, log),
 			newEngineCommand(out, log),
 			newServiceCommand(out, log),
+			newLoadCommand(out),
 		},
 		Exec: func(context.Context, []string) error {
 			return flag.ErrHelp
