--- a/internal/btload/report.go
+++ b/internal/btload/report.go
@@ -54,6 +54,8 @@
 	Streams Tally
 	Orders  Tally
 	Tokens  int
+	// Undelivered counts streams that ended incomplete without any token.
+	Undelivered int
 	// Stalled is the sum of the times between tokens beyond the stall bound.
 	Stalled time.Duration
 	// FirstToken and Between are in microseconds.
@@ -82,6 +84,9 @@
 	r.Streams.Repeats += s.resumed
 	if e := typed(s.err); e != nil {
 		r.Streams.Codes[e.Code]++
+		if e.Outcome != bramleytack.NotRun && s.tokens == 0 {
+			r.Undelivered++
+		}
 	}
 	r.Tokens += s.tokens
 	if s.tokens > 0 {
