btupstream: report an engine's failure as such

Cause: when an engine died, callers got the code canceled, which the route filter takes for final, so undelivered streams were not tried elsewhere. Engine.stream canceled its own context before it classified the error by it. Ruled out: the caller's context, which had not ended. Change: errors are classified by the caller's context. The new test fails on the old code.

--- a/btupstream/engine.go
+++ b/btupstream/engine.go
@@ -120,9 +120,11 @@
 // stream sends a request whose answer is an event stream. An empty id accepts
 // the request id of the first event.
 func (e *Engine) stream(ctx context.Context, req *http.Request, id bramleytack.RequestID) (bramleytack.Stream, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	// Errors are classified by the caller's context: the stream's own is also
+	// canceled here to free its connection.
+	own, cancel := context.WithCancel(ctx)
 	x := e.pool.exchange(e.pool.opts.Silence)
-	resp, err := x.client.Do(req.WithContext(ctx))
+	resp, err := x.client.Do(req.WithContext(own))
 	if err != nil {
 		cancel()
 		return nil, failed(ctx, err, x.outcome())
@@ -142,7 +144,7 @@
 		defer drain(resp.Body)
 		return nil, bramleytack.NewError(bramleytack.CodeUpstreamFailed, bramleytack.Ran, "upstream sent no event stream")
 	}
-	return newStream(ctx, cancel, resp.Body, id), nil
+	return newStream(own, cancel, resp.Body, id), nil
 }
 
 func generationPath(id bramleytack.StreamID) string {
--- a/btupstream/outcome_test.go
+++ b/btupstream/outcome_test.go
@@ -141,6 +141,24 @@
 	})
 }
 
+// Guards against a failure of the engine that callers see as their own
+// cancellation, which no other engine would be tried for.
+func TestFailureIsNoCancellation(t *testing.T) {
+	t.Run("connection refused", func(t *testing.T) {
+		_, err := read(t, closedUpstream(t, bramleytack.KindEngine), Options{})
+		assertOutcome(t, err, bramleytack.NotRun)
+		assert.Equal(t, bramleytack.AsError(err).Code, bramleytack.CodeUpstreamFailed)
+	})
+	t.Run("lost generation", func(t *testing.T) {
+		u, _ := upstream(t, bramleytack.KindEngine, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
+		e, err := NewPool(Options{}).Engine(u)
+		assert.NilError(t, err)
+		_, err = e.Resume(t.Context(), "g", 1)
+		assert.Assert(t, errors.Is(err, ErrGone), "error: %v", err)
+		assert.Equal(t, bramleytack.AsError(err).Code, bramleytack.CodeUpstreamFailed)
+	})
+}
+
 // Guards against a crash on an event stream of any content.
 func FuzzStream(f *testing.F) {
 	f.Add([]byte("data: {\"requestId\":\"r\",\"index\":0}\n\ndata: {\"requestId\":\"r\",\"done\":true}\n"))
