btfleet: wait until all daemons know each other

Cause: the daemons have become members of a cell, and the status call lists the states of all members instead of one. Ruled out: readiness alone, which a daemon reports before all others have joined. Change: Configure waits until each daemon lists all members at the revision; requests may wait 20 s for capacity, longer than the takeover of a lease.

--- a/internal/btfleet/config.go
+++ b/internal/btfleet/config.go
@@ -50,7 +50,7 @@
 	c.Engines = cmp.Or(c.Engines, 12)
 	c.Services = cmp.Or(c.Services, 3)
 	c.EntriesValidFor = cmp.Or(c.EntriesValidFor, time.Second)
-	c.MaxQueueTime = cmp.Or(c.MaxQueueTime, 10*time.Second)
+	c.MaxQueueTime = cmp.Or(c.MaxQueueTime, 20*time.Second)
 	c.Step = cmp.Or(c.Step, 8*time.Millisecond)
 	c.Work = cmp.Or(c.Work, 20*time.Millisecond)
 	return c
--- a/internal/btfleet/fleet.go
+++ b/internal/btfleet/fleet.go
@@ -215,20 +215,13 @@
 	}
 }
 
-// Status returns what a daemon says of itself.
+// Status returns what a daemon says of its cell.
 func (f *Fleet) Status(ctx context.Context, p *Process) (btdaemon.Status, error) {
-	var s btdaemon.ClusterStatus
+	var s btdaemon.Status
 	url := "http://" + p.Addresses.Admin.String() + "/admin/v1/status"
 	header := http.Header{"Authorization": {"Bearer " + f.OperatorKey}}
-	if err := call(ctx, http.MethodGet, url, header, nil, &s); err != nil {
-		return btdaemon.Status{}, err
-	}
-	for _, d := range s.Daemons {
-		if string(d.Host) == p.Name {
-			return d, nil
-		}
-	}
-	return btdaemon.Status{}, errors.Newf("btfleet: status of %s does not list it", p.Name)
+	err := call(ctx, http.MethodGet, url, header, nil, &s)
+	return s, err
 }
 
 // Executions returns how often the services executed each idempotency key.
--- a/internal/btfleet/records.go
+++ b/internal/btfleet/records.go
@@ -4,6 +4,8 @@
 	"context"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"bramleytack"
 	"bramleytack/btidentity"
 	"bramleytack/btrecord"
@@ -90,15 +92,21 @@
 	return nil
 }
 
-// AwaitRevision waits until all running daemons are ready and have a revision
-// in force.
+// AwaitRevision waits until all running daemons are ready, have a revision in
+// force and know each other.
 func (f *Fleet) AwaitRevision(ctx context.Context, revision bramleytack.Revision) error {
+	running := 0
+	for _, p := range f.Daemons {
+		if p.Running() {
+			running++
+		}
+	}
 	for _, p := range f.Daemons {
 		if !p.Running() {
 			continue
 		}
 		err := f.poll(ctx, p.Name+" at revision "+strconv.FormatUint(uint64(revision), 10), func() error {
-			return f.inForce(ctx, p, revision)
+			return f.inForce(ctx, p, revision, running)
 		})
 		if err != nil {
 			return err
@@ -107,13 +115,19 @@
 	return nil
 }
 
-func (f *Fleet) inForce(ctx context.Context, p *Process, revision bramleytack.Revision) error {
+func (f *Fleet) inForce(ctx context.Context, p *Process, revision bramleytack.Revision, members int) error {
 	s, err := f.Status(ctx, p)
 	if err != nil {
 		return err
 	}
-	if !s.Ready || s.Config.Revision < revision {
-		return errNotYet
+	known := 0
+	for _, d := range s.Daemons {
+		if d.Config.Revision >= revision {
+			known++
+		}
+	}
+	if !s.Ready || known < members {
+		return errors.Wrapf(errNotYet, "ready %v, %d of %d members at the revision", s.Ready, known, members)
 	}
 	return nil
 }
--- a/internal/btload/order.go
+++ b/internal/btload/order.go
@@ -17,9 +17,9 @@
 type orderResult struct {
 	key   string
 	sends int
-	// codes are the errors of the sendings that failed.
-	codes []bramleytack.Code
-	err   error
+	// failures are the errors of the sendings that failed.
+	failures []*bramleytack.Error
+	err      error
 }
 
 // order places one order and sends it again at another entry while it is not
@@ -33,7 +33,7 @@
 			return o
 		}
 		e := bramleytack.AsError(o.err)
-		o.codes = append(o.codes, e.Code)
+		o.failures = append(o.failures, e)
 		if !w.sendAgain(e) || w.Timer.Sleep(ctx, max(e.RetryAfter, orderPause)) != nil {
 			return o
 		}
--- a/internal/btload/report.go
+++ b/internal/btload/report.go
@@ -40,6 +40,19 @@
 	Repeats int
 	// Codes counts the typed errors, also those that a repeat made good.
 	Codes map[bramleytack.Code]int
+	// Examples holds the first error of each code.
+	Examples map[bramleytack.Code]string
+}
+
+func newTally(planned int) Tally {
+	return Tally{Planned: planned, Codes: map[bramleytack.Code]int{}, Examples: map[bramleytack.Code]string{}}
+}
+
+func (t *Tally) code(e *bramleytack.Error) {
+	t.Codes[e.Code]++
+	if t.Codes[e.Code] == 1 {
+		t.Examples[e.Code] = e.Error()
+	}
 }
 
 // Unsent returns the number of requests that were not begun.
@@ -70,8 +83,8 @@
 func newReport(l *Load) *Report {
 	return &Report{
 		stall:      l.stall(),
-		Streams:    Tally{Planned: l.Streams, Codes: map[bramleytack.Code]int{}},
-		Orders:     Tally{Planned: l.Orders, Codes: map[bramleytack.Code]int{}},
+		Streams:    newTally(l.Streams),
+		Orders:     newTally(l.Orders),
 		FirstToken: hdrhistogram.New(leastTime, mostTime, digits),
 		Between:    hdrhistogram.New(leastTime, mostTime, digits),
 	}
@@ -83,7 +96,7 @@
 	r.count(&r.Streams, s.name, s.err)
 	r.Streams.Repeats += s.resumed
 	if e := typed(s.err); e != nil {
-		r.Streams.Codes[e.Code]++
+		r.Streams.code(e)
 		if e.Outcome != bramleytack.NotRun && s.tokens == 0 {
 			r.Undelivered++
 		}
@@ -103,8 +116,8 @@
 	defer r.mu.Unlock()
 	r.count(&r.Orders, o.key, o.err)
 	r.Orders.Repeats += o.sends - 1
-	for _, c := range o.codes {
-		r.Orders.Codes[c]++
+	for _, e := range o.failures {
+		r.Orders.code(e)
 	}
 	if o.err == nil {
 		r.Done = append(r.Done, o.key)
@@ -199,7 +212,7 @@
 	fmt.Fprintf(w, "%s %d: complete %d, refused %d, incomplete %d, wrong %d, lost %d, unsent %d, repeats %d\n",
 		name, t.Planned, t.Complete, t.Refused, t.Incomplete, t.Wrong, t.Lost, t.Unsent(), t.Repeats)
 	for _, c := range slices.Sorted(maps.Keys(t.Codes)) {
-		fmt.Fprintf(w, "  %s %d\n", c, t.Codes[c])
+		fmt.Fprintf(w, "  %s %d, first: %s\n", c, t.Codes[c], t.Examples[c])
 	}
 }
 
