btrelay: end a canceled generation with an error

Cause: a daemon that was frozen found its callers gone when it continued and canceled their generations, which other entries had resumed meanwhile. The resumed streams ended after a part of the text with finish reason canceled and [DONE], like complete responses. Ruled out: leaving it to callers to read the finish reason, since a response that is cut must not look complete. Change: a generation that the engine reports as canceled ends with the typed error canceled, outcome ran. The new case of TestRun fails on the old code. That the generation is canceled at all is the next point.

--- a/btrelay/relay.go
+++ b/btrelay/relay.go
@@ -20,6 +20,10 @@
 	cancelTimeout = 2 * time.Second
 )
 
+// finishCanceled is the finish reason of a generation that was canceled. Its
+// output is cut, so that it must not look like a complete response.
+const finishCanceled = "canceled"
+
 // Relay passes one generation to a reply. A Relay is used once.
 type Relay struct {
 	Engine bramleytack.Engine
@@ -88,6 +92,9 @@
 		if ev.Completion.Tokens != r.next {
 			return false, errGap
 		}
+		if ev.Completion.FinishReason == finishCanceled {
+			return false, bramleytack.NewError(bramleytack.CodeCanceled, bramleytack.Ran, "generation was canceled after %d tokens", r.next)
+		}
 		return true, w.Close(ev.Completion)
 	}
 	switch {
--- a/btrelay/relay_test.go
+++ b/btrelay/relay_test.go
@@ -25,6 +25,8 @@
 	err   error
 	// other makes the event belong to another generation.
 	other bool
+	// reason is the finish reason.
+	reason string
 }
 
 // engine answers each resumption with the next script.
@@ -61,7 +63,7 @@
 	s.steps = s.steps[1:]
 	ev := bramleytack.StreamEvent{Stream: "g1", Done: st.done, Token: bramleytack.Token{Index: st.index, Text: fmt.Sprint(st.index)}}
 	if st.done {
-		ev.Completion.Tokens = st.index
+		ev.Completion.Tokens, ev.Completion.FinishReason = st.index, st.reason
 	}
 	if st.other {
 		ev.Stream = "g2"
@@ -112,6 +114,7 @@
 		{name: "resumption that starts too early", first: tokens(0, 3), resumed: [][]step{append(tokens(0, n), end)}, want: n},
 		{name: "two cuts", first: tokens(0, 2), resumed: [][]step{tokens(2, 3), append(tokens(3, n), end)}, want: n},
 		{name: "another generation", first: append(tokens(0, 2), step{index: 2, other: true}), want: 2, code: bramleytack.CodeIncomplete},
+		{name: "canceled elsewhere", first: append(tokens(0, 2), step{index: 2, done: true, reason: "canceled"}), want: 2, code: bramleytack.CodeCanceled},
 		{name: "engine lost the generation", first: tokens(0, 2), gone: true, want: 2, code: bramleytack.CodeIncomplete},
 	}
 	for cut := range n + 1 {
