btfront: keep a generation through its resume window

Cause: Bramleytack-Resume-Window is to keep a generation after its caller's connection is lost, but the first failed write ended it at once. A daemon that was frozen thus canceled generations that other entries had resumed. Ruled out: dropping the cancellation of abandoned generations, which frees the engine's memory when no window is asked for. Change: with a window, a failed write marks the caller as lost and the generation goes on until its end or the end of the window. TestDisconnect writes after the disconnection now and fails on the old code.

--- a/btfront/event.go
+++ b/btfront/event.go
@@ -16,11 +16,16 @@
 	control *http.ResponseController
 	req     *bramleytack.Request
 	timer   bramleytack.Timer
+	// kept says that the generation goes on without the caller, who may have
+	// resumed it at another entry.
+	kept bool
 
 	// mu orders the relay's writes and the heartbeats.
-	mu     sync.Mutex
-	open   bool
-	ended  bool
+	mu    sync.Mutex
+	open  bool
+	ended bool
+	// lost says that the caller of a kept generation is gone.
+	lost   bool
 	prefix []byte
 	buf    []byte
 	// deadline is the write deadline that is set on the connection.
@@ -28,8 +33,8 @@
 	lastSent time.Time
 }
 
-func newEventReply(w http.ResponseWriter, req *bramleytack.Request, timer bramleytack.Timer) *eventReply {
-	return &eventReply{w: w, control: http.NewResponseController(w), req: req, timer: timer}
+func newEventReply(w http.ResponseWriter, req *bramleytack.Request, timer bramleytack.Timer, kept bool) *eventReply {
+	return &eventReply{w: w, control: http.NewResponseController(w), req: req, timer: timer, kept: kept}
 }
 
 // Open implements bramleytack.Reply. The header goes out with the first token:
@@ -129,6 +134,9 @@
 
 // send writes and flushes. The caller holds mu.
 func (e *eventReply) send(b []byte) error {
+	if e.lost {
+		return nil
+	}
 	now := e.timer.Now()
 	// Setting the deadline on each token would cost more than the write.
 	if e.deadline.Sub(now) < WriteTimeout/2 {
@@ -137,10 +145,16 @@
 	}
 	e.open = true
 	e.lastSent = now
-	if _, err := e.w.Write(b); err != nil {
-		return canceled(err)
+	_, err := e.w.Write(b)
+	if err == nil {
+		err = e.control.Flush()
 	}
-	if err := e.control.Flush(); err != nil {
+	if err != nil && e.kept {
+		// An error would cancel the generation before its window ends.
+		e.lost = true
+		return nil
+	}
+	if err != nil {
 		return canceled(err)
 	}
 	return nil
--- a/btfront/front_test.go
+++ b/btfront/front_test.go
@@ -150,6 +150,10 @@
 				if c.canceled {
 					<-ctx.Done()
 				}
+				// The first writes to a closed connection may succeed.
+				for i := 1; i < 50 && !c.canceled; i++ {
+					assert.Check(t, w.Token(bramleytack.Token{Index: i, Text: strings.Repeat("x", 64<<10)}))
+				}
 				state <- ctx.Err()
 				return ctx.Err()
 			}))
--- a/btfront/route.go
+++ b/btfront/route.go
@@ -95,7 +95,7 @@
 	}
 	ctx, stop := detach(r.Context(), window)
 	defer stop()
-	reply := newEventReply(w, req, f.Timer)
+	reply := newEventReply(w, req, f.Timer, window > 0)
 	f.streams.add(reply)
 	err = f.Path.Handle(ctx, req, reply)
 	f.streams.remove(reply)
