btfleet: start engines that die above their cold limit

Cause: the engines of the fleet were never cold, so that an owner that overran a cold one went unnoticed. Change: engines die above the cold limit of their record and are warm after as many generations; tests and the demonstration check that none ended. The pace of the ramp against a slower warm-up is an open point of btramp.

--- a/cmd/bramleytack-standin/main_test.go
+++ b/cmd/bramleytack-standin/main_test.go
@@ -46,6 +46,7 @@
 func TestBadFlags(t *testing.T) {
 	for _, args := range []string{
 		"engine --model crease-lm", "platform --host x", "service --listen 127.0.0.1", "none",
+		"load --entry localhost", "load --entry 127.0.0.1:1", "load --key-file main_test.go",
 	} {
 		err := newRootCommand(io.Discard, zerolog.Nop()).ParseAndRun(t.Context(), strings.Fields(args))
 		assert.Assert(t, err != nil, "%s", args)
--- a/internal/btdemo/demo.go
+++ b/internal/btdemo/demo.go
@@ -89,7 +89,10 @@
 	if err := d.executedOnce(ctx); err != nil {
 		return err
 	}
-	d.say("all held")
+	if ended := d.Ended(); len(ended) > 0 {
+		return errors.Newf("demo: upstreams ended: %v", ended)
+	}
+	d.say("no upstream was overloaded; all held")
 	return nil
 }
 
--- a/internal/btfleet/config.go
+++ b/internal/btfleet/config.go
@@ -17,6 +17,11 @@
 	Workspace = "stylists"
 )
 
+// engineWarmAfter is the number of completed generations that warm an engine.
+// An owner doubles its limit after two successes for each unit of the cold
+// limit, so that the engine has to be warm by then.
+const engineWarmAfter = engineCold
+
 // Domains are the failure domains. Processes are spread over them in turn.
 var Domains = []bramleytack.FailureDomainID{"qld-a", "qld-b", "qld-c"}
 
@@ -41,7 +46,7 @@
 	// Work is the time that a service takes for a call.
 	Work time.Duration
 	// EngineColdLimit makes engines die above this concurrency while they are
-	// cold. Zero makes engines that are never cold.
+	// cold. Zero takes the limit of the records.
 	EngineColdLimit int
 }
 
@@ -52,6 +57,7 @@
 	c.EntriesValidFor = cmp.Or(c.EntriesValidFor, time.Second)
 	c.MaxQueueTime = cmp.Or(c.MaxQueueTime, 20*time.Second)
 	c.Step = cmp.Or(c.Step, 8*time.Millisecond)
+	c.EngineColdLimit = cmp.Or(c.EngineColdLimit, engineCold)
 	c.Work = cmp.Or(c.Work, 20*time.Millisecond)
 	return c
 }
--- a/internal/btfleet/fleet.go
+++ b/internal/btfleet/fleet.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -133,7 +134,8 @@
 	p := f.process(name, RoleEngine, domainOf(i), f.block.upstream(hostEngines+i), programStandin)
 	p.args = append(standinArgs(RoleEngine, p.Addresses),
 		"--instance", name, "--model", Model+"@"+Version, "--seed", strconv.Itoa(i+1),
-		"--step-base", f.Step.String(), "--cold-limit", strconv.Itoa(f.EngineColdLimit))
+		"--step-base", f.Step.String(), "--cold-limit", strconv.Itoa(f.EngineColdLimit),
+		"--warm-after", strconv.Itoa(engineWarmAfter))
 	return p
 }
 
@@ -278,6 +280,18 @@
 	return w, nil
 }
 
+// Ended returns the names of the engines and services that do not run. An
+// engine or service that is overloaded while it is cold ends by itself.
+func (f *Fleet) Ended() []string {
+	var names []string
+	for _, p := range append(slices.Clone(f.Engines), f.Services...) {
+		if !p.Running() {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
 // SetFault sets a fault of a simulated system at a path such as /debug/fault.
 func (f *Fleet) SetFault(ctx context.Context, p *Process, path, fault string) error {
 	return call(ctx, http.MethodPut, "http://"+p.Addresses.Debug.String()+path, nil, []byte(fault), nil)
--- a/internal/btfleet/fleet_test.go
+++ b/internal/btfleet/fleet_test.go
@@ -60,9 +60,18 @@
 	}
 }
 
-// run runs a load and makes the checks that hold under any failure: no wrong
-// and no lost response, no request left out.
+// run runs a load on a fleet whose upstreams are left alone. None of them may
+// be brought down by its load.
 func (b *bench) run(l btload.Load) *btload.Report {
+	b.t.Helper()
+	r := b.runWith(l)
+	assert.Equal(b.t, len(b.Ended()), 0, "ended: %v", b.Ended())
+	return r
+}
+
+// runWith runs a load and makes the checks that hold under any failure: no
+// wrong and no lost response, and no request left out.
+func (b *bench) runWith(l btload.Load) *btload.Report {
 	b.t.Helper()
 	r := l.Run(b.t.Context())
 	r.Print(testWriter{b.t})
@@ -174,7 +183,8 @@
 		b.check(b.SetFault(t.Context(), p, "/debug/fault", `{"path":"/v1/generations","method":"POST","late":20000000000}`))
 	}
 	kill := func() { b.check(p.Kill()) }
-	r := b.run(b.load(tokens, map[int]func(){*streams / 2: hold, *streams/2 + 8: kill}))
+	r := b.runWith(b.load(tokens, map[int]func(){*streams / 2: hold, *streams/2 + 8: kill}))
+	assert.DeepEqual(t, b.Ended(), []string{p.Name})
 	assert.Assert(t, r.Streams.Incomplete > 0, "no stream was cut")
 	assert.Equal(t, r.Streams.Codes[bramleytack.CodeIncomplete], r.Streams.Incomplete)
 	assert.Equal(t, r.Undelivered, 0)
