btfleet: start nothing after the end of a fleet

Cause: when a test failed early, its killer went on and started daemons of a fleet that had been stopped; they lasted until the test process ended. Ruled out: stopping the killer alone, since any late start would leave a process. Change: a stopped fleet refuses starts, and TestOrders stops its killer before the fleet.

--- a/internal/btfleet/fleet.go
+++ b/internal/btfleet/fleet.go
@@ -303,6 +303,7 @@
 }
 
 func (f *Fleet) stop() {
+	f.launch.refuse()
 	f.stopList(f.Daemons)
 	f.stopList(f.Processes())
 	f.launch.close()
--- a/internal/btfleet/fleet_test.go
+++ b/internal/btfleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -202,9 +203,9 @@
 func (k *killer) run() {
 	defer close(k.done)
 	for {
-		pause := k.Timer.After(time.Duration(100+k.rng.IntN(300)) * time.Millisecond)
+		next := k.Timer.After(*pause/2 + time.Duration(k.rng.Int64N(int64(*pause))))
 		select {
-		case <-pause.C():
+		case <-next.C():
 		case <-k.stop:
 			return
 		}
@@ -221,11 +222,12 @@
 	b := start(t, btfleet.Config{Engines: 1, Work: 60 * time.Millisecond})
 	k := &killer{bench: b, stop: make(chan struct{}), done: make(chan struct{})}
 	go k.run()
+	halt := sync.OnceFunc(func() { close(k.stop); <-k.done })
+	t.Cleanup(halt)
 	l := b.load(0, nil)
 	l.Streams, l.Orders, l.Concurrency = 0, *orders, 8
 	r := b.run(l)
-	close(k.stop)
-	<-k.done
+	halt()
 	t.Logf("%d entries were killed", k.kills)
 	assert.Assert(t, k.kills > 0 && r.Orders.Repeats > 0, "no order was cut")
 	b.assertOnce(r)
@@ -287,13 +289,13 @@
 	// The callers go elsewhere after 2 s of silence. The generations still run
 	// when the daemon continues and finds its callers gone.
 	const silence = 2 * time.Second
-	pause := func() {
+	interrupt := func() {
 		b.check(b.Timer.Sleep(t.Context(), silence/4))
 		b.check(p.Freeze())
 		b.check(b.Timer.Sleep(t.Context(), silence+silence/4))
 		b.check(p.Continue())
 	}
-	l := b.load(500, map[int]func(){concurrency: pause})
+	l := b.load(500, map[int]func(){concurrency: interrupt})
 	l.Streams, l.Silence, l.ResumeWindow = *streams/2, silence, 20*time.Second
 	r := b.run(l)
 	assert.Assert(t, r.Streams.Repeats > 0, "no stream was cut")
@@ -307,5 +309,6 @@
 	b.Stop()
 	for _, p := range b.Processes() {
 		assert.Assert(t, !p.Running(), "%s runs", p.Name)
+		assert.Assert(t, p.Start() != nil, "%s started after the end", p.Name)
 	}
 }
--- a/internal/btfleet/launcher.go
+++ b/internal/btfleet/launcher.go
@@ -3,6 +3,9 @@
 import (
 	"os/exec"
 	"runtime"
+	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
 // launcher starts processes from one operating system thread. The signal at a
@@ -11,6 +14,9 @@
 type launcher struct {
 	starts chan launch
 	done   chan struct{}
+
+	mu     sync.Mutex
+	closed bool
 }
 
 // launch is a command to start.
@@ -19,6 +25,9 @@
 	result chan error
 }
 
+// errStopped says that the fleet starts no more processes.
+var errStopped = errors.New("btfleet: fleet has stopped")
+
 func newLauncher() *launcher {
 	l := &launcher{starts: make(chan launch), done: make(chan struct{})}
 	go l.run()
@@ -39,9 +48,22 @@
 }
 
 func (l *launcher) start(cmd *exec.Cmd) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return errStopped
+	}
 	s := launch{cmd: cmd, result: make(chan error, 1)}
 	l.starts <- s
 	return <-s.result
 }
 
+// refuse ends the starts, so that none can follow the end of a fleet.
+func (l *launcher) refuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+}
+
+// close ends the thread. All processes must have ended.
 func (l *launcher) close() { close(l.done) }
--- a/internal/btfleet/main_test.go
+++ b/internal/btfleet/main_test.go
@@ -13,11 +13,15 @@
 
 // The sizes of the process tests. A long run is started by hand with
 //
-//	go test ./internal/btfleet -run TestOrders -timeout 30m -fleet.orders 10000 -fleet.limit 25m
+//	go test ./internal/btfleet -run TestOrders -timeout 30m -fleet.orders 10000 -fleet.limit 25m -fleet.pause 5s
+//
+// A pause that is shorter than the takeover of a dead owner, about 6 s, leaves
+// most orders waiting.
 var (
 	streams = flag.Int("fleet.streams", 64, "streams of each test")
 	orders  = flag.Int("fleet.orders", 80, "orders of each test")
 	seed    = flag.Uint64("fleet.seed", 1, "seed of the choice of processes and times")
+	pause   = flag.Duration("fleet.pause", 250*time.Millisecond, "mean time between two kills of an entry")
 	limit   = flag.Duration("fleet.limit", 40*time.Second, "longest duration of one load")
 )
 
