Make routing and the simulated engine fit for placement

Cause: after a change of a model's version no engine holds the new one, so that entries had no candidate until the first load. The simulated engine refused an old fencing number with 409, where the protocol client expects 412, so that the refusal was not recognized. Ruled out: one version for all upstreams of an attempt; it would put all load on the first engines with the new version. Change: a candidate carries its version; with OtherVersions an engine that does not hold the wanted version is asked for one that its report confirms. The simulated engine answers 412. Conclusion: engines that wait for their turn in a change of version go on serving.

--- a/btroute/candidates.go
+++ b/btroute/candidates.go
@@ -18,19 +18,25 @@
 	Holds(id bramleytack.UpstreamID, m bramleytack.LoadedModel) bool
 }
 
+// Fallback is implemented by Holders that know the other versions of a model
+// which an engine holds.
+type Fallback interface {
+	// Other returns a version of the model with the same adapter that the
+	// upstream's last report lists.
+	Other(id bramleytack.UpstreamID, m bramleytack.LoadedModel) (version string, ok bool)
+}
+
 // wideAttempt is the attempt from which an entry looks beyond its subset.
 const wideAttempt = 3
 
-// candidates returns the upstreams that may run the request under the snapshot
-// and the model version to ask for.
-func (f *Filter) candidates(q Query) ([]Candidate, string, error) {
+// candidates returns the upstreams that may run the request under the snapshot.
+func (f *Filter) candidates(q Query) ([]Candidate, error) {
 	s, r := q.Snapshot, q.Request
 	if len(s.Quarantined) > 0 && s.Quarantined[r.Fingerprint().String()] {
-		return nil, "", bramleytack.NewError(bramleytack.CodeQuarantined, bramleytack.NotRun, "request is quarantined")
+		return nil, bramleytack.NewError(bramleytack.CodeQuarantined, bramleytack.NotRun, "request is quarantined")
 	}
 	if r.Kind == bramleytack.Call {
-		c, err := f.serviceCandidates(q)
-		return c, "", err
+		return f.serviceCandidates(q)
 	}
 	return f.modelCandidates(q)
 }
@@ -44,11 +50,11 @@
 	return c, noneError(len(c), name)
 }
 
-func (f *Filter) modelCandidates(q Query) ([]Candidate, string, error) {
+func (f *Filter) modelCandidates(q Query) ([]Candidate, error) {
 	s, name := q.Snapshot, q.Request.Model
 	m, ok := s.Models[name]
 	if !ok {
-		return nil, "", bramleytack.NewError(bramleytack.CodeUnknownModel, bramleytack.NotRun, "unknown model %q", name)
+		return nil, bramleytack.NewError(bramleytack.CodeUnknownModel, bramleytack.NotRun, "unknown model %q", name)
 	}
 	want := &bramleytack.LoadedModel{Model: m.Name, Version: m.Version, Adapter: m.Adapter}
 	n := cmp.Or(f.SubsetSize, defaultSubset)
@@ -60,7 +66,7 @@
 	if all := s.ByModel[name]; len(c) < min(n, len(all))/2 || len(c) == 0 {
 		c = f.accepting(q, all, want)
 	}
-	return c, m.Version, noneError(len(c), name)
+	return c, noneError(len(c), name)
 }
 
 // accepting returns the upstreams that take new work and hold the model.
@@ -70,10 +76,14 @@
 		if !q.Snapshot.Accepts(u.ID) {
 			continue
 		}
-		if want != nil && f.Holders != nil && !f.Holders.Holds(u.ID, *want) {
-			continue
-		}
 		x := Candidate{Upstream: u}
+		if want != nil {
+			version, ok := f.held(u.ID, *want)
+			if !ok {
+				continue
+			}
+			x.Version = version
+		}
 		if f.Loads != nil {
 			x.Load = f.Loads.Load(q.Now, u.ID)
 		}
@@ -84,6 +94,17 @@
 	return c
 }
 
+// held returns the version that an upstream offers for a wanted one.
+func (f *Filter) held(id bramleytack.UpstreamID, want bramleytack.LoadedModel) (string, bool) {
+	if f.Holders == nil || f.Holders.Holds(id, want) {
+		return want.Version, true
+	}
+	if o, ok := f.Holders.(Fallback); ok && f.OtherVersions {
+		return o.Other(id, want)
+	}
+	return "", false
+}
+
 func noneError(n int, name string) error {
 	if n > 0 {
 		return nil
--- a/btroute/filter.go
+++ b/btroute/filter.go
@@ -37,6 +37,11 @@
 	Loads *Loads
 	// Holders may be nil: then each upstream in a model's list holds it.
 	Holders Holders
+	// OtherVersions lets an engine that holds another version of the model run
+	// requests. Placement replaces engines a few at a time after a change of
+	// version, and those that wait for their turn go on serving. It has an
+	// effect if Holders implements Fallback.
+	OtherVersions bool
 	// SubsetSize bounds the upstreams per model that this entry uses. Zero
 	// takes a default.
 	SubsetSize int
@@ -88,12 +93,13 @@
 // attempt offers the request to one upstream.
 func (r *run) attempt(ctx context.Context, attempt int) *bramleytack.Error {
 	q := Query{Request: r.request, Snapshot: r.Snapshots.Snapshot(), Now: r.Timer.Now(), Attempt: attempt, Suspect: r.request.Suspect}
-	candidates, version, err := r.candidates(q)
+	candidates, err := r.candidates(q)
 	if err != nil {
 		return bramleytack.AsError(err)
 	}
 	candidates = r.visits.remaining(candidates)
-	u := candidates[r.Policy.Pick(q, candidates)].Upstream
+	picked := candidates[r.Policy.Pick(q, candidates)]
+	u := picked.Upstream
 	r.visits.add(u.ID)
 	grant, refused := r.reserve(ctx, u.ID, q.Suspect)
 	if q.Suspect {
@@ -103,7 +109,7 @@
 		return refused
 	}
 	r.request.Attempt = attempt
-	r.request.Target = bramleytack.Target{Upstream: u, Grant: grant, Version: version}
+	r.request.Target = bramleytack.Target{Upstream: u, Grant: grant, Version: picked.Version}
 	return r.dispatch(ctx)
 }
 
--- a/btroute/loads.go
+++ b/btroute/loads.go
@@ -120,6 +120,22 @@
 	return false
 }
 
+// Other implements Fallback by the last digest of the upstream.
+func (l *Loads) Other(id bramleytack.UpstreamID, want bramleytack.LoadedModel) (string, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	r, ok := l.upstreams[id]
+	if !ok {
+		return "", false
+	}
+	for _, m := range r.digest.Models {
+		if m.Model == want.Model && m.Adapter == want.Adapter {
+			return m.Version, true
+		}
+	}
+	return "", false
+}
+
 // Retain forgets the upstreams that are not in the snapshot.
 func (l *Loads) Retain(s *bramleytack.Snapshot) {
 	l.mu.Lock()
--- a/btroute/policy.go
+++ b/btroute/policy.go
@@ -12,6 +12,8 @@
 type Candidate struct {
 	Upstream *bramleytack.Upstream
 	Load     Load
+	// Version is the version of the model that the upstream is asked for.
+	Version string
 }
 
 // Query describes the attempt that a Policy picks an upstream for.
--- a/internal/btengine/server_test.go
+++ b/internal/btengine/server_test.go
@@ -150,6 +150,12 @@
 		list, _ := chunks(t, call(t.Context(), h, "POST", path, body))
 		assert.Equal(t, len(list), 6)
 	})
+	checks := opts
+	checks.ChecksFence = true
+	run("an old fencing number fails a precondition", checks, func(t *testing.T, _ *Server, h http.Handler) {
+		assert.Equal(t, call(t.Context(), h, "POST", "/v1/orders", `{"fence":2,"kind":"role","role":"a"}`).Code, http.StatusOK)
+		assert.Equal(t, call(t.Context(), h, "POST", "/v1/orders", `{"fence":1,"kind":"role","role":"b"}`).Code, http.StatusPreconditionFailed)
+	})
 	run("orders and cache events", opts, func(t *testing.T, _ *Server, h http.Handler) {
 		assert.Equal(t, call(t.Context(), h, "POST", "/v1/orders", `{"kind":"load","model":"n","version":"1"}`).Code, http.StatusOK)
 		assert.Equal(t, call(t.Context(), h, "POST", "/v1/orders", `{"kind":"none","model":"n","version":"1"}`).Code, http.StatusBadRequest)
--- a/internal/btengine/wire.go
+++ b/internal/btengine/wire.go
@@ -71,7 +71,9 @@
 	switch r {
 	case ReasonQueueFull:
 		return http.StatusTooManyRequests
-	case ReasonOldFence, ReasonNoRoom:
+	case ReasonOldFence:
+		return http.StatusPreconditionFailed
+	case ReasonNoRoom:
 		return http.StatusConflict
 	case ReasonInvalid:
 		return http.StatusBadRequest
