Add placement and engine orders

Cause: nothing decided which engine holds which model, and an engine without a model stayed without one. Ruled out: orders from the owners of upstreams, which change with the view and have no fencing number; digests instead of load reports, which have neither the role nor the age of the figures.

--- a/btdaemon/daemon.go
+++ b/btdaemon/daemon.go
@@ -21,6 +21,7 @@
 	"bramleytack/btlimit"
 	"bramleytack/btmetric"
 	"bramleytack/btowner"
+	"bramleytack/btplace"
 	"bramleytack/btprobe"
 	"bramleytack/btquarantine"
 	"bramleytack/btqueue"
@@ -52,6 +53,7 @@
 	suspects  *btquarantine.Table
 	keys      *bttoken.Keyring
 	probes    *btprobe.Prober
+	placement *btplace.Controller
 	cluster   cluster
 	front     *btfront.Front
 	admin     *btadmin.Admin
@@ -83,6 +85,7 @@
 	d.buildOwner()
 	d.buildCluster()
 	d.buildPath()
+	d.buildPlacement()
 	d.admin = &btadmin.Admin{Store: store, Config: d.config, Timer: d.timers}
 	d.register()
 	return d, nil
@@ -133,6 +136,7 @@
 	d.spawn(func() { d.runWatch(ctx) })
 	d.spawn(func() { d.hosts.Run(ctx) })
 	d.spawn(func() { d.probes.Run(ctx) })
+	d.spawn(func() { d.placement.Run(ctx) })
 	d.spawn(func() { d.front.Run(ctx) })
 	d.spawn(func() { d.suspects.Run(ctx) })
 	d.spawn(func() { d.runKeys(ctx) })
--- a/btdaemon/path.go
+++ b/btdaemon/path.go
@@ -11,6 +11,7 @@
 	"bramleytack/btlimit"
 	"bramleytack/btmetric"
 	"bramleytack/btowner"
+	"bramleytack/btplace"
 	"bramleytack/btprobe"
 	"bramleytack/btquarantine"
 	"bramleytack/btqueue"
@@ -57,9 +58,10 @@
 		d.queue,
 		&btroute.Filter{
 			Entry: s.Host, Snapshots: d.snapshots, Owner: c.owners, Timer: d.timers, Loads: d.loads, Holders: d.loads,
-			Policy:  &btroute.Scored{Domain: s.FailureDomain, Prefixes: &btroute.Prefixes{}},
-			Retry:   &btroute.Backoff{Timer: d.timers},
-			Granted: d.queue.Granted,
+			OtherVersions: true,
+			Policy:        &btroute.Scored{Domain: s.FailureDomain, Prefixes: &btroute.Prefixes{}},
+			Retry:         &btroute.Backoff{Timer: d.timers},
+			Granted:       d.queue.Granted,
 		},
 		&btquarantine.Detector{Table: d.suspects, Snapshots: d.snapshots, Upstreams: d.pool, Crashed: d.crashed},
 		&btquarantine.Track{Table: d.suspects},
@@ -71,6 +73,8 @@
 
 // report takes a load report of an owned upstream.
 func (d *Daemon) report(u *bramleytack.Upstream, r bramleytack.LoadReport) {
+	// A draining engine gets no new work, as if it were leaving.
+	r.Leaving = r.Leaving || r.Role == btplace.RoleDraining
 	d.table.Report(u.ID, r)
 	g, ok := d.table.Digest(u.ID)
 	if !ok {
--- a/btdaemon/serve.go
+++ b/btdaemon/serve.go
@@ -141,6 +141,7 @@
 	d.dumps.Add("links", func() any { return d.cluster.node.Dump() })
 	d.dumps.Add("owner", func() any { return d.table.Dump() })
 	d.dumps.Add("probes", func() any { return d.probes.Dump() })
+	d.dumps.Add("placement", func() any { return d.placement.Dump() })
 	d.dumps.Add("store", func() any { return d.store.Counts() })
 	d.metrics.Gauge("streams_open", "Open event streams.", func() float64 { return float64(d.front.Streams()) })
 	d.metrics.Gauge("requests_queued", "Requests that wait for capacity.", func() float64 { return float64(d.queue.Waiting()) })
