--- a/btplace/controller_test.go
+++ b/btplace/controller_test.go
@@ -29,7 +29,8 @@
 func TestFaults(t *testing.T) {
 	empty := btengine.DefaultConfig()
 	empty.LoadTime = time.Second
-	ignores := empty
+	ignores, slow := empty, empty
+	slow.LoadTime = 20 * time.Second
 	empty.ChecksFence = true
 	m := bramleytack.Model{Name: "m", Version: "1", Replicas: 3}
 	target := loaded("m", "1")
@@ -37,7 +38,7 @@
 		cfg btengine.Config
 		run func(t *testing.T, s *sim)
 	}{
-		"an engine without a model gets one": {empty, func(t *testing.T, s *sim) {
+		"an engine without a model gets one": {slow, func(t *testing.T, s *sim) {
 			time.Sleep(time.Minute)
 			assert.Equal(t, s.placed(target), 3)
 			assert.Equal(t, s.sent(), 3)
@@ -49,13 +50,10 @@
 			assert.Equal(t, s.sent(), 3, "an order whose effect shows is not repeated")
 		}},
 		"the order is lost": {empty, func(t *testing.T, s *sim) {
-			// A restart within the delay drops the order with its connection.
-			s.orders(0, 0, time.Second)
-			time.Sleep(8 * time.Second)
-			for id := range s.Snapshot().Upstreams {
-				s.with(id, func(now time.Time, c *btengine.Core) { c.Restart(now) })
-			}
-			time.Sleep(3 * time.Minute)
+			s.mu.Lock()
+			s.drop = 3
+			s.mu.Unlock()
+			time.Sleep(2 * time.Minute)
 			assert.Equal(t, s.placed(target), 3)
 		}},
 		"an engine forgets its model": {empty, func(t *testing.T, s *sim) {
@@ -90,7 +88,7 @@
 			time.Sleep(time.Minute)
 			assert.Equal(t, s.placed(target), 3)
 		}},
-		"a newer holder has written": {empty, func(t *testing.T, s *sim) {
+		"a newer holder has written": {ignores, func(t *testing.T, s *sim) {
 			s.lease.set(5, held)
 			time.Sleep(time.Minute)
 			s.lease.set(4, held)
@@ -101,15 +99,16 @@
 		"an old holder's slowest order": {ignores, func(t *testing.T, s *sim) {
 			// The order is written just before its deadline and takes effect just
 			// before the engine closes the call.
+			time.Sleep(time.Minute)
 			s.orders(0, DefaultOrderTimeout-time.Millisecond, DefaultOrderTimeout-time.Millisecond)
-			for s.count() == 0 {
+			s.version("m", "2")
+			for n := s.count(); s.count() == n; {
 				time.Sleep(time.Millisecond)
 			}
 			s.lease.set(0, 0)
-			s.version("m", "2")
 			s.orders(0, 0, 0)
 			l := &link{fleet: s.fleet}
-			s.start(t, l, &grant{fence: 2, left: held}, s.store, Times{Period: 100 * time.Millisecond}, Policy{})
+			s.start(t, l, &grant{fence: 2, left: held}, s.store, Times{Period: 100 * time.Millisecond}, Policy{MinCapacity: 0.1})
 			time.Sleep(time.Minute)
 			assert.Equal(t, assertFences(t, s.fleet, 0), 2)
 		}},
@@ -130,7 +129,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &sim{fleet: newFleet(t, 3, c.cfg, m), lease: &grant{fence: 1, left: held}, store: btmemstore.New()}
 				s.link = &link{fleet: s.fleet}
-				s.start(t, s.link, s.lease, s.store, Times{}, Policy{})
+				s.start(t, s.link, s.lease, s.store, Times{}, Policy{MinCapacity: 0.1})
 				c.run(t, s)
 			})
 		})
--- a/btplace/fleet_test.go
+++ b/btplace/fleet_test.go
@@ -37,6 +37,8 @@
 	effects map[bramleytack.UpstreamID][]effect
 	// lose is the number of orders whose answer is lost.
 	lose int
+	// drop is the number of orders that are lost.
+	drop int
 	// delay gives the time until an order takes effect.
 	delay func() time.Duration
 	// latency is the time until an order is written.
@@ -245,6 +247,8 @@
 	f.mu.Lock()
 	latency, delay, lost := f.latency, f.delay(), f.lose > 0
 	f.lose = max(f.lose-1, 0)
+	dropped := f.drop > 0
+	f.drop = max(f.drop-1, 0)
 	f.calls++
 	f.mu.Unlock()
 	_ = f.timer.Sleep(context.Background(), latency)
@@ -258,7 +262,7 @@
 	f.wg.Go(func() {
 		_ = f.timer.Sleep(context.Background(), delay)
 		f.with(c.id, func(now time.Time, e *btengine.Core) {
-			if e.Instance() != instance {
+			if dropped || e.Instance() != instance {
 				return
 			}
 			err := e.Order(now, o)
