Refuse callers until the configuration is complete

Cause: a daemon that had just started answered 'unauthenticated' or 'unknownService' from a part of the configuration, since the kinds are listed one after the other. Callers take these answers for final. Ruled out: retrying these codes in the client, which would hide wrong keys. Change: until all kinds were listed, or a member gave its whole configuration, callers get 'starting' (not run, retry after 1 s), and the entry list prefers ready members. A watcher no longer stops before its first complete list. The status shows each member's readiness. Conclusion: a partial configuration refuses nobody for good.

--- a/btclient/call.go
+++ b/btclient/call.go
@@ -45,7 +45,7 @@
 // repeatable says whether a call may be sent again after an error.
 func repeatable(call Call, e *bramleytack.Error) bool {
 	switch e.Code {
-	case bramleytack.CodeOverloaded, bramleytack.CodeNoUpstream, bramleytack.CodeShuttingDown, bramleytack.CodeInProgress,
+	case bramleytack.CodeOverloaded, bramleytack.CodeNoUpstream, bramleytack.CodeShuttingDown, bramleytack.CodeStarting, bramleytack.CodeInProgress,
 		bramleytack.CodeIsolated, bramleytack.CodeRateLimited, bramleytack.CodeStoreDown, bramleytack.CodeUpstreamFailed:
 	default:
 		return false
--- a/btclient/generate.go
+++ b/btclient/generate.go
@@ -110,7 +110,7 @@
 		return e.Outcome == bramleytack.NotRun || e.Code == bramleytack.CodeInternal
 	}
 	switch e.Code {
-	case bramleytack.CodeOverloaded, bramleytack.CodeNoUpstream, bramleytack.CodeShuttingDown,
+	case bramleytack.CodeOverloaded, bramleytack.CodeNoUpstream, bramleytack.CodeShuttingDown, bramleytack.CodeStarting,
 		bramleytack.CodeIsolated, bramleytack.CodeRateLimited, bramleytack.CodeUpstreamFailed:
 		return true
 	default:
--- a/btdaemon/cluster.go
+++ b/btdaemon/cluster.go
@@ -24,6 +24,9 @@
 	// hostReadsPerSecond is the rate at which the members of a cell together
 	// read the host list.
 	hostReadsPerSecond = 4
+	// storeFirst is how long a starting daemon waits for the store before it
+	// takes the configuration from a peer.
+	storeFirst = 2 * time.Second
 	// watchCheck is how often a member decides whether it watches the store.
 	watchCheck = 250 * time.Millisecond
 	// heartbeatLimit is the time without a heartbeat from which on a member
@@ -78,7 +81,7 @@
 	for n := range claimShards {
 		c.claims.Shards = append(c.claims.Shards, &btclaim.Shard{Store: d.store, Timer: d.timers, Cell: s.Cell, Number: n})
 	}
-	c.spread = &btremote.Spread{Self: s.Host, Node: c.node, Cell: c.cell, Config: d.config, Timer: d.timers}
+	c.spread = &btremote.Spread{Self: s.Host, Node: c.node, Cell: c.cell, Config: d.config, Timer: d.timers, Complete: d.loaded.Load}
 	c.cell.OnConfigRevision = c.spread.Saw
 	c.exchange = &btremote.Exchange{
 		Self: s.Host, Node: c.node, Cell: c.cell, Timer: d.timers, Table: d.table, Loads: d.loads, Limiter: d.limiter,
@@ -135,6 +138,7 @@
 	st := btremote.State{
 		Host: d.settings.Host, EntryAddr: d.settings.Listen, AdminAddr: d.settings.AdminListen,
 		FailureDomain: d.settings.FailureDomain, Draining: d.draining.Load(), Config: d.config.Digest(), Streams: d.front.Streams(),
+		Cell: d.settings.Cell, Ready: d.Ready(), Queued: d.queue.Waiting(), Uptime: d.timers.Now().Sub(d.started).Round(time.Second).String(),
 	}
 	if v := d.cluster.cell.View(); v != nil {
 		st.View = v.Number
@@ -142,8 +146,9 @@
 	return st
 }
 
-// Entries implements btfront.Entries: the members that are not draining and
-// whose failure domain is in service. If all domains are out, it lists all.
+// Entries implements btfront.Entries: the members that are ready and whose
+// failure domain is in service. If there are none, it lists all that are not
+// draining.
 func (d *Daemon) Entries() ([]netip.AddrPort, time.Duration) {
 	s := d.config.Snapshot()
 	var serving, all []netip.AddrPort
@@ -152,7 +157,8 @@
 			continue
 		}
 		all = append(all, st.EntryAddr)
-		if domain := s.FailureDomains[st.FailureDomain]; domain == nil || domain.State == bramleytack.DomainActive {
+		domain := s.FailureDomains[st.FailureDomain]
+		if st.Ready && (domain == nil || domain.State == bramleytack.DomainActive) {
 			serving = append(serving, st.EntryAddr)
 		}
 	}
@@ -188,6 +194,7 @@
 	defer tick.Stop()
 	var stop context.CancelFunc
 	for {
+		d.checkLoaded(ctx)
 		switch wanted := d.watches(); {
 		case wanted && stop == nil:
 			var watch context.Context
@@ -208,12 +215,38 @@
 	}
 }
 
+// checkLoaded notes when the configuration is complete: after the first list of
+// all kinds, or from a member that has it while the store is away.
+func (d *Daemon) checkLoaded(ctx context.Context) {
+	if d.loaded.Load() {
+		return
+	}
+	if d.watcher.Synced() || d.loadFromPeer(ctx) {
+		d.loaded.Store(true)
+	}
+}
+
+// loadFromPeer asks the members one after the other. A daemon that has just
+// started first gives the store a chance.
+func (d *Daemon) loadFromPeer(ctx context.Context) bool {
+	v := d.cluster.cell.View()
+	if v == nil || d.timers.Now().Sub(d.started) < storeFirst {
+		return false
+	}
+	for _, m := range v.Members {
+		if m.Host != d.settings.Host && d.cluster.spread.Load(ctx, m.Host) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Daemon) watches() bool {
 	v := d.cluster.cell.View()
 	if v == nil || slices.Contains(v.Watchers(), d.settings.Host) {
 		return true
 	}
-	if d.config.Digest().Revision == 0 {
+	if !d.loaded.Load() {
 		return true
 	}
 	return d.timers.Now().Sub(d.cluster.cell.Heard()) > heartbeatLimit
--- a/btdaemon/daemon.go
+++ b/btdaemon/daemon.go
@@ -63,7 +63,9 @@
 	started  time.Time
 	draining atomic.Bool
 	keyed    atomic.Bool
-	wg       sync.WaitGroup
+	// loaded is set once the configuration is complete.
+	loaded atomic.Bool
+	wg     sync.WaitGroup
 }
 
 // New returns a daemon that has not started.
--- a/btdaemon/path.go
+++ b/btdaemon/path.go
@@ -48,7 +48,7 @@
 	path := bramleytack.Chain(
 		dispatch,
 		&btmetric.Filter{Metrics: d.metrics, Timer: d.timers},
-		&btidentity.Filter{Snapshots: d.snapshots, Timer: d.timers, MaxTimeout: s.Limits.MaxTimeout},
+		&btidentity.Filter{Snapshots: d.snapshots, Timer: d.timers, MaxTimeout: s.Limits.MaxTimeout, Loaded: d.loaded.Load},
 		&btclaim.Filter{
 			Snapshots: d.snapshots, Claims: &btclaim.Router{Count: claimShards, Owner: c.claims.Owner},
 			Entry: s.Host, Unrecorded: d.unrecorded,
--- a/btdaemon/serve.go
+++ b/btdaemon/serve.go
@@ -94,7 +94,7 @@
 
 // Ready says whether the daemon can serve new callers.
 func (d *Daemon) Ready() bool {
-	return d.keyed.Load() && !d.draining.Load() && d.config.Digest().Revision > 0 && d.cluster.cell.View() != nil && !d.isolated()
+	return d.keyed.Load() && d.loaded.Load() && !d.draining.Load() && d.cluster.cell.View() != nil && !d.isolated()
 }
 
 // Status is the answer to the operators' status call: the states of all members
--- a/btidentity/filter.go
+++ b/btidentity/filter.go
@@ -18,6 +18,9 @@
 	DefaultMaxTimeout = 2 * time.Hour
 )
 
+// startRetry is the advice to callers of a daemon that is starting.
+const startRetry = time.Second
+
 // Filter implements bramleytack.Filter.
 type Filter struct {
 	Snapshots bramleytack.Snapshots
@@ -25,11 +28,18 @@
 	// Timeout and MaxTimeout replace the defaults when positive.
 	Timeout    time.Duration
 	MaxTimeout time.Duration
+	// Loaded says whether the configuration is complete. A part of it could
+	// refuse a caller for good whose record is yet to come. Nil takes it as
+	// complete.
+	Loaded func() bool
 }
 
 // Handle sets the request's workspace, priority and deadline and clears its
 // credential.
 func (f *Filter) Handle(ctx context.Context, r *bramleytack.Request, w bramleytack.Reply, next bramleytack.Handler) error {
+	if f.Loaded != nil && !f.Loaded() {
+		return bramleytack.NewError(bramleytack.CodeStarting, bramleytack.NotRun, "configuration is loading").WithRetryAfter(startRetry)
+	}
 	ws, ok := f.Snapshots.Snapshot().ByKeyHash[HashKey(r.Credential)]
 	if !ok || r.Credential == "" {
 		return bramleytack.NewError(bramleytack.CodeUnauthenticated, bramleytack.NotRun, "API key is missing or unknown")
--- a/btremote/exchange.go
+++ b/btremote/exchange.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	"bramleytack"
 	"bramleytack/btconfig"
 	"bramleytack/bthost"
@@ -35,10 +37,15 @@
 	EntryAddr     netip.AddrPort              `json:"entryAddr"`
 	AdminAddr     netip.AddrPort              `json:"adminAddr"`
 	FailureDomain bramleytack.FailureDomainID `json:"failureDomain"`
-	Draining      bool                        `json:"draining"`
-	Config        btconfig.Digest             `json:"config"`
-	View          uint64                      `json:"view"`
-	Streams       int                         `json:"streams"`
+	Cell          bramleytack.CellID          `json:"cell"`
+	Uptime        string                      `json:"uptime"`
+	// Ready is set while the member can serve new callers.
+	Ready    bool            `json:"ready"`
+	Draining bool            `json:"draining"`
+	Config   btconfig.Digest `json:"config"`
+	View     uint64          `json:"view"`
+	Streams  int             `json:"streams"`
+	Queued   int             `json:"queued"`
 	// Seen is the time of the last exchange.
 	Seen time.Time `json:"seen"`
 }
@@ -168,6 +175,7 @@
 	e.states[host] = State{
 		Host: host, EntryAddr: entry, AdminAddr: admin, FailureDomain: bramleytack.FailureDomainID(m.GetFailureDomain()),
 		Draining: m.GetDraining(), Config: digestOf(m), View: m.GetViewNumber(), Streams: int(m.GetStreams()), Seen: now,
+		Cell: e.Cell.Name, Ready: m.GetReady(), Queued: int(m.GetQueued()), Uptime: m.GetUptime().AsDuration().String(),
 	}
 	e.mu.Unlock()
 	for _, d := range m.GetUpstreams() {
@@ -187,11 +195,13 @@
 func (e *Exchange) encode() *btwire.Exchange {
 	now := e.Timer.Now()
 	own := e.Own()
+	uptime, _ := time.ParseDuration(own.Uptime)
 	m := &btwire.Exchange{
-		Host: string(e.Self), EntryAddr: own.EntryAddr.String(), AdminAddr: own.AdminAddr.String(),
+		Uptime: durationpb.New(uptime),
+		Host:   string(e.Self), EntryAddr: own.EntryAddr.String(), AdminAddr: own.AdminAddr.String(),
 		FailureDomain: string(own.FailureDomain), Draining: own.Draining,
 		ConfigRevision: uint64(own.Config.Revision), ConfigHash: own.Config.Hash,
-		ViewNumber: own.View, Streams: int64(own.Streams),
+		ViewNumber: own.View, Streams: int64(own.Streams), Ready: own.Ready, Queued: int64(own.Queued),
 	}
 	for _, a := range e.Hosts.Listed() {
 		m.LeavingHosts = append(m.LeavingHosts, a.String())
--- a/btremote/spread.go
+++ b/btremote/spread.go
@@ -36,6 +36,9 @@
 	Cell   *btview.Cell
 	Config *btconfig.Config
 	Timer  bramleytack.Timer
+	// Complete says whether this member has seen a whole configuration. Nil
+	// takes it as complete.
+	Complete func() bool
 
 	// behind receives the host of a higher revision.
 	behind chan bramleytack.HostID
@@ -152,6 +155,12 @@
 	}
 }
 
+// Load takes the whole configuration from a peer that has it, for a member that
+// starts while the store is away. It says whether that succeeded.
+func (s *Spread) Load(ctx context.Context, host bramleytack.HostID) bool {
+	return s.pull(ctx, host, 0, true)
+}
+
 func (s *Spread) pull(ctx context.Context, host bramleytack.HostID, after bramleytack.Revision, full bool) bool {
 	for {
 		ctx, cancel := context.WithTimeout(ctx, pushTimeout)
@@ -187,6 +196,9 @@
 func (s *Spread) handlePull(_ context.Context, _ bramleytack.HostID, m *btwire.ConfigPull) (*btwire.ConfigObjects, error) {
 	objects := s.Config.Since(bramleytack.Revision(m.GetAfter()))
 	if m.GetFull() {
+		if s.Complete != nil && !s.Complete() {
+			return nil, bramleytack.NewError(bramleytack.CodeStarting, bramleytack.NotRun, "configuration is not complete yet")
+		}
 		objects = s.Config.All()
 	}
 	reply := &btwire.ConfigObjects{Host: string(s.Self), Revision: uint64(s.Config.Digest().Revision), Full: m.GetFull()}
--- a/error.go
+++ b/error.go
@@ -32,6 +32,7 @@
 	CodeUpstreamFailed  Code = "upstreamFailed"
 	CodeIsolated        Code = "isolated"
 	CodeShuttingDown    Code = "shuttingDown"
+	CodeStarting        Code = "starting"
 	CodeConflict        Code = "conflict"
 	CodeStoreDown       Code = "storeUnavailable"
 	CodeInternal        Code = "internal"
@@ -57,6 +58,7 @@
 	CodeUpstreamFailed:  http.StatusBadGateway,
 	CodeIsolated:        http.StatusServiceUnavailable,
 	CodeShuttingDown:    http.StatusServiceUnavailable,
+	CodeStarting:        http.StatusServiceUnavailable,
 	CodeConflict:        http.StatusConflict,
 	CodeStoreDown:       http.StatusServiceUnavailable,
 	CodeInternal:        http.StatusInternalServerError,
