Tell refused entries when an upstream may have room

Cause: a request that waits at an entry which does not own the upstream was woken only by the tick of its queue or the next exchange. Ruled out: a faster tick, whose reservations grow with the number of entries. Change: an owner remembers the entries that it refused for lack of room and tells the one that waited longest when a place is released. The dispatcher sends the model's adapter. The callers' client avoids an entry that did not answer a call, reads the entry list again after a failure, and asks entries that failed lately last.

--- a/btclient/call.go
+++ b/btclient/call.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bramleytack"
 	"bramleytack/btfront"
 )
@@ -76,14 +78,22 @@
 	if call.Timeout > 0 {
 		req.Header.Set(btfront.HeaderTimeoutName, call.Timeout.String())
 	}
-	return c.answer(req)
+	resp, err := c.answer(req)
+	if errors.Is(err, errNoAnswer) {
+		c.avoid(addr)
+	}
+	return resp, err
 }
 
+// errNoAnswer marks an entry that did not answer.
+var errNoAnswer = errors.New("btclient: entry did not answer")
+
 // answer sends a request once. A failed connection has an unknown outcome.
 func (c *Client) answer(req *http.Request) (*bramleytack.Response, error) {
 	resp, err := c.client().Do(req)
 	if err != nil {
-		return nil, bramleytack.NewError(bramleytack.CodeUpstreamFailed, bramleytack.Unknown, "entry did not answer").WithCause(err)
+		return nil, bramleytack.NewError(bramleytack.CodeUpstreamFailed, bramleytack.Unknown, "entry did not answer").
+			WithCause(errors.Mark(err, errNoAnswer))
 	}
 	defer resp.Body.Close()
 	if resp.Header.Get(btfront.HeaderOutcome) != bramleytack.Ran.String() || resp.Header.Get("Content-Type") == btfront.ErrorType {
--- a/btclient/client.go
+++ b/btclient/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,8 +66,8 @@
 	if len(c.entries) > 0 && c.Timer.Now().Before(c.until) {
 		return c.entries
 	}
-	for _, seed := range append(append([]netip.AddrPort{}, c.entries...), c.Seeds...) {
-		if c.refresh(ctx, seed) == nil {
+	for _, from := range c.sources() {
+		if c.refresh(ctx, from) == nil {
 			return c.entries
 		}
 	}
@@ -76,6 +77,31 @@
 	return c.Seeds
 }
 
+// sources returns the entries to ask for the list, those that failed lately
+// last. The caller holds mu.
+func (c *Client) sources() []netip.AddrPort {
+	all := slices.Concat(c.entries, c.Seeds)
+	now := c.Timer.Now()
+	slices.SortStableFunc(all, func(a, b netip.AddrPort) int {
+		switch fa, fb := c.failedLately(a, now), c.failedLately(b, now); {
+		case fa == fb:
+			return 0
+		case fa:
+			return 1
+		default:
+			return -1
+		}
+	})
+	return all
+}
+
+// failedLately says whether an entry failed a short time ago. The caller holds
+// mu.
+func (c *Client) failedLately(a netip.AddrPort, now time.Time) bool {
+	t, ok := c.failed[a]
+	return ok && now.Sub(t) <= failedFor
+}
+
 // refresh reads the entry list from one entry. The caller holds mu.
 func (c *Client) refresh(ctx context.Context, from netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -116,7 +142,7 @@
 	now := c.Timer.Now()
 	healthy := make([]netip.AddrPort, 0, len(all))
 	for _, a := range all {
-		if t, ok := c.failed[a]; !ok || now.Sub(t) > failedFor {
+		if !c.failedLately(a, now) {
 			healthy = append(healthy, a)
 		}
 	}
@@ -138,6 +164,8 @@
 		c.failed = map[netip.AddrPort]time.Time{}
 	}
 	c.failed[a] = c.Timer.Now()
+	// The list names an entry that is gone, so it is read again.
+	c.until = time.Time{}
 }
 
 func (c *Client) attempts() int {
--- a/btdaemon/cluster.go
+++ b/btdaemon/cluster.go
@@ -75,7 +75,7 @@
 		OnView:         d.viewChanged,
 		ConfigRevision: func() bramleytack.Revision { return d.config.Digest().Revision },
 	}
-	c.owners = &btremote.Owners{Self: s.Host, Node: c.node, Cell: c.cell, Table: d.table, Loads: d.loads, Timer: d.timers}
+	c.owners = &btremote.Owners{Self: s.Host, Node: c.node, Cell: c.cell, Table: d.table, Loads: d.loads, Timer: d.timers, Room: d.room}
 	d.table.Permits = c.owners
 	c.claims = &btremote.Claims{Self: s.Host, Node: c.node, Cell: c.cell}
 	for n := range claimShards {
--- a/btdaemon/daemon.go
+++ b/btdaemon/daemon.go
@@ -132,6 +132,7 @@
 	d.spawn(func() { c.lease.Run(ctx) })
 	d.spawn(func() { c.cell.Run(ctx) })
 	d.spawn(func() { c.spread.Run(ctx) })
+	d.spawn(func() { c.owners.Run(ctx) })
 	d.spawn(func() { c.exchange.Run(ctx) })
 	d.spawn(func() { c.suspects.Run(ctx) })
 	for _, s := range c.claims.Shards {
--- a/btdaemon/path.go
+++ b/btdaemon/path.go
@@ -81,15 +81,28 @@
 		return
 	}
 	d.loads.SetDigest(d.timers.Now(), g)
-	room := g.Limit - g.Running
-	if room <= 0 {
+	if room := g.Limit - g.Running; room > 0 {
+		d.wake(u, g.Models, room)
+	}
+}
+
+// room is told that an upstream may have room for one more request.
+func (d *Daemon) room(id bramleytack.UpstreamID) {
+	u, ok := d.snapshots.Snapshot().Upstreams[id]
+	if !ok {
 		return
 	}
-	for _, m := range g.Models {
-		d.queue.Wake(m.Model, room)
+	g, _ := d.loads.Digest(id)
+	d.wake(u, g.Models, 1)
+}
+
+// wake lets requests that wait for an upstream's models or service try again.
+func (d *Daemon) wake(u *bramleytack.Upstream, held []bramleytack.LoadedModel, n int) {
+	for _, m := range held {
+		d.queue.Wake(m.Model, n)
 	}
 	if u.Service != "" {
-		d.queue.WakeService(u.Service, room)
+		d.queue.WakeService(u.Service, n)
 	}
 }
 
--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -72,6 +72,7 @@
 		ID:        attemptID(r),
 		Model:     r.Model,
 		Version:   r.Target.Version,
+		Adapter:   r.Target.Adapter,
 		Prompt:    r.Prompt,
 		MaxTokens: r.MaxTokens,
 		Priority:  r.Priority.String(),
--- a/btremote/owners.go
+++ b/btremote/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 	// unownedRetry is the advice while an upstream has no owner: about the time
 	// to the next view.
 	unownedRetry = time.Second
+	// roomQueue bounds the news of room that wait to be sent.
+	roomQueue = 256
 )
 
 // Owners implements bramleytack.Owner for all upstreams of a cell.
@@ -37,8 +40,22 @@
 	Loads *btroute.Loads
 	Timer bramleytack.Timer
 
+	// Room is told that an owned or remote upstream may have room for one more
+	// request of this entry. It may be nil.
+	Room func(bramleytack.UpstreamID)
+
 	mu   sync.Mutex
 	held map[bramleytack.GrantID]heldGrant
+	// refused holds the entries that were refused for lack of room, oldest
+	// first, by upstream.
+	refused map[bramleytack.UpstreamID][]bramleytack.HostID
+	rooms   chan room
+}
+
+// room is news for an entry that was refused.
+type room struct {
+	entry    bramleytack.HostID
+	upstream bramleytack.UpstreamID
 }
 
 // heldGrant is a reservation that this entry uses.
@@ -53,6 +70,78 @@
 	btpeer.Handle(mux, o.handleReserve)
 	btpeer.Handle(mux, o.handleRelease)
 	btpeer.Handle(mux, o.handleAdopt)
+	btpeer.Handle(mux, o.handleRoom)
+	o.rooms = make(chan room, roomQueue)
+}
+
+// Run tells entries of room until the context ends.
+func (o *Owners) Run(ctx context.Context) {
+	for {
+		select {
+		case r := <-o.rooms:
+			o.tell(ctx, r)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (o *Owners) tell(ctx context.Context, r room) {
+	if r.entry == o.Self {
+		o.announce(r.upstream)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	// An entry that misses the news tries again by itself after a while.
+	_, _ = btpeer.Call[btwire.Room, btwire.RoomReply](ctx, o.Node, r.entry, &btwire.Room{Upstream: string(r.upstream)})
+}
+
+func (o *Owners) announce(id bramleytack.UpstreamID) {
+	if o.Room != nil {
+		o.Room(id)
+	}
+}
+
+// reserveHere reserves an owned upstream for an entry and remembers the entry
+// if there is no room.
+func (o *Owners) reserveHere(ctx context.Context, r bramleytack.Reservation) (bramleytack.Grant, error) {
+	g, err := o.Table.Reserve(ctx, r)
+	if err == nil || bramleytack.AsError(err).Code != bramleytack.CodeOverloaded {
+		return g, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.refused == nil {
+		o.refused = map[bramleytack.UpstreamID][]bramleytack.HostID{}
+	}
+	if list := o.refused[r.Upstream]; !slices.Contains(list, r.Entry) {
+		o.refused[r.Upstream] = append(list, r.Entry)
+	}
+	return g, err
+}
+
+// releaseHere frees a place of an owned upstream and offers it to the entry
+// that has waited longest.
+func (o *Owners) releaseHere(ctx context.Context, v bramleytack.Release) error {
+	err := o.Table.Release(ctx, v)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := o.refused[v.Upstream]
+	if len(list) == 0 {
+		return err
+	}
+	select {
+	case o.rooms <- room{entry: list[0], upstream: v.Upstream}:
+		o.refused[v.Upstream] = slices.Delete(list, 0, 1)
+	default:
+	}
+	return err
+}
+
+func (o *Owners) handleRoom(_ context.Context, _ bramleytack.HostID, m *btwire.Room) (*btwire.RoomReply, error) {
+	o.announce(bramleytack.UpstreamID(m.GetUpstream()))
+	return &btwire.RoomReply{}, nil
 }
 
 // Reserve implements bramleytack.Owner.
@@ -66,7 +155,7 @@
 		return g, bramleytack.NewError(bramleytack.CodeNoUpstream, bramleytack.NotRun, "upstream %s has no owner", r.Upstream).
 			WithRetryAfter(unownedRetry)
 	case o.Self:
-		g, err = o.Table.Reserve(ctx, r)
+		g, err = o.reserveHere(ctx, r)
 	default:
 		g, err = o.reserveAt(ctx, owner, view, r, asked)
 	}
@@ -115,7 +204,7 @@
 	case "":
 		return nil
 	case o.Self:
-		return o.Table.Release(ctx, v)
+		return o.releaseHere(ctx, v)
 	default:
 		return o.releaseAt(ctx, owner, v)
 	}
@@ -214,7 +303,7 @@
 	r := decodeReservation(m, now)
 	// The certificate names the entry; what the message says of it does not count.
 	r.Entry = from
-	g, err := o.Table.Reserve(ctx, r)
+	g, err := o.reserveHere(ctx, r)
 	reply := &btwire.ReserveReply{ViewNumber: g.ViewNumber}
 	if d, ok := o.Table.Digest(r.Upstream); ok {
 		reply.Digests = append(reply.Digests, encodeDigest(d, now))
@@ -231,7 +320,7 @@
 }
 
 func (o *Owners) handleRelease(ctx context.Context, _ bramleytack.HostID, m *btwire.Release) (*btwire.ReleaseReply, error) {
-	err := o.Table.Release(ctx, bramleytack.Release{
+	err := o.releaseHere(ctx, bramleytack.Release{
 		Grant: bramleytack.GrantID(m.GetGrant()), Upstream: bramleytack.UpstreamID(m.GetUpstream()),
 		Outcome: bramleytack.ParseOutcome(m.GetOutcome()), Failed: m.GetFailed(), Tokens: int(m.GetTokens()),
 		FirstToken: m.GetFirstToken().AsDuration(),
--- a/btroute/filter.go
+++ b/btroute/filter.go
@@ -110,6 +110,9 @@
 	}
 	r.request.Attempt = attempt
 	r.request.Target = bramleytack.Target{Upstream: u, Grant: grant, Version: picked.Version}
+	if m, ok := q.Snapshot.Models[r.request.Model]; ok {
+		r.request.Target.Adapter = m.Adapter
+	}
 	return r.dispatch(ctx)
 }
 
--- a/request.go
+++ b/request.go
@@ -77,8 +77,9 @@
 type Target struct {
 	Upstream *Upstream
 	Grant    Grant
-	// Version is the model version that the attempt asks for.
+	// Version and Adapter are what the attempt asks for.
 	Version string
+	Adapter string
 }
 
 // Fingerprint identifies the content of a request across its repeats.
