Count the traffic of peer links by message type

Cause: the cost of each message type and of the links as a whole could not be seen, so the control-plane budget of 4 KB/s could not be checked. Change: a node counts messages and their bytes by type and direction, and the bytes of its connections below TLS. Both are in the state dump and exported as metrics, with the sizes of the main states and the open watches. Requests of a type without a handler share one counter, so a peer cannot add series. Ruled out: counting on the yamux sessions, which have no hook for it.

--- a/btdaemon/serve.go
+++ b/btdaemon/serve.go
@@ -7,12 +7,15 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"bramleytack"
 	"bramleytack/btadmin"
+	"bramleytack/btmetric"
+	"bramleytack/btpeer"
 	"bramleytack/btremote"
 )
 
@@ -147,6 +150,43 @@
 	d.metrics.Gauge("config_revision", "Revision of the configuration in force.", func() float64 { return float64(d.config.Digest().Revision) })
 	d.metrics.Counter("store_reads_total", "Reads of the platform's store.", func() float64 { return float64(d.store.Counts().Reads) })
 	d.metrics.Counter("store_writes_total", "Writes to the platform's store.", func() float64 { return float64(d.store.Counts().Writes) })
+	d.registerTraffic()
+}
+
+// registerTraffic adds the counters of the peer links and the sizes of states.
+func (d *Daemon) registerTraffic() {
+	traffic := func(value func(c btpeer.MessageCount) (sent, received uint64)) func() []btmetric.Sample {
+		return func() []btmetric.Sample {
+			var list []btmetric.Sample
+			for _, c := range d.cluster.node.Traffic().Messages {
+				sent, received := value(c)
+				name := c.Type[strings.LastIndexByte(c.Type, '.')+1:]
+				list = append(
+					list,
+					btmetric.Sample{Labels: []string{name, "sent"}, Value: float64(sent)},
+					btmetric.Sample{Labels: []string{name, "received"}, Value: float64(received)},
+				)
+			}
+			return list
+		}
+	}
+	labels := []string{"type", "direction"}
+	d.metrics.Counters("peer_messages_total", "Messages to and from other daemons.", labels,
+		traffic(func(c btpeer.MessageCount) (uint64, uint64) { return c.Sent, c.Received }))
+	d.metrics.Counters("peer_message_bytes_total", "Bytes of these messages with their envelopes.", labels,
+		traffic(func(c btpeer.MessageCount) (uint64, uint64) { return c.SentBytes, c.ReceivedBytes }))
+	d.metrics.Counters("peer_link_bytes_total", "Bytes on the connections to other daemons, with TLS and yamux.", []string{"direction"},
+		func() []btmetric.Sample {
+			t := d.cluster.node.Traffic()
+			return []btmetric.Sample{
+				{Labels: []string{"sent"}, Value: float64(t.SentBytes)},
+				{Labels: []string{"received"}, Value: float64(t.ReceivedBytes)},
+			}
+		})
+	d.metrics.Gauge("config_objects", "Records of the configuration, without deleted ones.", func() float64 { return float64(d.config.Stats().Objects) })
+	d.metrics.Gauge("owned_upstreams", "Upstreams that this daemon owns.", func() float64 { return float64(len(d.table.Digests())) })
+	d.metrics.Counter("store_watches_total", "Watches opened at the platform's store.", func() float64 { return float64(d.store.Counts().Watches) })
+	d.metrics.Gauge("store_watches_open", "Watches of the configuration that are open.", func() float64 { return float64(d.watcher.Stats().Following) })
 }
 
 func keyHashes(hexHashes []string) [][sha256.Size]byte {
--- a/btmetric/metrics.go
+++ b/btmetric/metrics.go
@@ -61,6 +61,35 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "bramleytack_" + name, Help: help}, read))
 }
 
+// Sample is one value of a counter with labels.
+type Sample struct {
+	Labels []string
+	Value  float64
+}
+
+// Counters registers a counter with labels that is read when it is scraped.
+func (m *Metrics) Counters(name, help string, labels []string, read func() []Sample) {
+	m.registry.MustRegister(&readCounters{
+		desc: prometheus.NewDesc("bramleytack_"+name, help, labels, nil), read: read,
+	})
+}
+
+// readCounters implements prometheus.Collector.
+type readCounters struct {
+	desc *prometheus.Desc
+	read func() []Sample
+}
+
+// Describe implements prometheus.Collector.
+func (c *readCounters) Describe(descs chan<- *prometheus.Desc) { descs <- c.desc }
+
+// Collect implements prometheus.Collector.
+func (c *readCounters) Collect(metrics chan<- prometheus.Metric) {
+	for _, s := range c.read() {
+		metrics <- prometheus.MustNewConstMetric(c.desc, prometheus.CounterValue, s.Value, s.Labels...)
+	}
+}
+
 // Handler serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/btpeer/dump.go
+++ b/btpeer/dump.go
@@ -13,6 +13,7 @@
 	Host    bramleytack.HostID `json:"host"`
 	Links   []LinkState        `json:"links"`
 	Inbound int                `json:"inbound"`
+	Traffic Traffic            `json:"traffic"`
 }
 
 // LinkState is an outbound link in a State.
@@ -29,9 +30,10 @@
 
 // Dump returns the current State.
 func (n *Node) Dump() any {
+	t := n.Traffic()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	s := State{Host: n.Host, Inbound: len(n.served)}
+	s := State{Host: n.Host, Inbound: len(n.served), Traffic: t}
 	for _, l := range n.links {
 		s.Links = append(s.Links, l.state())
 	}
--- a/btpeer/inbound.go
+++ b/btpeer/inbound.go
@@ -101,7 +101,7 @@
 	in.pings.Add(1)
 	_ = st.SetDeadline(in.node.Timer.Now().Add(minBackoff))
 	err := bramleytack.NewError(bramleytack.CodeOverloaded, bramleytack.NotRun, "too many calls on the link")
-	reply(st, nil, err)
+	in.reply(st, nil, err)
 }
 
 // serve answers one stream.
@@ -110,7 +110,8 @@
 	defer func() { _ = st.Close() }()
 	_ = st.SetDeadline(in.node.Timer.Now().Add(maxTimeout))
 	var env btwire.Envelope
-	if err := readFrame(st, &env, maxEnvelopeBytes); err != nil {
+	r := &countedReader{Reader: st}
+	if err := readFrame(r, &env, maxEnvelopeBytes); err != nil {
 		return
 	}
 	timeout := maxTimeout
@@ -120,24 +121,27 @@
 	ctx, cancel := context.WithTimeout(in.ctx, timeout)
 	defer cancel()
 	_ = st.SetDeadline(in.node.Timer.Now().Add(timeout))
-	m, err := in.handle(ctx, env.GetType(), st)
-	reply(st, m, err)
+	m, err := in.handle(ctx, env.GetType(), r)
+	in.reply(st, m, err)
 }
 
-func (in *inbound) handle(ctx context.Context, name string, st *yamux.Stream) (proto.Message, error) {
+func (in *inbound) handle(ctx context.Context, name string, r *countedReader) (proto.Message, error) {
 	if name == typeName((*btwire.Ping)(nil)) {
 		in.pings.Add(1)
-		return pong(ctx, in.from, st)
+		defer func() { in.node.traffic.received(name, r.bytes) }()
+		return pong(ctx, in.from, r)
 	}
 	h, ok := in.node.Mux.handler(name)
 	if !ok {
+		in.node.traffic.received(unknownType, r.bytes)
 		return nil, bramleytack.NewError(bramleytack.CodeBadRequest, bramleytack.NotRun, "no handler for %q", name)
 	}
-	return h(ctx, in.from, st)
+	defer func() { in.node.traffic.received(name, r.bytes) }()
+	return h(ctx, in.from, r)
 }
 
 // reply writes the answer of one exchange.
-func reply(st *yamux.Stream, m proto.Message, err error) {
+func (in *inbound) reply(st *yamux.Stream, m proto.Message, err error) {
 	env := &btwire.Envelope{}
 	if err != nil {
 		env.Error = encodeError(err)
@@ -151,5 +155,11 @@
 	if encodeErr != nil {
 		return
 	}
-	_, _ = st.Write(data)
+	if _, writeErr := st.Write(data); writeErr != nil {
+		return
+	}
+	if err != nil {
+		m = env
+	}
+	in.node.traffic.sent(m, len(data))
 }
--- a/btpeer/link.go
+++ b/btpeer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -70,6 +71,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	conn = &countedConn{Conn: conn, total: &l.node.traffic}
 	secured, err := l.node.client(ctx, conn, l.host)
 	if err != nil {
 		_ = conn.Close()
@@ -108,7 +110,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = sess.Close() })
 	defer stop()
 	var p btwire.Pong
-	_, err := exchange(ctx, sess, &btwire.Ping{Sequence: seq}, &p)
+	_, err := l.exchange(ctx, sess, &btwire.Ping{Sequence: seq}, &p)
 	var refused *remoteError
 	return err == nil && p.GetSequence() == seq || asRemote(err, &refused)
 }
@@ -187,7 +189,7 @@
 	if err != nil {
 		return false, err
 	}
-	return exchange(ctx, sess, req, resp)
+	return l.exchange(ctx, sess, req, resp)
 }
 
 // Call sends a request to a peer and returns its reply. A failure is a
@@ -212,7 +214,7 @@
 }
 
 // exchange sends a request over a new stream and reads the reply.
-func exchange(ctx context.Context, sess *yamux.Session, req, resp proto.Message) (written bool, err error) {
+func (l *link) exchange(ctx context.Context, sess *yamux.Session, req, resp proto.Message) (written bool, err error) {
 	data, err := encodeRequest(ctx, req)
 	if err != nil {
 		return false, err
@@ -230,14 +232,21 @@
 	if _, err := st.Write(data); err != nil {
 		return true, err
 	}
+	l.node.traffic.sent(req, len(data))
+	in := &countedReader{Reader: st}
+	defer func() { l.node.traffic.received(typeName(resp), in.bytes) }()
+	return true, readReply(in, resp)
+}
+
+func readReply(r io.Reader, resp proto.Message) error {
 	var env btwire.Envelope
-	if err := readFrame(st, &env, maxEnvelopeBytes); err != nil {
-		return true, err
+	if err := readFrame(r, &env, maxEnvelopeBytes); err != nil {
+		return err
 	}
 	if env.GetError() != nil {
-		return true, &remoteError{env.GetError()}
+		return &remoteError{env.GetError()}
 	}
-	return true, readFrame(st, resp, MaxFrameBytes)
+	return readFrame(r, resp, MaxFrameBytes)
 }
 
 func encodeRequest(ctx context.Context, req proto.Message) ([]byte, error) {
--- a/btpeer/node.go
+++ b/btpeer/node.go
@@ -66,6 +66,8 @@
 	links  map[bramleytack.HostID]*link
 	served map[*inbound]struct{}
 	active sync.WaitGroup
+
+	traffic traffic
 }
 
 // ErrClosed is returned after Close.
@@ -140,7 +142,7 @@
 }
 
 func (n *Node) accept(ctx context.Context, c net.Conn) {
-	in := &inbound{node: n, conn: c, slots: make(chan struct{}, maxInbound)}
+	in := &inbound{node: n, conn: &countedConn{Conn: c, total: &n.traffic}, slots: make(chan struct{}, maxInbound)}
 	in.ctx, in.cancel = context.WithCancel(ctx)
 	n.mu.Lock()
 	defer n.mu.Unlock()
