Use yamux's ping frame as the heartbeat of a link

Cause: a heartbeat was an exchange on a stream of its own, with an envelope that names the message type. A member of a full cell sends 31 and answers 31 a second. Change: the dialer uses the ping frame. The listening side takes any byte that arrives as a sign of life. Ping messages of older daemons are still answered; an older listener closes the links of a newer dialer, since it waits for Ping. Conclusion: silence is discovered as before (TestCall and the link tests).

--- a/btpeer/inbound.go
+++ b/btpeer/inbound.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"sync"
-	"sync/atomic"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
@@ -16,14 +14,12 @@
 // inbound is a link that a peer dialed.
 type inbound struct {
 	node   *Node
-	conn   net.Conn
+	conn   *countedConn
 	ctx    context.Context
 	cancel context.CancelFunc
 	from   bramleytack.HostID
 	slots  chan struct{}
 	active sync.WaitGroup
-	// pings counts the heartbeats received.
-	pings atomic.Uint64
 }
 
 func (in *inbound) close() {
@@ -59,7 +55,7 @@
 	}
 }
 
-// watch closes the link when heartbeats stop.
+// watch closes the link when nothing arrives, not even heartbeats.
 func (in *inbound) watch() {
 	tick := in.node.Timer.Every(inboundSilence, 0)
 	defer tick.Stop()
@@ -69,7 +65,7 @@
 		case <-in.ctx.Done():
 			return
 		}
-		now := in.pings.Load()
+		now := in.conn.received.Load()
 		if now == last {
 			in.close()
 			return
@@ -97,8 +93,6 @@
 // refuse answers a stream over the limit without reading it.
 func (in *inbound) refuse(st *yamux.Stream) {
 	defer func() { _ = st.Close() }()
-	// A refused heartbeat shows that the peer is alive as well.
-	in.pings.Add(1)
 	_ = st.SetDeadline(in.node.Timer.Now().Add(minBackoff))
 	err := bramleytack.NewError(bramleytack.CodeOverloaded, bramleytack.NotRun, "too many calls on the link")
 	in.reply(st, nil, err)
@@ -127,7 +121,6 @@
 
 func (in *inbound) handle(ctx context.Context, name string, r *countedReader) (proto.Message, error) {
 	if name == typeName((*btwire.Ping)(nil)) {
-		in.pings.Add(1)
 		defer func() { in.node.traffic.received(name, r.bytes) }()
 		return pong(ctx, in.from, r)
 	}
--- a/btpeer/link.go
+++ b/btpeer/link.go
@@ -89,7 +89,7 @@
 func (l *link) hold(sess *yamux.Session) {
 	tick := l.node.Timer.Every(pingPeriod, pingPeriod/10)
 	defer tick.Stop()
-	for seq := uint64(1); ; seq++ {
+	for {
 		select {
 		case <-tick.C():
 		case <-sess.CloseChan():
@@ -97,22 +97,22 @@
 		case <-l.ctx.Done():
 			return
 		}
-		if !l.ping(sess, seq) {
+		if !l.ping(sess) {
 			return
 		}
 	}
 }
 
-// ping reports whether the peer answered at all.
-func (l *link) ping(sess *yamux.Session, seq uint64) bool {
+// ping reports whether the peer answered. It uses the ping frame of yamux: an
+// exchange of its own costs about six times as many bytes on the wire, and a
+// member of a full cell sends and answers 31 heartbeats a second.
+func (l *link) ping(sess *yamux.Session) bool {
 	ctx, cancel := context.WithTimeout(l.ctx, pingTimeout)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = sess.Close() })
 	defer stop()
-	var p btwire.Pong
-	_, err := l.exchange(ctx, sess, &btwire.Ping{Sequence: seq}, &p)
-	var refused *remoteError
-	return err == nil && p.GetSequence() == seq || asRemote(err, &refused)
+	_, err := sess.Ping()
+	return err == nil
 }
 
 func (l *link) begin() {
--- a/btpeer/traffic.go
+++ b/btpeer/traffic.go
@@ -112,11 +112,14 @@
 type countedConn struct {
 	net.Conn
 	total *traffic
+	// received counts the bytes of this connection alone.
+	received atomic.Uint64
 }
 
 // Read implements net.Conn.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.received.Add(uint64(n))
 	c.total.receivedBytes.Add(uint64(n))
 	return n, err
 }
--- a/btpeer/traffic_test.go
+++ b/btpeer/traffic_test.go
@@ -55,6 +55,28 @@
 	})
 }
 
+// Guards against heartbeats that grow: they are most of what an idle link
+// sends, and a member has 62 links in a full cell.
+func TestIdleLink(t *testing.T) {
+	withPair(t, "a heartbeat is one frame header each way", func(t *testing.T, p *pair) {
+		const (
+			periods     = 20
+			headerBytes = 12
+		)
+		time.Sleep(pingPeriod)
+		synctest.Wait()
+		before := p.a.Traffic()
+		time.Sleep(periods * pingPeriod)
+		synctest.Wait()
+		after := p.a.Traffic()
+		sent := after.SentBytes - before.SentBytes
+		assert.Equal(t, after.ReceivedBytes-before.ReceivedBytes, sent)
+		assert.Equal(t, sent%headerBytes, uint64(0))
+		assert.Assert(t, sent/headerBytes >= periods-2 && sent/headerBytes <= periods+2, "%d heartbeats", sent/headerBytes)
+		assert.Assert(t, p.link().Up)
+	})
+}
+
 func count(n *Node, m proto.Message) MessageCount {
 	for _, c := range n.Traffic().Messages {
 		if c.Type == typeName(m) {
