Leave demands out of exchanges that cannot change a share

Cause: each exchange carried the demand of every workspace that had a request at the entry in the last minute. With all 2,600 workspaces that is a message of 83,625 bytes, sent about twelve times a second by each member of a full cell. Ruled out: fewer exchanges, since demands and digests expire in 3 s and 5 s. Change: a demand of at most an eighth of the equal share is left out. divide raises every smaller demand to that value anyway, so no share changes.

--- a/btlimit/limiter.go
+++ b/btlimit/limiter.go
@@ -69,13 +69,19 @@
 	l.news[from] = news{at: now, demands: demands}
 }
 
-// Demands returns this entry's demands, for the other entries.
+// Demands returns this entry's demands, for the other entries. It leaves out
+// demands that cannot change the shares: an entry without a demand is given the
+// same part of the equal share as one with a demand below it. In this way the
+// message grows with the workspaces that are busy here, not with all that had a
+// request in the last minute.
 func (l *Limiter) Demands(now time.Time) map[bramleytack.WorkspaceID]Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	demands := make(map[bramleytack.WorkspaceID]Demand, len(l.workspaces))
 	for id, u := range l.workspaces {
-		demands[id] = u.demand(now)
+		if d := u.demand(now); d.RequestsPerSecond > u.floor.RequestsPerSecond || d.Concurrency > u.floor.Concurrency {
+			demands[id] = d
+		}
 	}
 	return demands
 }
@@ -112,6 +118,7 @@
 	if len(members) == 0 {
 		members = []bramleytack.HostID{l.Self}
 	}
+	u.floor = floor(ws, len(members))
 	rate := divide(members, rates, ws.RequestsPerSecond)[l.Self]
 	shares := divide(members, running, float64(ws.Concurrency))
 	for _, h := range members {
--- a/btlimit/shares.go
+++ b/btlimit/shares.go
@@ -78,6 +78,20 @@
 // demand, so that its first requests need not wait for an exchange.
 const probeShare = 1.0 / 8
 
+// floor returns the demand of an entry up to which divide treats it like one
+// without any. A demand without a limit never matters.
+func floor(ws *bramleytack.Workspace, members int) Demand {
+	part := probeShare / float64(max(1, members))
+	f := Demand{RequestsPerSecond: math.Inf(1), Concurrency: math.Inf(1)}
+	if ws.RequestsPerSecond > 0 {
+		f.RequestsPerSecond = ws.RequestsPerSecond * part
+	}
+	if ws.Concurrency > 0 {
+		f.Concurrency = float64(ws.Concurrency) * part
+	}
+	return f
+}
+
 // divide returns the shares of the hosts in demands. Members without demands
 // use the equal share, which is left to them.
 func divide(members []bramleytack.HostID, demands map[bramleytack.HostID]float64, total float64) map[bramleytack.HostID]float64 {
--- a/btlimit/usage.go
+++ b/btlimit/usage.go
@@ -16,6 +16,8 @@
 type usage struct {
 	running int
 	usedAt  time.Time
+	// floor is the demand up to which every entry is treated alike.
+	floor Demand
 
 	// current is the smallest share of the last raiseDelay.
 	current share
