Measure the relay path against a bare copy

Cause: the design size has 800 open streams and 11,400 tokens a second for each daemon; the cost of a token and of an open stream was not known. Change: scenarios with streams run clients and engines in the backend, and a daemon or a bare net/http copy of the engines' bytes in the measured process. Ruled out: one daemon alone. A cell of one member reports itself as isolated although the store answers, and rejects all requests.

--- a/internal/btcapacity/backend.go
+++ b/internal/btcapacity/backend.go
@@ -30,13 +30,14 @@
 	store    *btmemstore.Store
 	servers  []*http.Server
 	versions map[int]bramleytack.Revision
+	clients  *clients
 	wg       sync.WaitGroup
 }
 
 // RunBackend serves until the context ends. It calls ready when all addresses
 // answer.
 func RunBackend(ctx context.Context, s Scenario, ready func()) error {
-	b := &Backend{scenario: s, timers: bttimer.New(1), store: btmemstore.New(), versions: map[int]bramleytack.Revision{}}
+	b := &Backend{scenario: s, timers: bttimer.New(1), store: btmemstore.New(), versions: map[int]bramleytack.Revision{}, clients: newClients()}
 	defer b.timers.Close()
 	if err := b.fill(ctx); err != nil {
 		return err
@@ -46,9 +47,14 @@
 	if err := b.serve(platformAddr, platform.Handler()); err != nil {
 		return err
 	}
-	report := http.HandlerFunc(b.report)
+	if err := b.serve(backendAddr, b.control(ctx)); err != nil {
+		return err
+	}
+	engine := http.NewServeMux()
+	engine.HandleFunc("GET /v1/load", b.report)
+	engine.HandleFunc("POST /v1/generations", b.generate)
 	for i := range s.Upstreams {
-		if err := b.serve(upstreamAddr(i), report); err != nil {
+		if err := b.serve(upstreamAddr(i), engine); err != nil {
 			return err
 		}
 	}
@@ -101,7 +107,7 @@
 func (b *Backend) report(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(bramleytack.LoadReport{
-		Instance: "instance-0001", At: b.timers.Now(), MemoryTotal: 196608,
+		Instance: "instance-0001", At: b.timers.Now(), MemoryTotal: 1_000_000_000,
 		Models: []bramleytack.LoadedModel{{Model: modelName, Version: "3"}},
 	})
 }
--- a/internal/btcapacity/capacity/run.go
+++ b/internal/btcapacity/capacity/run.go
@@ -28,7 +28,7 @@
 // runAll runs the scenarios and adds their samples to the samples in DIR.
 func runAll(ctx context.Context, args []string) error {
 	flags := flag.NewFlagSet("run", flag.ContinueOnError)
-	only := flags.String("only", "", "sweep to run: daemons, upstreams, workspaces, changes, hosts, design")
+	only := flags.String("only", "", "sweep to run: daemons, upstreams, workspaces, changes, hosts, design, streams")
 	repeats := flags.Int("repeats", 2, "runs of each scenario")
 	seconds := flags.Int("seconds", 8, "measured time of each run")
 	if err := flags.Parse(args); err != nil {
--- a/internal/btcapacity/fit.go
+++ b/internal/btcapacity/fit.go
@@ -51,6 +51,18 @@
 // designName selects designCell in Scenarios.
 const designName = "design"
 
+// streamScenarios are the streams of the first of two daemons at the design size, a quarter
+// of them, and the bare copy of both.
+var streamScenarios = []Scenario{
+	{Daemons: 2, Upstreams: 6, Workspaces: 10, Streams: 200},
+	{Daemons: 2, Upstreams: 6, Workspaces: 10, Streams: 200, Copy: true},
+	{Daemons: 2, Upstreams: 6, Workspaces: 10, Streams: 800},
+	{Daemons: 2, Upstreams: 6, Workspaces: 10, Streams: 800, Copy: true},
+}
+
+// streamsName selects streamScenarios in Scenarios.
+const streamsName = "streams"
+
 // sweep is a size that varies.
 type sweep struct {
 	name   string
@@ -85,6 +97,9 @@
 	if name == "" || name == designName {
 		list = append(list, designCell)
 	}
+	if name == "" || name == streamsName {
+		list = append(list, streamScenarios...)
+	}
 	return list
 }
 
@@ -198,6 +213,12 @@
 			fmt.Fprintf(&b, "%-46s median %12.5g  n=%d\n", q.name, m, len(points))
 		}
 	}
+	fmt.Fprintf(&b, "== %s\n", streamsName)
+	for _, s := range samples {
+		if s.Scenario.Streams > 0 {
+			fmt.Fprintln(&b, s.Line())
+		}
+	}
 	return b.String()
 }
 
@@ -253,6 +274,10 @@
 
 // Line returns the main figures of a sample.
 func (s Sample) Line() string {
+	if s.Scenario.Streams > 0 {
+		return fmt.Sprintf("%+v: processor %.3f, %.0f tokens/s, %.1f us/token, per stream heap %.1f KB, stacks %.1f KB",
+			s.Scenario, s.Processor, s.Tokens, s.PerToken*1e6, s.StreamHeap/1e3, s.StreamStack/1e3)
+	}
 	sent, _ := ofRole("", func(d Daemon) float64 { return d.SentBytes })(s)
 	return fmt.Sprintf("%+v: processor %.4f, heap %.2f MB, stacks %.2f MB, sent %.0f B/s per daemon",
 		s.Scenario, s.Processor, s.Heap/1e6, s.Stack/1e6, sent)
--- a/internal/btcapacity/fleet.go
+++ b/internal/btcapacity/fleet.go
@@ -62,12 +62,19 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer f.wg.Wait()
 	defer cancel()
+	if s.Copy {
+		f.serveCopy(ctx)
+		return f.measureStreams(ctx)
+	}
 	if err := f.start(ctx, dir); err != nil {
 		return Sample{}, err
 	}
 	if err := f.await(ctx); err != nil {
 		return Sample{}, err
 	}
+	if s.Streams > 0 {
+		return f.measureStreams(ctx)
+	}
 	return f.measure(ctx, base)
 }
 
--- a/internal/btcapacity/sample.go
+++ b/internal/btcapacity/sample.go
@@ -42,6 +42,13 @@
 	Stack      float64  `json:"stack"`
 	Goroutines float64  `json:"goroutines"`
 	Daemons    []Daemon `json:"daemons"`
+	// Tokens is the number of tokens a second of a scenario with streams,
+	// PerToken the processor time in seconds of each.
+	Tokens   float64 `json:"tokens,omitempty"`
+	PerToken float64 `json:"perToken,omitempty"`
+	// StreamHeap and StreamStack are in bytes per open stream.
+	StreamHeap  float64 `json:"streamHeap,omitempty"`
+	StreamStack float64 `json:"streamStack,omitempty"`
 }
 
 // state is the part of a state dump that is counted.
--- a/internal/btcapacity/scenario.go
+++ b/internal/btcapacity/scenario.go
@@ -22,6 +22,10 @@
 	Changes int `json:"changes"`
 	// Hosts is the length of the platform's host list.
 	Hosts int `json:"hosts"`
+	// Streams is the number of open streams of the first daemon. Copy replaces
+	// the daemon by a bare copy of the engines' bytes.
+	Streams int  `json:"streams,omitempty"`
+	Copy    bool `json:"copy,omitempty"`
 	// Seconds is the time that is measured.
 	Seconds int `json:"seconds"`
 }
@@ -63,10 +67,15 @@
 	list = append(list, record(btrecord.KindModel, modelName, btrecord.Fields{
 		"version": "3", "maxTokens": json.Number("32768"),
 	}))
+	limits := btrecord.Fields{"cold": json.Number("2"), "warm": json.Number("24"), "memoryTokens": json.Number("196608")}
+	if s.Streams > 0 {
+		// No stream waits for an upstream to warm up.
+		limits = btrecord.Fields{"cold": json.Number("1000"), "warm": json.Number("1000"), "memoryTokens": json.Number("1000000000")}
+	}
 	for i := range s.Upstreams {
 		list = append(list, record(btrecord.KindUpstream, fmt.Sprintf("crease-%05d", i), btrecord.Fields{
 			"kind": "engine", "addr": upstreamAddr(i).String(), "failureDomain": domainName(i), "models": []any{modelName},
-			"limits": btrecord.Fields{"cold": json.Number("2"), "warm": json.Number("24"), "memoryTokens": json.Number("196608")},
+			"limits": limits,
 		}))
 	}
 	for i := range s.Workspaces {
@@ -78,12 +87,15 @@
 // workspaceRecord returns a record of recordBytes. A change gives it another
 // weight.
 func workspaceRecord(i, weight int) btrecord.Record {
-	hashes := make([]any, 0, 1)
-	hashes = append(hashes, fmt.Sprintf("%064x", i+1))
-	r := record(btrecord.KindWorkspace, fmt.Sprintf("shop-%05d", i), btrecord.Fields{
-		"keyHashes": hashes, "weight": json.Number(fmt.Sprint(weight)),
+	spec := btrecord.Fields{
+		"keyHashes": []any{fmt.Sprintf("%064x", i+1)}, "weight": json.Number(fmt.Sprint(weight)),
 		"limits": btrecord.Fields{"requestsPerSecond": json.Number("40"), "concurrency": json.Number("96")},
-	})
+	}
+	if i == 0 {
+		spec["keyHashes"] = []any{streamWorkspaceHash()}
+		delete(spec, "limits")
+	}
+	r := record(btrecord.KindWorkspace, fmt.Sprintf("shop-%05d", i), spec)
 	o, _ := btrecord.Encode(r)
 	const fieldBytes = len(`,"note":""`)
 	if pad := recordBytes - len(o.Data) - fieldBytes; pad > 0 {
