--- a/internal/btcapacity/btcapacity_test.go
+++ b/internal/btcapacity/btcapacity_test.go
@@ -49,6 +49,20 @@
 	}
 }
 
+// Guards against upstreams that count as a cost of few daemons.
+func TestLessOwned(t *testing.T) {
+	const perOwned, perDaemon = 5.0, 2.0
+	var samples []Sample
+	for _, s := range append(Scenarios(daemonsName), Scenarios(upstreamsName)...) {
+		owned := float64(s.Upstreams) / float64(s.Daemons)
+		samples = append(samples, Sample{Scenario: s, Heap: 7 + perDaemon*float64(s.Daemons) + perOwned*owned})
+	}
+	value := quantities(samples)[1].value
+	slope := ownedSlope(samples, value)
+	assert.Equal(t, slope, perOwned)
+	assert.Equal(t, Fit(lessOwned(sweeps[0].points(samples, value), slope)), Line{Base: 7, Slope: perDaemon})
+}
+
 // Guards against rates that mix directions, types or daemons.
 func TestBetween(t *testing.T) {
 	var before, after state
--- a/internal/btcapacity/fit.go
+++ b/internal/btcapacity/fit.go
@@ -63,6 +63,12 @@
 // streamsName selects streamScenarios in Scenarios.
 const streamsName = "streams"
 
+// Sweeps that others refer to.
+const (
+	daemonsName   = "daemons"
+	upstreamsName = "upstreams"
+)
+
 // sweep is a size that varies.
 type sweep struct {
 	name   string
@@ -72,8 +78,8 @@
 }
 
 var sweeps = []sweep{
-	{"daemons", []int{2, 4, 8, 16, 32}, func(s *Scenario, v int) { s.Daemons = v }, func(s Scenario) int { return s.Daemons }},
-	{"upstreams", []int{12, 120, 1200}, func(s *Scenario, v int) { s.Upstreams = v }, func(s Scenario) int { return s.Upstreams }},
+	{daemonsName, []int{2, 4, 8, 16, 32}, func(s *Scenario, v int) { s.Daemons = v }, func(s Scenario) int { return s.Daemons }},
+	{upstreamsName, []int{12, 120, 1200}, func(s *Scenario, v int) { s.Upstreams = v }, func(s Scenario) int { return s.Upstreams }},
 	{"workspaces", []int{10, 260, 2600}, func(s *Scenario, v int) { s.Workspaces = v }, func(s Scenario) int { return s.Workspaces }},
 	{"changes", []int{0, 1, 10}, func(s *Scenario, v int) { s.Changes = v }, func(s Scenario) int { return s.Changes }},
 	{"hosts", []int{0, 1200, 12000}, func(s *Scenario, v int) { s.Hosts = v }, func(s Scenario) int { return s.Hosts }},
@@ -130,6 +136,17 @@
 	return func(s Sample) (float64, bool) { return value(s), true }
 }
 
+// ofCell returns the sum of a figure over all daemons.
+func ofCell(value func(Daemon) float64) func(Sample) (float64, bool) {
+	return func(s Sample) (float64, bool) {
+		sum := 0.0
+		for _, d := range s.Daemons {
+			sum += value(d)
+		}
+		return sum, true
+	}
+}
+
 // ofRole returns the mean of a figure over the daemons of a role. An empty role
 // takes all.
 func ofRole(r Role, value func(Daemon) float64) func(Sample) (float64, bool) {
@@ -151,18 +168,25 @@
 		{"heap, bytes", perDaemon(func(s Sample) float64 { return s.Heap })},
 		{"stacks, bytes", perDaemon(func(s Sample) float64 { return s.Stack })},
 		{"goroutines", perDaemon(func(s Sample) float64 { return s.Goroutines })},
+		{"cell store reads/s", ofCell(func(d Daemon) float64 { return d.Reads })},
+		{"cell store writes/s", ofCell(func(d Daemon) float64 { return d.Writes })},
+		{"cell watches open", ofCell(func(d Daemon) float64 { return d.Watches })},
 	}
-	for _, r := range []Role{Coordinator, Deputy, Member} {
+	for _, r := range []Role{"", Coordinator, Deputy, Member} {
+		label := string(r)
+		if r == "" {
+			label = "daemon"
+		}
 		list = append(
 			list,
-			quantity{string(r) + " link bytes sent/s", ofRole(r, func(d Daemon) float64 { return d.SentBytes })},
-			quantity{string(r) + " link bytes received/s", ofRole(r, func(d Daemon) float64 { return d.ReceivedBytes })},
-			quantity{string(r) + " store reads/s", ofRole(r, func(d Daemon) float64 { return d.Reads })},
-			quantity{string(r) + " store writes/s", ofRole(r, func(d Daemon) float64 { return d.Writes })},
-			quantity{string(r) + " watches open", ofRole(r, func(d Daemon) float64 { return d.Watches })},
+			quantity{label + " link bytes sent/s", ofRole(r, func(d Daemon) float64 { return d.SentBytes })},
+			quantity{label + " link bytes received/s", ofRole(r, func(d Daemon) float64 { return d.ReceivedBytes })},
+			quantity{label + " store reads/s", ofRole(r, func(d Daemon) float64 { return d.Reads })},
+			quantity{label + " store writes/s", ofRole(r, func(d Daemon) float64 { return d.Writes })},
+			quantity{label + " watches open", ofRole(r, func(d Daemon) float64 { return d.Watches })},
 		)
 		for _, name := range messageNames(samples) {
-			short := string(r) + " " + strings.TrimPrefix(name, "bramleytack.wire.")
+			short := label + " " + strings.TrimPrefix(name, "bramleytack.wire.")
 			list = append(
 				list,
 				quantity{short + " messages/s", ofRole(r, func(d Daemon) float64 { return d.Messages[name] })},
@@ -188,13 +212,16 @@
 }
 
 // Report returns the lines of all quantities over all sweeps as text, with the
-// medians at each size.
+// medians at each size. The sweep over daemons is without owned upstreams.
 func Report(samples []Sample) string {
 	var b strings.Builder
 	for _, w := range sweeps {
 		fmt.Fprintf(&b, "== %s\n", w.name)
 		for _, q := range quantities(samples) {
 			points := w.points(samples, q.value)
+			if w.name == daemonsName {
+				points = lessOwned(points, ownedSlope(samples, q.value))
+			}
 			l := Fit(points)
 			if sizes(points) < 2 || l.Base == 0 && l.Slope == 0 {
 				continue
@@ -222,6 +249,27 @@
 	return b.String()
 }
 
+// ownedSlope returns the cost of one more owned upstream: the members of the
+// middle size share the upstreams.
+func ownedSlope(samples []Sample, value func(Sample) (float64, bool)) float64 {
+	for _, w := range sweeps {
+		if w.name == upstreamsName {
+			return Fit(w.points(samples, value)).Slope * float64(middle.Daemons)
+		}
+	}
+	return 0
+}
+
+// lessOwned takes the cost of owned upstreams out of a sweep over the daemons,
+// which share the same number of upstreams.
+func lessOwned(points []Point, slope float64) []Point {
+	list := make([]Point, 0, len(points))
+	for _, p := range points {
+		list = append(list, Point{p.X, p.Y - slope*float64(middle.Upstreams)/p.X})
+	}
+	return list
+}
+
 func designPoints(samples []Sample, value func(Sample) (float64, bool)) []Point {
 	var points []Point
 	for _, s := range samples {
