Fit all slopes in one model

Cause: the members of a cell share its upstreams and its reads of the host list, so that a fit of one size at a time mixes their costs. Change: a model with a cost for each member, owned upstream, record, change and host list entry is fitted to all samples and evaluated at the design size.

--- a/internal/btcapacity/btcapacity_test.go
+++ b/internal/btcapacity/btcapacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -49,18 +50,25 @@
 	}
 }
 
-// Guards against upstreams that count as a cost of few daemons.
-func TestLessOwned(t *testing.T) {
-	const perOwned, perDaemon = 5.0, 2.0
+// Guards against costs that the model takes for another one's: each sweep
+// changes several terms.
+func TestModel(t *testing.T) {
+	want := Model{7, 2, 5, 0.25, 3, 0.5}
 	var samples []Sample
-	for _, s := range append(Scenarios(daemonsName), Scenarios(upstreamsName)...) {
-		owned := float64(s.Upstreams) / float64(s.Daemons)
-		samples = append(samples, Sample{Scenario: s, Heap: 7 + perDaemon*float64(s.Daemons) + perOwned*owned})
+	for _, s := range Scenarios("") {
+		var terms []float64
+		for _, c := range costs {
+			terms = append(terms, c.value(s))
+		}
+		samples = append(samples, Sample{Scenario: s, Heap: want.At(terms)})
+	}
+	heap := perDaemon(func(s Sample) float64 { return s.Heap })
+	got := FitModel(samples, heap)
+	assert.Equal(t, len(got), len(want))
+	for i := range want {
+		assert.Assert(t, math.Abs(got[i]-want[i]) < 1e-6, "%s: %f", costs[i].name, got[i])
 	}
-	value := quantities(samples)[1].value
-	slope := ownedSlope(samples, value)
-	assert.Equal(t, slope, perOwned)
-	assert.Equal(t, Fit(lessOwned(sweeps[0].points(samples, value), slope)), Line{Base: 7, Slope: perDaemon})
+	assert.Assert(t, FitModel(samples[:3], heap) == nil, "too few sizes")
 }
 
 // Guards against rates that mix directions, types or daemons.
--- a/internal/btcapacity/fit.go
+++ b/internal/btcapacity/fit.go
@@ -63,12 +63,6 @@
 // streamsName selects streamScenarios in Scenarios.
 const streamsName = "streams"
 
-// Sweeps that others refer to.
-const (
-	daemonsName   = "daemons"
-	upstreamsName = "upstreams"
-)
-
 // sweep is a size that varies.
 type sweep struct {
 	name   string
@@ -78,8 +72,8 @@
 }
 
 var sweeps = []sweep{
-	{daemonsName, []int{2, 4, 8, 16, 32}, func(s *Scenario, v int) { s.Daemons = v }, func(s Scenario) int { return s.Daemons }},
-	{upstreamsName, []int{12, 120, 1200}, func(s *Scenario, v int) { s.Upstreams = v }, func(s Scenario) int { return s.Upstreams }},
+	{"daemons", []int{2, 4, 8, 16, 32}, func(s *Scenario, v int) { s.Daemons = v }, func(s Scenario) int { return s.Daemons }},
+	{"upstreams", []int{12, 120, 1200}, func(s *Scenario, v int) { s.Upstreams = v }, func(s Scenario) int { return s.Upstreams }},
 	{"workspaces", []int{10, 260, 2600}, func(s *Scenario, v int) { s.Workspaces = v }, func(s Scenario) int { return s.Workspaces }},
 	{"changes", []int{0, 1, 10}, func(s *Scenario, v int) { s.Changes = v }, func(s Scenario) int { return s.Changes }},
 	{"hosts", []int{0, 1200, 12000}, func(s *Scenario, v int) { s.Hosts = v }, func(s Scenario) int { return s.Hosts }},
@@ -212,16 +206,14 @@
 }
 
 // Report returns the lines of all quantities over all sweeps as text, with the
-// medians at each size. The sweep over daemons is without owned upstreams.
+// medians at each size. The daemons of
+// a sweep share its upstreams; the model separates the two.
 func Report(samples []Sample) string {
 	var b strings.Builder
 	for _, w := range sweeps {
 		fmt.Fprintf(&b, "== %s\n", w.name)
 		for _, q := range quantities(samples) {
 			points := w.points(samples, q.value)
-			if w.name == daemonsName {
-				points = lessOwned(points, ownedSlope(samples, q.value))
-			}
 			l := Fit(points)
 			if sizes(points) < 2 || l.Base == 0 && l.Slope == 0 {
 				continue
@@ -233,6 +225,7 @@
 			b.WriteByte('\n')
 		}
 	}
+	reportModel(&b, samples)
 	fmt.Fprintf(&b, "== %s\n", designName)
 	for _, q := range quantities(samples) {
 		points := designPoints(samples, q.value)
@@ -249,27 +242,6 @@
 	return b.String()
 }
 
-// ownedSlope returns the cost of one more owned upstream: the members of the
-// middle size share the upstreams.
-func ownedSlope(samples []Sample, value func(Sample) (float64, bool)) float64 {
-	for _, w := range sweeps {
-		if w.name == upstreamsName {
-			return Fit(w.points(samples, value)).Slope * float64(middle.Daemons)
-		}
-	}
-	return 0
-}
-
-// lessOwned takes the cost of owned upstreams out of a sweep over the daemons,
-// which share the same number of upstreams.
-func lessOwned(points []Point, slope float64) []Point {
-	list := make([]Point, 0, len(points))
-	for _, p := range points {
-		list = append(list, Point{p.X, p.Y - slope*float64(middle.Upstreams)/p.X})
-	}
-	return list
-}
-
 func designPoints(samples []Sample, value func(Sample) (float64, bool)) []Point {
 	var points []Point
 	for _, s := range samples {
