--- a/btdaemon/ownership_test.go
+++ b/btdaemon/ownership_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	"bramleytack"
+	"bramleytack/btowner"
+	"bramleytack/bttimer"
 	"bramleytack/btview"
 )
 
@@ -45,3 +47,16 @@
 		o.changed(view, list)
 	}
 }
+
+// BenchmarkProbeWalk asks for each upstream of the fleet whether it is owned,
+// as the prober does four times a second.
+func BenchmarkProbeWalk(b *testing.B) {
+	timers := bttimer.New(1)
+	defer timers.Close()
+	table, list := btowner.NewTable(btowner.Config{}, timers), upstreams(10_000)
+	for b.Loop() {
+		for id := range list {
+			table.Owns(id)
+		}
+	}
+}
