--- a/btqueue/filter.go
+++ b/btqueue/filter.go
@@ -36,6 +36,10 @@
 	MaxWait    time.Duration
 	// Cost returns the forecast tokens of a request. It may be nil.
 	Cost func(*bramleytack.Request) float64
+	// Park blocks a waiting request until ready returns true. A simulation
+	// that runs all requests on one goroutine sets it. A nil Park blocks in a
+	// select.
+	Park func(ready func() bool)
 
 	mu      sync.Mutex
 	lanes   map[string]*lane
@@ -216,6 +220,9 @@
 		return f.turned(r, t)
 	default:
 	}
+	if f.Park != nil {
+		f.Park(func() bool { return len(w.turn) > 0 || len(limit.C()) > 0 || ctx.Err() != nil })
+	}
 	select {
 	case t := <-w.turn:
 		return f.turned(r, t)
--- /dev/null
+++ b/internal/btbench/policy.go
@@ -0,0 +1,37 @@
+package btbench
+
+import (
+	"math/rand/v2"
+
+	"bramleytack/btowner"
+	"bramleytack/btroute"
+)
+
+// Policy is a way to decide that runs side by side with others.
+type Policy struct {
+	Name string
+	// Simple makes a plain proxy of a simple policy. A nil Simple is ours.
+	Simple func(rng *rand.Rand) btroute.Policy
+	// Owner holds the owners' settings of ours.
+	Owner btowner.Config
+}
+
+// Simple returns the three simple baselines.
+func Simple() []Policy {
+	return []Policy{
+		{Name: "round robin", Simple: func(*rand.Rand) btroute.Policy { return &btroute.RoundRobin{} }},
+		{Name: "least in flight", Simple: func(rng *rand.Rand) btroute.Policy { return &btroute.LeastInFlight{IntN: rng.IntN} }},
+		{Name: "two random", Simple: func(rng *rand.Rand) btroute.Policy { return &btroute.TwoRandom{IntN: rng.IntN} }},
+	}
+}
+
+// Earlier returns our earlier versions, oldest first.
+func Earlier() []Policy {
+	return nil
+}
+
+// Ours returns the product's defaults.
+func Ours() Policy { return Policy{Name: "ours"} }
+
+// All returns all policies in the order of the table.
+func All() []Policy { return append(append(Simple(), Earlier()...), Ours()) }
