btramp: judge a cold upstream by the time of its decoding steps

Cause: engines were lost after their failure domain returned, and the one that turned cold without notice. The ramp doubled after 8 generations with 16 tokens each, while an engine stays cold for 20 completions; and the time to first token of a cold engine stays below the floor of 500 ms. Ruled out: unreleased places (the ramp's level itself was above the cold limit); the health checks (same for all policies).

--- a/btowner/report.go
+++ b/btowner/report.go
@@ -20,6 +20,7 @@
 	}
 	restarted := u.reported && r.Instance != u.report.Instance
 	u.ramp.Observe(now, r.Instance)
+	u.pace(now, r)
 	u.report, u.reportAt, u.receivedAt, u.reported = r, at, now, true
 	if at.After(u.failedAt) {
 		u.failedAt = time.Time{}
@@ -34,6 +35,34 @@
 	u.sumUp(r, listed)
 }
 
+// paceSpan is the shortest time between two reports that shows the pace. A
+// step takes tens of milliseconds.
+const paceSpan = 200 * time.Millisecond
+
+// pace tells the ramp the time of a decoding step: the fastest generation of
+// two reports got a token in each step.
+func (u *Upstream) pace(now time.Time, r bramleytack.LoadReport) {
+	span := r.At.Sub(u.report.At)
+	if !u.reported || r.Instance != u.report.Instance || span < paceSpan {
+		return
+	}
+	before := make(map[bramleytack.RequestID]int, len(u.report.Generations))
+	for _, g := range u.report.Generations {
+		if g.Tokens > 0 {
+			before[g.Request] = g.Tokens
+		}
+	}
+	steps := 0
+	for _, g := range r.Generations {
+		if n, ok := before[g.Request]; ok {
+			steps = max(steps, g.Tokens-n)
+		}
+	}
+	if steps > 0 {
+		u.ramp.Pace(now, r.Running, span/time.Duration(steps))
+	}
+}
+
 // late says whether a report is older than the last one, by its age or, within
 // one run of the upstream, by the upstream's clock.
 func (u *Upstream) late(now, at time.Time, r bramleytack.LoadReport) bool {
--- /dev/null
+++ b/btramp/pace.go
@@ -0,0 +1,82 @@
+package btramp
+
+import (
+	"math/bits"
+	"time"
+)
+
+const (
+	// paceBuckets holds step times by the number of running requests, with one
+	// bucket for each power of two.
+	paceBuckets = 16
+	// paceWeight is the weight of a new sample in the usual step time.
+	paceWeight = 0.05
+	// paceMin is the number of samples before a step time counts as known.
+	paceMin = 8
+)
+
+// pace knows the usual time of one decoding step of a warm upstream. It
+// outlives resets, since the hardware stays the same.
+type pace struct {
+	buckets [paceBuckets]struct {
+		usual   float64
+		samples int
+	}
+	// row counts the last samples that were slow, slow is set from the first
+	// one on.
+	row  int
+	slow bool
+}
+
+func paceBucket(running int) int {
+	return min(bits.Len(uint(max(running, 1)))-1, paceBuckets-1)
+}
+
+// reference returns the usual step time for the number of running requests. A
+// larger batch takes longer, so that the next larger one that is known can
+// stand in.
+func (p *pace) reference(running int) (float64, bool) {
+	for b := paceBucket(running); b < paceBuckets; b++ {
+		if p.buckets[b].samples >= paceMin {
+			return p.buckets[b].usual, true
+		}
+	}
+	return 0, false
+}
+
+// judge says whether a step time is slow.
+func (p *pace) judge(running int, step, factor float64) {
+	usual, ok := p.reference(running)
+	p.slow = ok && step > factor*usual
+	if p.slow {
+		p.row++
+	} else {
+		p.row = 0
+	}
+}
+
+func (p *pace) learn(running int, step float64) {
+	b := &p.buckets[paceBucket(running)]
+	b.samples++
+	b.usual += (step - b.usual) * max(paceWeight, 1/float64(b.samples))
+}
+
+// Pace takes the time of one decoding step beside running requests. A warm
+// upstream that is slow several times in a row has become cold. Below the warm
+// limit, successes do not count while the upstream is slow: an engine that is
+// still cold completes requests too, and dies when their number doubles.
+func (r *Ramp) Pace(now time.Time, running int, step time.Duration) {
+	if step <= 0 || r.cfg.PaceFactor < 0 {
+		return
+	}
+	p := &r.pace
+	p.judge(running, step.Seconds(), r.cfg.PaceFactor)
+	if !r.Warm() {
+		return
+	}
+	if !p.slow {
+		p.learn(running, step.Seconds())
+	} else if p.row >= r.cfg.PaceCount {
+		r.Reset(now, SlowPace)
+	}
+}
--- a/btramp/ramp.go
+++ b/btramp/ramp.go
@@ -45,9 +45,11 @@
 	SlowFirstToken
 	// DomainReturned means that the failure domain was out of service.
 	DomainReturned
+	// SlowPace means decoding steps as slow as those of a cold upstream.
+	SlowPace
 )
 
-var reasonNames = [...]string{"started", "restarted", "failures", "slowFirstToken", "domainReturned"}
+var reasonNames = [...]string{"started", "restarted", "failures", "slowFirstToken", "domainReturned", "slowPace"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
@@ -84,6 +86,10 @@
 	SlowFactor float64
 	SlowFloor  time.Duration
 	SlowCount  int
+	// PaceFactor times the usual step time is slow. PaceCount slow samples in
+	// a row look like a cold upstream. A negative factor ignores the pace.
+	PaceFactor float64
+	PaceCount  int
 }
 
 func (c Config) withDefaults() Config {
@@ -97,6 +103,8 @@
 	c.SlowFactor = cmp.Or(c.SlowFactor, 4)
 	c.SlowFloor = cmp.Or(c.SlowFloor, 500*time.Millisecond)
 	c.SlowCount = cmp.Or(c.SlowCount, 4)
+	c.PaceFactor = cmp.Or(c.PaceFactor, 1.8)
+	c.PaceCount = cmp.Or(c.PaceCount, 2)
 	return c
 }
 
@@ -139,6 +147,7 @@
 	bucket  bucket
 	burst   burst
 	latency latency
+	pace    pace
 }
 
 // New returns a ramp at its base.
@@ -259,7 +268,7 @@
 // Progress counts a request as a success before its end, when the upstream
 // reports that it produces tokens.
 func (r *Ramp) Progress(now time.Time, m Mark) {
-	if r.mode != Normal || m.epoch != r.epoch || !m.full || r.Warm() {
+	if r.mode != Normal || m.epoch != r.epoch || !m.full || r.Warm() || r.pace.slow {
 		return
 	}
 	r.successes++
--- a/btramp/ramp_test.go
+++ b/btramp/ramp_test.go
@@ -165,3 +165,42 @@
 	assert.Equal(t, why, want)
 	assert.Equal(t, r.Level(), 1)
 }
+
+// An engine that was cold completed enough requests at its base to earn more,
+// and died of them; one that turned cold without notice kept its limit.
+func TestPaceShowsCold(t *testing.T) {
+	const warm, cold = 12 * time.Millisecond, 48 * time.Millisecond
+	now := time.Unix(0, 0)
+	r := New(Config{Cold: 2, Warm: 2})
+	for range 10 {
+		r.Pace(now, 8, warm)
+	}
+	r.Configure(Config{Cold: 2, Warm: 16})
+	earn := func() {
+		mark, ok := r.Admit(now, 1, 1)
+		assert.Assert(t, ok)
+		now = now.Add(time.Minute)
+		for range 8 {
+			r.Progress(now, mark)
+		}
+	}
+	t.Run("no success while slow", func(t *testing.T) {
+		r.Pace(now, 2, cold)
+		earn()
+		assert.Equal(t, r.Level(), 2)
+	})
+	t.Run("success when fast", func(t *testing.T) {
+		r.Pace(now, 2, warm)
+		earn()
+		assert.Equal(t, r.Level(), 4)
+	})
+	t.Run("warm turns cold", func(t *testing.T) {
+		r.Configure(Config{Cold: 2, Warm: 4})
+		r.Pace(now, 4, cold)
+		assert.Equal(t, r.Level(), 4)
+		r.Pace(now, 4, cold)
+		assert.Equal(t, r.Level(), 2)
+		why, _ := r.Reason()
+		assert.Equal(t, why, SlowPace)
+	})
+}
--- a/internal/btbench/policy.go
+++ b/internal/btbench/policy.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"bramleytack/btowner"
+	"bramleytack/btramp"
 	"bramleytack/btroute"
 )
 
@@ -27,7 +28,10 @@
 
 // Earlier returns our earlier versions, oldest first.
 func Earlier() []Policy {
-	return nil
+	v1 := btowner.Config{Ramp: btramp.Config{PaceFactor: -1}}
+	return []Policy{
+		{Name: "ours 1", Owner: v1},
+	}
 }
 
 // Ours returns the product's defaults.
--- a/internal/btbench/stats.go
+++ b/internal/btbench/stats.go
@@ -44,7 +44,9 @@
 	lastWaiting     bool
 }
 
-func newStats(m Mix, start time.Time) *stats { return &stats{mix: m, start: start, rate: m.engineRate()} }
+func newStats(m Mix, start time.Time) *stats {
+	return &stats{mix: m, start: start, rate: m.engineRate()}
+}
 
 func (s *stats) arrive(now time.Time, i int, a arrival) *record {
 	r := &record{arrival: a, number: i, arrived: now}
