btowner: admit up to 0.75 standard deviations above the forecast

The 99% quantile of the summed forecast kept a seventh of the memory free. Ruled out: the concurrency limit (batches stayed at 18 of 32), the queue (it had waiting requests in the same samples).

--- a/btowner/config.go
+++ b/btowner/config.go
@@ -47,7 +47,9 @@
 	// Ramp holds the warm-up settings. The limits come from each record.
 	Ramp btramp.Config
 	// Z is the number of standard deviations above the expected memory that
-	// must fit. 2.33 is the 99% quantile of the normal distribution.
+	// must fit. The forecast is made anew with each report, so that a peak
+	// which threatens stops admission long before it comes. 2.33, the 99%
+	// quantile of the normal distribution, left 15% of a full upstream unused.
 	Z float64
 	// Headroom is the share of concurrency and memory that each priority
 	// leaves to the higher ones while there is interactive work.
@@ -64,7 +66,7 @@
 	if c.Lengths == nil {
 		c.Lengths = btlength.New(btlength.Config{})
 	}
-	c.Z = cmp.Or(c.Z, 2.33)
+	c.Z = cmp.Or(c.Z, 0.75)
 	if c.Headroom == [bramleytack.Priorities]float64{} {
 		c.Headroom[bramleytack.Batch] = 0.15
 		c.Headroom[bramleytack.Standard] = 0.05
--- a/internal/btbench/policy.go
+++ b/internal/btbench/policy.go
@@ -28,9 +28,11 @@
 
 // Earlier returns our earlier versions, oldest first.
 func Earlier() []Policy {
-	v1 := btowner.Config{Ramp: btramp.Config{PaceFactor: -1}}
+	v1 := btowner.Config{Ramp: btramp.Config{PaceFactor: -1}, Z: 2.33}
+	v2 := btowner.Config{Z: 2.33}
 	return []Policy{
 		{Name: "ours 1", Owner: v1},
+		{Name: "ours 2", Owner: v2},
 	}
 }
 
