btowner: keep the places of a cold upstream for short requests

Engines warm up by completions, and their places were taken by long generations, which decode slowly for a minute and more before they complete. Ruled out: the batch size (p95 is that of a warm batch), prompts (a chunk adds at most 8 ms to a step of this mix).

--- a/btowner/config.go
+++ b/btowner/config.go
@@ -57,6 +57,8 @@
 	// MoveAbove is the memory share above which a generation is named to be
 	// moved.
 	MoveAbove float64
+	// AnyLengthCold lets a cold upstream take requests of any length.
+	AnyLengthCold bool
 	// WithoutReports admits before the first load report. Without it, a new
 	// owner first waits to see what already runs.
 	WithoutReports bool
--- a/btowner/upstream.go
+++ b/btowner/upstream.go
@@ -31,6 +31,7 @@
 	foreign     int
 	interactive time.Time
 	forgotAt    time.Time
+	warmers     warmers
 	failedAt    time.Time
 	// since is when this owner started. settled is set when it knows all that
 	// runs.
@@ -154,6 +155,9 @@
 		u.drain.ask(now, h)
 		return refusal(bramleytack.CodeOverloaded, "a suspect runs alone")
 	}
+	if u.keptForShort(now, h) {
+		return refusal(bramleytack.CodeOverloaded, "a cold upstream is kept for short requests")
+	}
 	headroom := u.headroom(now, h.Priority)
 	limit := u.limit(now)
 	if running >= limit-int(headroom*float64(limit)) {
--- a/btowner/upstream_test.go
+++ b/btowner/upstream_test.go
@@ -401,3 +401,25 @@
 	assert.Assert(t, err != nil)
 	assert.Equal(t, bramleytack.OutcomeOf(err), bramleytack.NotRun)
 }
+
+// Long requests took the places of a cold upstream, which then stayed cold for
+// minutes.
+func TestColdUpstreamIsKeptForShortRequests(t *testing.T) {
+	now := time.Unix(0, 0)
+	u := NewUpstream(Config{WithoutReports: true}, now, record(8, 1<<20))
+	const usual, batch = 10 * time.Millisecond, 8
+	for range 16 {
+		u.ramp.Pace(now, batch, usual)
+	}
+	u.Configure(now, &bramleytack.Upstream{Kind: bramleytack.KindEngine, ColdLimit: 4, WarmLimit: 8, MemoryTokens: 1 << 20}, false)
+	u.ramp.Reset(now, btramp.Restarted)
+	reserve := func(id string, maxTokens int) error {
+		_, err := u.Reserve(now, bramleytack.Reservation{Grant: bramleytack.GrantID(id), PromptTokens: 1, MaxTokens: maxTokens})
+		return err
+	}
+	assert.NilError(t, reserve("long before any short", 1000))
+	assert.NilError(t, reserve("short", 10))
+	assert.ErrorContains(t, reserve("long", 1000), "kept for short requests")
+	now = now.Add(shortRecent)
+	assert.NilError(t, reserve("long without short ones", 1000))
+}
--- a/btramp/pace.go
+++ b/btramp/pace.go
@@ -55,12 +55,22 @@
 	}
 }
 
+// known says whether the usual step time of any batch is known.
+func (p *pace) known() bool {
+	_, ok := p.reference(1)
+	return ok
+}
+
 func (p *pace) learn(running int, step float64) {
 	b := &p.buckets[paceBucket(running)]
 	b.samples++
 	b.usual += (step - b.usual) * max(paceWeight, 1/float64(b.samples))
 }
 
+// Slow says whether the upstream decodes as slowly as a cold one. After a
+// reset it counts as slow until its pace shows otherwise.
+func (r *Ramp) Slow() bool { return r.pace.slow }
+
 // Pace takes the time of one decoding step beside running requests. A warm
 // upstream that is slow several times in a row has become cold. Below the warm
 // limit, successes do not count while the upstream is slow: an engine that is
--- a/btramp/ramp.go
+++ b/btramp/ramp.go
@@ -238,6 +238,8 @@
 	r.burst.clear()
 	r.latency = latency{}
 	r.bucket = bucket{}
+	r.pace.row = 0
+	r.pace.slow = r.pace.known() && r.cfg.PaceFactor > 0
 	r.setLevel(r.cfg.Cold)
 }
 
