btramp: double faster while the pace shows a warm upstream

Cause: engines that had warmed up stood at a quarter of their limit. Each doubling took 5 s and two successes a place, and long generations hold their places for longer than that. Ruled out: the prompt token rate of the ramp (2,048 a place and second, above the mix's).

--- a/btramp/ramp.go
+++ b/btramp/ramp.go
@@ -90,6 +90,11 @@
 	// a row look like a cold upstream. A negative factor ignores the pace.
 	PaceFactor float64
 	PaceCount  int
+	// PacedDwell stands in for Dwell, and PacedShare of the limit for
+	// SuccessesPerSlot, while the pace shows that the upstream is warm. A
+	// negative PacedDwell keeps Dwell and SuccessesPerSlot.
+	PacedDwell time.Duration
+	PacedShare float64
 }
 
 func (c Config) withDefaults() Config {
@@ -105,6 +110,8 @@
 	c.SlowCount = cmp.Or(c.SlowCount, 4)
 	c.PaceFactor = cmp.Or(c.PaceFactor, 1.8)
 	c.PaceCount = cmp.Or(c.PaceCount, 2)
+	c.PacedDwell = cmp.Or(c.PacedDwell, 1500*time.Millisecond)
+	c.PacedShare = cmp.Or(c.PacedShare, 0.25)
 	return c
 }
 
@@ -274,11 +281,22 @@
 		return
 	}
 	r.successes++
-	if r.successes >= r.level*r.cfg.SuccessesPerSlot && now.Sub(r.since) >= r.cfg.Dwell {
+	successes, dwell := r.needed()
+	if r.successes >= successes && now.Sub(r.since) >= dwell {
 		r.setLevel(min(r.level*2, r.cfg.Warm))
 	}
 }
 
+// needed returns the successes and the time before the level doubles. A warm
+// pace is better evidence than the number of successes, and long requests
+// hold their places for longer than a level should last.
+func (r *Ramp) needed() (successes int, dwell time.Duration) {
+	if r.cfg.PaceFactor < 0 || r.cfg.PacedDwell < 0 || !r.pace.known() {
+		return r.level * r.cfg.SuccessesPerSlot, r.cfg.Dwell
+	}
+	return max(1, int(float64(r.level)*r.cfg.PacedShare)), r.cfg.PacedDwell
+}
+
 // End counts the end of a request.
 func (r *Ramp) End(now time.Time, m Mark, s Sample) {
 	if s.Failed {
--- a/internal/btbench/policy.go
+++ b/internal/btbench/policy.go
@@ -29,12 +29,15 @@
 // Earlier returns our earlier versions, oldest first.
 func Earlier() []Policy {
 	v1 := btowner.Config{Ramp: btramp.Config{PaceFactor: -1}, Z: 2.33, AnyLengthCold: true}
-	v2 := btowner.Config{Z: 2.33, AnyLengthCold: true}
-	v3 := btowner.Config{AnyLengthCold: true}
+	v2 := btowner.Config{Z: 2.33, AnyLengthCold: true, Ramp: btramp.Config{PacedDwell: -1}}
+	steady := btramp.Config{PacedDwell: -1}
+	v3 := btowner.Config{AnyLengthCold: true, Ramp: steady}
+	v4 := btowner.Config{Ramp: steady}
 	return []Policy{
 		{Name: "ours 1", Owner: v1},
 		{Name: "ours 2", Owner: v2},
 		{Name: "ours 3", Owner: v3},
+		{Name: "ours 4", Owner: v4},
 	}
 }
 
