btowner: let a cold upstream wait for short requests at first

Long requests that were waiting took all places of an engine at the moment it returned, before the first short one came, and held them at the cold pace. Ruled out: the measure of a short request. Releases now show the pace as well while an upstream is not warm.

--- a/btowner/report.go
+++ b/btowner/report.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// paceTokens is the output from which on a whole generation shows the pace.
+const paceTokens = 5
+
+// paceOf tells the ramp the pace of a generation that ended. Short ones, which
+// warm a cold upstream, end between two reports. On a warm upstream the reports
+// suffice; a generation can be slow there for other reasons.
+func (u *Upstream) paceOf(now time.Time, h *held, v bramleytack.Release) {
+	if v.Tokens < paceTokens || v.FirstToken <= 0 {
+		return
+	}
+	decoding := now.Sub(h.granted) - v.FirstToken
+	u.ramp.Pace(now, u.Running()+1, decoding/time.Duration(v.Tokens-1))
+}
+
 // late says whether a report is older than the last one, by its age or, within
 // one run of the upstream, by the upstream's clock.
 func (u *Upstream) late(now, at time.Time, r bramleytack.LoadReport) bool {
--- a/btowner/upstream.go
+++ b/btowner/upstream.go
@@ -271,6 +271,9 @@
 	if v.Failed {
 		u.failedAt = now
 	}
+	if ran && !u.ramp.Warm() {
+		u.paceOf(now, h, v)
+	}
 	service := u.record.Kind == bramleytack.KindService
 	u.ramp.End(now, h.mark, btramp.Sample{
 		OK:           ran && (v.Tokens > 0 || service) && !h.proven,
--- a/btowner/upstream_test.go
+++ b/btowner/upstream_test.go
@@ -417,8 +417,10 @@
 		_, err := u.Reserve(now, bramleytack.Reservation{Grant: bramleytack.GrantID(id), PromptTokens: 1, MaxTokens: maxTokens})
 		return err
 	}
-	assert.NilError(t, reserve("long before any short", 1000))
+	assert.ErrorContains(t, reserve("long before any short", 1000), "kept for short requests")
+	now = now.Add(shortRecent - 1)
 	assert.NilError(t, reserve("short", 10))
+	now = now.Add(1)
 	assert.ErrorContains(t, reserve("long", 1000), "kept for short requests")
 	now = now.Add(shortRecent)
 	assert.NilError(t, reserve("long without short ones", 1000))
