--- a/btowner/config.go
+++ b/btowner/config.go
@@ -57,6 +57,10 @@
 	// MoveAbove is the memory share above which a generation is named to be
 	// moved.
 	MoveAbove float64
+	// PromptSteps is the number of decoding steps between the starts of two
+	// prompts. Prompts that start together share a step, which delays the next
+	// token of all other generations. A negative number sets no distance.
+	PromptSteps float64
 	// AnyLengthCold lets a cold upstream take requests of any length.
 	AnyLengthCold bool
 	// WithoutReports admits before the first load report. Without it, a new
@@ -73,6 +77,7 @@
 		c.Headroom[bramleytack.Batch] = 0.15
 		c.Headroom[bramleytack.Standard] = 0.05
 	}
+	c.PromptSteps = cmp.Or(c.PromptSteps, 1)
 	c.MoveAbove = cmp.Or(c.MoveAbove, 0.97)
 	return c
 }
--- a/btowner/upstream.go
+++ b/btowner/upstream.go
@@ -31,6 +31,8 @@
 	foreign     int
 	interactive time.Time
 	forgotAt    time.Time
+	// promptUntil is when the next prompt may start.
+	promptUntil time.Time
 	warmers     warmers
 	failedAt    time.Time
 	// since is when this owner started. settled is set when it knows all that
@@ -166,12 +168,18 @@
 	if !u.fits(h, 1-headroom) {
 		return refusal(bramleytack.CodeOverloaded, "forecast memory does not fit")
 	}
+	if wait := u.promptUntil.Sub(now); wait > 0 {
+		return refusal(bramleytack.CodeOverloaded, "upstream starts another prompt").WithRetryAfter(wait)
+	}
 	mark, ok := u.ramp.Admit(now, running, h.PromptTokens)
 	if !ok {
 		return refusal(bramleytack.CodeOverloaded, "upstream is warming up").
 			WithRetryAfter(max(retryAfter, u.ramp.Wait(now)))
 	}
 	h.mark = mark
+	if step, ok := u.ramp.StepTime(running); ok && u.cfg.PromptSteps > 0 {
+		u.promptUntil = now.Add(time.Duration(u.cfg.PromptSteps * float64(step)))
+	}
 	return nil
 }
 
--- a/btramp/pace.go
+++ b/btramp/pace.go
@@ -67,6 +67,13 @@
 	b.usual += (step - b.usual) * max(paceWeight, 1/float64(b.samples))
 }
 
+// StepTime returns the usual time of a decoding step beside running requests,
+// if it is known.
+func (r *Ramp) StepTime(running int) (time.Duration, bool) {
+	usual, ok := r.pace.reference(running)
+	return time.Duration(usual * float64(time.Second)), ok
+}
+
 // Slow says whether the upstream decodes as slowly as a cold one. After a
 // reset it counts as slow until its pace shows otherwise.
 func (r *Ramp) Slow() bool { return r.pace.slow }
