--- a/btramp/ramp.go
+++ b/btramp/ramp.go
@@ -45,9 +45,11 @@
 	SlowFirstToken
 	// DomainReturned means that the failure domain was out of service.
 	DomainReturned
+	// SlowPace means decoding steps as slow as those of a cold upstream.
+	SlowPace
 )
 
-var reasonNames = [...]string{"started", "restarted", "failures", "slowFirstToken", "domainReturned"}
+var reasonNames = [...]string{"started", "restarted", "failures", "slowFirstToken", "domainReturned", "slowPace"}
 
 // String returns the reason's name.
 func (r Reason) String() string {
@@ -84,6 +86,15 @@
 	SlowFactor float64
 	SlowFloor  time.Duration
 	SlowCount  int
+	// PaceFactor times the usual step time is slow. PaceCount slow samples in
+	// a row look like a cold upstream. A negative factor ignores the pace.
+	PaceFactor float64
+	PaceCount  int
+	// PacedDwell stands in for Dwell, and PacedShare of the limit for
+	// SuccessesPerSlot, while the pace shows that the upstream is warm. A
+	// negative PacedDwell keeps Dwell and SuccessesPerSlot.
+	PacedDwell time.Duration
+	PacedShare float64
 }
 
 func (c Config) withDefaults() Config {
@@ -97,6 +108,10 @@
 	c.SlowFactor = cmp.Or(c.SlowFactor, 4)
 	c.SlowFloor = cmp.Or(c.SlowFloor, 500*time.Millisecond)
 	c.SlowCount = cmp.Or(c.SlowCount, 4)
+	c.PaceFactor = cmp.Or(c.PaceFactor, 1.8)
+	c.PaceCount = cmp.Or(c.PaceCount, 2)
+	c.PacedDwell = cmp.Or(c.PacedDwell, 1500*time.Millisecond)
+	c.PacedShare = cmp.Or(c.PacedShare, 0.25)
 	return c
 }
 
@@ -139,6 +154,7 @@
 	bucket  bucket
 	burst   burst
 	latency latency
+	pace    pace
 }
 
 // New returns a ramp at its base.
@@ -229,6 +245,8 @@
 	r.burst.clear()
 	r.latency = latency{}
 	r.bucket = bucket{}
+	r.pace.row = 0
+	r.pace.slow = r.pace.known() && r.cfg.PaceFactor > 0
 	r.setLevel(r.cfg.Cold)
 }
 
@@ -259,15 +277,26 @@
 // Progress counts a request as a success before its end, when the upstream
 // reports that it produces tokens.
 func (r *Ramp) Progress(now time.Time, m Mark) {
-	if r.mode != Normal || m.epoch != r.epoch || !m.full || r.Warm() {
+	if r.mode != Normal || m.epoch != r.epoch || !m.full || r.Warm() || r.pace.slow {
 		return
 	}
 	r.successes++
-	if r.successes >= r.level*r.cfg.SuccessesPerSlot && now.Sub(r.since) >= r.cfg.Dwell {
+	successes, dwell := r.needed()
+	if r.successes >= successes && now.Sub(r.since) >= dwell {
 		r.setLevel(min(r.level*2, r.cfg.Warm))
 	}
 }
 
+// needed returns the successes and the time before the level doubles. A warm
+// pace is better evidence than the number of successes, and long requests
+// hold their places for longer than a level should last.
+func (r *Ramp) needed() (successes int, dwell time.Duration) {
+	if r.cfg.PaceFactor < 0 || r.cfg.PacedDwell < 0 || !r.pace.known() {
+		return r.level * r.cfg.SuccessesPerSlot, r.cfg.Dwell
+	}
+	return max(1, int(float64(r.level)*r.cfg.PacedShare)), r.cfg.PacedDwell
+}
+
 // End counts the end of a request.
 func (r *Ramp) End(now time.Time, m Mark, s Sample) {
 	if s.Failed {
