--- a/internal/btbench/entry.go
+++ b/internal/btbench/entry.go
@@ -8,7 +8,6 @@
 
 	"bramleytack"
 	"bramleytack/btlimit"
-	"bramleytack/btowner"
 	"bramleytack/btqueue"
 	"bramleytack/btroute"
 )
