--- a/btdaemon/cluster.go
+++ b/btdaemon/cluster.go
@@ -79,7 +79,7 @@
 	d.table.Permits = c.owners
 	c.claims = &btremote.Claims{Self: s.Host, Node: c.node, Cell: c.cell}
 	for n := range claimShards {
-		c.claims.Shards = append(c.claims.Shards, &btclaim.Shard{Store: d.store, Timer: d.timers, Cell: s.Cell, Number: n})
+		c.claims.Shards = append(c.claims.Shards, &btclaim.Shard{Store: d.store, Timer: d.timers, Cell: s.Cell, Number: n, Interval: s.ClaimInterval})
 	}
 	c.spread = &btremote.Spread{Self: s.Host, Node: c.node, Cell: c.cell, Config: d.config, Timer: d.timers, Complete: d.loaded.Load}
 	c.cell.OnConfigRevision = c.spread.Saw
@@ -122,14 +122,18 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	view := d.cluster.cell.View()
-	for _, u := range o.changed(view, d.snapshots.Snapshot().Upstreams) {
+	changed, removed := o.changed(view, d.snapshots.Snapshot().Upstreams)
+	for _, u := range changed {
 		d.assign(view, u)
 	}
+	for _, id := range removed {
+		d.table.Disown(id)
+	}
 }
 
 // assign takes an upstream over, or gives it up, by the view.
 func (d *Daemon) assign(view *btview.View, u *bramleytack.Upstream) {
-	if !d.owner(view, u.ID) {
+	if !d.owner(view, u) {
 		d.table.Disown(u.ID)
 		return
 	}
@@ -142,12 +146,13 @@
 	}
 }
 
-// owner says whether this host owns an upstream by a view.
-func (d *Daemon) owner(view *btview.View, id bramleytack.UpstreamID) bool {
-	if view == nil {
+// owner says whether this host owns an upstream by a view. Upstreams of other
+// cells have their owners there.
+func (d *Daemon) owner(view *btview.View, u *bramleytack.Upstream) bool {
+	if view == nil || !u.In(d.settings.Cell) {
 		return false
 	}
-	m, ok := view.Owner(id)
+	m, ok := view.Owner(u.ID)
 	return ok && m.Host == d.settings.Host
 }
 
--- a/btdaemon/ownership.go
+++ b/btdaemon/ownership.go
@@ -17,14 +17,21 @@
 }
 
 // changed returns the upstreams to assign: all of them after a change of the
-// view, otherwise those with a new record. The caller holds mu.
-func (o *ownership) changed(view *btview.View, upstreams map[bramleytack.UpstreamID]*bramleytack.Upstream) []*bramleytack.Upstream {
-	var list []*bramleytack.Upstream
+// view, otherwise those with a new record. It also returns the upstreams whose
+// record is gone. The caller holds mu.
+func (o *ownership) changed(
+	view *btview.View, upstreams map[bramleytack.UpstreamID]*bramleytack.Upstream,
+) (list []*bramleytack.Upstream, removed []bramleytack.UpstreamID) {
 	for id, u := range upstreams {
 		if view != o.view || o.upstreams[id] != u {
 			list = append(list, u)
 		}
 	}
+	for id := range o.upstreams {
+		if _, ok := upstreams[id]; !ok {
+			removed = append(removed, id)
+		}
+	}
 	o.view, o.upstreams = view, upstreams
-	return list
+	return list, removed
 }
--- a/btdaemon/ownership_test.go
+++ b/btdaemon/ownership_test.go
@@ -9,6 +9,7 @@
 
 	"bramleytack"
 	"bramleytack/btowner"
+	"bramleytack/btsettings"
 	"bramleytack/bttimer"
 	"bramleytack/btview"
 )
@@ -28,15 +29,34 @@
 	const n = 10
 	o := &ownership{}
 	view, list := &btview.View{Number: 1}, upstreams(n)
-	assert.Equal(t, len(o.changed(nil, list)), n)
-	assert.Equal(t, len(o.changed(view, list)), n)
-	assert.Equal(t, len(o.changed(view, list)), 0)
+	assertChanged(t, o, nil, list, n, 0)
+	assertChanged(t, o, view, list, n, 0)
+	assertChanged(t, o, view, list, 0, 0)
 	next := maps.Clone(list)
 	next["crease-00003"] = &bramleytack.Upstream{ID: "crease-00003"}
 	next["new"] = &bramleytack.Upstream{ID: "new"}
-	assert.Equal(t, len(o.changed(view, next)), 2)
-	assert.Equal(t, len(o.changed(&btview.View{Number: 2}, next)), n+1)
-	assert.Equal(t, len(o.changed(nil, next)), n+1)
+	assertChanged(t, o, view, next, 2, 0)
+	assertChanged(t, o, &btview.View{Number: 2}, next, n+1, 0)
+	assertChanged(t, o, nil, next, n+1, 0)
+	// A deleted upstream has to be given up, or its digest is told for ever.
+	assertChanged(t, o, nil, list, 1, 1)
+}
+
+// Guards against an upstream with an owner in each of several cells, which
+// together would exceed its limits.
+func TestOwnerIsInOneCell(t *testing.T) {
+	view := &btview.View{Number: 1, Members: []btview.Member{{Host: "a-1"}}}
+	for cell, want := range map[bramleytack.CellID]bool{"": true, "c-1": true, "c-2": false} {
+		d := &Daemon{settings: btsettings.Settings{Host: "a-1", Cell: "c-1"}}
+		assert.Equal(t, d.owner(view, &bramleytack.Upstream{ID: "u", Cell: cell}), want, "cell %q", cell)
+	}
+}
+
+func assertChanged(t *testing.T, o *ownership, view *btview.View, list map[bramleytack.UpstreamID]*bramleytack.Upstream, changed, removed int) {
+	t.Helper()
+	c, r := o.changed(view, list)
+	assert.Equal(t, len(c), changed)
+	assert.Equal(t, len(r), removed)
 }
 
 // BenchmarkOwnershipUnchanged is the cost of a change that concerns no upstream.
--- a/btdaemon/path.go
+++ b/btdaemon/path.go
@@ -57,7 +57,7 @@
 		&btquarantine.Filter{Table: d.suspects, Arbiter: c.suspects.Arbitrate},
 		d.queue,
 		&btroute.Filter{
-			Entry: s.Host, Snapshots: d.snapshots, Owner: c.owners, Timer: d.timers, Loads: d.loads, Holders: d.loads,
+			Entry: s.Host, Cell: s.Cell, Snapshots: d.snapshots, Owner: c.owners, Timer: d.timers, Loads: d.loads, Holders: d.loads,
 			OtherVersions: true,
 			Policy:        &btroute.Scored{Domain: s.FailureDomain, Prefixes: &btroute.Prefixes{}},
 			Retry:         &btroute.Backoff{Timer: d.timers},
--- a/btdaemon/placement.go
+++ b/btdaemon/placement.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cockroachdb/errors"
 
+	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/btplace"
 	"bramleytack/btupstream"
@@ -19,6 +20,7 @@
 		Timer:     d.timers,
 		Snapshots: d.snapshots,
 		Upstreams: d.pool,
+		Mine:      func(u *bramleytack.Upstream) bool { return u.In(d.settings.Cell) },
 		Fenced:    func(err error) bool { return errors.Is(err, btupstream.ErrStaleFence) },
 		Notify:    d.ordered,
 	}
--- a/btlimit/limiter.go
+++ b/btlimit/limiter.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// newsValidity is how long demands from another entry are used.
-	newsValidity = 3 * time.Second
-	// raiseDelay is how long a larger share waits: the others have either
-	// received the demands that reduce theirs, or their news has expired.
-	raiseDelay = newsValidity
+	// newsValidity and memberValidity are how long demands from another entry
+	// are used: members exchange them at a fixed rate, so the time between two
+	// exchanges grows with each of them. With 32 it reaches 4.5 s.
+	newsValidity   = 3 * time.Second
+	memberValidity = 100 * time.Millisecond
 	// demandTime is the time over which demand is averaged.
 	demandTime = 2 * time.Second
 	// idleAfter is the time after which an idle workspace is forgotten. Its
@@ -104,10 +104,11 @@
 // refresh computes the shares of one workspace. The caller holds mu.
 func (l *Limiter) refresh(now time.Time, ws *bramleytack.Workspace, u *usage) {
 	own := u.demand(now)
+	validity := l.validity()
 	rates := map[bramleytack.HostID]float64{l.Self: own.RequestsPerSecond}
 	running := map[bramleytack.HostID]float64{l.Self: own.Concurrency}
 	for h, n := range l.news {
-		if now.Sub(n.at) > newsValidity {
+		if now.Sub(n.at) > validity {
 			continue
 		}
 		d := n.demands[ws.Name]
@@ -118,6 +119,7 @@
 	if len(members) == 0 {
 		members = []bramleytack.HostID{l.Self}
 	}
+	u.raiseDelay = validity
 	u.floor = floor(ws, len(members))
 	rate := divide(members, rates, ws.RequestsPerSecond)[l.Self]
 	shares := divide(members, running, float64(ws.Concurrency))
@@ -129,6 +131,12 @@
 	u.setShare(now, share{at: now, rate: rate, concurrency: Units(shares, ws.Concurrency)[l.Self]})
 }
 
+// validity is how long demands from another entry are used. The caller holds
+// mu.
+func (l *Limiter) validity() time.Duration {
+	return newsValidity + time.Duration(len(l.members))*memberValidity
+}
+
 // Take counts a request, or refuses it with CodeRateLimited and NotRun. After
 // a nil error, Done must be called once.
 func (l *Limiter) Take(now time.Time, ws *bramleytack.Workspace) error {
--- a/btlimit/usage.go
+++ b/btlimit/usage.go
@@ -19,6 +19,9 @@
 	// floor is the demand up to which every entry is treated alike.
 	floor Demand
 
+	// raiseDelay is how long a larger share waits: the others have then either
+	// received the demands that reduce theirs, or their news has expired.
+	raiseDelay time.Duration
 	// current is the smallest share of the last raiseDelay.
 	current share
 	recent  []share
@@ -39,7 +42,7 @@
 func (u *usage) setShare(now time.Time, s share) {
 	keep := u.recent[:0]
 	for _, r := range u.recent {
-		if now.Sub(r.at) < raiseDelay {
+		if now.Sub(r.at) < u.raiseDelay {
 			keep = append(keep, r)
 		}
 	}
@@ -77,7 +80,7 @@
 		return 0
 	}
 	if u.current.rate <= 0 {
-		return raiseDelay
+		return u.raiseDelay
 	}
 	wait := (1 - u.tokens) / u.current.rate * float64(time.Second)
 	return time.Duration(min(wait, float64(time.Hour))) + 1
--- a/btrecord/upstream.go
+++ b/btrecord/upstream.go
@@ -13,6 +13,7 @@
 	bindEnum(b, "kind", &u.Kind, required, bramleytack.KindEngine, bramleytack.KindService)
 	b.addrPort("addr", &u.Addr)
 	bindName(b, "failureDomain", &u.FailureDomain, required)
+	bindName(b, "cell", &u.Cell, optional)
 	bindName(b, "service", &u.Service, optional)
 	b.list("models", &u.Models, ValidName, nameRule)
 	bindEnum(b, "state", &u.State, optional, bramleytack.UpstreamActive, bramleytack.UpstreamLeaving)
--- a/btroute/candidates.go
+++ b/btroute/candidates.go
@@ -73,7 +73,7 @@
 func (f *Filter) accepting(q Query, ups []*bramleytack.Upstream, want *bramleytack.LoadedModel) []Candidate {
 	c := make([]Candidate, 0, len(ups))
 	for _, u := range ups {
-		if !q.Snapshot.Accepts(u.ID) {
+		if !q.Snapshot.Accepts(u.ID) || !u.In(f.Cell) {
 			continue
 		}
 		x := Candidate{Upstream: u}
--- a/btroute/filter.go
+++ b/btroute/filter.go
@@ -26,7 +26,10 @@
 // Filter is the route step of a request. Resume and Cancel go to the upstream
 // that their generation token names and pass through unchanged.
 type Filter struct {
-	Entry     bramleytack.HostID
+	Entry bramleytack.HostID
+	// Cell is the entry's cell. Only upstreams of the same cell are asked, since
+	// an entry knows the owners of its own cell alone.
+	Cell      bramleytack.CellID
 	Snapshots bramleytack.Snapshots
 	Owner     bramleytack.Owner
 	Timer     bramleytack.Timer
--- a/btroute/filter_test.go
+++ b/btroute/filter_test.go
@@ -181,6 +181,9 @@
 			assert.Equal(t, e.Outcome, bramleytack.NotRun)
 			assert.Equal(t, len(owner.offered), 0)
 		}
+		s.Upstreams["a"].Cell = "other"
+		assertRefused(bramleytack.CodeNoUpstream)
+		s.Upstreams["a"].Cell = ""
 		s.FailureDomains["d"].State = bramleytack.DomainOut
 		assertRefused(bramleytack.CodeNoUpstream)
 		s.Quarantined = map[string]bool{r.Fingerprint().String(): true}
--- a/btsettings/field.go
+++ b/btsettings/field.go
@@ -60,6 +60,7 @@
 		duration("limits.maxQueueTime", &s.Limits.MaxQueueTime),
 		duration("entriesValidFor", &s.EntriesValidFor),
 		duration("drainTimeout", &s.DrainTimeout),
+		duration("claimInterval", &s.ClaimInterval),
 		choice("logLevel", &s.LogLevel, logLevels),
 	}
 }
--- a/btsettings/settings.go
+++ b/btsettings/settings.go
@@ -27,7 +27,10 @@
 	EntriesValidFor time.Duration
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration
-	LogLevel     string
+	// ClaimInterval is the least time between two commits of a claim shard. A
+	// longer one saves writes of the store and adds to the wait of keyed calls.
+	ClaimInterval time.Duration
+	LogLevel      string
 }
 
 // PeerTLS names the files of the mutual TLS between daemons.
@@ -65,6 +68,7 @@
 		},
 		EntriesValidFor: 30 * time.Second,
 		DrainTimeout:    2*time.Hour + time.Minute,
+		ClaimInterval:   20 * time.Millisecond,
 		LogLevel:        "info",
 	}
 }
--- a/snapshot.go
+++ b/snapshot.go
@@ -80,6 +80,9 @@
 	Kind          UpstreamKind
 	Addr          netip.AddrPort
 	FailureDomain FailureDomainID
+	// Cell is the cell whose members own the upstream. Empty means the only
+	// cell of the deployment.
+	Cell CellID
 	// Service is the plain service that the upstream runs.
 	Service string
 	// Models are the models that the upstream may hold.
@@ -129,6 +132,9 @@
 	Snapshot() *Snapshot
 }
 
+// In says whether the upstream belongs to a cell.
+func (u *Upstream) In(cell CellID) bool { return u.Cell == "" || u.Cell == cell }
+
 // Accepts says whether an upstream may get new work under the snapshot.
 func (s *Snapshot) Accepts(id UpstreamID) bool {
 	u, ok := s.Upstreams[id]
