--- a/btclient/call.go
+++ b/btclient/call.go
@@ -38,7 +38,7 @@
 			return resp, nil
 		}
 		e := bramleytack.AsError(err)
-		if try >= c.attempts() || !repeatable(call, e) || c.pause(ctx, e.RetryAfter) != nil {
+		if !repeatable(call, e) || !c.pause(ctx, try, e.RetryAfter) {
 			return nil, err
 		}
 	}
--- a/btclient/client.go
+++ b/btclient/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bramleytack"
+	"bramleytack/btretry"
 )
 
 // Defaults of a Client.
@@ -26,9 +27,10 @@
 	DefaultSilence = 10 * time.Second
 	// dialTimeout bounds the set-up of a connection to an entry.
 	dialTimeout = 2 * time.Second
-	// retryWait is the wait before another try. Its random part keeps callers
-	// that lost the same entry from coming back in step.
-	retryWait = 200 * time.Millisecond
+	// firstWait and longestWait bound the wait before another try. Its random
+	// part keeps callers that lost the same entry from coming back in step.
+	firstWait   = 400 * time.Millisecond
+	longestWait = 2 * time.Second
 	// maxErrorBytes bounds the body of an error.
 	maxErrorBytes = 64 << 10
 )
@@ -175,9 +177,15 @@
 	return DefaultAttempts
 }
 
-// pause waits before another try, at least as long as the answer advises.
-func (c *Client) pause(ctx context.Context, advice time.Duration) error {
-	return c.Timer.Sleep(ctx, max(advice, retryWait/2+rand.N(retryWait)))
+// pause waits after a try, counted from 1, and says whether another may follow.
+// It waits at least as long as the answer advises.
+func (c *Client) pause(ctx context.Context, try int, advice time.Duration) bool {
+	backoff := btretry.Backoff{
+		Timer: c.Timer, Base: firstWait, Max: longestWait, Attempts: c.attempts(), Seed: rand.Uint64(),
+	}
+	deadline, _ := ctx.Deadline()
+	wait, ok := backoff.Next(try, deadline)
+	return ok && c.Timer.Sleep(ctx, max(advice, wait)) == nil
 }
 
 // client returns the HTTP client. Connections are not kept: an open one may
--- a/btclient/generate.go
+++ b/btclient/generate.go
@@ -58,10 +58,7 @@
 		if err == nil {
 			return g.result, nil
 		}
-		if try >= c.attempts() || !g.mayRepeat(err) {
-			return g.result, err
-		}
-		if c.pause(ctx, bramleytack.AsError(err).RetryAfter) != nil {
+		if !g.mayRepeat(err) || !c.pause(ctx, try, bramleytack.AsError(err).RetryAfter) {
 			return g.result, err
 		}
 		g.result.Resumed++
