btfleet: test cold upstreams, domains out and leaving upstreams

Cause: invariants 2, 3 and 7 had no test with real processes that combines them with frozen or killed daemons, silent watches or a lagging host list.

Ruled out: a background sampler of accepted work. The engines count it, so that two readings suffice.

Invariant 2 does not hold after the restart of an engine; the cause has not been found.

--- a/internal/btfleet/config.go
+++ b/internal/btfleet/config.go
@@ -48,6 +48,13 @@
 	// EngineColdLimit makes engines die above this concurrency while they are
 	// cold. Zero takes the limit of the records.
 	EngineColdLimit int
+	// EngineColdGrace is the time after an unannounced switch to cold during
+	// which an engine survives its old load.
+	EngineColdGrace time.Duration
+	// EngineRestartAfter restarts a crashed engine in its process.
+	EngineRestartAfter time.Duration
+	// HostLag is the time until a change of the host list shows.
+	HostLag time.Duration
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/btfleet/fleet.go
+++ b/internal/btfleet/fleet.go
@@ -120,7 +120,7 @@
 }
 
 func (f *Fleet) platformArgs() []string {
-	args := standinArgs(RolePlatform, f.Platform.Addresses)
+	args := append(standinArgs(RolePlatform, f.Platform.Addresses), "--host-lag", f.HostLag.String())
 	for _, list := range [][]*Process{f.Daemons, f.Engines, f.Services} {
 		for _, p := range list {
 			args = append(args, "--host", p.Addresses.Listen.Addr().String())
@@ -135,7 +135,8 @@
 	p.args = append(standinArgs(RoleEngine, p.Addresses),
 		"--instance", name, "--model", Model+"@"+Version, "--seed", strconv.Itoa(i+1),
 		"--step-base", f.Step.String(), "--cold-limit", strconv.Itoa(f.EngineColdLimit),
-		"--warm-after", strconv.Itoa(engineWarmAfter))
+		"--warm-after", strconv.Itoa(engineWarmAfter), "--cold-grace", f.EngineColdGrace.String(),
+		"--restart-after", f.EngineRestartAfter.String())
 	return p
 }
 
