Reserve under the attempt's name, by which load reports know it

Cause: entries reserved under the request's id, but engines know a request by '<id>.<attempt>'. No reservation was ever found in a load report, so each running generation was counted twice, once as held and once as foreign, and reservations were never seen as listed or gone. Ruled out: the engine's report, which lists what it was sent. Change: Request.AttemptID names the attempt towards owners and upstreams alike; the harnesses of btplace and btbench, which sent the bare id, follow. Measured: TestReservationHasTheAttemptsName fails without the change. Conclusion: owners see what runs.

--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,7 +68,7 @@
 		return err
 	}
 	stream, err := engine.Start(ctx, bramleytack.GenerationRequest{
-		ID:        attemptID(r),
+		ID:        r.AttemptID(),
 		Model:     r.Model,
 		Version:   r.Target.Version,
 		Adapter:   r.Target.Adapter,
@@ -123,7 +122,7 @@
 		return err
 	}
 	resp, err := service.Call(ctx, bramleytack.ServiceCall{
-		ID:             attemptID(r),
+		ID:             r.AttemptID(),
 		Workspace:      r.Workspace,
 		IdempotencyKey: r.IdempotencyKey,
 		Request:        r,
@@ -171,8 +170,3 @@
 		},
 	}
 }
-
-// attemptID names one attempt, so that the events of two attempts never mix.
-func attemptID(r *bramleytack.Request) bramleytack.RequestID {
-	return bramleytack.RequestID(fmt.Sprintf("%s.%d", r.ID, r.Attempt))
-}
--- a/btplace/version_test.go
+++ b/btplace/version_test.go
@@ -59,7 +59,7 @@
 	var stream bramleytack.StreamID
 	var err error
 	x.with(r.Target.Upstream.ID, func(now time.Time, c *btengine.Core) {
-		stream, err = c.Submit(now, bramleytack.GenerationRequest{ID: r.ID, Model: "m", Version: r.Target.Version, Prompt: r.Prompt})
+		stream, err = c.Submit(now, bramleytack.GenerationRequest{ID: r.AttemptID(), Model: "m", Version: r.Target.Version, Prompt: r.Prompt})
 	})
 	if err != nil {
 		return errors.Wrapf(err, "version %s on %s", r.Target.Version, r.Target.Upstream.ID)
--- a/btroute/filter.go
+++ b/btroute/filter.go
@@ -104,6 +104,7 @@
 	picked := candidates[r.Policy.Pick(q, candidates)]
 	u := picked.Upstream
 	r.visits.add(u.ID)
+	r.request.Attempt = attempt
 	grant, refused := r.reserve(ctx, u.ID, q.Suspect)
 	if q.Suspect {
 		grant, refused = r.insist(ctx, u.ID, grant, refused)
@@ -111,7 +112,6 @@
 	if refused != nil {
 		return refused
 	}
-	r.request.Attempt = attempt
 	r.request.Target = bramleytack.Target{Upstream: u, Grant: grant, Version: picked.Version}
 	if m, ok := q.Snapshot.Models[r.request.Model]; ok {
 		r.request.Target.Adapter = m.Adapter
@@ -127,7 +127,7 @@
 		Grant:        r.newGrant(),
 		Upstream:     id,
 		Entry:        r.Entry,
-		Request:      req.ID,
+		Request:      req.AttemptID(),
 		Workspace:    req.Workspace,
 		Model:        req.Model,
 		Priority:     req.Priority,
--- a/btroute/filter_test.go
+++ b/btroute/filter_test.go
@@ -21,6 +21,7 @@
 type ledger struct {
 	open     map[bramleytack.GrantID]bool
 	offered  []bramleytack.UpstreamID
+	requests []bramleytack.RequestID
 	releases []bramleytack.Release
 	suspects int
 	mu       sync.Mutex
@@ -29,6 +30,7 @@
 
 func (l *ledger) Reserve(_ context.Context, r bramleytack.Reservation) (bramleytack.Grant, error) {
 	l.offered = append(l.offered, r.Upstream)
+	l.requests = append(l.requests, r.Request)
 	if r.Suspect {
 		l.suspects++
 	}
@@ -194,6 +196,23 @@
 	})
 }
 
+// Guards against reservations under another name than the load report of the
+// engine uses, which would count each request twice.
+func TestReservationHasTheAttemptsName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, owner := newFilter(t, upstreams("a", "b"))
+		r := &bramleytack.Request{ID: "r", Kind: bramleytack.Generate, Model: "m"}
+		var sent []bramleytack.RequestID
+		refuse := bramleytack.HandlerFunc(func(_ context.Context, r *bramleytack.Request, _ bramleytack.Reply) error {
+			sent = append(sent, r.AttemptID())
+			return bramleytack.NewError(bramleytack.CodeOverloaded, bramleytack.NotRun, "full")
+		})
+		assert.Assert(t, f.Handle(t.Context(), r, &nullReply{}, refuse) != nil)
+		assert.Assert(t, len(sent) > 1)
+		assert.DeepEqual(t, owner.requests, sent)
+	})
+}
+
 func newFilter(t testing.TB, s *bramleytack.Snapshot) (*Filter, *ledger) {
 	t.Helper()
 	timers := bttimer.New(1)
--- a/internal/btbench/engine.go
+++ b/internal/btbench/engine.go
@@ -163,7 +163,7 @@
 func (e *engine) submit(r *bramleytack.Request, w bramleytack.Reply, rec *record) error {
 	now := e.sim.clock.now
 	id, err := e.core.Submit(now, bramleytack.GenerationRequest{
-		ID: r.ID, Model: r.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens,
+		ID: r.AttemptID(), Model: r.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens,
 		Priority: r.Priority.String(), Workspace: r.Workspace,
 	})
 	if err != nil {
--- a/owner.go
+++ b/owner.go
@@ -7,9 +7,10 @@
 
 // Reservation asks the owner of an upstream for capacity.
 type Reservation struct {
-	Grant     GrantID
-	Upstream  UpstreamID
-	Entry     HostID
+	Grant    GrantID
+	Upstream UpstreamID
+	Entry    HostID
+	// Request is the attempt's id, by which load reports name it.
 	Request   RequestID
 	Workspace WorkspaceID
 	Model     string
--- a/request.go
+++ b/request.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -109,6 +110,13 @@
 	return f
 }
 
+// AttemptID names the current attempt to upstreams and owners. Each attempt has
+// an id of its own, so that the answers and the load reports of two attempts
+// never mix.
+func (r *Request) AttemptID() RequestID {
+	return RequestID(fmt.Sprintf("%s.%d", r.ID, r.Attempt))
+}
+
 // PromptTokens estimates the tokens of the prompt at four bytes a token.
 func (r *Request) PromptTokens() int {
 	const bytesPerToken = 4
