Notice the end of an upstream's process by its closed connection

Cause: an idle upstream that restarts has no request whose failure would tell. Until the next report, up to 0.5 s and its lag, the owner granted places of a warm upstream to a cold one. Ruled out: a faster probe, whose cost grows with the upstreams; a look at the instance before each request, which costs a round trip. Change: the connection of the load reports tells when the other end closes it, and the owner grants no more than the base until a newer report. Measured: TestLost and the new case of btowner fail without the change. Conclusion: the window of an idle restart is one round trip in place of a probe.

--- a/btdaemon/path.go
+++ b/btdaemon/path.go
@@ -1,6 +1,8 @@
 package btdaemon
 
 import (
+	"net/netip"
+
 	"bramleytack"
 	"bramleytack/btclaim"
 	"bramleytack/btdispatch"
@@ -86,6 +88,16 @@
 	}
 }
 
+// upstreamLost is told that the process at an address may have ended. A new one
+// there is cold, and the next report is up to half a second away.
+func (d *Daemon) upstreamLost(addr netip.AddrPort) {
+	for id, u := range d.config.Snapshot().Upstreams {
+		if u.Addr == addr {
+			d.table.Doubt(id)
+		}
+	}
+}
+
 // room is told that an upstream may have room for one more request.
 func (d *Daemon) room(id bramleytack.UpstreamID) {
 	u, ok := d.snapshots.Snapshot().Upstreams[id]
--- a/btowner/table.go
+++ b/btowner/table.go
@@ -154,6 +154,12 @@
 	return t.with(id, func(u *Upstream) { u.Adopt(t.timer.Now(), list) })
 }
 
+// Doubt says that an upstream may have restarted. Until a newer report shows its
+// instance, it gets no more than a cold upstream.
+func (t *Table) Doubt(id bramleytack.UpstreamID) {
+	t.with(id, func(u *Upstream) { u.Doubt(t.timer.Now()) })
+}
+
 // Settle says that all that runs on the upstream is known.
 func (t *Table) Settle(id bramleytack.UpstreamID) { t.with(id, (*Upstream).Settle) }
 
--- a/btowner/upstream_test.go
+++ b/btowner/upstream_test.go
@@ -283,6 +283,17 @@
 		u.Report(start, bramleytack.LoadReport{At: start.Add(1), Instance: "b"})
 		assert.Equal(t, u.Digest(start).Limit, 1)
 	})
+	t.Run("in doubt a warm upstream gets what a cold one bears until a report", func(t *testing.T) {
+		u := newUpstream(4, 0)
+		u.record.ColdLimit = 2
+		u.ramp.Configure(btramp.Config{Cold: 2, Warm: 4})
+		assert.Equal(t, u.limit(start), 4)
+		u.Doubt(start)
+		assert.Equal(t, u.limit(start), 2)
+		later := start.Add(time.Second)
+		u.Report(later, bramleytack.LoadReport{At: later})
+		assert.Equal(t, u.limit(later), 4)
+	})
 	t.Run("after a failure no place is refilled before a report", func(t *testing.T) {
 		u := NewUpstream(Config{}, start, &bramleytack.Upstream{ColdLimit: 1, WarmLimit: 8})
 		u.Report(start, bramleytack.LoadReport{At: start, Instance: "a"})
--- a/btupstream/conn.go
+++ b/btupstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -38,3 +39,27 @@
 	}
 	return c.Conn.Read(p)
 }
+
+// pollConn tells when the other end closes the connection.
+type pollConn struct {
+	net.Conn
+	lost   func()
+	closed atomic.Bool
+	once   sync.Once
+}
+
+// Read reports the loss unless this end closed the connection. The transport
+// always reads, also between two reports.
+func (c *pollConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil && !c.closed.Load() {
+		c.once.Do(c.lost)
+	}
+	return n, err
+}
+
+// Close marks the connection as closed by this end.
+func (c *pollConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
--- a/btupstream/outcome_test.go
+++ b/btupstream/outcome_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -200,6 +201,32 @@
 
 func (noClose) Close() error { return nil }
 
+// Guards against an upstream whose process ended and that is still taken for
+// warm until the next load report, and against false alarms.
+func TestLost(t *testing.T) {
+	var lost atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "{}") }))
+	addr := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	done := make(chan netip.AddrPort, 1)
+	pool := NewPool(Options{Lost: func(a netip.AddrPort) {
+		lost.Add(1)
+		done <- a
+	}})
+	u := &bramleytack.Upstream{ID: "u", Kind: bramleytack.KindEngine, Addr: addr}
+	load := func() {
+		t.Helper()
+		_, err := bramleytack.LoadOf(t.Context(), pool, u)
+		assert.NilError(t, err)
+	}
+	load()
+	pool.Close()
+	load()
+	assert.Equal(t, lost.Load(), int32(0), "closing by this end counts as a loss")
+	s.CloseClientConnections()
+	assert.Equal(t, <-done, addr)
+	s.Close()
+}
+
 // brokenConn fails its first write after n bytes.
 type brokenConn struct {
 	net.Conn
--- a/btupstream/pool.go
+++ b/btupstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,10 @@
 	PollTimeout time.Duration
 	// MaxAnswer bounds the answer of a plain service in bytes.
 	MaxAnswer int64
+	// Lost is told when an upstream closes the connection over which its load
+	// reports are read, which it does at once when its process ends. It may be
+	// nil and must not block.
+	Lost func(addr netip.AddrPort)
 	// Dial replaces the TCP dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
@@ -59,7 +64,7 @@
 	p.poll = &http.Client{
 		Timeout: opts.PollTimeout,
 		Transport: &http.Transport{
-			DialContext:         opts.Dial,
+			DialContext:         p.dialPoll,
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     time.Minute,
 		},
@@ -97,6 +102,21 @@
 	return s, nil
 }
 
+// dialPoll opens a connection for load reports.
+func (p *Pool) dialPoll(ctx context.Context, network, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
+	defer cancel()
+	c, err := p.opts.Dial(ctx, network, addr)
+	if err != nil || p.opts.Lost == nil {
+		return c, err
+	}
+	target, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return c, nil
+	}
+	return &pollConn{Conn: c, lost: func() { p.opts.Lost(target) }}, nil
+}
+
 // Close closes the pooled connections.
 func (p *Pool) Close() {
 	p.poll.CloseIdleConnections()
