btfleet: use mutual TLS between daemons

Cause: the fleet ran with peerTLS.plain, so that no process test covered the links as they are deployed.

Ruled out: a switch between plain and TLS, which no test would need.

Change: each fleet has an authority of btcert and issues a certificate for each daemon.

The whole package was not run at this commit.

Conclusion: daemons form their cell over mutual TLS.

--- a/internal/btfleet/daemon.go
+++ b/internal/btfleet/daemon.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
 
+	"bramleytack"
 	"bramleytack/btidentity"
 )
 
@@ -28,18 +30,50 @@
 }
 
 type settingsTLS struct {
-	Plain bool `yaml:"plain"`
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"`
 }
 
 type settingsLimits struct {
 	MaxQueueTime string `yaml:"maxQueueTime"`
 }
 
+// certificateValidFor is longer than any run of a fleet.
+const certificateValidFor = 24 * time.Hour
+
+// certificate issues the certificate of a daemon and returns the files of its
+// mutual TLS.
+func (f *Fleet) certificate(host bramleytack.HostID) (settingsTLS, error) {
+	pair, err := f.authority.Issue(host, f.Timer.Now(), certificateValidFor)
+	if err != nil {
+		return settingsTLS{}, err
+	}
+	t := settingsTLS{
+		Certificate: filepath.Join(f.Dir, string(host)+".pem"),
+		Key:         filepath.Join(f.Dir, string(host)+"-key.pem"),
+		Authority:   filepath.Join(f.Dir, "authority.pem"),
+	}
+	for _, file := range []struct {
+		name string
+		data []byte
+	}{{t.Certificate, pair.Certificate}, {t.Key, pair.Key}, {t.Authority, f.authority.Pair.Certificate}} {
+		if err := os.WriteFile(file.name, file.data, 0o600); err != nil {
+			return settingsTLS{}, errors.Wrap(err, "btfleet: certificate")
+		}
+	}
+	return t, nil
+}
+
 // daemon plans a daemon and writes its settings.
 func (f *Fleet) daemon(i int) (*Process, error) {
 	d := domainOf(i)
 	name := fmt.Sprintf("%s-%d", d, i/len(Domains)+1)
 	p := f.process(name, RoleDaemon, d, f.block.daemon(hostDaemons+i), programDaemon)
+	files, err := f.certificate(bramleytack.HostID(name))
+	if err != nil {
+		return nil, err
+	}
 	data, err := yaml.Marshal(settings{
 		Host:              name,
 		Region:            Region,
@@ -49,7 +83,7 @@
 		AdminListen:       p.Addresses.Admin.String(),
 		PeerListen:        p.Addresses.Peer.String(),
 		Platform:          f.Platform.Addresses.Listen.String(),
-		PeerTLS:           settingsTLS{Plain: true},
+		PeerTLS:           files,
 		OperatorKeyHashes: []string{btidentity.HashKey(f.OperatorKey)},
 		Limits:            settingsLimits{MaxQueueTime: f.MaxQueueTime.String()},
 		EntriesValidFor:   f.EntriesValidFor.String(),
--- a/internal/btfleet/fleet.go
+++ b/internal/btfleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bramleytack"
+	"bramleytack/btcert"
 	"bramleytack/btdaemon"
 	"bramleytack/internal/btengine"
 	"bramleytack/internal/btservice"
@@ -44,10 +45,12 @@
 	Services []*Process
 	Daemons  []*Process
 
-	block    *block
-	launch   *launcher
-	versions map[bramleytack.Key]bramleytack.Revision
-	once     sync.Once
+	block  *block
+	launch *launcher
+	// authority signs the certificates of the links between daemons.
+	authority *btcert.Authority
+	versions  map[bramleytack.Key]bramleytack.Revision
+	once      sync.Once
 }
 
 // Start starts all processes and waits until they answer. The caller must call
@@ -61,7 +64,10 @@
 		Config: cfg.withDefaults(), Key: rand.Text(), OperatorKey: rand.Text(),
 		block: k, launch: newLauncher(), versions: map[bramleytack.Key]bramleytack.Revision{},
 	}
-	err = f.plan()
+	f.authority, err = btcert.NewAuthority(Region, f.Timer.Now(), certificateValidFor)
+	if err == nil {
+		err = f.plan()
+	}
 	if err == nil {
 		err = f.startAll(ctx)
 	}
