btidentity: refuse callers as isolated before the first configuration

Cause: a daemon that had started and had no configuration yet answered known callers with "unauthenticated", which clients do not repeat.

Ruled out: answering any unknown key so. After the first configuration, an unknown key stays "unauthenticated".

Change: at revision 0, a request with a key is refused as isolated and not run, which btclient repeats elsewhere.

--- a/btidentity/filter.go
+++ b/btidentity/filter.go
@@ -30,7 +30,12 @@
 // Handle sets the request's workspace, priority and deadline and clears its
 // credential.
 func (f *Filter) Handle(ctx context.Context, r *bramleytack.Request, w bramleytack.Reply, next bramleytack.Handler) error {
-	ws, ok := f.Snapshots.Snapshot().ByKeyHash[HashKey(r.Credential)]
+	snapshot := f.Snapshots.Snapshot()
+	ws, ok := snapshot.ByKeyHash[HashKey(r.Credential)]
+	if !ok && r.Credential != "" && snapshot.Revision == 0 {
+		// Without a configuration, no key can be told from an unknown one.
+		return bramleytack.NewError(bramleytack.CodeIsolated, bramleytack.NotRun, "configuration is not known yet")
+	}
 	if !ok || r.Credential == "" {
 		return bramleytack.NewError(bramleytack.CodeUnauthenticated, bramleytack.NotRun, "API key is missing or unknown")
 	}
