btfleet: run the fault tables beside each other

Cause: tables ran one after another, since only their cases were parallel.

Ruled out: fewer cases.

Change: the tables are parallel, still six fleets at a time.

The duration of the whole package has not been measured.

--- a/internal/btfleet/config_test.go
+++ b/internal/btfleet/config_test.go
@@ -179,6 +179,7 @@
 // Guards against changes that are lost, revert or come late when operators
 // race, the platform fails and a daemon dies.
 func TestConfigurationRace(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name string
 		kill bool
--- a/internal/btfleet/control_test.go
+++ b/internal/btfleet/control_test.go
@@ -47,6 +47,7 @@
 // Guards against a request that crashes one engine after another when its
 // caller resends it to all entries.
 func TestPoisonRequest(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name string
 		kill bool
@@ -140,6 +141,7 @@
 // Guards against two holders of a lease and against work that is lost while
 // the coordinator does not run.
 func TestCoordinatorFrozen(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name string
 		kill bool
@@ -180,6 +182,7 @@
 // Guards against a platform outage that ends serving, runs keyed calls without
 // a claim or overloads a cold engine.
 func TestPlatformAway(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name    string
 		restart bool
--- a/internal/btfleet/upstream_test.go
+++ b/internal/btfleet/upstream_test.go
@@ -98,6 +98,7 @@
 // Guards against engines that get more work after their start or an
 // unannounced switch to cold than they survive.
 func TestColdUpstreams(t *testing.T) {
+	t.Parallel()
 	runCold(t, []coldCase{
 		{"start", 1, func(*bench) {}},
 		{"cold", 80, func(b *bench) { b.faultAll(`{"cold":true}`) }},
@@ -108,6 +109,7 @@
 
 // Guards against engines that get more work after a restart than they survive.
 func TestColdAfterRestart(t *testing.T) {
+	t.Parallel()
 	restart := func(b *bench) { b.faultAll(`{"restart":true}`) }
 	runCold(t, []coldCase{
 		{"restart", 80, restart},
@@ -180,6 +182,7 @@
 // Guards against new work in a failure domain that is out of service, while the
 // platform's watches are silent and a daemon does not run for a time.
 func TestDomainOutSilentWatches(t *testing.T) {
+	t.Parallel()
 	const id = "qld-b"
 	for _, test := range []struct {
 		name   string
@@ -239,6 +242,7 @@
 // Guards against new work on an engine that leaves, and against streams that
 // its leaving cuts.
 func TestUpstreamLeaving(t *testing.T) {
+	t.Parallel()
 	const lag = 2 * time.Second
 	hostList := func(b *bench, p *btfleet.Process) error { return b.SetHostLeaving(b.t.Context(), p) }
 	report := func(b *bench, p *btfleet.Process) error {
