btremote: count grants that move while a view changes

Cause: three ways led to a reservation that the new owner of an upstream did not count. An Adopt that arrived before the owner installed its view was dropped; an Adopt to a restarted owner went into a dead link and was sent once; a grant was held only after the view had been compared, so that a view installed in between did not tell of it. The load report does not help, since it lists only what already runs. Ruled out: calls of a killed entry in the test, which end with the member. Change: early adoptions wait for the view, an Adopt is sent again for up to 1.5 s before the view is acknowledged, a grant is held before the comparison, and the owner's own grants are compared too. The installing of a view waits on a channel, and a slow write of btmemnet ends when its connection closes: a mutex held over either stops fake time. An Adopt that fails for longer than 1.5 s is still lost.

--- a/btremote/owners.go
+++ b/btremote/owners.go
@@ -22,7 +22,11 @@
 	reserveTimeout = 500 * time.Millisecond
 	// adoptTimeout bounds what a change of ownership may delay the
 	// acknowledgement of a view.
-	adoptTimeout = 500 * time.Millisecond
+	adoptTimeout = 1500 * time.Millisecond
+	// adoptRetry spaces the tries to reach an owner that has just restarted.
+	adoptRetry = 100 * time.Millisecond
+	// maxEarly bounds the adoptions that wait for a view.
+	maxEarly = 4096
 	// unownedRetry is the advice while an upstream has no owner: about the time
 	// to the next view.
 	unownedRetry = time.Second
@@ -39,6 +43,9 @@
 
 	mu   sync.Mutex
 	held map[bramleytack.GrantID]heldGrant
+	// early holds adoptions that arrived before this member installed the view
+	// that makes it the owner.
+	early map[bramleytack.GrantID]heldGrant
 }
 
 // heldGrant is a reservation that this entry uses.
@@ -73,10 +80,32 @@
 	if err != nil {
 		return g, err
 	}
+	// The grant is held before the view is looked at: a view that is installed
+	// in between is either seen here or its owner is told of the grant.
 	o.hold(r, g, asked)
+	if _, current := o.Cell.Owner(r.Upstream); g.ViewNumber < current {
+		o.giveUp(ctx, owner, r)
+		return bramleytack.Grant{}, bramleytack.NewError(bramleytack.CodeNoUpstream, bramleytack.NotRun, "grant is of an earlier view")
+	}
 	return g, nil
 }
 
+// giveUp ends a reservation at the owner that granted it and at the current one,
+// which may have adopted it.
+func (o *Owners) giveUp(ctx context.Context, owner bramleytack.HostID, r bramleytack.Reservation) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reserveTimeout)
+	defer cancel()
+	v := bramleytack.Release{Grant: r.Grant, Upstream: r.Upstream, Outcome: bramleytack.NotRun}
+	if current, _ := o.Cell.Owner(r.Upstream); current != owner {
+		if owner == o.Self {
+			_ = o.Table.Release(ctx, v)
+		} else {
+			_ = o.releaseAt(ctx, owner, v)
+		}
+	}
+	_ = o.Release(ctx, v)
+}
+
 // reserveAt asks the owner over its link.
 func (o *Owners) reserveAt(
 	ctx context.Context, owner bramleytack.HostID, view uint64, r bramleytack.Reservation, asked time.Time,
@@ -95,10 +124,6 @@
 		return bramleytack.Grant{}, decodeRefusal(reply.GetRefusal())
 	}
 	m := reply.GetGrant()
-	if _, current := o.Cell.Owner(r.Upstream); m.GetViewNumber() < current {
-		_ = o.releaseAt(ctx, owner, bramleytack.Release{Grant: r.Grant, Upstream: r.Upstream, Outcome: bramleytack.NotRun})
-		return bramleytack.Grant{}, bramleytack.NewError(bramleytack.CodeNoUpstream, bramleytack.NotRun, "grant is of an earlier view")
-	}
 	return bramleytack.Grant{
 		ID: r.Grant, Upstream: r.Upstream, Instance: bramleytack.InstanceID(m.GetInstance()),
 		ViewNumber: m.GetViewNumber(), ValidUntil: asked.Add(m.GetValidFor().AsDuration()),
@@ -146,6 +171,7 @@
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
 	now := o.Timer.Now()
+	o.adopt(o.takeEarly(now), now)
 	byOwner := map[bramleytack.HostID][]heldGrant{}
 	o.mu.Lock()
 	for _, h := range o.held {
@@ -173,7 +199,40 @@
 			Reserve: encodeReservation(h.reservation, 0, now), Instance: string(h.instance), Age: durationpb.New(now.Sub(h.asked)),
 		})
 	}
-	_, _ = btpeer.Call[btwire.Adopt, btwire.AdoptReply](ctx, o.Node, owner, m)
+	for {
+		call, cancel := context.WithTimeout(ctx, reserveTimeout)
+		_, err := btpeer.Call[btwire.Adopt, btwire.AdoptReply](call, o.Node, owner, m)
+		cancel()
+		if err == nil || o.Timer.Sleep(ctx, adoptRetry) != nil {
+			return
+		}
+	}
+}
+
+// takeEarly returns the early adoptions and forgets them.
+func (o *Owners) takeEarly(now time.Time) []heldGrant {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []heldGrant
+	for _, h := range o.early {
+		if now.Before(h.reservation.Deadline) {
+			list = append(list, h)
+		}
+	}
+	clear(o.early)
+	return list
+}
+
+// keepEarly keeps the adoptions of an upstream that is not owned here yet.
+func (o *Owners) keepEarly(h heldGrant) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.early == nil {
+		o.early = map[bramleytack.GrantID]heldGrant{}
+	}
+	if len(o.early) < maxEarly {
+		o.early[h.reservation.Grant] = h
+	}
 }
 
 func (o *Owners) adopt(list []heldGrant, now time.Time) {
@@ -231,6 +290,9 @@
 }
 
 func (o *Owners) handleRelease(ctx context.Context, _ bramleytack.HostID, m *btwire.Release) (*btwire.ReleaseReply, error) {
+	o.mu.Lock()
+	delete(o.early, bramleytack.GrantID(m.GetGrant()))
+	o.mu.Unlock()
 	err := o.Table.Release(ctx, bramleytack.Release{
 		Grant: bramleytack.GrantID(m.GetGrant()), Upstream: bramleytack.UpstreamID(m.GetUpstream()),
 		Outcome: bramleytack.ParseOutcome(m.GetOutcome()), Failed: m.GetFailed(), Tokens: int(m.GetTokens()),
@@ -245,10 +307,15 @@
 	for _, h := range m.GetReservations() {
 		r := decodeReservation(h.GetReserve(), now)
 		r.Entry = from
-		list = append(list, heldGrant{
+		held := heldGrant{
 			reservation: r, instance: bramleytack.InstanceID(h.GetInstance()),
 			asked: now.Add(-h.GetAge().AsDuration()),
-		})
+		}
+		if o.Table.Owns(r.Upstream) {
+			list = append(list, held)
+		} else {
+			o.keepEarly(held)
+		}
 	}
 	o.adopt(list, now)
 	return &btwire.AdoptReply{}, nil
--- a/btview/cell.go
+++ b/btview/cell.go
@@ -34,7 +34,7 @@
 	OnConfigRevision func(host bramleytack.HostID, r bramleytack.Revision)
 
 	// installing keeps installations and their callbacks in order.
-	installing sync.Mutex
+	installing chan struct{}
 
 	mu      sync.Mutex
 	member  member
@@ -153,14 +153,15 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.beat = make(chan struct{}, 1)
+		c.installing = make(chan struct{}, 1)
 		c.member.self = c.Self
 	})
 }
 
 // install takes a newer view, runs the callback and then acknowledges.
 func (c *Cell) install(v *View) {
-	c.installing.Lock()
-	defer c.installing.Unlock()
+	c.installing <- struct{}{}
+	defer func() { <-c.installing }()
 	c.mu.Lock()
 	old := c.member.view
 	ok := c.member.install(c.Timer.Now(), v)
--- a/internal/btmemnet/network.go
+++ b/internal/btmemnet/network.go
@@ -116,8 +116,8 @@
 
 func (n *Network) pipe(from, to netip.Addr) (here, there *conn) {
 	a, b := net.Pipe()
-	here = &conn{Conn: a, network: n, path: path{from, to}}
-	there = &conn{Conn: b, network: n, path: path{to, from}}
+	here = &conn{Conn: a, network: n, path: path{from, to}, closed: make(chan struct{})}
+	there = &conn{Conn: b, network: n, path: path{to, from}, closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.conns == nil {
@@ -133,6 +133,8 @@
 	network *Network
 	path    path
 	silent  bool
+	once    sync.Once
+	closed  chan struct{}
 }
 
 // Write delays or drops what the network's faults ask for.
@@ -146,13 +148,20 @@
 		return len(b), nil
 	}
 	if delay > 0 {
-		time.Sleep(delay)
+		t := time.NewTimer(delay)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-c.closed:
+			return 0, net.ErrClosed
+		}
 	}
 	return c.Conn.Write(b)
 }
 
 // Close closes this end. A silent connection does not tell the other end.
 func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
 	c.network.mu.Lock()
 	delete(c.network.conns, c)
 	c.network.mu.Unlock()
