--- /dev/null
+++ b/internal/btdocs/doc.go
@@ -0,0 +1,6 @@
+// Package btdocs checks that the documentation matches the tree.
+//
+// # Usage
+//
+//	go test ./internal/btdocs
+package btdocs
