Tell peers of a crash before the caller can resend, and wait for the configuration

Cause: (1) a caller that resends a poison request at once reached an entry before the report of the crash did, so a third engine crashed. (2) A daemon that had restarted refused callers who reached it by an older entry list. Ruled out: (1) asking all entries before each run, which costs a round trip per request; (2) not listening until the configuration is complete, which callers see as a failed entry.

--- a/btdaemon/cluster.go
+++ b/btdaemon/cluster.go
@@ -27,8 +27,9 @@
 	// storeFirst is how long a starting daemon waits for the store before it
 	// takes the configuration from a peer.
 	storeFirst = 2 * time.Second
-	// watchCheck is how often a member decides whether it watches the store.
-	watchCheck = 250 * time.Millisecond
+	// watchCheck is how often a member decides whether it watches the store and
+	// whether its configuration is complete.
+	watchCheck = 50 * time.Millisecond
 	// heartbeatLimit is the time without a heartbeat from which on a member
 	// watches the store itself: three heartbeats and a round trip.
 	heartbeatLimit = 2500 * time.Millisecond
@@ -246,6 +247,7 @@
 	}
 	if d.watcher.Synced() || d.loadFromPeer(ctx) {
 		d.loaded.Store(true)
+		close(d.complete)
 	}
 }
 
--- a/btdaemon/daemon.go
+++ b/btdaemon/daemon.go
@@ -64,15 +64,16 @@
 	started  time.Time
 	draining atomic.Bool
 	keyed    atomic.Bool
-	// loaded is set once the configuration is complete.
-	loaded atomic.Bool
-	wg     sync.WaitGroup
+	// loaded is set, and complete closed, once the configuration is complete.
+	loaded   atomic.Bool
+	complete chan struct{}
+	wg       sync.WaitGroup
 }
 
 // New returns a daemon that has not started.
 func New(s btsettings.Settings, log *btevent.Logger) (*Daemon, error) {
 	seed := seedOf(s.Host)
-	d := &Daemon{settings: s, log: log, timers: bttimer.New(seed), metrics: btmetric.New()}
+	d := &Daemon{settings: s, log: log, timers: bttimer.New(seed), metrics: btmetric.New(), complete: make(chan struct{})}
 	d.started = d.timers.Now()
 	store, err := btstore.New(btstore.Config{URL: "http://" + s.Platform.String(), Timer: d.timers, Seed: seed})
 	if err != nil {
--- a/btdaemon/path.go
+++ b/btdaemon/path.go
@@ -50,7 +50,7 @@
 	path := bramleytack.Chain(
 		dispatch,
 		&btmetric.Filter{Metrics: d.metrics, Timer: d.timers},
-		&btidentity.Filter{Snapshots: d.snapshots, Timer: d.timers, MaxTimeout: s.Limits.MaxTimeout, Loaded: d.loaded.Load},
+		&btidentity.Filter{Snapshots: d.snapshots, Timer: d.timers, MaxTimeout: s.Limits.MaxTimeout, Complete: d.complete},
 		&btclaim.Filter{
 			Snapshots: d.snapshots, Claims: &btclaim.Router{Count: claimShards, Owner: c.claims.Owner},
 			Entry: s.Host, Unrecorded: d.unrecorded,
@@ -65,7 +65,7 @@
 			Retry:         &btroute.Backoff{Timer: d.timers},
 			Granted:       d.queue.Granted,
 		},
-		&btquarantine.Detector{Table: d.suspects, Snapshots: d.snapshots, Upstreams: d.pool, Crashed: d.crashed},
+		&btquarantine.Detector{Table: d.suspects, Snapshots: d.snapshots, Upstreams: d.pool, Crashed: d.crashed, Flush: c.suspects.Flush},
 		&btquarantine.Track{Table: d.suspects},
 	)
 	d.front = &btfront.Front{
--- a/btidentity/filter.go
+++ b/btidentity/filter.go
@@ -18,8 +18,14 @@
 	DefaultMaxTimeout = 2 * time.Hour
 )
 
-// startRetry is the advice to callers of a daemon that is starting.
-const startRetry = time.Second
+const (
+	// startWait is how long a request waits for the configuration of a daemon
+	// that has just started. Callers reach it by an entry list from before its
+	// restart.
+	startWait = 5 * time.Second
+	// startRetry is the advice to callers after that.
+	startRetry = time.Second
+)
 
 // Filter implements bramleytack.Filter.
 type Filter struct {
@@ -28,17 +34,17 @@
 	// Timeout and MaxTimeout replace the defaults when positive.
 	Timeout    time.Duration
 	MaxTimeout time.Duration
-	// Loaded says whether the configuration is complete. A part of it could
+	// Complete is closed when the configuration is complete. A part of it could
 	// refuse a caller for good whose record is yet to come. Nil takes it as
 	// complete.
-	Loaded func() bool
+	Complete <-chan struct{}
 }
 
 // Handle sets the request's workspace, priority and deadline and clears its
 // credential.
 func (f *Filter) Handle(ctx context.Context, r *bramleytack.Request, w bramleytack.Reply, next bramleytack.Handler) error {
-	if f.Loaded != nil && !f.Loaded() {
-		return bramleytack.NewError(bramleytack.CodeStarting, bramleytack.NotRun, "configuration is loading").WithRetryAfter(startRetry)
+	if err := f.await(ctx); err != nil {
+		return err
 	}
 	ws, ok := f.Snapshots.Snapshot().ByKeyHash[HashKey(r.Credential)]
 	if !ok || r.Credential == "" {
@@ -56,6 +62,27 @@
 	return next.Handle(ctx, r, w)
 }
 
+// await returns when the configuration is complete.
+func (f *Filter) await(ctx context.Context) error {
+	if f.Complete == nil {
+		return nil
+	}
+	select {
+	case <-f.Complete:
+		return nil
+	default:
+	}
+	end := f.Timer.After(startWait)
+	defer end.Stop()
+	select {
+	case <-f.Complete:
+		return nil
+	case <-ctx.Done():
+	case <-end.C():
+	}
+	return bramleytack.NewError(bramleytack.CodeStarting, bramleytack.NotRun, "configuration is loading").WithRetryAfter(startRetry)
+}
+
 // limit sets the deadline within its bounds.
 func (f *Filter) limit(r *bramleytack.Request) {
 	timeout, longest := f.Timeout, f.MaxTimeout
--- a/btidentity/filter_test.go
+++ b/btidentity/filter_test.go
@@ -45,7 +45,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				timers := bttimer.New(1)
 				defer timers.Close()
-				f := &Filter{Snapshots: s, Timer: timers, Loaded: func() bool { return !c.starting }}
+				complete := make(chan struct{})
+				if !c.starting {
+					close(complete)
+				}
+				f := &Filter{Snapshots: s, Timer: timers, Complete: complete}
 				r := &bramleytack.Request{Credential: c.key, Priority: c.priority, Received: timers.Now()}
 				if c.timeout != 0 {
 					r.Deadline = timers.Now().Add(c.timeout)
@@ -69,3 +73,28 @@
 		})
 	}
 }
+
+// Guards against a restarted daemon that refuses the callers whose entry list
+// is from before its restart.
+func TestRequestsWaitForTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timers := bttimer.New(1)
+		defer timers.Close()
+		complete := make(chan struct{})
+		ws := &bramleytack.Workspace{Name: "w"}
+		s := fixed{&bramleytack.Snapshot{ByKeyHash: map[string]*bramleytack.Workspace{HashKey("key"): ws}}}
+		f := &Filter{Snapshots: s, Timer: timers, Complete: complete}
+		go func() {
+			time.Sleep(time.Second)
+			close(complete)
+		}()
+		r := &bramleytack.Request{Credential: "key", Received: timers.Now()}
+		ran := false
+		next := bramleytack.HandlerFunc(func(context.Context, *bramleytack.Request, bramleytack.Reply) error {
+			ran = true
+			return nil
+		})
+		assert.NilError(t, f.Handle(t.Context(), r, nil, next))
+		assert.Assert(t, ran)
+	})
+}
--- a/btquarantine/detector.go
+++ b/btquarantine/detector.go
@@ -21,6 +21,10 @@
 	Upstreams bramleytack.Upstreams
 	// Crashed is told of each crash. It may be nil.
 	Crashed func(u bramleytack.UpstreamID, i bramleytack.InstanceID, fps []bramleytack.Fingerprint)
+	// Flush returns when the peers know of the crash, or after a short time. It
+	// is called before the failure goes on to the caller, who may send the
+	// request to another entry at once. It may be nil.
+	Flush func(ctx context.Context)
 }
 
 // Handle implements bramleytack.Filter.
@@ -61,4 +65,7 @@
 	if d.Crashed != nil {
 		d.Crashed(u.ID, e.Instance, fps)
 	}
+	if d.Flush != nil {
+		d.Flush(ctx)
+	}
 }
--- a/btremote/suspects.go
+++ b/btremote/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"bramleytack"
@@ -28,13 +29,21 @@
 	Cell  *btview.Cell
 	Table *btquarantine.Table
 
-	queue chan btquarantine.Report
+	queue chan news
+}
+
+// news is a report to send, or a mark in the queue.
+type news struct {
+	report btquarantine.Report
+	// reached is closed when all earlier reports were sent. It is nil for a
+	// report.
+	reached chan struct{}
 }
 
 // Register makes the daemon take reports and decide single runs. It must be
 // called before Run.
 func (s *Suspects) Register(mux *btpeer.Mux) {
-	s.queue = make(chan btquarantine.Report, reportQueue)
+	s.queue = make(chan news, reportQueue)
 	btpeer.Handle(mux, s.handleReport)
 	btpeer.Handle(mux, s.handleRun)
 }
@@ -42,17 +51,36 @@
 // Notify queues a report for all peers.
 func (s *Suspects) Notify(r btquarantine.Report) {
 	select {
-	case s.queue <- r:
+	case s.queue <- news{report: r}:
 	default:
 	}
 }
 
+// Flush returns when the reports so far were sent to all peers that answer, or
+// when the context ends.
+func (s *Suspects) Flush(ctx context.Context) {
+	mark := news{reached: make(chan struct{})}
+	select {
+	case s.queue <- mark:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-mark.reached:
+	case <-ctx.Done():
+	}
+}
+
 // Run sends reports until the context ends.
 func (s *Suspects) Run(ctx context.Context) {
 	for {
 		select {
-		case r := <-s.queue:
-			s.send(ctx, encodeReport(r))
+		case n := <-s.queue:
+			if n.reached != nil {
+				close(n.reached)
+				continue
+			}
+			s.send(ctx, encodeReport(n.report))
 		case <-ctx.Done():
 			return
 		}
@@ -64,14 +92,18 @@
 	if v == nil {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var sent sync.WaitGroup
 	for _, member := range v.Members {
 		if member.Host == s.Self {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-		_, _ = btpeer.Call[btwire.QuarantineReport, btwire.QuarantineReportReply](ctx, s.Node, member.Host, m)
-		cancel()
+		sent.Go(func() {
+			_, _ = btpeer.Call[btwire.QuarantineReport, btwire.QuarantineReportReply](ctx, s.Node, member.Host, m)
+		})
 	}
+	sent.Wait()
 }
 
 // Arbitrate asks the member that decides about a suspect's single run. It is
