Answer peers for two seconds after leaving the cell

Cause: a daemon that had left its cell stopped at once. Calls of its peers that were on their way, such as begins of claims, got no answer, and their requests were refused and sent again. Ruled out: running a call on a second begin after a lost one, since the first might still take effect. Change: the daemon waits 2 s between leaving and stopping. A view push before Run no longer races with its set-up.

--- a/btdaemon/cluster.go
+++ b/btdaemon/cluster.go
@@ -21,6 +21,9 @@
 	claimShards = 8
 	// leaveTimeout bounds the giving up of roles at the end of a drain.
 	leaveTimeout = 15 * time.Second
+	// answerTime is how long a daemon that has left its cell goes on to answer
+	// the calls of its peers.
+	answerTime = 2 * time.Second
 	// hostReadsPerSecond is the rate at which the members of a cell together
 	// read the host list.
 	hostReadsPerSecond = 4
--- a/btdaemon/daemon.go
+++ b/btdaemon/daemon.go
@@ -228,6 +228,9 @@
 	ctx, cancel = context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	_ = d.cluster.cell.Leave(ctx)
+	// All members have the next view by now. What they asked of this daemon
+	// before may still be on its way.
+	_ = d.timers.Sleep(ctx, answerTime)
 }
 
 func (d *Daemon) watchFailed(kind string, err error) {
--- a/btview/cell.go
+++ b/btview/cell.go
@@ -160,6 +160,8 @@
 
 // install takes a newer view, runs the callback and then acknowledges.
 func (c *Cell) install(v *View) {
+	// A push may arrive before Run.
+	c.init()
 	c.installing <- struct{}{}
 	defer func() { <-c.installing }()
 	c.mu.Lock()
--- a/internal/btbench/measure/main.go
+++ b/internal/btbench/measure/main.go
@@ -1,11 +1,3 @@
-// Command measure compares all policies on both mixes.
-//
-// Usage:
-//
-//	measure [-quick] [-workers N] DIR
-//
-// It writes table.md, table.csv and plots into DIR. The last line of its
-// output is the ratio of ours to the best simple baseline.
 package main
 
 import (
