--- a/cmd/bramleytack/certificates.go
+++ b/cmd/bramleytack/certificates.go
@@ -20,12 +20,6 @@
 	hostValidity      = 90 * 24 * time.Hour
 )
 
-// Modes of the written files. Keys are for their owner only.
-const (
-	certificateMode = 0o644
-	keyMode         = 0o600
-)
-
 func (a *app) certificates() *ffcli.Command {
 	fs := a.flagSet("certificates")
 	dir := fs.String("dir", ".", "folder of the authority and of the new files")
@@ -48,7 +42,7 @@
 			if err != nil {
 				return err
 			}
-			if err := writePair(*dir, h, pair); err != nil {
+			if err := pair.Write(*dir, h); err != nil {
 				return err
 			}
 		}
@@ -60,29 +54,18 @@
 func (a *app) authority(dir string) (*btcert.Authority, error) {
 	var p btcert.Pair
 	var err error
-	if p.Certificate, err = os.ReadFile(certificateFile(dir, "authority")); errors.Is(err, os.ErrNotExist) {
+	if p.Certificate, err = os.ReadFile(btcert.CertificateFile(dir, btcert.AuthorityName)); errors.Is(err, os.ErrNotExist) {
 		authority, err := btcert.NewAuthority(filepath.Base(dir), a.timer.Now(), authorityValidity)
 		if err != nil {
 			return nil, err
 		}
-		return authority, writePair(dir, "authority", authority.Pair)
+		return authority, authority.Pair.Write(dir, btcert.AuthorityName)
 	}
 	if err == nil {
-		p.Key, err = os.ReadFile(keyFile(dir, "authority"))
+		p.Key, err = os.ReadFile(btcert.KeyFile(dir, btcert.AuthorityName))
 	}
 	if err != nil {
 		return nil, errors.Wrap(err, "certificates: authority")
 	}
 	return btcert.ParseAuthority(p)
 }
-
-func writePair(dir, name string, p btcert.Pair) error {
-	if err := os.WriteFile(keyFile(dir, name), p.Key, keyMode); err != nil {
-		return errors.Wrap(err, "certificates: key")
-	}
-	return errors.Wrap(os.WriteFile(certificateFile(dir, name), p.Certificate, certificateMode), "certificates: certificate")
-}
-
-func certificateFile(dir, name string) string { return filepath.Join(dir, name+".pem") }
-
-func keyFile(dir, name string) string { return filepath.Join(dir, name+"-key.pem") }
--- a/internal/btfleet/daemon.go
+++ b/internal/btfleet/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/goccy/go-yaml"
 
 	"bramleytack"
+	"bramleytack/btcert"
 	"bramleytack/btidentity"
 )
 
@@ -50,19 +51,11 @@
 		return settingsTLS{}, err
 	}
 	t := settingsTLS{
-		Certificate: filepath.Join(f.Dir, string(host)+".pem"),
-		Key:         filepath.Join(f.Dir, string(host)+"-key.pem"),
-		Authority:   filepath.Join(f.Dir, "authority.pem"),
+		Certificate: btcert.CertificateFile(f.Dir, string(host)),
+		Key:         btcert.KeyFile(f.Dir, string(host)),
+		Authority:   btcert.CertificateFile(f.Dir, btcert.AuthorityName),
 	}
-	for _, file := range []struct {
-		name string
-		data []byte
-	}{{t.Certificate, pair.Certificate}, {t.Key, pair.Key}, {t.Authority, f.authority.Pair.Certificate}} {
-		if err := os.WriteFile(file.name, file.data, 0o600); err != nil {
-			return settingsTLS{}, errors.Wrap(err, "btfleet: certificate")
-		}
-	}
-	return t, nil
+	return t, pair.Write(f.Dir, string(host))
 }
 
 // daemon plans a daemon and writes its settings.
--- a/internal/btfleet/fleet.go
+++ b/internal/btfleet/fleet.go
@@ -65,6 +65,9 @@
 		block: k, launch: newLauncher(), versions: map[bramleytack.Key]bramleytack.Revision{},
 	}
 	f.authority, err = btcert.NewAuthority(Region, f.Timer.Now(), certificateValidFor)
+	if err == nil {
+		err = f.authority.Pair.Write(f.Dir, btcert.AuthorityName)
+	}
 	if err == nil {
 		err = f.plan()
 	}
