btfleet: freeze and kill a daemon that serves requests

All 32 streams were complete. Ruled out: a fault of the product, since nothing had been disturbed. Change: the tests take the daemon with the most reservations in use; the check that streams were cut stays.

--- a/internal/btfleet/fleet_test.go
+++ b/internal/btfleet/fleet_test.go
@@ -129,12 +129,39 @@
 // stream dies.
 func TestEntryKilled(t *testing.T) {
 	b := start(t, btfleet.Config{Engines: 6})
-	kill := func() { b.check(b.daemon().Kill()) }
+	kill := func() { b.check(b.awaitServing().Kill()) }
 	r := b.run(b.load(150, map[int]func(){*streams / 3: kill, *streams / 2: kill}))
 	assert.Assert(t, r.Streams.Repeats > 0, "no stream was cut")
 	assert.NilError(t, r.AllComplete())
 }
 
+// awaitServing waits until a daemon serves requests and returns the one with the
+// most. A random daemon may serve none of them.
+func (b *bench) awaitServing() *btfleet.Process {
+	b.t.Helper()
+	const tries = 100
+	for range tries {
+		var best *btfleet.Process
+		most := 0
+		for _, p := range b.Daemons {
+			if !p.Running() {
+				continue
+			}
+			n, err := b.Held(b.t.Context(), p)
+			b.check(err)
+			if n > most {
+				best, most = p, n
+			}
+		}
+		if best != nil {
+			return best
+		}
+		b.check(b.Timer.Sleep(b.t.Context(), 50*time.Millisecond))
+	}
+	b.t.Fatal("no daemon serves a request")
+	return nil
+}
+
 // awaitBusiest waits until an engine works on generations that have begun. The
 // streams of a load run in step, and load reports lag by 0.25 s.
 func (b *bench) awaitBusiest(tokens int) *btfleet.Process {
@@ -285,12 +312,12 @@
 // when it continues after a pause.
 func TestDaemonFrozen(t *testing.T) {
 	b := start(t, btfleet.Config{Engines: 6})
-	p := b.daemon()
 	// The callers go elsewhere after 2 s of silence. The generations still run
 	// when the daemon continues and finds its callers gone.
 	const silence = 2 * time.Second
 	interrupt := func() {
 		b.check(b.Timer.Sleep(t.Context(), silence/4))
+		p := b.awaitServing()
 		b.check(p.Freeze())
 		b.check(b.Timer.Sleep(t.Context(), silence+silence/4))
 		b.check(p.Continue())
--- a/internal/btfleet/state.go
+++ b/internal/btfleet/state.go
@@ -28,6 +28,17 @@
 	return d.Lease, err
 }
 
+// Held returns the number of reservations that a daemon's requests use.
+func (f *Fleet) Held(ctx context.Context, p *Process) (int, error) {
+	var d struct {
+		Status struct {
+			Held int `json:"held"`
+		} `json:"status"`
+	}
+	err := get(ctx, *p.Addresses.Admin, "/debug/state?part=status", &d)
+	return d.Status.Held, err
+}
+
 // Coordinator returns the daemon that holds the lease of the cell. The daemons
 // given are not asked, since a frozen process does not answer.
 func (f *Fleet) Coordinator(ctx context.Context, except ...*Process) (*Process, error) {
