Say once which statuses can be a typed rejection

Cause: reading the whole change again showed the check of the two statuses twice in btupstream, once through a needless alias, and a JSON answer that took its time from the wall clock while the event stream takes the request's. Ruled out: changes of behaviour; the created time is now the request's receipt in both shapes, and nothing else differs. Change: mayReject in btupstream; btfront uses Request.Received. Conclusion: one check and one clock.

--- a/btfront/reply.go
+++ b/btfront/reply.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -72,7 +71,7 @@
 	return json.NewEncoder(c.w).Encode(chatAnswer{
 		ID:      "chatcmpl-" + string(c.req.ID),
 		Object:  "chat.completion",
-		Created: time.Now().Unix(),
+		Created: c.req.Received.Unix(),
 		Model:   c.opening.Model,
 		Choices: []chatChoice{{
 			Message:      chatAnswerPart{Role: "assistant", Content: c.text.String()},
--- a/btupstream/rejection.go
+++ b/btupstream/rejection.go
@@ -22,13 +22,17 @@
 	Reason string `json:"reason"`
 }
 
+// mayReject says whether an answer with the status can be a typed rejection.
+func mayReject(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // rejected turns an answer that is no success into an error. Only a typed
 // rejection is NotRun.
 func rejected(resp *http.Response) *bramleytack.Error {
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxRejectionBytes))
 	var r rejection
-	typed := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
-	if typed && json.Unmarshal(body, &r) == nil && r.NotRun {
+	if mayReject(resp.StatusCode) && json.Unmarshal(body, &r) == nil && r.NotRun {
 		return bramleytack.NewError(bramleytack.CodeOverloaded, bramleytack.NotRun, "upstream rejected the request: %s", r.Reason).
 			WithRetryAfter(retryAfter(resp.Header))
 	}
--- a/btupstream/service.go
+++ b/btupstream/service.go
@@ -45,8 +45,8 @@
 		return nil, failed(ctx, err, x.outcome())
 	}
 	defer drain(resp.Body)
-	if e := rejected; resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable {
-		return nil, e(resp)
+	if mayReject(resp.StatusCode) {
+		return nil, rejected(resp)
 	}
 	return s.answer(ctx, c, resp)
 }
