--- a/btevent/event_test.go
+++ b/btevent/event_test.go
@@ -36,6 +36,9 @@
 	var logged strings.Builder
 	files, err := filepath.Glob("../btdaemon/*.go")
 	assert.NilError(t, err)
+	more, err := filepath.Glob("../internal/*/*/*.go")
+	assert.NilError(t, err)
+	files = append(files, more...)
 	for _, f := range files {
 		text, err := os.ReadFile(f)
 		assert.NilError(t, err)
--- /dev/null
+++ b/cmd/bramleytack-fleet/main.go
@@ -0,0 +1,87 @@
+// Command bramleytack-fleet runs one daemon on the users' platform.
+//
+// Usage:
+//
+//	bramleytack-fleet            runs until a termination signal
+//	bramleytack-fleet check      checks the settings and exits
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"bramleytack"
+	"bramleytack/internal/node/btnode"
+	"bramleytack/internal/upstream/btconn"
+	"bramleytack/platform"
+)
+
+// The exit statuses.
+const (
+	exitOK = iota
+	exitFailed
+	exitUsage
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	// A host has one core; more threads only take turns.
+	runtime.GOMAXPROCS(1)
+	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		report(err)
+		return exitUsage
+	}
+	if len(args) > 0 && args[0] == "check" {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	store := platform.NewStore(s.Store)
+	node := btnode.New(s, btnode.Adapter{
+		Feed: store, Registry: store, Codec: platform.Codec{}, Dialect: platform.Dialect(),
+		Mover:   func(pool *btconn.Pool) bramleytack.EngineMover { return &platform.Engines{Pool: pool} },
+		HashKey: platform.HashKey, EncodeAddrs: platform.EncodeAddrs, Calls: store.Calls,
+	}, os.Stdout)
+	reload := &reloader{node: node, signals: make(chan os.Signal, 1)}
+	signal.Notify(reload.signals, syscall.SIGHUP)
+	go reload.run()
+	if err := node.Run(ctx); err != nil {
+		report(err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// reloader reads the settings again on a signal.
+type reloader struct {
+	node    *btnode.Node
+	signals chan os.Signal
+}
+
+func (r *reloader) run() {
+	for range r.signals {
+		s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+		r.node.Reload(s, err)
+	}
+}
+
+// report prints an error, or each finding on a line of its own.
+func report(err error) {
+	var found bramleytack.Findings
+	if errors.As(err, &found) {
+		for _, f := range found {
+			fmt.Fprintln(os.Stderr, f)
+		}
+		return
+	}
+	fmt.Fprintln(os.Stderr, "bramleytack-fleet:", err)
+}
--- /dev/null
+++ b/internal/fleet/btgossip/node.go
@@ -0,0 +1,257 @@
+package btgossip
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bramleytack"
+	"bramleytack/btevent"
+	"bramleytack/internal/fleet/btreplica"
+	"bramleytack/internal/route/btaccount"
+)
+
+const (
+	// period is the time between two digests. Loads are worth little once they
+	// are older than a prompt takes to read.
+	period = 200 * time.Millisecond
+	// fanout is the number of daemons that get each digest.
+	fanout = 7
+	// maxPacket keeps datagrams within one frame.
+	maxPacket = 1400
+	// membersPerDigest bounds the members in a digest.
+	membersPerDigest = 16
+	// watchers is the number of daemons that follow the store for all.
+	watchers = 3
+	// settle is how long a daemon follows the store itself after its start, when
+	// it cannot know the others yet.
+	settle = 3 * time.Second
+	// seedEvery is the number of periods between digests to silent addresses.
+	seedEvery = 5
+	// receiveBuffer holds the largest datagram.
+	receiveBuffer = 64 << 10
+)
+
+// Self is what a daemon tells of itself.
+type Self struct {
+	Host          bramleytack.HostID
+	Addr          netip.Addr
+	FailureDomain bramleytack.FailureDomainID
+	// Port is the peer port, the same at all daemons.
+	Port uint16
+	// Incarnation is the start of this process in Unix milliseconds.
+	Incarnation uint64
+}
+
+// Node is one daemon's part in the exchange.
+type Node struct {
+	Self     Self
+	Table    *btreplica.Table
+	Accounts *btaccount.Table
+	Contact  *btreplica.Contact
+	Timer    bramleytack.Timer
+	Log      *btevent.Logger
+	// Ready and Leaving are told to the other daemons.
+	Ready   func() bool
+	Leaving func() bool
+	// Seeds are addresses of daemons that may be down.
+	Seeds []netip.Addr
+	// Known returns more addresses of daemons.
+	Known func() []netip.Addr
+
+	members members
+	beat    atomic.Uint64
+	started time.Time
+	conn    net.PacketConn
+	pulling atomic.Bool
+	pulls   chan pull
+	nudge   chan struct{}
+	round   int
+}
+
+// Run exchanges digests until the context ends.
+func (n *Node) Run(ctx context.Context, conn net.PacketConn, l net.Listener) {
+	n.started = n.Timer.Now()
+	n.conn = conn
+	n.pulls = make(chan pull, len(kinds))
+	n.nudge = make(chan struct{}, 1)
+	n.Table.Listen(n.push)
+	context.AfterFunc(ctx, func() { conn.Close(); l.Close() })
+	go (&receiver{n}).run(ctx)
+	go (&puller{n}).run(ctx)
+	go (&server{n}).run(ctx, l)
+	n.loop(ctx)
+}
+
+// loop sends a digest each period.
+func (n *Node) loop(ctx context.Context) {
+	tick := n.Timer.Every(period, period/10)
+	defer tick.Stop()
+	for {
+		n.send()
+		select {
+		case <-tick.C():
+		case <-n.nudge:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Nudge sends a digest now.
+func (n *Node) Nudge() {
+	select {
+	case n.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Alive returns the other daemons that are alive.
+func (n *Node) Alive() []Peer {
+	now := n.Timer.Now()
+	var alive []Peer
+	for _, p := range n.members.list(now) {
+		if p.alive(now) {
+			alive = append(alive, p)
+		}
+	}
+	return alive
+}
+
+// Count returns the number of daemons alive, this one included.
+func (n *Node) Count() int { return len(n.Alive()) + 1 }
+
+// Distrust forgets what is believed of other daemons, after a suspension.
+func (n *Node) Distrust() { n.members.distrust(n.Timer.Now()) }
+
+// Follows says whether this daemon should follow the store. A few daemons do it
+// for all; those that cannot reach the store do not count.
+func (n *Node) Follows() bool {
+	if n.Timer.Now().Sub(n.started) < settle {
+		return true
+	}
+	better := 0
+	mine := rank(n.Self.Host)
+	for _, p := range n.Alive() {
+		if !p.StoreDown && !p.Leaving && rank(p.Host) < mine {
+			better++
+		}
+	}
+	return better < watchers
+}
+
+func rank(h bramleytack.HostID) uint64 {
+	f := fnv.New64a()
+	_, _ = f.Write([]byte(h))
+	return f.Sum64()
+}
+
+// send tells a few daemons what this one knows.
+func (n *Node) send() {
+	n.beat.Add(1)
+	n.round++
+	peers := n.members.list(n.Timer.Now())
+	data := n.encode(&Packet{Digest: n.digest(peers)})
+	for _, a := range n.targets(peers) {
+		n.write(data, a)
+	}
+}
+
+func (n *Node) encode(p *Packet) []byte {
+	p.Host, p.Incarnation = string(n.Self.Host), n.Self.Incarnation
+	data, err := proto.Marshal(p)
+	if err != nil {
+		n.Log.Event(btevent.PeerPacketDropped).Err(err).Send()
+	}
+	return data
+}
+
+func (n *Node) write(data []byte, a netip.Addr) {
+	// A lost datagram is made good by the next digest.
+	_, _ = n.conn.WriteTo(data, net.UDPAddrFromAddrPort(netip.AddrPortFrom(a, n.Self.Port)))
+}
+
+// targets returns the addresses that get the digest: a few daemons that are
+// alive, and at times those that are not.
+func (n *Node) targets(peers []Peer) []netip.Addr {
+	now := n.Timer.Now()
+	var alive, silent []netip.Addr
+	seen := map[netip.Addr]bool{n.Self.Addr: true}
+	for _, p := range peers {
+		seen[p.Addr] = true
+		if p.alive(now) {
+			alive = append(alive, p.Addr)
+		} else {
+			silent = append(silent, p.Addr)
+		}
+	}
+	for _, a := range n.Seeds {
+		if !seen[a] {
+			seen[a] = true
+			silent = append(silent, a)
+		}
+	}
+	if n.Known != nil {
+		for _, a := range n.Known() {
+			if !seen[a] {
+				seen[a] = true
+				silent = append(silent, a)
+			}
+		}
+	}
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	alive = alive[:min(len(alive), fanout)]
+	if len(alive) == 0 || n.round%seedEvery == 0 {
+		rand.Shuffle(len(silent), func(i, j int) { silent[i], silent[j] = silent[j], silent[i] })
+		alive = append(alive, silent[:min(len(silent), fanout)]...)
+	}
+	return alive
+}
+
+func (n *Node) self() *Member {
+	a := n.Self.Addr.As4()
+	return &Member{
+		Host: string(n.Self.Host), Address: a[:], Incarnation: n.Self.Incarnation, Beat: n.beat.Load(),
+		Ready: n.Ready(), Leaving: n.Leaving(), StoreDown: n.Contact.Down(), FailureDomain: string(n.Self.FailureDomain),
+	}
+}
+
+func (n *Node) digest(peers []Peer) *Digest {
+	d := &Digest{Members: []*Member{n.self()}}
+	now := n.Timer.Now()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers {
+		if len(d.Members) >= membersPerDigest {
+			break
+		}
+		if !p.alive(now) {
+			continue
+		}
+		a := p.Addr.As4()
+		d.Members = append(d.Members, &Member{
+			Host: string(p.Host), Address: a[:], Incarnation: p.Incarnation, Beat: p.Beat,
+			Ready: p.Ready, Leaving: p.Leaving, StoreDown: p.StoreDown, FailureDomain: string(p.FailureDomain),
+		})
+	}
+	for _, kind := range kinds {
+		d.Kinds = append(d.Kinds, &KindRevision{Kind: kind, Content: uint64(n.Table.Content(kind))})
+	}
+	for id, l := range n.Accounts.Own() {
+		d.Loads = append(d.Loads, &UpstreamLoad{
+			Upstream: string(id), Running: count(l.Running), UnreadTokens: count(l.Unread),
+			MemoryTokens: count(l.Memory), CopyTokens: count(l.Copies),
+		})
+	}
+	return d
+}
+
+func count(n int) uint32 { return uint32(max(n, 0)) }
+
+// kinds are the kinds that daemons learn from each other.
+var kinds = []string{bramleytack.KindConfig, bramleytack.KindUpstreams, bramleytack.KindOutages}
--- /dev/null
+++ b/internal/fleet/btgossip/receiver.go
@@ -0,0 +1,124 @@
+package btgossip
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"google.golang.org/protobuf/proto"
+
+	"bramleytack"
+	"bramleytack/btevent"
+	"bramleytack/internal/fleet/btreplica"
+	"bramleytack/internal/route/btaccount"
+)
+
+// receiver reads datagrams.
+type receiver struct{ n *Node }
+
+func (r *receiver) run(ctx context.Context) {
+	buf := make([]byte, receiveBuffer)
+	for {
+		size, from, err := r.n.conn.ReadFrom(buf)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			r.n.Log.Event(btevent.PeerPacketDropped).Err(err).Send()
+			if r.n.Timer.Sleep(ctx, period) != nil {
+				return
+			}
+			continue
+		}
+		var p Packet
+		if err := proto.Unmarshal(buf[:size], &p); err != nil {
+			r.n.Log.Event(btevent.PeerPacketDropped).Stringer("from", from).Err(err).Send()
+			continue
+		}
+		if bramleytack.HostID(p.Host) != r.n.Self.Host {
+			r.take(&p, from)
+		}
+	}
+}
+
+func (r *receiver) take(p *Packet, from net.Addr) {
+	var sender netip.Addr
+	if u, ok := from.(*net.UDPAddr); ok {
+		sender = u.AddrPort().Addr().Unmap()
+	}
+	if d := p.Digest; d != nil {
+		r.takeDigest(p, d, sender)
+	}
+	if p.Batch != nil && !r.n.Table.Apply(p.Batch.decode()) {
+		r.n.pull(sender, p.Batch.Kind)
+	}
+}
+
+func (r *receiver) takeDigest(p *Packet, d *Digest, sender netip.Addr) {
+	n := r.n
+	now := n.Timer.Now()
+	for _, m := range d.Members {
+		if bramleytack.HostID(m.Host) == n.Self.Host {
+			continue
+		}
+		addr, ok := netip.AddrFromSlice(m.Address)
+		if !ok {
+			continue
+		}
+		peer := Peer{
+			Host: bramleytack.HostID(m.Host), Addr: addr, FailureDomain: bramleytack.FailureDomainID(m.FailureDomain),
+			Incarnation: m.Incarnation, Beat: m.Beat, Ready: m.Ready, Leaving: m.Leaving, StoreDown: m.StoreDown,
+		}
+		if n.members.merge(peer, m.Host == p.Host, now) {
+			n.Log.Event(btevent.PeerSeen).Str("peer", m.Host).Stringer("addr", addr).Uint64("incarnation", m.Incarnation).Send()
+		}
+	}
+	for _, k := range d.Kinds {
+		if bramleytack.Revision(k.Content) > n.Table.Upto(k.Kind) {
+			n.pull(sender, k.Kind)
+		}
+	}
+	loads := make(map[bramleytack.UpstreamID]btaccount.Load, len(d.Loads))
+	for _, l := range d.Loads {
+		loads[bramleytack.UpstreamID(l.Upstream)] = btaccount.Load{
+			Running: int(l.Running), Unread: int(l.UnreadTokens), Memory: int(l.MemoryTokens), Copies: int(l.CopyTokens),
+		}
+	}
+	n.Accounts.SetPeer(bramleytack.HostID(p.Host), loads)
+}
+
+// push sends changes that came from the store to all daemons alive.
+func (n *Node) push(b btreplica.Batch) {
+	if !b.FromStore || b.Full || len(b.Objects) == 0 {
+		return
+	}
+	data := n.encode(&Packet{Batch: encodeBatch(b)})
+	if len(data) > maxPacket {
+		n.Nudge()
+		return
+	}
+	for _, p := range n.Alive() {
+		n.write(data, p.Addr)
+	}
+}
+
+func encodeBatch(b btreplica.Batch) *ObjectBatch {
+	out := &ObjectBatch{Kind: b.Kind, Full: b.Full, Base: uint64(b.Base), Upto: uint64(b.Upto), AfterOutage: b.AfterOutage}
+	for _, o := range b.Objects {
+		out.Objects = append(out.Objects, &StoredObject{Name: o.Name, Version: uint64(o.Version), Deleted: o.Deleted, Data: o.Data})
+	}
+	return out
+}
+
+func (b *ObjectBatch) decode() btreplica.Batch {
+	out := btreplica.Batch{
+		Kind: b.Kind, Full: b.Full, Base: bramleytack.Revision(b.Base), Upto: bramleytack.Revision(b.Upto), AfterOutage: b.AfterOutage,
+	}
+	for _, o := range b.Objects {
+		out.Objects = append(out.Objects, bramleytack.Object{
+			Key:     bramleytack.Key{Kind: b.Kind, Name: o.Name},
+			Version: bramleytack.Revision(o.Version), Deleted: o.Deleted, Data: o.Data,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/btreplica/contact.go
@@ -0,0 +1,51 @@
+package btreplica
+
+import (
+	"sync"
+	"time"
+
+	"bramleytack/btevent"
+)
+
+// Contact is what a daemon knows about its path to the store.
+type Contact struct {
+	mu sync.Mutex
+	// lastAnswer and lastFailure are the times of the latest calls.
+	lastAnswer  time.Time
+	lastFailure time.Time
+	down        bool
+}
+
+func (c *Contact) answered(log *btevent.Logger, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastAnswer = now
+	if c.down {
+		c.down = false
+		log.Event(btevent.StoreRegained).Dur("away", now.Sub(c.lastFailure)).Send()
+	}
+}
+
+func (c *Contact) failed(log *btevent.Logger, now time.Time, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastFailure = now
+	if !c.down {
+		c.down = true
+		log.Event(btevent.StoreDown).Err(err).Send()
+	}
+}
+
+// Down says whether the latest call failed.
+func (c *Contact) Down() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down
+}
+
+// Disturbed says whether the store failed within the last few seconds.
+func (c *Contact) Disturbed(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down || !c.lastFailure.IsZero() && now.Sub(c.lastFailure) < outageEcho
+}
--- /dev/null
+++ b/internal/fleet/btreplica/watcher.go
@@ -0,0 +1,98 @@
+package btreplica
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bramleytack"
+	"bramleytack/btevent"
+)
+
+const (
+	// watchWait is the length of a long poll. A watch that went silent is
+	// noticed a second after it.
+	watchWait = 4 * time.Second
+	// firstPause and maxPause bound the pause after a failed call. Each call
+	// counts against the store's rate, also a refused one.
+	firstPause = 100 * time.Millisecond
+	maxPause   = 800 * time.Millisecond
+	// outageEcho is how long after an outage missing registrations may return.
+	outageEcho = 3 * time.Second
+)
+
+// Watcher follows one kind of objects in the store.
+type Watcher struct {
+	Feed  bramleytack.Feed
+	Table *Table
+	Timer bramleytack.Timer
+	Log   *btevent.Logger
+	Kind  string
+	// Active says whether this daemon should ask the store now. Nil means
+	// always.
+	Active func() bool
+	// Contact is told of each answer and each failure of the store.
+	Contact *Contact
+	// Kick ends the pause after a failure early.
+	Kick <-chan struct{}
+}
+
+// Run follows the kind until the context ends.
+func (w *Watcher) Run(ctx context.Context) { w.loop(ctx) }
+
+func (w *Watcher) loop(ctx context.Context) {
+	pause := firstPause
+	relist := true
+	for ctx.Err() == nil {
+		if w.Active != nil && !w.Active() {
+			w.sleep(ctx, firstPause)
+			continue
+		}
+		err := w.step(ctx, relist)
+		switch {
+		case err == nil:
+			relist = false
+			pause = firstPause
+			w.Contact.answered(w.Log, w.Timer.Now())
+		case errors.Is(err, bramleytack.ErrHistoryGone):
+			relist = true
+			w.Log.Event(btevent.HistoryGone).Str("kind", w.Kind).Uint64("revision", uint64(w.Table.Upto(w.Kind))).Send()
+		case ctx.Err() != nil:
+			return
+		default:
+			w.Contact.failed(w.Log, w.Timer.Now(), err)
+			w.sleep(ctx, pause+rand.N(pause))
+			pause = min(2*pause, maxPause)
+		}
+	}
+}
+
+func (w *Watcher) step(ctx context.Context, relist bool) error {
+	base := w.Table.Upto(w.Kind)
+	if relist || base == 0 {
+		objects, upto, err := w.Feed.List(ctx, w.Kind)
+		if err != nil {
+			return err
+		}
+		w.Table.Apply(Batch{Kind: w.Kind, Full: true, Upto: upto, Objects: objects, FromStore: true, AfterOutage: w.Contact.Disturbed(w.Timer.Now())})
+		return nil
+	}
+	objects, upto, err := w.Feed.Changes(ctx, w.Kind, base, watchWait)
+	if err != nil {
+		return err
+	}
+	w.Table.Apply(Batch{Kind: w.Kind, Base: base, Upto: upto, Objects: objects, FromStore: true, AfterOutage: w.Contact.Disturbed(w.Timer.Now())})
+	return nil
+}
+
+func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
+	a := w.Timer.After(d)
+	defer a.Stop()
+	select {
+	case <-a.C():
+	case <-w.Kick:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/route/btaccount/account.go
@@ -0,0 +1,173 @@
+package btaccount
+
+import (
+	"sync"
+	"time"
+
+	"bramleytack"
+)
+
+const (
+	// failureWeight is the share of the newest outcome in the failure average.
+	failureWeight = 0.2
+	// ejectAbove is the failure average above which an upstream is ejected if it
+	// also exceeds its peers' by ejectMargin.
+	ejectAbove  = 0.3
+	ejectMargin = 0.2
+	// ejectFor is the first ejection; repeated ones double up to ejectMost.
+	ejectFor  = time.Second
+	ejectMost = 8 * time.Second
+	// unreachableFor keeps work from an upstream that refused a connection.
+	unreachableFor = 300 * time.Millisecond
+	// loadFresh is how long a load header counts.
+	loadFresh = 300 * time.Millisecond
+	// peerFresh is how long a peer's report counts.
+	peerFresh = time.Second
+)
+
+// Outcome is how an attempt at an upstream ended, as far as its health goes.
+type Outcome uint8
+
+// The outcomes of attempts.
+const (
+	// Served attempts ended with a response.
+	Served Outcome = iota
+	// Refused attempts were turned away unexecuted.
+	Refused
+	// Failed attempts ended with an error or a response that cannot be used.
+	Failed
+	// Unreachable attempts got no connection.
+	Unreachable
+	// Abandoned attempts say nothing of the upstream.
+	Abandoned
+)
+
+var outcomeNames = [...]string{"served", "refused", "failed", "unreachable", "abandoned"}
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "invalid"
+}
+
+// Need is what a request takes of an upstream.
+type Need struct {
+	// Prompt and Output are tokens; both are zero for plain services.
+	Prompt int
+	Output int
+}
+
+// memory returns the tokens that the request holds at its end.
+func (n Need) memory() int { return n.Prompt + n.Output }
+
+// Load is the work of one daemon at an upstream.
+type Load struct {
+	Running int
+	// Unread are prompt tokens of requests without a first event.
+	Unread int
+	// Memory are the tokens that the requests reach, Copies those of copies
+	// that are kept at the upstream.
+	Memory int
+	Copies int
+}
+
+func (l *Load) add(o Load) {
+	l.Running += o.Running
+	l.Unread += o.Unread
+	l.Memory += o.Memory
+	l.Copies += o.Copies
+}
+
+func (l Load) empty() bool { return l == Load{} }
+
+// account is what is known of one upstream.
+type account struct {
+	own Load
+	// reported are running and waiting requests by the upstream's own count.
+	reported   int
+	reportedAt time.Time
+	// failures is a moving average between 0 and 1.
+	failures     float64
+	samples      int
+	ejections    int
+	ejectedUntil time.Time
+	avoidUntil   time.Time
+	cold         bucket
+}
+
+// Lease is a request's entry in the account of an upstream.
+type Lease struct {
+	table *Table
+	id    bramleytack.UpstreamID
+	need  Need
+	once  sync.Once
+	begun bool
+}
+
+// Begun notes that the upstream has read the prompt.
+func (l *Lease) Begun() {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	if l.begun {
+		return
+	}
+	l.begun = true
+	l.table.account(l.id).own.Unread -= l.need.Prompt
+}
+
+// End takes the request out of the account.
+func (l *Lease) End(o Outcome) {
+	l.once.Do(func() {
+		t := l.table
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		a := t.account(l.id)
+		a.own.Running--
+		a.own.Memory -= l.need.memory()
+		if !l.begun {
+			a.own.Unread -= l.need.Prompt
+		}
+		t.judge(l.id, a, o)
+	})
+}
+
+// CopyLease is the entry of a generation's copy at an upstream.
+type CopyLease struct {
+	table  *Table
+	id     bramleytack.UpstreamID
+	tokens int
+	once   sync.Once
+}
+
+// End takes the copy out of the account.
+func (l *CopyLease) End() {
+	if l == nil {
+		return
+	}
+	l.once.Do(func() {
+		l.table.mu.Lock()
+		defer l.table.mu.Unlock()
+		l.table.account(l.id).own.Copies -= l.tokens
+	})
+}
+
+// bucket is a token bucket. The zero value is full.
+type bucket struct {
+	spent float64
+	at    time.Time
+}
+
+// take spends one token if the rate and the burst allow it.
+func (b *bucket) take(now time.Time, perSecond, burst float64) bool {
+	if !b.at.IsZero() {
+		b.spent = max(0, b.spent-now.Sub(b.at).Seconds()*perSecond)
+	}
+	b.at = now
+	if b.spent+1 > burst {
+		return false
+	}
+	b.spent++
+	return true
+}
--- /dev/null
+++ b/internal/route/btaccount/table.go
@@ -0,0 +1,311 @@
+package btaccount
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"bramleytack"
+)
+
+const (
+	// readPerMilli is the rate in tokens per millisecond at which engines read
+	// prompts between the tokens of running generations.
+	readPerMilli = 9.0
+	// runningMillis is what one more running generation costs those beside it
+	// over its life, in milliseconds of waiting.
+	runningMillis = 14.0
+	// memoryComfort is the share of an engine's memory up to which forecasts may
+	// rise without a risk of preemption.
+	memoryComfort = 0.85
+	// memoryMillis is the penalty of a forecast that exceeds the comfortable
+	// share by the whole memory.
+	memoryMillis = 6000.0
+	// distanceMillis is the penalty of another failure domain.
+	distanceMillis = 4.0
+	// slowStart is how long a started upstream is slow, slowMillis its penalty.
+	slowStart  = 3 * time.Second
+	slowMillis = 60.0
+	// plainMillis is the penalty of a request at a plain service per slot.
+	plainMillis = 60.0
+	// coldBurst is the number of requests a cold upstream may get at once from
+	// one daemon.
+	coldBurst = 1.0
+)
+
+// peerLoad is what one daemon reports.
+type peerLoad struct {
+	at    time.Time
+	loads map[bramleytack.UpstreamID]Load
+}
+
+// Table holds the accounts of all upstreams. It is safe for concurrent use.
+type Table struct {
+	Timer bramleytack.Timer
+	// Domain is the failure domain of this daemon.
+	Domain bramleytack.FailureDomainID
+	// Daemons returns the number of daemons that share the cold limits.
+	Daemons func() int
+
+	mu       sync.Mutex
+	accounts map[bramleytack.UpstreamID]*account
+	peers    map[bramleytack.HostID]peerLoad
+}
+
+// account returns the account of an upstream. The caller holds the lock.
+func (t *Table) account(id bramleytack.UpstreamID) *account {
+	a := t.accounts[id]
+	if a == nil {
+		a = &account{}
+		if t.accounts == nil {
+			t.accounts = map[bramleytack.UpstreamID]*account{}
+		}
+		t.accounts[id] = a
+	}
+	return a
+}
+
+// Begin enters a request.
+func (t *Table) Begin(id bramleytack.UpstreamID, n Need) *Lease {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.account(id)
+	a.own.Running++
+	a.own.Unread += n.Prompt
+	a.own.Memory += n.memory()
+	return &Lease{table: t, id: id, need: n}
+}
+
+// BeginCopy enters a copy of a generation.
+func (t *Table) BeginCopy(id bramleytack.UpstreamID, n Need) *CopyLease {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.account(id).own.Copies += n.memory()
+	return &CopyLease{table: t, id: id, tokens: n.memory()}
+}
+
+// Observe takes the running and waiting requests that an upstream reported.
+func (t *Table) Observe(id bramleytack.UpstreamID, running, waiting int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.account(id)
+	a.reported, a.reportedAt = running+waiting, t.Timer.Now()
+}
+
+// Own returns the loads of this daemon's requests.
+func (t *Table) Own() map[bramleytack.UpstreamID]Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := map[bramleytack.UpstreamID]Load{}
+	for id, a := range t.accounts {
+		if !a.own.empty() {
+			own[id] = a.own
+		}
+	}
+	return own
+}
+
+// SetPeer replaces what a daemon reports of its requests.
+func (t *Table) SetPeer(h bramleytack.HostID, loads map[bramleytack.UpstreamID]Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.peers == nil {
+		t.peers = map[bramleytack.HostID]peerLoad{}
+	}
+	t.peers[h] = peerLoad{at: t.Timer.Now(), loads: loads}
+}
+
+// Retain drops the accounts of upstreams that are gone and hold no request.
+func (t *Table) Retain(s *bramleytack.Snapshot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, a := range t.accounts {
+		if _, ok := s.Upstreams[id]; !ok && a.own.empty() {
+			delete(t.accounts, id)
+		}
+	}
+}
+
+// Eligible returns the upstreams of a service that may get new work, without
+// those in tried. Ejected ones are left out as long as others remain.
+func (t *Table) Eligible(s *bramleytack.Snapshot, service string, tried map[bramleytack.UpstreamID]bool) []*bramleytack.Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	var good, ejected []*bramleytack.Upstream
+	for _, u := range s.ByService[service] {
+		if !s.Accepts(u.ID) || tried[u.ID] {
+			continue
+		}
+		a := t.account(u.ID)
+		if now.Before(a.ejectedUntil) || now.Before(a.avoidUntil) {
+			ejected = append(ejected, u)
+			continue
+		}
+		good = append(good, u)
+	}
+	if len(good) == 0 {
+		return ejected
+	}
+	return good
+}
+
+// Pick returns the candidate with the lowest expected delay that the cold limit
+// allows, or nil.
+func (t *Table) Pick(s *bramleytack.Snapshot, candidates []*bramleytack.Upstream, n Need) *bramleytack.Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	var best *bramleytack.Upstream
+	bestScore := 0.0
+	for _, u := range candidates {
+		score := t.score(s, u, n, now) + rand.Float64()
+		if best != nil && score >= bestScore || !t.coldAllows(s, u, now, false) {
+			continue
+		}
+		best, bestScore = u, score
+	}
+	if best != nil && !t.coldAllows(s, best, now, true) {
+		return nil
+	}
+	return best
+}
+
+// PickCopy returns the engine that should keep a copy of a generation that runs
+// at primary, or nil if none has room.
+func (t *Table) PickCopy(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) *bramleytack.Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	profile := engineOf(s, primary.Service)
+	if profile == nil {
+		return nil
+	}
+	var best *bramleytack.Upstream
+	bestUse := memoryComfort
+	for _, u := range s.ByService[primary.Service] {
+		if u.ID == primary.ID || !s.Accepts(u.ID) || now.Before(t.account(u.ID).ejectedUntil) {
+			continue
+		}
+		l := t.load(u.ID, now)
+		use := float64(l.Memory+l.Copies+n.memory()) / float64(max(profile.MemoryTokens, 1))
+		if u.FailureDomain == primary.FailureDomain {
+			// A failure of the domain would take both.
+			use += 0.1
+		}
+		if use < bestUse {
+			best, bestUse = u, use
+		}
+	}
+	return best
+}
+
+func engineOf(s *bramleytack.Snapshot, service string) *bramleytack.EngineProfile {
+	if r := s.Services[service]; r != nil {
+		return r.Engine
+	}
+	return nil
+}
+
+// score returns the expected delay in milliseconds.
+func (t *Table) score(s *bramleytack.Snapshot, u *bramleytack.Upstream, n Need, now time.Time) float64 {
+	l := t.load(u.ID, now)
+	score := 0.0
+	if u.FailureDomain != t.Domain {
+		score += distanceMillis
+	}
+	if age := now.Sub(u.Started); age >= 0 && age < slowStart {
+		score += slowMillis * (1 - age.Seconds()/slowStart.Seconds())
+	}
+	profile := engineOf(s, u.Service)
+	if profile == nil {
+		return score + plainMillis*float64(l.Running)/float64(max(u.WarmLimit, 1))
+	}
+	score += float64(l.Unread)/readPerMilli + runningMillis*float64(l.Running)
+	use := float64(l.Memory+l.Copies/2+n.memory()) / float64(max(profile.MemoryTokens, 1))
+	if use > memoryComfort {
+		score += memoryMillis * (use - memoryComfort)
+	}
+	if l.Running >= profile.Slots {
+		score += memoryMillis
+	}
+	return score
+}
+
+// load adds up what all daemons and the upstream itself report.
+func (t *Table) load(id bramleytack.UpstreamID, now time.Time) Load {
+	a := t.account(id)
+	l := a.own
+	for _, p := range t.peers {
+		if now.Sub(p.at) < peerFresh {
+			l.add(p.loads[id])
+		}
+	}
+	if now.Sub(a.reportedAt) < loadFresh {
+		l.Running = max(l.Running, a.reported)
+	}
+	return l
+}
+
+// coldAllows says whether the cold limit leaves room for a request, and with
+// spend takes the room.
+func (t *Table) coldAllows(s *bramleytack.Snapshot, u *bramleytack.Upstream, now time.Time, spend bool) bool {
+	r := s.Services[u.Service]
+	if r == nil || r.ColdPerSecond <= 0 || !now.Before(u.ColdUntil) {
+		return true
+	}
+	n := 1
+	if t.Daemons != nil {
+		n = max(t.Daemons(), 1)
+	}
+	b := t.account(u.ID).cold
+	ok := b.take(now, r.ColdPerSecond/float64(n), coldBurst)
+	if ok && spend {
+		t.account(u.ID).cold = b
+	}
+	return ok
+}
+
+// judge takes the outcome of an attempt into the upstream's health.
+func (t *Table) judge(id bramleytack.UpstreamID, a *account, o Outcome) {
+	now := t.Timer.Now()
+	failed := 0.0
+	switch o {
+	case Abandoned, Refused:
+		return
+	case Unreachable:
+		a.avoidUntil = now.Add(unreachableFor)
+		failed = 1
+	case Failed:
+		failed = 1
+	}
+	a.samples++
+	a.failures += failureWeight * (failed - a.failures)
+	if failed == 0 {
+		if a.failures < ejectAbove/2 {
+			a.ejections = 0
+		}
+		return
+	}
+	if a.failures > ejectAbove && a.failures > t.typicalFailures(id)+ejectMargin {
+		d := min(ejectFor<<min(a.ejections, 3), ejectMost)
+		a.ejections++
+		a.ejectedUntil = now.Add(d)
+		a.failures = ejectAbove
+	}
+}
+
+// typicalFailures returns the mean failure average of the other upstreams.
+func (t *Table) typicalFailures(except bramleytack.UpstreamID) float64 {
+	sum, n := 0.0, 0
+	for id, a := range t.accounts {
+		if id != except && a.samples > 0 {
+			sum += a.failures
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
--- /dev/null
+++ b/internal/serve/btentry/call.go
@@ -0,0 +1,130 @@
+package btentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bramleytack"
+	"bramleytack/btevent"
+)
+
+const (
+	// patience is how many target latencies an idempotent call waits for an
+	// upstream before it goes to another one.
+	patience = 3
+	// leastPatience keeps short targets from abandoning calls too early.
+	leastPatience = 250 * time.Millisecond
+	// maxUnsent bounds the upstreams that are tried without sending anything.
+	maxUnsent = 4
+	// retryPause is the middle of the advice to callers whose request found no
+	// upstream; retryShare is the most of their time left.
+	retryPause = 250 * time.Millisecond
+	retryShare = 0.3
+)
+
+// call serves a plain call.
+func (j *job) call(ctx context.Context) {
+	tried := map[bramleytack.UpstreamID]bool{}
+	var last *reply
+	unsent := 0
+	for ctx.Err() == nil {
+		u := j.pick(tried)
+		if u == nil {
+			break
+		}
+		tried[u.ID] = true
+		if j.sends > 0 && !j.h.Budget.Retry(j.service) {
+			j.log(btevent.BudgetSpent).Str("service", j.service).Send()
+			break
+		}
+		r := j.attempt(ctx, u, j.patience())
+		if r.unsent || r.misdirected {
+			if unsent++; unsent >= maxUnsent {
+				break
+			}
+			continue
+		}
+		j.sends++
+		last = better(last, r)
+		if !j.again(r) {
+			break
+		}
+	}
+	j.finishCall(ctx, last)
+}
+
+// better returns the reply that says more to the caller.
+func better(a, b *reply) *reply {
+	if a == nil || b.usable() || b.outcome != bramleytack.NotRun && !a.usable() {
+		return b
+	}
+	return a
+}
+
+// pick returns the next upstream of the service, or nil.
+func (j *job) pick(tried map[bramleytack.UpstreamID]bool) *bramleytack.Upstream {
+	j.s = j.h.Table.Snapshot()
+	return j.h.Accounts.Pick(j.s, j.h.Accounts.Eligible(j.s, j.service, tried), j.need)
+}
+
+// again says whether the call may go to one more upstream.
+func (j *job) again(r *reply) bool {
+	if j.sends >= j.route.MaxAttempts {
+		return false
+	}
+	if r.outcome == bramleytack.NotRun {
+		return true
+	}
+	return j.route.Repeatable() && (r.err != nil || r.status >= http.StatusInternalServerError)
+}
+
+// patience returns how long one attempt may take.
+func (j *job) patience() time.Duration {
+	left := j.left()
+	if !j.route.Repeatable() || j.sends+1 >= j.route.MaxAttempts {
+		return left
+	}
+	return min(left, max(patience*j.route.TargetLatency, leastPatience))
+}
+
+// finishCall answers the caller.
+func (j *job) finishCall(ctx context.Context, r *reply) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		j.log(btevent.CallerLeft).Int("sends", j.sends).Send()
+	case r == nil:
+		j.refuse(http.StatusServiceUnavailable, j.retryAfter(), "no upstream available")
+	case r.usable():
+		j.pass(r)
+	case r.outcome == bramleytack.NotRun:
+		j.refuse(http.StatusServiceUnavailable, j.retryAfter(), "upstreams are full")
+	case ctx.Err() != nil || j.left() <= 0:
+		j.refuse(http.StatusGatewayTimeout, 0, "timeout")
+	default:
+		j.refuse(http.StatusBadGateway, 0, "upstream failed")
+	}
+}
+
+// pass sends an upstream's response unchanged.
+func (j *job) pass(r *reply) {
+	j.answered = true
+	copyHeader(j.w.Header(), r.header)
+	if j.method != http.MethodHead {
+		j.w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	}
+	j.w.WriteHeader(r.status)
+	_, err := j.w.Write(r.body)
+	j.log(btevent.RequestAnswered).Str("upstream", string(r.upstream.ID)).Int("status", r.status).AnErr("cause", err).Send()
+	j.h.Metrics.answered(j, r.status)
+}
+
+// retryAfter spreads the return of refused callers over their time left.
+func (j *job) retryAfter() time.Duration {
+	d := time.Duration((0.5 + rand.Float64()) * float64(retryPause))
+	return max(min(d, time.Duration(retryShare*float64(j.left()))), 0)
+}
--- /dev/null
+++ b/internal/serve/btentry/handover.go
@@ -0,0 +1,225 @@
+package btentry
+
+import (
+	"context"
+	"time"
+
+	"bramleytack"
+	"bramleytack/btevent"
+	"bramleytack/internal/route/btaccount"
+)
+
+const (
+	// moveTimeout bounds one move of a generation's memory, which queues behind
+	// others on the links.
+	moveTimeout = 1500 * time.Millisecond
+)
+
+// moveResult is the end of a move.
+type moveResult struct {
+	source  *segment
+	target  *bramleytack.Upstream
+	copy    bramleytack.EngineCopy
+	stopped bool
+	err     error
+}
+
+// checkLeaving acts on the current engine's leaving.
+func (s *relay) checkLeaving() {
+	s.j.s = s.j.h.Table.Snapshot()
+	if s.planned || s.next != nil || s.cur.events == 0 || !leaving(s.j.s, s.cur.upstream) {
+		return
+	}
+	if s.j.need.Output < backupOutput {
+		return
+	}
+	s.planned = true
+	if s.goOnFromBackup("leaving") {
+		return
+	}
+	s.move()
+}
+
+// leaving says whether an upstream will end soon.
+func leaving(s *bramleytack.Snapshot, u *bramleytack.Upstream) bool {
+	now, ok := s.Upstreams[u.ID]
+	return !ok || now.State == bramleytack.UpstreamLeaving
+}
+
+// checkSilence acts on an engine that sends nothing.
+func (s *relay) checkSilence() {
+	now := s.j.h.Timer.Now()
+	if s.next != nil {
+		s.checkOverlap(now)
+		return
+	}
+	if s.cur.stopping {
+		return
+	}
+	quiet := now.Sub(s.cur.eventAt)
+	if s.headSent {
+		if quiet >= 2*s.silence() {
+			s.goOnFromBackup("silent")
+		}
+		return
+	}
+	limit := time.Duration(firstEventShare * float64(s.j.route.TargetLatency))
+	if s.j.route.Resumable && limit > 0 && quiet >= limit && s.cur.origin == fromStart {
+		s.runAgain("no first event")
+	}
+}
+
+// checkOverlap ends the time in which two engines hold the generation.
+func (s *relay) checkOverlap(now time.Time) {
+	if now.Sub(s.next.started) < overlap || s.next.origin == fromEvent && !s.headSent {
+		return
+	}
+	if s.cur.cancel == nil {
+		return
+	}
+	if s.cur.eventAt.After(s.next.started) {
+		s.next.close(btaccount.Abandoned)
+		s.next = nil
+		return
+	}
+	s.cur.close(btaccount.Failed)
+}
+
+// goOnFromBackup starts the segment that goes on from the copy at the backup
+// engine, and says whether there is one.
+func (s *relay) goOnFromBackup(reason string) bool {
+	g := s.cur
+	if g.backup == nil {
+		return false
+	}
+	s.j.s = s.j.h.Table.Snapshot()
+	u := s.j.s.Upstreams[g.backup.ID]
+	if u == nil || u.State == bramleytack.UpstreamLeaving || !s.j.s.Accepts(u.ID) {
+		return false
+	}
+	// A copy can be used once.
+	g.backup = nil
+	name := bramleytack.EngineCopy{Holder: u.Addr, Handle: s.j.id}.String()
+	s.startNext(u, fromCopy, name, reason)
+	return true
+}
+
+func (s *relay) startNext(u *bramleytack.Upstream, from origin, copyName, reason string) {
+	s.next = s.segment(u, from, copyName)
+	s.next.start(s.ctx)
+	s.j.log(btevent.HandoverStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(u.ID)).Stringer("origin", from).
+		Str("reason", reason).Uint64("event", s.last).Str("backup", s.next.backupName()).Send()
+}
+
+// runAgain sends a resumable stream to another engine.
+func (s *relay) runAgain(reason string) bool {
+	if !s.j.route.Resumable || s.j.sends+1 >= s.j.route.MaxAttempts || !s.j.h.Budget.Retry(s.j.service) {
+		return false
+	}
+	u := s.j.pick(s.tried)
+	if u == nil {
+		return false
+	}
+	s.tried[u.ID] = true
+	s.j.sends++
+	s.startNext(u, fromEvent, "", reason)
+	return true
+}
+
+// recoverFrom goes on after the current segment broke.
+func (s *relay) recoverFrom(g *segment, err error) {
+	if s.moving {
+		// The move's result decides.
+		return
+	}
+	if s.next != nil {
+		// The segment that takes over is already on its way.
+		return
+	}
+	reason := "broken"
+	if err != nil {
+		reason = err.Error()
+	}
+	if s.goOnFromBackup(reason) || s.runAgain(reason) {
+		return
+	}
+	if g.events == 0 && !s.headSent {
+		s.verdict = better(s.verdict, &reply{upstream: g.upstream, outcome: bramleytack.Unknown, err: err})
+	}
+	s.giveUp()
+}
+
+// nextFailed handles a take-over that failed.
+func (s *relay) nextFailed(g *segment) {
+	if s.cur.cancel != nil {
+		// The current engine still runs.
+		if g.origin == fromCopy && leaving(s.j.h.Table.Snapshot(), s.cur.upstream) {
+			s.move()
+		}
+		return
+	}
+	if s.goOnFromBackup("second copy") || s.runAgain("take-over failed") {
+		return
+	}
+	s.giveUp()
+}
+
+// move copies the generation's memory to another engine while it runs, and
+// then again what is new, with the generation stopped.
+func (s *relay) move() {
+	profile := s.j.profile()
+	if s.moving || profile == nil || !profile.Moves || s.j.h.Mover == nil {
+		return
+	}
+	target := s.j.h.Accounts.PickCopy(s.j.s, s.cur.upstream, s.j.need)
+	if target == nil {
+		return
+	}
+	s.moving = true
+	m := &move{relay: s, source: s.cur, target: target}
+	s.j.log(btevent.MoveStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(target.ID)).Uint64("event", s.last).Send()
+	go m.run()
+}
+
+// move copies a generation's memory in two steps.
+type move struct {
+	relay  *relay
+	source *segment
+	target *bramleytack.Upstream
+}
+
+func (m *move) run() {
+	s := m.relay
+	r := moveResult{source: m.source, target: m.target}
+	held := s.j.h.Accounts.BeginCopy(m.target.ID, s.j.need)
+	defer held.End()
+	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
+	defer cancel()
+	_, r.err = s.j.h.Mover.Move(ctx, m.source.upstream.Addr, m.target.Addr, s.j.id, false)
+	if r.err == nil {
+		r.stopped = true
+		r.copy, r.err = s.j.h.Mover.Move(ctx, m.source.upstream.Addr, m.target.Addr, s.j.id, true)
+	}
+	s.moved <- r
+}
+
+// takeMove goes on from the copy that a move made.
+func (s *relay) takeMove(m moveResult) {
+	s.moving = false
+	s.j.log(btevent.MoveEnded).Str("from", string(m.source.upstream.ID)).Str("to", string(m.target.ID)).
+		Bool("stopped", m.stopped).AnErr("cause", m.err).Send()
+	if s.done || m.source != s.cur {
+		return
+	}
+	switch {
+	case m.err == nil:
+		s.cur.stopping = true
+		s.startNext(m.target, fromCopy, m.copy.String(), "moved")
+	case m.copy.Handle != "":
+		// The source stopped and keeps the memory.
+		s.cur.stopping = true
+		s.startNext(s.cur.upstream, fromCopy, m.copy.String(), "move failed")
+	case s.cur.cancel == nil:
+		s.recoverFrom(s.cur, m.err)
+	}
+}
--- /dev/null
+++ b/internal/serve/btentry/stream.go
@@ -0,0 +1,317 @@
+package btentry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bramleytack"
+	"bramleytack/btevent"
+	"bramleytack/internal/route/btaccount"
+)
+
+const (
+	// backupOutput is the number of output tokens above which a generation gets
+	// a copy. Shorter ones end before most failures could strike.
+	backupOutput = 60
+	// silenceShare is the share of the route's longest pause after which an
+	// engine that sends nothing is taken for dead. The rest is left for the
+	// first event from the copy.
+	silenceShare = 0.75
+	// leastSilence keeps engines with slow steps from being taken for dead.
+	leastSilence = 130 * time.Millisecond
+	// overlap bounds the time in which two engines hold the same generation.
+	overlap = 300 * time.Millisecond
+	// firstEventShare is the share of the target latency after which a resumable
+	// stream without any event is sent to another engine.
+	firstEventShare = 0.7
+)
+
+// relay is a stream on its way to the caller.
+type relay struct {
+	j       *job
+	ctx     context.Context
+	flusher http.Flusher
+	// cur is the segment that the caller reads, next the one that takes over.
+	cur  *segment
+	next *segment
+	// head is the head of the first segment, sent with the first event.
+	head     *reply
+	headSent bool
+	last     uint64
+	eventAt  time.Time
+	tried    map[bramleytack.UpstreamID]bool
+	moved    chan moveResult
+	moving   bool
+	// planned is set once the leaving of the current engine was acted upon.
+	planned bool
+	// verdict is the last reply that can answer a caller who got no event.
+	verdict *reply
+	done    bool
+}
+
+// stream serves a request whose response is an event stream.
+func (j *job) stream(ctx context.Context) {
+	flusher, _ := j.w.(http.Flusher)
+	s := &relay{j: j, ctx: ctx, flusher: flusher, tried: map[bramleytack.UpstreamID]bool{}, moved: make(chan moveResult, 1)}
+	if v, err := strconv.ParseUint(j.header.Get(j.h.Dialect.LastEvent), 10, 64); err == nil {
+		s.last = v
+	}
+	defer s.close()
+	if !s.begin() {
+		s.giveUp()
+		return
+	}
+	s.run()
+}
+
+// run relays until the stream has ended or failed.
+func (s *relay) run() {
+	alarm := s.j.h.Timer.After(s.silence())
+	defer func() { alarm.Stop() }()
+	_, changed := s.j.h.Table.Current()
+	for !s.done {
+		select {
+		case i := <-s.cur.items:
+			s.take(s.cur, i)
+		case i := <-s.nextItems():
+			s.take(s.next, i)
+		case m := <-s.moved:
+			s.takeMove(m)
+		case <-changed:
+			_, changed = s.j.h.Table.Current()
+			s.checkLeaving()
+		case <-alarm.C():
+			s.checkSilence()
+			alarm = s.j.h.Timer.After(s.silence())
+		case <-s.ctx.Done():
+			s.giveUp()
+		}
+	}
+}
+
+func (s *relay) nextItems() <-chan item {
+	if s.next == nil {
+		return nil
+	}
+	return s.next.items
+}
+
+// begin sends the first segment.
+func (s *relay) begin() bool {
+	for range maxUnsent {
+		u := s.j.pick(s.tried)
+		if u == nil {
+			return false
+		}
+		s.tried[u.ID] = true
+		s.cur = s.segment(u, fromStart, "")
+		s.cur.start(s.ctx)
+		s.planned = false
+		s.j.log(btevent.AttemptStarted).Str("upstream", string(u.ID)).Int("prompt", s.j.need.Prompt).
+			Int("output", s.j.need.Output).Str("backup", s.cur.backupName()).Uint64("version", s.j.s.Version).Send()
+		return true
+	}
+	return false
+}
+
+func (g *segment) backupName() string {
+	if g.backup == nil {
+		return ""
+	}
+	return string(g.backup.ID)
+}
+
+// segment prepares a request for an engine. The copy is empty unless the
+// segment goes on from one.
+func (s *relay) segment(u *bramleytack.Upstream, from origin, copyName string) *segment {
+	j, d := s.j, s.j.h.Dialect
+	g := &segment{job: j, upstream: u, origin: from, request: j.request(u)}
+	if from != fromStart && (s.headSent || s.last > 0) {
+		g.request.Header.Set(d.LastEvent, strconv.FormatUint(s.last, 10))
+	}
+	if copyName != "" {
+		g.request.Header.Set(d.From, copyName)
+	}
+	profile := j.profile()
+	if profile != nil && profile.Backups && j.need.Output >= backupOutput {
+		if g.backup = j.h.Accounts.PickCopy(j.s, u, j.need); g.backup != nil {
+			g.request.Header.Set(d.Backup, g.backup.Addr.String())
+		}
+	}
+	return g
+}
+
+func (j *job) profile() *bramleytack.EngineProfile {
+	if r := j.s.Services[j.service]; r != nil {
+		return r.Engine
+	}
+	return nil
+}
+
+// take handles an item of a segment.
+func (s *relay) take(g *segment, i item) {
+	switch {
+	case i.head != nil && i.ended:
+		s.headFailed(g, i.head)
+	case i.head != nil:
+		if s.head == nil {
+			s.head = i.head
+		}
+	case i.ended && i.err == nil:
+		s.complete(g)
+	case i.ended:
+		s.broken(g, i.err)
+	default:
+		s.deliver(g, i)
+	}
+}
+
+// deliver sends an event to the caller. The first event of the segment that
+// takes over ends the one before it.
+func (s *relay) deliver(g *segment, i item) {
+	now := s.j.h.Timer.Now()
+	g.eventAt = now
+	g.events++
+	if g.events == 1 {
+		g.lease.Begun()
+	}
+	if g == s.next {
+		s.promote()
+	}
+	if i.event.Numbered {
+		if s.headSent && i.event.ID <= s.last {
+			return
+		}
+		s.last = i.event.ID
+	}
+	s.sendHead()
+	if _, err := s.j.w.Write(i.event.Raw); err != nil {
+		s.j.log(btevent.CallerLeft).Err(err).Uint64("event", s.last).Send()
+		s.done = true
+		return
+	}
+	s.flusher.Flush()
+	s.j.h.Metrics.event(now.Sub(s.eventAt), g.origin != fromStart && g.events == 1)
+	s.eventAt = now
+}
+
+func (s *relay) sendHead() {
+	if s.headSent {
+		return
+	}
+	s.headSent = true
+	s.j.answered = true
+	s.eventAt = s.j.h.Timer.Now()
+	copyHeader(s.j.w.Header(), s.head.header)
+	s.j.w.WriteHeader(s.head.status)
+	s.j.h.Metrics.firstEvent(s.eventAt.Sub(s.j.received))
+}
+
+// promote lets the next segment take over.
+func (s *relay) promote() {
+	old := s.cur
+	s.cur, s.next = s.next, nil
+	s.planned, s.moving = false, false
+	old.close(btaccount.Abandoned)
+	s.j.log(btevent.StreamMoved).Str("from", string(old.upstream.ID)).Str("to", string(s.cur.upstream.ID)).
+		Stringer("origin", s.cur.origin).Uint64("event", s.last).Dur("pause", s.j.h.Timer.Now().Sub(s.eventAt)).Send()
+}
+
+// complete ends the response.
+func (s *relay) complete(g *segment) {
+	if g == s.next {
+		s.promote()
+	}
+	if g.stopping {
+		// The engine handed the generation over.
+		s.broken(g, errHandedOver)
+		return
+	}
+	s.sendHead()
+	s.done = true
+	g.close(btaccount.Served)
+	s.j.log(btevent.RequestAnswered).Str("upstream", string(g.upstream.ID)).Int("status", s.head.status).
+		Uint64("event", s.last).Send()
+	s.j.h.Metrics.answered(s.j, s.head.status)
+}
+
+// errHandedOver ends the stream of an engine that was told to stop.
+var errHandedOver = errors.New("btentry: engine has handed the generation over")
+
+// headFailed handles a segment that brought no stream.
+func (s *relay) headFailed(g *segment, r *reply) {
+	s.j.logAttempt(r, g.started)
+	g.close(s.j.health(r))
+	if g == s.next {
+		s.next = nil
+		s.nextFailed(g)
+		return
+	}
+	if g.origin == fromStart {
+		s.startFailed(r)
+		return
+	}
+	s.recoverFrom(g, r.err)
+}
+
+// startFailed handles a first segment that brought no stream.
+func (s *relay) startFailed(r *reply) {
+	if !r.unsent && !r.misdirected {
+		s.j.sends++
+		s.verdict = better(s.verdict, r)
+	}
+	if len(s.tried) < maxUnsent && (r.unsent || r.misdirected || s.j.again(r) && s.j.h.Budget.Retry(s.j.service)) && s.begin() {
+		return
+	}
+	s.giveUp()
+}
+
+// broken handles a stream that broke off.
+func (s *relay) broken(g *segment, err error) {
+	if g == s.next {
+		g.close(btaccount.Failed)
+		s.next = nil
+		s.nextFailed(g)
+		return
+	}
+	if g.stopping {
+		g.close(btaccount.Abandoned)
+	} else {
+		g.close(btaccount.Failed)
+	}
+	s.recoverFrom(g, err)
+}
+
+// giveUp ends the request without a whole response.
+func (s *relay) giveUp() {
+	s.done = true
+	j := s.j
+	switch {
+	case errors.Is(context.Cause(s.ctx), context.Canceled):
+		j.log(btevent.CallerLeft).Uint64("event", s.last).Send()
+	case s.headSent:
+		j.log(btevent.StreamBroken).Uint64("event", s.last).Dur("left", j.left()).Send()
+		j.h.Metrics.broken()
+		s.close()
+		// Closes the connection without the end of the response.
+		panic(http.ErrAbortHandler)
+	case s.cur != nil && s.cur.cancel != nil:
+		j.refuse(http.StatusGatewayTimeout, 0, "timeout")
+	default:
+		j.finishCall(s.ctx, s.verdict)
+	}
+}
+
+func (s *relay) close() {
+	s.cur.close(btaccount.Abandoned)
+	s.next.close(btaccount.Abandoned)
+}
+
+// silence returns the pause after which the current engine is checked.
+func (s *relay) silence() time.Duration {
+	return max(time.Duration(silenceShare*float64(s.j.route.MaxPause)), leastSilence) / 2
+}
--- /dev/null
+++ b/internal/serve/btstream/doc.go
@@ -0,0 +1,14 @@
+// Package btstream splits event streams into whole events.
+//
+// An upstream may stop in the middle of an event. A Reader returns only events
+// whose closing empty line has arrived, unchanged to the byte, so that a stream
+// can go on at another upstream after the last whole event.
+//
+// # Usage
+//
+//	r := btstream.NewReader(response.Body)
+//	for {
+//		e, err := r.Next()
+//		...
+//	}
+package btstream
--- /dev/null
+++ b/routes.go
@@ -0,0 +1,134 @@
+package bramleytack
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// EngineProfile describes the model engines of a service.
+type EngineProfile struct {
+	// Slots is the batch size, MemoryTokens the key-value cache in tokens.
+	Slots        int
+	MemoryTokens int
+	// TokensPerEvent is the number of tokens in one event of a stream.
+	TokensPerEvent int
+	// Moves says that the engine can move a running generation to another
+	// engine, Backups that it can keep a copy of one there.
+	Moves   bool
+	Backups bool
+}
+
+// ServiceShare is a service's part of a route's requests.
+type ServiceShare struct {
+	Service string
+	Weight  int
+}
+
+// Route says how requests of one host and path prefix are served.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	// Streaming responses are event streams. Resumable ones may go on at another
+	// upstream after an event id.
+	Streaming bool
+	Resumable bool
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Timeout bounds the time from the request to the end of its response.
+	Timeout time.Duration
+	// TargetLatency is the time to the response, or to its first event, and
+	// MaxPause the time between events within which a response is on time.
+	TargetLatency time.Duration
+	MaxPause      time.Duration
+	// Urgency is the rank of the requests, 0 first.
+	Urgency int
+	// Services share the requests by weight.
+	Services []ServiceShare
+	// MaxAttempts is the number of upstreams that one request may be sent to.
+	MaxAttempts int
+	// Public requests need no API key.
+	Public bool
+}
+
+// Repeatable says whether a request may run again after an unknown outcome.
+func (r *Route) Repeatable() bool { return r.Idempotent || r.Streaming && r.Resumable }
+
+// Service returns the service for a point in [0, 1) of the shares.
+func (r *Route) Service(at float64) string {
+	total := 0
+	for _, s := range r.Services {
+		total += max(s.Weight, 0)
+	}
+	rest := at * float64(total)
+	for _, s := range r.Services {
+		if s.Weight <= 0 {
+			continue
+		}
+		if rest -= float64(s.Weight); rest < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Services) == 0 {
+		return ""
+	}
+	return r.Services[0].Service
+}
+
+// RequestLimits bound what a caller may send.
+type RequestLimits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// RouteTable finds routes by host and path. It is immutable.
+type RouteTable struct {
+	byHost map[string][]*Route
+}
+
+// NewRouteTable returns a table of the routes.
+func NewRouteTable(routes []*Route) *RouteTable {
+	t := &RouteTable{byHost: map[string][]*Route{}}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	return t
+}
+
+// Find returns the route of the host with the longest prefix of the path, or
+// nil. The host may carry a port, the path is as sent.
+func (t *RouteTable) Find(host, path string) *Route {
+	if t == nil {
+		return nil
+	}
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Len returns the number of routes.
+func (t *RouteTable) Len() int {
+	n := 0
+	if t != nil {
+		for _, list := range t.byHost {
+			n += len(list)
+		}
+	}
+	return n
+}
--- a/snapshot.go
+++ b/snapshot.go
@@ -51,6 +51,14 @@
 	IdempotentMethods []string
 	// Timeout bounds one call.
 	Timeout time.Duration
+	// MaxConns bounds the connections to one upstream over all callers. Zero
+	// means no bound.
+	MaxConns int
+	// ColdPerSecond is the request rate that a cold upstream bears. Zero means
+	// no bound.
+	ColdPerSecond float64
+	// Engine describes the service's upstreams if they are model engines.
+	Engine *EngineProfile
 }
 
 // Workspace is a customer with its limits.
@@ -65,6 +73,8 @@
 	RequestsPerSecond float64
 	Concurrency       int
 	Priority          Priority
+	// Urgency takes precedence over a route's rank, 0 first. Nil means none.
+	Urgency *int
 }
 
 // FailureDomain is a failure domain with its state.
@@ -96,6 +106,11 @@
 	MemoryTokens int
 	// ChecksFence is set when the engine refuses old fencing numbers.
 	ChecksFence bool
+	// Started is the start of the incarnation, by the upstream's clock.
+	Started time.Time
+	// ColdUntil ends the time after a start in which the upstream bears only
+	// the cold rate of its service.
+	ColdUntil time.Time
 }
 
 // Commitment is capacity that is paid for whether it is used or not.
@@ -124,6 +139,10 @@
 	ByService map[string][]*Upstream
 	// Quarantined holds the fingerprints of requests that may not run.
 	Quarantined map[string]bool
+	// Version is the operator's version of the routes, Routes the table.
+	Version uint64
+	Routes  *RouteTable
+	Limits  RequestLimits
 }
 
 // Snapshots gives the current configuration.
