Go on from copies: bound by the caller's limit, one-step moves, retried take-overs

Cause: hints are often far too short, a copy is refused while its generation runs, and the second step of a move queued behind others for up to 0.9 s. Ruled out: missing copies alone (refused within 1 ms of a running source).

--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -28,6 +28,7 @@
 	"bramleytack/internal/fleet/btgossip"
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/serve/btentry"
 	"bramleytack/internal/upstream/btconn"
 )
@@ -116,6 +117,7 @@
 	n.handler = &btentry.Handler{
 		Table: n.table, Accounts: n.accounts, Pool: n.pool, Dialect: a.Dialect, Mover: a.Mover(n.pool),
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), HashKey: a.HashKey, Leaving: n.leaving.Load,
+		Lengths: btforecast.New(n.timer), Began: n.gossip.Nudge,
 		Budget: &btretry.Budget{
 			Timer: n.timer, Ratio: budgetShare * s.Bounds.RetryRatio,
 			Minimum: budgetShare * s.Bounds.RetrySlack / max(s.Bounds.RetryWindow.Seconds(), 1) / typicalDaemons,
--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -54,9 +54,11 @@
 
 // Need is what a request takes of an upstream.
 type Need struct {
-	// Prompt and Output are tokens; both are zero for plain services.
-	Prompt int
-	Output int
+	// Prompt and Output are tokens; both are zero for plain services. Output is a
+	// forecast, MaxOutput the caller's bound.
+	Prompt    int
+	Output    int
+	MaxOutput int
 }
 
 // memory returns the tokens that the request holds at its end.
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -28,6 +28,9 @@
 	slowMillis = 60.0
 	// plainMillis is the penalty of a request at a plain service per slot.
 	plainMillis = 60.0
+	// sameDomainUse is what a copy in the generation's own failure domain adds to
+	// the use of an engine in the comparison.
+	sameDomainUse = 0.1
 	// coldBurst is the number of requests a cold upstream may get at once from
 	// one daemon.
 	coldBurst = 1.0
@@ -181,8 +184,7 @@
 	if profile == nil {
 		return nil
 	}
-	var best *bramleytack.Upstream
-	bestUse := memoryComfort
+	var room []roomy
 	for _, u := range s.ByService[primary.Service] {
 		if u.ID == primary.ID || !s.Accepts(u.ID) || now.Before(t.account(u.ID).ejectedUntil) {
 			continue
@@ -191,13 +193,33 @@
 		use := float64(l.Memory+l.Copies+n.memory()) / float64(max(profile.MemoryTokens, 1))
 		if u.FailureDomain == primary.FailureDomain {
 			// A failure of the domain would take both.
-			use += 0.1
+			use += sameDomainUse
 		}
-		if use < bestUse {
-			best, bestUse = u, use
+		if use < memoryComfort {
+			room = append(room, roomy{u, use})
 		}
 	}
-	return best
+	return betterOfTwo(room)
+}
+
+// roomy is an engine with room for a copy.
+type roomy struct {
+	upstream *bramleytack.Upstream
+	use      float64
+}
+
+// betterOfTwo returns the emptier of two engines drawn at random. When an engine
+// leaves, many daemons choose at once by the same figures; the emptiest engine
+// of all would get every copy.
+func betterOfTwo(room []roomy) *bramleytack.Upstream {
+	if len(room) == 0 {
+		return nil
+	}
+	a, b := room[rand.IntN(len(room))], room[rand.IntN(len(room))]
+	if b.use < a.use {
+		a = b
+	}
+	return a.upstream
 }
 
 func engineOf(s *bramleytack.Snapshot, service string) *bramleytack.EngineProfile {
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -18,6 +18,7 @@
 	"bramleytack/btretry"
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/upstream/btconn"
 )
 
@@ -41,8 +42,12 @@
 	Log      *btevent.Logger
 	Metrics  *Metrics
 	Budget   *btretry.Budget
+	Lengths  *btforecast.Lengths
 	// HashKey returns the hash of an API key by which the snapshot knows it.
 	HashKey func(key string) string
+	// Began is called when a generation was sent, so that other daemons learn of
+	// the load at once.
+	Began func()
 	// Leaving says whether the daemon is shutting down.
 	Leaving func() bool
 
@@ -125,7 +130,7 @@
 	j.service = j.route.Service(rand.Float64())
 	j.setDeadline(r)
 	j.setHeader(r)
-	j.need = h.need(r.Header)
+	j.need = j.readNeed(r.Header)
 	return j.readBody(r)
 }
 
@@ -188,8 +193,9 @@
 	}
 }
 
-// need reads the size of a generation from its headers.
-func (h *Handler) need(header http.Header) btaccount.Need {
+// readNeed reads the size of a generation from its headers.
+func (j *job) readNeed(header http.Header) btaccount.Need {
+	h := j.h
 	prompt, output, ok := strings.Cut(header.Get(h.Dialect.TokenCounts), ",")
 	if !ok {
 		return btaccount.Need{}
@@ -199,10 +205,11 @@
 	if err != nil || err2 != nil || in < 0 || out < 0 {
 		return btaccount.Need{}
 	}
-	if hint, err := strconv.Atoi(header.Get(h.Dialect.LengthHint)); err == nil && hint > 0 && hint < out {
-		out = hint
+	hint, err := strconv.Atoi(header.Get(h.Dialect.LengthHint))
+	if err != nil {
+		hint = 0
 	}
-	return btaccount.Need{Prompt: in, Output: out}
+	return btaccount.Need{Prompt: in, Output: h.Lengths.Forecast(j.route.Name, hint, out), MaxOutput: out}
 }
 
 func (j *job) readBody(r *http.Request) bool {
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -11,17 +11,16 @@
 
 const (
 	// moveTimeout bounds one move of a generation's memory, which queues behind
-	// others on the links.
-	moveTimeout = 1500 * time.Millisecond
+	// others on the links. An engine seldom stays longer after its notice.
+	moveTimeout = 4 * time.Second
 )
 
 // moveResult is the end of a move.
 type moveResult struct {
-	source  *segment
-	target  *bramleytack.Upstream
-	copy    bramleytack.EngineCopy
-	stopped bool
-	err     error
+	source *segment
+	target *bramleytack.Upstream
+	copy   bramleytack.EngineCopy
+	err    error
 }
 
 // checkLeaving acts on the current engine's leaving.
@@ -30,11 +29,11 @@
 	if s.planned || s.next != nil || s.cur.events == 0 || !leaving(s.j.s, s.cur.upstream) {
 		return
 	}
-	if s.j.need.Output < backupOutput {
+	if s.j.need.MaxOutput < backupOutput {
 		return
 	}
 	s.planned = true
-	if s.goOnFromBackup("leaving") {
+	if s.j.h.Timer.Now().Sub(s.cur.firstAt) >= copyAge && s.goOnFromBackup("leaving") {
 		return
 	}
 	s.move()
@@ -53,9 +52,6 @@
 		s.checkOverlap(now)
 		return
 	}
-	if s.cur.stopping {
-		return
-	}
 	quiet := now.Sub(s.cur.eventAt)
 	if s.headSent {
 		if quiet >= 2*s.silence() {
@@ -97,8 +93,9 @@
 	if u == nil || u.State == bramleytack.UpstreamLeaving || !s.j.s.Accepts(u.ID) {
 		return false
 	}
-	// A copy can be used once.
+	// A copy can be used once, and only after its generation has stopped.
 	g.backup = nil
+	g.close(btaccount.Abandoned)
 	name := bramleytack.EngineCopy{Holder: u.Addr, Handle: s.j.id}.String()
 	s.startNext(u, fromCopy, name, reason)
 	return true
@@ -164,8 +161,9 @@
 	s.giveUp()
 }
 
-// move copies the generation's memory to another engine while it runs, and
-// then again what is new, with the generation stopped.
+// move copies the generation's memory to another engine while it runs. The
+// other engine reads the tokens that the copy lacks again: that takes less time
+// than a second copy, which would queue behind those of other generations.
 func (s *relay) move() {
 	profile := s.j.profile()
 	if s.moving || profile == nil || !profile.Moves || s.j.h.Mover == nil {
@@ -181,7 +179,7 @@
 	go m.run()
 }
 
-// move copies a generation's memory in two steps.
+// move copies a generation's memory.
 type move struct {
 	relay  *relay
 	source *segment
@@ -195,11 +193,7 @@
 	defer held.End()
 	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
 	defer cancel()
-	_, r.err = s.j.h.Mover.Move(ctx, m.source.upstream.Addr, m.target.Addr, s.j.id, false)
-	if r.err == nil {
-		r.stopped = true
-		r.copy, r.err = s.j.h.Mover.Move(ctx, m.source.upstream.Addr, m.target.Addr, s.j.id, true)
-	}
+	r.copy, r.err = s.j.h.Mover.Move(ctx, m.source.upstream.Addr, m.target.Addr, s.j.id, false)
 	s.moved <- r
 }
 
@@ -207,19 +201,30 @@
 func (s *relay) takeMove(m moveResult) {
 	s.moving = false
 	s.j.log(btevent.MoveEnded).Str("from", string(m.source.upstream.ID)).Str("to", string(m.target.ID)).
-		Bool("stopped", m.stopped).AnErr("cause", m.err).Send()
+		AnErr("cause", m.err).Send()
 	if s.done || m.source != s.cur {
 		return
 	}
-	switch {
-	case m.err == nil:
-		s.cur.stopping = true
+	if m.err == nil {
+		s.cur.close(btaccount.Abandoned)
 		s.startNext(m.target, fromCopy, m.copy.String(), "moved")
-	case m.copy.Handle != "":
-		// The source stopped and keeps the memory.
-		s.cur.stopping = true
-		s.startNext(s.cur.upstream, fromCopy, m.copy.String(), "move failed")
-	case s.cur.cancel == nil:
+		return
+	}
+	if s.cur.cancel == nil {
 		s.recoverFrom(s.cur, m.err)
 	}
 }
+
+// tryCopyAgain repeats a take-over that was refused: the copy can be used only
+// once the engine before has noticed the end of its generation.
+func (s *relay) tryCopyAgain(g *segment, r *reply) bool {
+	if g.origin != fromCopy || r.outcome != bramleytack.NotRun || r.unsent || g.retries >= copyRetries {
+		return false
+	}
+	if s.j.h.Timer.Sleep(s.ctx, copyRetryPause<<g.retries) != nil {
+		return false
+	}
+	s.startNext(g.upstream, fromCopy, g.copyName, "refused before")
+	s.next.retries = g.retries + 1
+	return true
+}
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -41,10 +41,13 @@
 	cancel context.CancelFunc
 	// started is when the request was sent, eventAt when the last event came.
 	started time.Time
+	firstAt time.Time
 	eventAt time.Time
 	events  int
-	// stopping is set once the engine was told to stop and hand over.
-	stopping bool
+	// copyName is the copy that the segment goes on from.
+	copyName string
+	// retries counts the repeats of a refused take-over.
+	retries int
 }
 
 // origin says what a segment goes on from.
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -14,9 +14,16 @@
 )
 
 const (
-	// backupOutput is the number of output tokens above which a generation gets
-	// a copy. Shorter ones end before most failures could strike.
+	// backupOutput is the bound of output tokens from which a generation gets a
+	// copy. Shorter ones end before most failures could strike.
 	backupOutput = 60
+	// copyAge is the time after the first event at which the copy of a prompt
+	// has arrived at the backup engine.
+	copyAge = 700 * time.Millisecond
+	// copyRetries and copyRetryPause bound the repeats of a take-over that was
+	// refused because the engine before had not noticed its end.
+	copyRetries    = 3
+	copyRetryPause = 10 * time.Millisecond
 	// silenceShare is the share of the route's longest pause after which an
 	// engine that sends nothing is taken for dead. The rest is left for the
 	// first event from the copy.
@@ -85,6 +92,7 @@
 			_, changed = s.j.h.Table.Current()
 			s.checkLeaving()
 		case <-alarm.C():
+			s.checkLeaving()
 			s.checkSilence()
 			alarm = s.j.h.Timer.After(s.silence())
 		case <-s.ctx.Done():
@@ -110,6 +118,7 @@
 		s.tried[u.ID] = true
 		s.cur = s.segment(u, fromStart, "")
 		s.cur.start(s.ctx)
+		s.j.h.Began()
 		s.planned = false
 		s.j.log(btevent.AttemptStarted).Str("upstream", string(u.ID)).Int("prompt", s.j.need.Prompt).
 			Int("output", s.j.need.Output).Str("backup", s.cur.backupName()).Uint64("version", s.j.s.Version).Send()
@@ -129,7 +138,7 @@
 // segment goes on from one.
 func (s *relay) segment(u *bramleytack.Upstream, from origin, copyName string) *segment {
 	j, d := s.j, s.j.h.Dialect
-	g := &segment{job: j, upstream: u, origin: from, request: j.request(u)}
+	g := &segment{job: j, upstream: u, origin: from, copyName: copyName, request: j.request(u)}
 	if from != fromStart && (s.headSent || s.last > 0) {
 		g.request.Header.Set(d.LastEvent, strconv.FormatUint(s.last, 10))
 	}
@@ -137,7 +146,7 @@
 		g.request.Header.Set(d.From, copyName)
 	}
 	profile := j.profile()
-	if profile != nil && profile.Backups && j.need.Output >= backupOutput {
+	if profile != nil && profile.Backups && j.need.MaxOutput >= backupOutput {
 		if g.backup = j.h.Accounts.PickCopy(j.s, u, j.need); g.backup != nil {
 			g.request.Header.Set(d.Backup, g.backup.Addr.String())
 		}
@@ -154,6 +163,10 @@
 
 // take handles an item of a segment.
 func (s *relay) take(g *segment, i item) {
+	if g.cancel == nil {
+		// Left over from a segment that was closed.
+		return
+	}
 	switch {
 	case i.head != nil && i.ended:
 		s.headFailed(g, i.head)
@@ -178,6 +191,7 @@
 	g.events++
 	if g.events == 1 {
 		g.lease.Begun()
+		g.firstAt = now
 	}
 	if g == s.next {
 		s.promote()
@@ -226,21 +240,21 @@
 	if g == s.next {
 		s.promote()
 	}
-	if g.stopping {
-		// The engine handed the generation over.
-		s.broken(g, errHandedOver)
-		return
-	}
 	s.sendHead()
 	s.done = true
 	g.close(btaccount.Served)
+	s.learn()
 	s.j.log(btevent.RequestAnswered).Str("upstream", string(g.upstream.ID)).Int("status", s.head.status).
 		Uint64("event", s.last).Send()
 	s.j.h.Metrics.answered(s.j, s.head.status)
 }
 
-// errHandedOver ends the stream of an engine that was told to stop.
-var errHandedOver = errors.New("btentry: engine has handed the generation over")
+// learn takes the length of a whole generation into the forecast.
+func (s *relay) learn() {
+	if p := s.j.profile(); p != nil && s.j.need.MaxOutput > 0 {
+		s.j.h.Lengths.Learn(s.j.route.Name, int(s.last)*p.TokensPerEvent)
+	}
+}
 
 // headFailed handles a segment that brought no stream.
 func (s *relay) headFailed(g *segment, r *reply) {
@@ -248,7 +262,9 @@
 	g.close(s.j.health(r))
 	if g == s.next {
 		s.next = nil
-		s.nextFailed(g)
+		if !s.tryCopyAgain(g, r) {
+			s.nextFailed(g)
+		}
 		return
 	}
 	if g.origin == fromStart {
@@ -278,11 +294,7 @@
 		s.nextFailed(g)
 		return
 	}
-	if g.stopping {
-		g.close(btaccount.Abandoned)
-	} else {
-		g.close(btaccount.Failed)
-	}
+	g.close(btaccount.Failed)
 	s.recoverFrom(g, err)
 }
 
