Read all kinds anew when the store drops the history of one

Ruled out: peers (they held the same old revision). Change: one 410, or the first failure of the store, ends all polls; polls last 2 s instead of 4.

--- a/internal/fleet/btreplica/contact.go
+++ b/internal/fleet/btreplica/contact.go
@@ -26,14 +26,17 @@
 	}
 }
 
-func (c *Contact) failed(log *btevent.Logger, now time.Time, err error) {
+// failed notes a failure and says whether it is the first after an answer.
+func (c *Contact) failed(log *btevent.Logger, now time.Time, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastFailure = now
-	if !c.down {
-		c.down = true
-		log.Event(btevent.StoreDown).Err(err).Send()
+	if c.down {
+		return false
 	}
+	c.down = true
+	log.Event(btevent.StoreDown).Err(err).Send()
+	return true
 }
 
 // Down says whether the latest call failed.
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -14,7 +14,7 @@
 const (
 	// watchWait is the length of a long poll. A watch that went silent is
 	// noticed a second after it.
-	watchWait = 4 * time.Second
+	watchWait = 2 * time.Second
 	// firstPause and maxPause bound the pause after a failed call. Each call
 	// counts against the store's rate, also a refused one.
 	firstPause = 100 * time.Millisecond
@@ -35,8 +35,8 @@
 	Active func() bool
 	// Contact is told of each answer and each failure of the store.
 	Contact *Contact
-	// Kick ends the pause after a failure early.
-	Kick <-chan struct{}
+	// Resync is shared by the watchers of all kinds.
+	Resync *Resync
 }
 
 // Run follows the kind until the context ends.
@@ -50,19 +50,27 @@
 			w.sleep(ctx, firstPause)
 			continue
 		}
-		err := w.step(ctx, relist)
+		poll, cancel, stale := w.Resync.begin(ctx, w)
+		err := w.step(poll, relist || stale)
+		cancel()
 		switch {
 		case err == nil:
 			relist = false
 			pause = firstPause
 			w.Contact.answered(w.Log, w.Timer.Now())
+		case ctx.Err() != nil:
+			return
+		case w.Resync.interrupted(w):
+			continue
 		case errors.Is(err, bramleytack.ErrHistoryGone):
 			relist = true
+			w.Resync.All(w)
 			w.Log.Event(btevent.HistoryGone).Str("kind", w.Kind).Uint64("revision", uint64(w.Table.Upto(w.Kind))).Send()
-		case ctx.Err() != nil:
-			return
 		default:
-			w.Contact.failed(w.Log, w.Timer.Now(), err)
+			if w.Contact.failed(w.Log, w.Timer.Now(), err) {
+				w.Resync.All(w)
+			}
+			relist = relist || stale
 			w.sleep(ctx, pause+rand.N(pause))
 			pause = min(2*pause, maxPause)
 		}
@@ -87,12 +95,5 @@
 	return nil
 }
 
-func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
-	a := w.Timer.After(d)
-	defer a.Stop()
-	select {
-	case <-a.C():
-	case <-w.Kick:
-	case <-ctx.Done():
-	}
-}
+// sleep waits for d or until the context ends.
+func (w *Watcher) sleep(ctx context.Context, d time.Duration) { _ = w.Timer.Sleep(ctx, d) }
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -91,13 +91,12 @@
 	registry *prometheus.Registry
 	leaving  atomic.Bool
 	known    atomic.Pointer[[]netip.Addr]
-	// kick ends the watchers' pauses after a suspension.
-	kick chan struct{}
+	resync   btreplica.Resync
 }
 
 // New returns a daemon. It opens no connection.
 func New(s Settings, a Adapter, logs io.Writer) *Node {
-	n := &Node{settings: s, adapter: a, timer: bttimer.New(uint64(time.Now().UnixNano())), kick: make(chan struct{})}
+	n := &Node{settings: s, adapter: a, timer: bttimer.New(uint64(time.Now().UnixNano()))}
 	n.logs = diode.NewWriter(logs, logLines, 0, func(missed int) { n.dropped.Add(int64(missed)) })
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	n.log = btevent.New(n.logs, zerolog.InfoLevel, s.Host)
@@ -252,7 +251,7 @@
 	for _, kind := range []string{bramleytack.KindConfig, bramleytack.KindUpstreams, bramleytack.KindOutages} {
 		w := &btreplica.Watcher{
 			Feed: n.adapter.Feed, Table: n.table, Timer: n.timer, Log: n.log, Kind: kind,
-			Active: n.gossip.Follows, Contact: &n.contact, Kick: n.kick,
+			Active: n.gossip.Follows, Contact: &n.contact, Resync: &n.resync,
 		}
 		go w.Run(ctx)
 	}
@@ -285,10 +284,7 @@
 func (n *Node) wake() {
 	n.pool.DropAll()
 	n.gossip.Distrust()
-	select {
-	case n.kick <- struct{}{}:
-	default:
-	}
+	n.resync.All(nil)
 }
 
 // drain serves on until callers have learned of the leaving.
