Tell all daemons of changed work at once; share the retry budget by count

Cause: with 67 daemons a digest reaches seven others a period, so each chose by half of the load and by reports up to a second old; copies overfilled engines (173 preempted), tags were sent again after 1.05 s and added 942 repeats. Ruled out: too little capacity (prompts need 44% of the reading rate). Change: work at engines is reported to all peers within 15 ms of a change; a stream runs again only when its engine is late by three times what was expected; the fixed part of the retry budget is divided by the daemons alive.

--- a/btretry/budget.go
+++ b/btretry/budget.go
@@ -26,6 +26,9 @@
 	Minimum float64
 	// Burst bounds the retries that a key can save up.
 	Burst float64
+	// Sharers returns the number of processes that share Minimum and Burst. Nil
+	// means one.
+	Sharers func() int
 	// Keys bounds the buckets. The one used least recently is forgotten.
 	Keys int
 
@@ -72,7 +75,7 @@
 	b.order.MoveToBack(e)
 	k := e.Value.(*bucket)
 	if d := now.Sub(k.at); d > 0 {
-		k.tokens = min(k.tokens+d.Seconds()*or(b.Minimum, DefaultMinimum), b.burst())
+		k.tokens = min(k.tokens+d.Seconds()*or(b.Minimum, DefaultMinimum)/b.sharers(), b.burst())
 		k.at = now
 	}
 	return k
@@ -91,4 +94,11 @@
 	return k
 }
 
-func (b *Budget) burst() float64 { return max(1, or(b.Burst, DefaultBurst)) }
+func (b *Budget) burst() float64 { return max(or(b.Burst, DefaultBurst)/b.sharers(), 1) }
+
+func (b *Budget) sharers() float64 {
+	if b.Sharers == nil {
+		return 1
+	}
+	return float64(max(b.Sharers(), 1))
+}
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -72,20 +72,30 @@
 	pulling atomic.Bool
 	pulls   chan pull
 	nudge   chan struct{}
+	loads   chan struct{}
 	round   int
+	// sequence numbers the packets.
+	sequence atomic.Uint64
+}
+
+// New returns the part of a daemon that n describes.
+func New(n *Node) *Node {
+	n.pulls = make(chan pull, len(kinds))
+	n.nudge = make(chan struct{}, 1)
+	n.loads = make(chan struct{}, 1)
+	return n
 }
 
 // Run exchanges digests until the context ends.
 func (n *Node) Run(ctx context.Context, conn net.PacketConn, l net.Listener) {
 	n.started = n.Timer.Now()
 	n.conn = conn
-	n.pulls = make(chan pull, len(kinds))
-	n.nudge = make(chan struct{}, 1)
 	n.Table.Listen(n.push)
 	context.AfterFunc(ctx, func() { conn.Close(); l.Close() })
-	go (&receiver{n}).run(ctx)
+	go (&receiver{n: n, last: map[bramleytack.HostID]position{}}).run(ctx)
 	go (&puller{n}).run(ctx)
 	go (&server{n}).run(ctx, l)
+	go (&loadSender{n}).run(ctx)
 	n.loop(ctx)
 }
 
@@ -164,7 +174,7 @@
 }
 
 func (n *Node) encode(p *Packet) []byte {
-	p.Host, p.Incarnation = string(n.Self.Host), n.Self.Incarnation
+	p.Host, p.Incarnation, p.Sequence = string(n.Self.Host), n.Self.Incarnation, n.sequence.Add(1)
 	data, err := proto.Marshal(p)
 	if err != nil {
 		n.Log.Event(btevent.PeerPacketDropped).Err(err).Send()
@@ -242,13 +252,19 @@
 	for _, kind := range kinds {
 		d.Kinds = append(d.Kinds, &KindRevision{Kind: kind, Content: uint64(n.Table.Content(kind))})
 	}
+	d.Loads = n.ownLoads()
+	return d
+}
+
+func (n *Node) ownLoads() []*UpstreamLoad {
+	var loads []*UpstreamLoad
 	for id, l := range n.Accounts.Own() {
-		d.Loads = append(d.Loads, &UpstreamLoad{
+		loads = append(loads, &UpstreamLoad{
 			Upstream: string(id), Running: count(l.Running), UnreadTokens: count(l.Unread),
 			MemoryTokens: count(l.Memory), CopyTokens: count(l.Copies),
 		})
 	}
-	return d
+	return loads
 }
 
 func count(n int) uint32 { return uint32(max(n, 0)) }
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -14,7 +14,16 @@
 )
 
 // receiver reads datagrams.
-type receiver struct{ n *Node }
+type receiver struct {
+	n    *Node
+	last map[bramleytack.HostID]position
+}
+
+// position is the place of a packet among those of its sender.
+type position struct {
+	incarnation uint64
+	sequence    uint64
+}
 
 func (r *receiver) run(ctx context.Context) {
 	buf := make([]byte, receiveBuffer)
@@ -78,6 +87,9 @@
 			n.pull(sender, k.Kind)
 		}
 	}
+	if !r.inOrder(p) {
+		return
+	}
 	loads := make(map[bramleytack.UpstreamID]btaccount.Load, len(d.Loads))
 	for _, l := range d.Loads {
 		loads[bramleytack.UpstreamID(l.Upstream)] = btaccount.Load{
@@ -87,6 +99,17 @@
 	n.Accounts.SetPeer(bramleytack.HostID(p.Host), loads)
 }
 
+// inOrder says whether a packet is newer than the last one of its sender.
+func (r *receiver) inOrder(p *Packet) bool {
+	h := bramleytack.HostID(p.Host)
+	last := r.last[h]
+	if p.Incarnation < last.incarnation || p.Incarnation == last.incarnation && p.Sequence <= last.sequence {
+		return false
+	}
+	r.last[h] = position{incarnation: p.Incarnation, sequence: p.Sequence}
+	return true
+}
+
 // push sends changes that came from the store to all daemons alive.
 func (n *Node) push(b btreplica.Batch) {
 	if !b.FromStore || b.Full || len(b.Objects) == 0 {
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -104,33 +103,31 @@
 	n.pool = &btconn.Pool{}
 	n.registry = prometheus.NewRegistry()
 	n.accounts = &btaccount.Table{Timer: n.timer, Domain: s.FailureDomain}
-	n.gossip = &btgossip.Node{
+	n.gossip = btgossip.New(&btgossip.Node{
 		Self: btgossip.Self{
 			Host: s.Host, Addr: s.Addr, FailureDomain: s.FailureDomain,
 			Port: s.Peer.Port(), Incarnation: uint64(time.Now().UnixMilli()),
 		},
 		Table: n.table, Accounts: n.accounts, Contact: &n.contact, Timer: n.timer, Log: n.log,
 		Ready: n.Ready, Leaving: n.leaving.Load, Seeds: addrsOf(s.Seeds), Known: n.knownAddrs,
-	}
+	})
 	n.accounts.Daemons = n.gossip.Count
+	n.accounts.Changed = n.gossip.LoadChanged
 	n.handler = &btentry.Handler{
 		Table: n.table, Accounts: n.accounts, Pool: n.pool, Dialect: a.Dialect, Mover: a.Mover(n.pool),
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), HashKey: a.HashKey, Leaving: n.leaving.Load,
-		Lengths: btforecast.New(n.timer), Began: n.gossip.Nudge,
+		Lengths: btforecast.New(n.timer),
 		Budget: &btretry.Budget{
 			Timer: n.timer, Ratio: budgetShare * s.Bounds.RetryRatio,
-			Minimum: budgetShare * s.Bounds.RetrySlack / max(s.Bounds.RetryWindow.Seconds(), 1) / typicalDaemons,
-			Burst:   math.Max(budgetShare*s.Bounds.RetrySlack/typicalDaemons, 1),
+			Minimum: budgetShare * s.Bounds.RetrySlack / max(s.Bounds.RetryWindow.Seconds(), 1),
+			Burst:   budgetShare * s.Bounds.RetrySlack,
+			Sharers: n.gossip.Count,
 		},
 	}
 	n.observe()
 	return n
 }
 
-// typicalDaemons divides the fixed part of the retry budget. Most of the budget
-// is earned by requests.
-const typicalDaemons = 8
-
 func addrsOf(list []netip.AddrPort) []netip.Addr {
 	out := make([]netip.Addr, len(list))
 	for i, a := range list {
@@ -275,11 +272,19 @@
 		}
 		n.table.Expire()
 		if s := n.table.Snapshot(); s != nil {
-			n.accounts.Retain(s)
+			n.accounts.Retain(s, n.aliveHosts())
 		}
 	}
 }
 
+func (n *Node) aliveHosts() map[bramleytack.HostID]bool {
+	alive := map[bramleytack.HostID]bool{}
+	for _, p := range n.gossip.Alive() {
+		alive[p.Host] = true
+	}
+	return alive
+}
+
 // wake drops what was believed before a suspension.
 func (n *Node) wake() {
 	n.pool.DropAll()
--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -21,8 +21,6 @@
 	unreachableFor = 300 * time.Millisecond
 	// loadFresh is how long a load header counts.
 	loadFresh = 300 * time.Millisecond
-	// peerFresh is how long a peer's report counts.
-	peerFresh = time.Second
 )
 
 // Outcome is how an attempt at an upstream ended, as far as its health goes.
@@ -117,6 +115,7 @@
 	}
 	l.begun = true
 	l.table.account(l.id).own.Unread -= l.need.Prompt
+	l.table.changed(l.need)
 }
 
 // End takes the request out of the account.
@@ -132,6 +131,7 @@
 			a.own.Unread -= l.need.Prompt
 		}
 		t.judge(l.id, a, o)
+		t.changed(l.need)
 	})
 }
 
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -36,12 +36,6 @@
 	coldBurst = 1.0
 )
 
-// peerLoad is what one daemon reports.
-type peerLoad struct {
-	at    time.Time
-	loads map[bramleytack.UpstreamID]Load
-}
-
 // Table holds the accounts of all upstreams. It is safe for concurrent use.
 type Table struct {
 	Timer bramleytack.Timer
@@ -49,10 +43,13 @@
 	Domain bramleytack.FailureDomainID
 	// Daemons returns the number of daemons that share the cold limits.
 	Daemons func() int
+	// Changed is called, with the table locked, when this daemon's work at a
+	// model engine changes.
+	Changed func()
 
 	mu       sync.Mutex
 	accounts map[bramleytack.UpstreamID]*account
-	peers    map[bramleytack.HostID]peerLoad
+	peers    map[bramleytack.HostID]map[bramleytack.UpstreamID]Load
 }
 
 // account returns the account of an upstream. The caller holds the lock.
@@ -76,9 +73,16 @@
 	a.own.Running++
 	a.own.Unread += n.Prompt
 	a.own.Memory += n.memory()
+	t.changed(n)
 	return &Lease{table: t, id: id, need: n}
 }
 
+func (t *Table) changed(n Need) {
+	if t.Changed != nil && n.Prompt > 0 {
+		t.Changed()
+	}
+}
+
 // BeginCopy enters a copy of a generation.
 func (t *Table) BeginCopy(id bramleytack.UpstreamID, n Need) *CopyLease {
 	t.mu.Lock()
@@ -113,15 +117,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.peers == nil {
-		t.peers = map[bramleytack.HostID]peerLoad{}
+		t.peers = map[bramleytack.HostID]map[bramleytack.UpstreamID]Load{}
 	}
-	t.peers[h] = peerLoad{at: t.Timer.Now(), loads: loads}
+	t.peers[h] = loads
 }
 
-// Retain drops the accounts of upstreams that are gone and hold no request.
-func (t *Table) Retain(s *bramleytack.Snapshot) {
+// Retain drops the reports of daemons that are not alive, and the accounts of
+// upstreams that are gone and hold no request.
+func (t *Table) Retain(s *bramleytack.Snapshot, alive map[bramleytack.HostID]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for h := range t.peers {
+		if !alive[h] {
+			delete(t.peers, h)
+		}
+	}
 	for id, a := range t.accounts {
 		if _, ok := s.Upstreams[id]; !ok && a.own.empty() {
 			delete(t.accounts, id)
@@ -154,8 +164,8 @@
 }
 
 // Pick returns the candidate with the lowest expected delay that the cold limit
-// allows, or nil.
-func (t *Table) Pick(s *bramleytack.Snapshot, candidates []*bramleytack.Upstream, n Need) *bramleytack.Upstream {
+// allows, or nil, and the delay.
+func (t *Table) Pick(s *bramleytack.Snapshot, candidates []*bramleytack.Upstream, n Need) (*bramleytack.Upstream, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
@@ -169,9 +179,9 @@
 		best, bestScore = u, score
 	}
 	if best != nil && !t.coldAllows(s, best, now, true) {
-		return nil
+		return nil, 0
 	}
-	return best
+	return best, time.Duration(bestScore * float64(time.Millisecond))
 }
 
 // PickCopy returns the engine that should keep a copy of a generation that runs
@@ -258,10 +268,8 @@
 func (t *Table) load(id bramleytack.UpstreamID, now time.Time) Load {
 	a := t.account(id)
 	l := a.own
-	for _, p := range t.peers {
-		if now.Sub(p.at) < peerFresh {
-			l.add(p.loads[id])
-		}
+	for _, loads := range t.peers {
+		l.add(loads[id])
 	}
 	if now.Sub(a.reportedAt) < loadFresh {
 		l.Running = max(l.Running, a.reported)
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -69,7 +69,9 @@
 // pick returns the next upstream of the service, or nil.
 func (j *job) pick(tried map[bramleytack.UpstreamID]bool) *bramleytack.Upstream {
 	j.s = j.h.Table.Snapshot()
-	return j.h.Accounts.Pick(j.s, j.h.Accounts.Eligible(j.s, j.service, tried), j.need)
+	var u *bramleytack.Upstream
+	u, j.expected = j.h.Accounts.Pick(j.s, j.h.Accounts.Eligible(j.s, j.service, tried), j.need)
+	return u
 }
 
 // again says whether the call may go to one more upstream.
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -45,9 +45,6 @@
 	Lengths  *btforecast.Lengths
 	// HashKey returns the hash of an API key by which the snapshot knows it.
 	HashKey func(key string) string
-	// Began is called when a generation was sent, so that other daemons learn of
-	// the load at once.
-	Began func()
 	// Leaving says whether the daemon is shutting down.
 	Leaving func() bool
 
@@ -103,8 +100,10 @@
 	header    http.Header
 	body      []byte
 	need      btaccount.Need
-	answered  bool
-	sends     int
+	// expected is the delay that the last chosen upstream is expected to have.
+	expected time.Duration
+	answered bool
+	sends    int
 }
 
 // admit reads a request and finds its route and its workspace. It answers the
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -59,7 +59,7 @@
 		}
 		return
 	}
-	limit := time.Duration(firstEventShare * float64(s.j.route.TargetLatency))
+	limit := max(time.Duration(firstEventShare*float64(s.j.route.TargetLatency)), lateFactor*s.j.expected)
 	if s.j.route.Resumable && limit > 0 && quiet >= limit && s.cur.origin == fromStart {
 		s.runAgain("no first event")
 	}
@@ -133,6 +133,10 @@
 		// The segment that takes over is already on its way.
 		return
 	}
+	if !s.headSent {
+		// The engine may have run the request, whatever the next one says.
+		s.verdict = &reply{upstream: g.upstream, outcome: bramleytack.Unknown, err: err}
+	}
 	reason := "broken"
 	if err != nil {
 		reason = err.Error()
@@ -140,9 +144,6 @@
 	if s.goOnFromBackup(reason) || s.runAgain(reason) {
 		return
 	}
-	if g.events == 0 && !s.headSent {
-		s.verdict = better(s.verdict, &reply{upstream: g.upstream, outcome: bramleytack.Unknown, err: err})
-	}
 	s.giveUp()
 }
 
@@ -221,7 +222,7 @@
 	if g.origin != fromCopy || r.outcome != bramleytack.NotRun || r.unsent || g.retries >= copyRetries {
 		return false
 	}
-	if s.j.h.Timer.Sleep(s.ctx, copyRetryPause<<g.retries) != nil {
+	if s.j.h.Timer.Sleep(s.ctx, copyRetryPause) != nil {
 		return false
 	}
 	s.startNext(g.upstream, fromCopy, g.copyName, "refused before")
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -19,11 +19,11 @@
 	backupOutput = 60
 	// copyAge is the time after the first event at which the copy of a prompt
 	// has arrived at the backup engine.
-	copyAge = 700 * time.Millisecond
+	copyAge = 1200 * time.Millisecond
 	// copyRetries and copyRetryPause bound the repeats of a take-over that was
 	// refused because the engine before had not noticed its end.
-	copyRetries    = 3
-	copyRetryPause = 10 * time.Millisecond
+	copyRetries    = 1
+	copyRetryPause = 15 * time.Millisecond
 	// silenceShare is the share of the route's longest pause after which an
 	// engine that sends nothing is taken for dead. The rest is left for the
 	// first event from the copy.
@@ -33,8 +33,10 @@
 	// overlap bounds the time in which two engines hold the same generation.
 	overlap = 300 * time.Millisecond
 	// firstEventShare is the share of the target latency after which a resumable
-	// stream without any event is sent to another engine.
-	firstEventShare = 0.7
+	// stream without any event is sent to another engine, if the engine is also
+	// late by lateFactor of what was expected of it.
+	firstEventShare = 0.8
+	lateFactor      = 3
 )
 
 // relay is a stream on its way to the caller.
@@ -118,7 +120,6 @@
 		s.tried[u.ID] = true
 		s.cur = s.segment(u, fromStart, "")
 		s.cur.start(s.ctx)
-		s.j.h.Began()
 		s.planned = false
 		s.j.log(btevent.AttemptStarted).Str("upstream", string(u.ID)).Int("prompt", s.j.need.Prompt).
 			Int("output", s.j.need.Output).Str("backup", s.cur.backupName()).Uint64("version", s.j.s.Version).Send()
