Few daemons read the store for all

Change: daemons listen 350 ms, then the first two or three by rank follow; five register; upstreams that change together come in one answer.

--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -27,11 +27,16 @@
 	maxPacket = 1400
 	// membersPerDigest bounds the members in a digest.
 	membersPerDigest = 16
-	// watchers is the number of daemons that follow the store for all.
-	watchers = 3
-	// settle is how long a daemon follows the store itself after its start, when
-	// it cannot know the others yet.
-	settle = 3 * time.Second
+	// watchers is the number of daemons that follow a kind in the store for all,
+	// busyWatchers the one for the kind that changes most.
+	watchers     = 3
+	busyWatchers = 2
+	// beacons is the number of daemons whose addresses lie in the store, for
+	// daemons that find all of their seeds down.
+	beacons = 5
+	// settle is the time after the start in which a daemon listens for others
+	// before it decides whether to follow the store. Seeds answer within it.
+	settle = 350 * time.Millisecond
 	// seedEvery is the number of periods between digests to silent addresses.
 	seedEvery = 5
 	// receiveBuffer holds the largest datagram.
@@ -83,12 +88,12 @@
 	n.pulls = make(chan pull, len(kinds))
 	n.nudge = make(chan struct{}, 1)
 	n.loads = make(chan struct{}, 1)
+	n.started = n.Timer.Now()
 	return n
 }
 
 // Run exchanges digests until the context ends.
 func (n *Node) Run(ctx context.Context, conn net.PacketConn, l net.Listener) {
-	n.started = n.Timer.Now()
 	n.conn = conn
 	n.Table.Listen(n.push)
 	context.AfterFunc(ctx, func() { conn.Close(); l.Close() })
@@ -140,11 +145,22 @@
 // Distrust forgets what is believed of other daemons, after a suspension.
 func (n *Node) Distrust() { n.members.distrust(n.Timer.Now()) }
 
-// Follows says whether this daemon should follow the store. A few daemons do it
-// for all; those that cannot reach the store do not count.
-func (n *Node) Follows() bool {
+// Follows says whether this daemon should follow a kind in the store. A few
+// daemons do it for all; those that cannot reach the store do not count.
+func (n *Node) Follows(kind string) bool {
+	if kind == bramleytack.KindUpstreams {
+		return n.leads(busyWatchers)
+	}
+	return n.leads(watchers)
+}
+
+// Beacon says whether this daemon's address should lie in the store.
+func (n *Node) Beacon() bool { return n.leads(beacons) }
+
+// leads says whether this daemon is among the first few of those alive.
+func (n *Node) leads(few int) bool {
 	if n.Timer.Now().Sub(n.started) < settle {
-		return true
+		return false
 	}
 	better := 0
 	mine := rank(n.Self.Host)
@@ -153,7 +169,7 @@
 			better++
 		}
 	}
-	return better < watchers
+	return better < few
 }
 
 func rank(h bramleytack.HostID) uint64 {
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -19,6 +19,8 @@
 	// counts against the store's rate, also a refused one.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
+	// inactivePause is the time between two looks whether to follow.
+	inactivePause = 50 * time.Millisecond
 	// outageEcho is how long after an outage missing registrations may return.
 	outageEcho = 3 * time.Second
 )
@@ -30,9 +32,12 @@
 	Timer bramleytack.Timer
 	Log   *btevent.Logger
 	Kind  string
-	// Active says whether this daemon should ask the store now. Nil means
-	// always.
-	Active func() bool
+	// Active says whether this daemon should ask the store for a kind now. Nil
+	// means always.
+	Active func(kind string) bool
+	// Pause is the time between an answer and the next poll. Changes within it
+	// come in one answer.
+	Pause time.Duration
 	// Contact is told of each answer and each failure of the store.
 	Contact *Contact
 	// Resync is shared by the watchers of all kinds.
@@ -46,8 +51,8 @@
 	pause := firstPause
 	relist := true
 	for ctx.Err() == nil {
-		if w.Active != nil && !w.Active() {
-			w.sleep(ctx, firstPause)
+		if w.Active != nil && !w.Active(w.Kind) {
+			w.sleep(ctx, inactivePause)
 			continue
 		}
 		poll, cancel, stale := w.Resync.begin(ctx, w)
@@ -58,6 +63,9 @@
 			relist = false
 			pause = firstPause
 			w.Contact.answered(w.Log, w.Timer.Now())
+			if w.Pause > 0 {
+				w.sleep(ctx, w.Pause)
+			}
 		case ctx.Err() != nil:
 			return
 		case w.Resync.interrupted(w):
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -50,6 +50,9 @@
 	budgetShare = 0.7
 	// housekeeping is the period of the checks that no event starts.
 	housekeeping = 250 * time.Millisecond
+	// joinUpstreams joins the registrations that change together, such as those
+	// of upstreams that leave on one notice.
+	joinUpstreams = 60 * time.Millisecond
 	// leaveFor is how long a daemon serves callers after it left the directory.
 	// Callers may keep an answer three times as long as it is valid.
 	leaveFor = 4 * time.Second
@@ -250,6 +253,9 @@
 			Feed: n.adapter.Feed, Table: n.table, Timer: n.timer, Log: n.log, Kind: kind,
 			Active: n.gossip.Follows, Contact: &n.contact, Resync: &n.resync,
 		}
+		if kind == bramleytack.KindUpstreams {
+			w.Pause = joinUpstreams
+		}
 		go w.Run(ctx)
 	}
 	go (&registration{node: n}).run(ctx)
@@ -326,27 +332,22 @@
 // seeds are all down.
 type registration struct{ node *Node }
 
-const (
-	// registerPause is the pause after a failed registration.
-	registerPause = 2 * time.Second
-	// registerDelay lets daemons find each other by seeds first.
-	registerDelay = 1500 * time.Millisecond
-)
+// registerPause is the time between two looks whether to register. It lets
+// daemons find each other by seeds first.
+const registerPause = 1500 * time.Millisecond
 
 func (r *registration) run(ctx context.Context) {
 	n := r.node
-	if n.timer.Sleep(ctx, registerDelay) != nil {
-		return
-	}
-	for {
-		err := r.register(ctx)
-		if err == nil {
-			n.log.Event(btevent.DaemonRegistered).Int("known", len(n.knownAddrs())).Send()
-			return
+	for n.timer.Sleep(ctx, registerPause) == nil {
+		if !n.gossip.Beacon() && len(n.gossip.Alive()) > 0 {
+			continue
 		}
-		if n.timer.Sleep(ctx, registerPause) != nil {
-			return
+		if err := r.register(ctx); err != nil {
+			n.log.Event(btevent.StoreDown).Str("call", "registration").Err(err).Send()
+			continue
 		}
+		n.log.Event(btevent.DaemonRegistered).Int("known", len(n.knownAddrs())).Send()
+		return
 	}
 }
 
