Probe a silent engine before its generation is taken over

Cause: pauses over 130 ms were mostly preemptions; closing the generation and asking for a copy that had not arrived lost it. Now a connection attempt tells a dead engine from a busy one. Moves may go to fuller engines and are tried again.

--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -184,9 +184,18 @@
 	return best, time.Duration(bestScore * float64(time.Millisecond))
 }
 
-// PickCopy returns the engine that should keep a copy of a generation that runs
-// at primary, or nil if none has room.
-func (t *Table) PickCopy(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) *bramleytack.Upstream {
+// Limits of the forecast use of an engine's memory that may take a copy.
+const (
+	// SpareUse keeps copies that may never be used from crowding out work.
+	SpareUse = 0.75
+	// FullUse lets a running generation move to any engine. Forecasts add up
+	// the ends of all generations, which seldom come together.
+	FullUse = 1.25
+)
+
+// PickCopy returns an engine for a copy of a generation that runs at primary,
+// or nil if the copy would raise the use of every engine above limit.
+func (t *Table) PickCopy(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need, limit float64) *bramleytack.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
@@ -205,7 +214,7 @@
 			// A failure of the domain would take both.
 			use += sameDomainUse
 		}
-		if use < memoryComfort {
+		if use < limit {
 			room = append(room, roomy{u, use})
 		}
 	}
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -13,6 +13,9 @@
 	// moveTimeout bounds one move of a generation's memory, which queues behind
 	// others on the links. An engine seldom stays longer after its notice.
 	moveTimeout = 4 * time.Second
+	// probeTimeout bounds the connection that tells a dead engine from a busy
+	// one. It is several round trips between failure domains.
+	probeTimeout = 50 * time.Millisecond
 )
 
 // moveResult is the end of a move.
@@ -26,13 +29,12 @@
 // checkLeaving acts on the current engine's leaving.
 func (s *relay) checkLeaving() {
 	s.j.s = s.j.h.Table.Snapshot()
-	if s.planned || s.next != nil || s.cur.events == 0 || !leaving(s.j.s, s.cur.upstream) {
+	if s.moving || s.next != nil || s.cur.cancel == nil || s.cur.events == 0 || !leaving(s.j.s, s.cur.upstream) {
 		return
 	}
 	if s.j.need.MaxOutput < backupOutput {
 		return
 	}
-	s.planned = true
 	if s.j.h.Timer.Now().Sub(s.cur.firstAt) >= copyAge && s.goOnFromBackup("leaving") {
 		return
 	}
@@ -54,8 +56,8 @@
 	}
 	quiet := now.Sub(s.cur.eventAt)
 	if s.headSent {
-		if quiet >= 2*s.silence() {
-			s.goOnFromBackup("silent")
+		if quiet >= s.silence() {
+			s.probe()
 		}
 		return
 	}
@@ -65,6 +67,43 @@
 	}
 }
 
+// probe finds out whether a silent engine still takes connections. One that
+// does has preempted the generation or reads long prompts, and goes on later.
+func (s *relay) probe() {
+	if s.probing || s.cur.backup == nil || s.cur.cancel == nil {
+		return
+	}
+	s.probing = true
+	go (&probe{relay: s, segment: s.cur}).run()
+}
+
+// probe is one test of an engine.
+type probe struct {
+	relay   *relay
+	segment *segment
+}
+
+func (p *probe) run() {
+	s := p.relay
+	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
+	defer cancel()
+	err := s.j.h.Pool.Check(ctx, p.segment.upstream.Addr)
+	s.probed <- probeResult{segment: p.segment, dead: err != nil && ctx.Err() != nil && s.ctx.Err() == nil}
+}
+
+// probeResult is what a probe found.
+type probeResult struct {
+	segment *segment
+	dead    bool
+}
+
+func (s *relay) takeProbe(r probeResult) {
+	s.probing = false
+	if r.dead && r.segment == s.cur && s.cur.cancel != nil && s.next == nil {
+		s.goOnFromBackup("silent")
+	}
+}
+
 // checkOverlap ends the time in which two engines hold the generation.
 func (s *relay) checkOverlap(now time.Time) {
 	if now.Sub(s.next.started) < overlap || s.next.origin == fromEvent && !s.headSent {
@@ -170,7 +209,7 @@
 	if s.moving || profile == nil || !profile.Moves || s.j.h.Mover == nil {
 		return
 	}
-	target := s.j.h.Accounts.PickCopy(s.j.s, s.cur.upstream, s.j.need)
+	target := s.j.h.Accounts.PickCopy(s.j.s, s.cur.upstream, s.j.need, btaccount.FullUse)
 	if target == nil {
 		return
 	}
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -25,11 +25,11 @@
 	copyRetries    = 1
 	copyRetryPause = 15 * time.Millisecond
 	// silenceShare is the share of the route's longest pause after which an
-	// engine that sends nothing is taken for dead. The rest is left for the
-	// first event from the copy.
-	silenceShare = 0.75
-	// leastSilence keeps engines with slow steps from being taken for dead.
-	leastSilence = 130 * time.Millisecond
+	// engine that sends nothing is probed. The rest is left for the probe and
+	// the first event from the copy.
+	silenceShare = 0.5
+	// leastSilence keeps engines with slow steps from being probed.
+	leastSilence = 80 * time.Millisecond
 	// overlap bounds the time in which two engines hold the same generation.
 	overlap = 300 * time.Millisecond
 	// firstEventShare is the share of the target latency after which a resumable
@@ -55,8 +55,11 @@
 	tried    map[bramleytack.UpstreamID]bool
 	moved    chan moveResult
 	moving   bool
-	// planned is set once the leaving of the current engine was acted upon.
-	planned bool
+	probed   chan probeResult
+	probing  bool
+	// firstAfter and longestPause describe what the caller sees.
+	firstAfter   time.Duration
+	longestPause time.Duration
 	// verdict is the last reply that can answer a caller who got no event.
 	verdict *reply
 	done    bool
@@ -65,7 +68,7 @@
 // stream serves a request whose response is an event stream.
 func (j *job) stream(ctx context.Context) {
 	flusher, _ := j.w.(http.Flusher)
-	s := &relay{j: j, ctx: ctx, flusher: flusher, tried: map[bramleytack.UpstreamID]bool{}, moved: make(chan moveResult, 1)}
+	s := &relay{j: j, ctx: ctx, flusher: flusher, tried: map[bramleytack.UpstreamID]bool{}, moved: make(chan moveResult, 1), probed: make(chan probeResult, 1)}
 	if v, err := strconv.ParseUint(j.header.Get(j.h.Dialect.LastEvent), 10, 64); err == nil {
 		s.last = v
 	}
@@ -90,6 +93,8 @@
 			s.take(s.next, i)
 		case m := <-s.moved:
 			s.takeMove(m)
+		case r := <-s.probed:
+			s.takeProbe(r)
 		case <-changed:
 			_, changed = s.j.h.Table.Current()
 			s.checkLeaving()
@@ -120,7 +125,6 @@
 		s.tried[u.ID] = true
 		s.cur = s.segment(u, fromStart, "")
 		s.cur.start(s.ctx)
-		s.planned = false
 		s.j.log(btevent.AttemptStarted).Str("upstream", string(u.ID)).Int("prompt", s.j.need.Prompt).
 			Int("output", s.j.need.Output).Str("backup", s.cur.backupName()).Uint64("version", s.j.s.Version).Send()
 		return true
@@ -148,7 +152,7 @@
 	}
 	profile := j.profile()
 	if profile != nil && profile.Backups && j.need.MaxOutput >= backupOutput {
-		if g.backup = j.h.Accounts.PickCopy(j.s, u, j.need); g.backup != nil {
+		if g.backup = j.h.Accounts.PickCopy(j.s, u, j.need, btaccount.SpareUse); g.backup != nil {
 			g.request.Header.Set(d.Backup, g.backup.Addr.String())
 		}
 	}
@@ -210,7 +214,9 @@
 		return
 	}
 	s.flusher.Flush()
-	s.j.h.Metrics.event(now.Sub(s.eventAt), g.origin != fromStart && g.events == 1)
+	pause := now.Sub(s.eventAt)
+	s.longestPause = max(s.longestPause, pause)
+	s.j.h.Metrics.event(pause, g.origin != fromStart && g.events == 1)
 	s.eventAt = now
 }
 
@@ -223,14 +229,15 @@
 	s.eventAt = s.j.h.Timer.Now()
 	copyHeader(s.j.w.Header(), s.head.header)
 	s.j.w.WriteHeader(s.head.status)
-	s.j.h.Metrics.firstEvent(s.eventAt.Sub(s.j.received))
+	s.firstAfter = s.eventAt.Sub(s.j.received)
+	s.j.h.Metrics.firstEvent(s.firstAfter)
 }
 
 // promote lets the next segment take over.
 func (s *relay) promote() {
 	old := s.cur
 	s.cur, s.next = s.next, nil
-	s.planned, s.moving = false, false
+	s.moving = false
 	old.close(btaccount.Abandoned)
 	s.j.log(btevent.StreamMoved).Str("from", string(old.upstream.ID)).Str("to", string(s.cur.upstream.ID)).
 		Stringer("origin", s.cur.origin).Uint64("event", s.last).Dur("pause", s.j.h.Timer.Now().Sub(s.eventAt)).Send()
@@ -246,7 +253,7 @@
 	g.close(btaccount.Served)
 	s.learn()
 	s.j.log(btevent.RequestAnswered).Str("upstream", string(g.upstream.ID)).Int("status", s.head.status).
-		Uint64("event", s.last).Send()
+		Uint64("event", s.last).Dur("first", s.firstAfter).Dur("longestPause", s.longestPause).Send()
 	s.j.h.Metrics.answered(s.j, s.head.status)
 }
 
@@ -326,5 +333,5 @@
 
 // silence returns the pause after which the current engine is checked.
 func (s *relay) silence() time.Duration {
-	return max(time.Duration(silenceShare*float64(s.j.route.MaxPause)), leastSilence) / 2
+	return max(time.Duration(silenceShare*float64(s.j.route.MaxPause)), leastSilence)
 }
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -196,7 +196,7 @@
 		x.conn.conn.Close()
 		return
 	}
-	x.conn.keep(x.Response)
+	x.conn.keep(x.Header)
 }
 
 func (x *Exchange) abandon() {
--- a/internal/upstream/btconn/pool.go
+++ b/internal/upstream/btconn/pool.go
@@ -68,6 +68,17 @@
 	return &Conn{pool: p, addr: addr, conn: nc, r: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
+// Check opens a connection to addr and keeps it. An error says that addr takes
+// no connections.
+func (p *Pool) Check(ctx context.Context, addr netip.AddrPort) error {
+	c, err := p.Open(ctx, addr)
+	if err != nil {
+		return err
+	}
+	c.keep(nil)
+	return nil
+}
+
 func (p *Pool) take(addr netip.AddrPort) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -104,8 +115,8 @@
 	}
 }
 
-func (c *Conn) keep(resp *http.Response) {
-	idle := keepAlive(resp.Header) - idleMargin
+func (c *Conn) keep(header http.Header) {
+	idle := keepAlive(header) - idleMargin
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
