Draw among upstreams that are alike

Cause: clumps of requests at many daemons within 20 ms all met at the one engine with the best figures (up to four at once, first events after 2.5 s).

--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -1,6 +1,7 @@
 package btaccount
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -28,6 +29,10 @@
 	slowMillis = 60.0
 	// plainMillis is the penalty of a request at a plain service per slot.
 	plainMillis = 60.0
+	// alikeMillis is the difference of expected delays below which upstreams count
+	// as alike. Requests come in clumps at many daemons at once, which all see
+	// the same best upstream before they see each other's choice.
+	alikeMillis = 50.0
 	// sameDomainUse is what a copy in the generation's own failure domain adds to
 	// the use of an engine in the comparison.
 	sameDomainUse = 0.1
@@ -169,19 +174,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
-	var best *bramleytack.Upstream
-	bestScore := 0.0
-	for _, u := range candidates {
-		score := t.score(s, u, n, now) + rand.Float64()
-		if best != nil && score >= bestScore || !t.coldAllows(s, u, now, false) {
+	scores := make([]float64, len(candidates))
+	best := math.Inf(1)
+	for i, u := range candidates {
+		scores[i] = math.Inf(1)
+		if t.coldAllows(s, u, now, false) {
+			scores[i] = t.score(s, u, n, now)
+			best = min(best, scores[i])
+		}
+	}
+	chosen, seen := -1, 0
+	for i, score := range scores {
+		if score > best+alikeMillis || math.IsInf(score, 1) {
 			continue
 		}
-		best, bestScore = u, score
+		// Each of the alike ones is kept with the same probability.
+		if seen++; rand.IntN(seen) == 0 {
+			chosen = i
+		}
 	}
-	if best != nil && !t.coldAllows(s, best, now, true) {
+	if chosen < 0 || !t.coldAllows(s, candidates[chosen], now, true) {
 		return nil, 0
 	}
-	return best, time.Duration(bestScore * float64(time.Millisecond))
+	return candidates[chosen], time.Duration(scores[chosen] * float64(time.Millisecond))
 }
 
 // Limits of the forecast use of an engine's memory that may take a copy.
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -126,7 +126,7 @@
 		s.cur = s.segment(u, fromStart, "")
 		s.cur.start(s.ctx)
 		s.j.log(btevent.AttemptStarted).Str("upstream", string(u.ID)).Int("prompt", s.j.need.Prompt).
-			Int("output", s.j.need.Output).Str("backup", s.cur.backupName()).Uint64("version", s.j.s.Version).Send()
+			Int("output", s.j.need.Output).Str("backup", s.cur.backupName()).Dur("expected", s.j.expected).Uint64("version", s.j.s.Version).Send()
 		return true
 	}
 	return false
