Keep copies only where a service has spare memory; move within the domain

Cause: on the grown site running generations need about 80% of the engines' memory; copies delayed admissions and preempted others.

--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -199,41 +200,72 @@
 	return candidates[chosen], time.Duration(scores[chosen] * float64(time.Millisecond))
 }
 
-// Limits of the forecast use of an engine's memory that may take a copy.
 const (
-	// SpareUse keeps copies that may never be used from crowding out work.
-	SpareUse = 0.75
-	// FullUse lets a running generation move to any engine. Forecasts add up
-	// the ends of all generations, which seldom come together.
-	FullUse = 1.25
+	// spareUse is the forecast use of all engines of a service above which no
+	// copies are kept in case of a failure: they would delay running work more
+	// often than a failure strikes.
+	spareUse = 0.55
+	// copyUse is the forecast use up to which an engine takes such a copy.
+	copyUse = 0.75
+	// moveUse lets a running generation move to nearly any engine. Forecasts add
+	// up the ends of all generations, which seldom come together.
+	moveUse = 1.25
+	// farUse is what another failure domain adds to the use of an engine when a
+	// generation moves: the move takes twice as long.
+	farUse = 0.35
 )
 
-// PickCopy returns an engine for a copy of a generation that runs at primary,
-// or nil if the copy would raise the use of every engine above limit.
-func (t *Table) PickCopy(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need, limit float64) *bramleytack.Upstream {
+// PickBackup returns an engine that keeps a copy of a generation at primary in
+// case of a failure, or nil if memory is short.
+func (t *Table) PickBackup(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) *bramleytack.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.Timer.Now()
-	profile := engineOf(s, primary.Service)
-	if profile == nil {
+	room, mean := t.room(s, primary, n)
+	if mean > spareUse {
 		return nil
 	}
+	for i := range room {
+		if room[i].upstream.FailureDomain == primary.FailureDomain {
+			// A failure of the domain would take both.
+			room[i].use += sameDomainUse
+		}
+	}
+	return betterOfTwo(room, copyUse)
+}
+
+// PickTarget returns an engine that a generation at primary moves to, or nil.
+func (t *Table) PickTarget(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) *bramleytack.Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	room, _ := t.room(s, primary, n)
+	for i := range room {
+		if room[i].upstream.FailureDomain != primary.FailureDomain {
+			room[i].use += farUse
+		}
+	}
+	return betterOfTwo(room, moveUse)
+}
+
+// room returns the other engines of a service with their forecast use if they
+// took a copy, and the mean use without it. The caller holds the lock.
+func (t *Table) room(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) ([]roomy, float64) {
+	profile := engineOf(s, primary.Service)
+	if profile == nil || profile.MemoryTokens <= 0 {
+		return nil, 0
+	}
+	now := t.Timer.Now()
 	var room []roomy
+	sum := 0.0
 	for _, u := range s.ByService[primary.Service] {
 		if u.ID == primary.ID || !s.Accepts(u.ID) || now.Before(t.account(u.ID).ejectedUntil) {
 			continue
 		}
 		l := t.load(u.ID, now)
-		use := float64(l.Memory+l.Copies+n.memory()) / float64(max(profile.MemoryTokens, 1))
-		if u.FailureDomain == primary.FailureDomain {
-			// A failure of the domain would take both.
-			use += sameDomainUse
-		}
-		if use < limit {
-			room = append(room, roomy{u, use})
-		}
+		use := float64(l.Memory+l.Copies) / float64(profile.MemoryTokens)
+		sum += use
+		room = append(room, roomy{u, use + float64(n.memory())/float64(profile.MemoryTokens)})
 	}
-	return betterOfTwo(room)
+	return room, sum / float64(max(len(room), 1))
 }
 
 // roomy is an engine with room for a copy.
@@ -245,7 +277,8 @@
 // betterOfTwo returns the emptier of two engines drawn at random. When an engine
 // leaves, many daemons choose at once by the same figures; the emptiest engine
 // of all would get every copy.
-func betterOfTwo(room []roomy) *bramleytack.Upstream {
+func betterOfTwo(room []roomy, limit float64) *bramleytack.Upstream {
+	room = slices.DeleteFunc(room, func(r roomy) bool { return r.use >= limit })
 	if len(room) == 0 {
 		return nil
 	}
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -209,7 +209,7 @@
 	if s.moving || profile == nil || !profile.Moves || s.j.h.Mover == nil {
 		return
 	}
-	target := s.j.h.Accounts.PickCopy(s.j.s, s.cur.upstream, s.j.need, btaccount.FullUse)
+	target := s.j.h.Accounts.PickTarget(s.j.s, s.cur.upstream, s.j.need)
 	if target == nil {
 		return
 	}
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -152,7 +152,7 @@
 	}
 	profile := j.profile()
 	if profile != nil && profile.Backups && j.need.MaxOutput >= backupOutput {
-		if g.backup = j.h.Accounts.PickCopy(j.s, u, j.need, btaccount.SpareUse); g.backup != nil {
+		if g.backup = j.h.Accounts.PickBackup(j.s, u, j.need); g.backup != nil {
 			g.request.Header.Set(d.Backup, g.backup.Addr.String())
 		}
 	}
