--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -213,6 +213,9 @@
 	// farUse is what another failure domain adds to the use of an engine when a
 	// generation moves: the move takes twice as long.
 	farUse = 0.35
+	// unreadPerUse is the number of unread prompt tokens that counts as much as
+	// the whole memory when a generation moves.
+	unreadPerUse = 6000.0
 )
 
 // PickBackup returns an engine that keeps a copy of a generation at primary in
@@ -242,6 +245,8 @@
 		if room[i].upstream.FailureDomain != primary.FailureDomain {
 			room[i].use += farUse
 		}
+		// A prompt that is being read delays the first event after the move.
+		room[i].use += float64(t.load(room[i].upstream.ID, t.Timer.Now()).Unread) / unreadPerUse
 	}
 	return betterOfTwo(room, moveUse)
 }
