--- /dev/null
+++ b/internal/standin/btworker/pool.go
@@ -0,0 +1,84 @@
+package btworker
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bramleytack"
+	"bramleytack/internal/btmemnet"
+)
+
+// errNoRun is the answer to a move of a generation that does not run.
+var errNoRun = errors.New("btworker: no such generation")
+
+// Pool is a set of upstreams that know each other.
+type Pool struct {
+	Net     *btmemnet.Network
+	Dialect bramleytack.FleetDialect
+	// CopyDelay is the time until a copy has arrived, MoveTime the length of a
+	// move.
+	CopyDelay time.Duration
+	MoveTime  time.Duration
+
+	mu      sync.Mutex
+	workers map[netip.AddrPort]*Worker
+	runs    map[string]int
+}
+
+var _ bramleytack.EngineMover = (*Pool)(nil)
+
+// Start starts an upstream.
+func (p *Pool) Start(cfg Config) *Worker {
+	w := &Worker{pool: p, cfg: cfg, copies: map[string]time.Time{}, active: map[string]context.CancelFunc{}}
+	p.mu.Lock()
+	if p.workers == nil {
+		p.workers, p.runs = map[netip.AddrPort]*Worker{}, map[string]int{}
+	}
+	p.workers[cfg.Addr] = w
+	p.mu.Unlock()
+	w.serve()
+	return w
+}
+
+// Runs returns how often a request began to run, over all upstreams. Going on
+// from a copy is no new run.
+func (p *Pool) Runs(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[id]
+}
+
+func (p *Pool) ran(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs[id]++
+}
+
+func (p *Pool) at(addr netip.AddrPort) *Worker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.workers[addr]
+}
+
+// Move implements bramleytack.EngineMover.
+func (p *Pool) Move(ctx context.Context, source, target netip.AddrPort, id string, _ bool) (bramleytack.EngineCopy, error) {
+	from, to := p.at(source), p.at(target)
+	if from == nil || to == nil || !from.running(id) {
+		return bramleytack.EngineCopy{}, errNoRun
+	}
+	select {
+	case <-time.After(p.MoveTime):
+	case <-ctx.Done():
+		return bramleytack.EngineCopy{}, ctx.Err()
+	}
+	if !from.running(id) {
+		return bramleytack.EngineCopy{}, errNoRun
+	}
+	c := bramleytack.EngineCopy{Holder: source, Handle: "move-" + id}
+	to.keep(c.String(), 0)
+	return c, nil
+}
--- /dev/null
+++ b/internal/standin/btworker/worker.go
@@ -0,0 +1,248 @@
+package btworker
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Config describes an upstream.
+type Config struct {
+	ID   string
+	Addr netip.AddrPort
+	// Events is the length of a stream. Zero makes a plain service.
+	Events int
+	// Read is the time to the first event, Gap the one between events.
+	Read time.Duration
+	Gap  time.Duration
+	// Work is the time of a plain call.
+	Work time.Duration
+}
+
+// Fault makes an upstream misbehave.
+type Fault uint8
+
+// The faults.
+const (
+	// Healthy upstreams answer.
+	Healthy Fault = iota
+	// Full upstreams refuse without running.
+	Full
+	// Lost answers never leave, and the connection closes.
+	Lost
+	// Foreign answers carry the id of another request.
+	Foreign
+	// Truncated answers end before their length.
+	Truncated
+	// Broken upstreams answer with status 500.
+	Broken
+	// Mute upstreams run the request and send nothing.
+	Mute
+	// Doubled answers are followed by a second one.
+	Doubled
+)
+
+var faultNames = [...]string{"healthy", "full", "lost", "foreign", "truncated", "broken", "mute", "doubled"}
+
+// String returns the fault's name.
+func (f Fault) String() string { return faultNames[f] }
+
+// Worker is one upstream.
+type Worker struct {
+	pool   *Pool
+	cfg    Config
+	server *http.Server
+	fault  atomic.Uint32
+	// stalled holds streams back, as a preemption does.
+	stalled atomic.Bool
+
+	mu     sync.Mutex
+	copies map[string]time.Time
+	active map[string]context.CancelFunc
+	last   *http.Request
+	body   string
+}
+
+func (w *Worker) serve() {
+	l := w.pool.Net.Listen(w.cfg.Addr)
+	w.server = &http.Server{Handler: w}
+	go w.run(l)
+}
+
+// run serves until the upstream crashes.
+func (w *Worker) run(l net.Listener) { _ = w.server.Serve(l) }
+
+// Crash ends the upstream and cuts its connections.
+func (w *Worker) Crash() { _ = w.server.Close() }
+
+// Set sets the fault of later requests.
+func (w *Worker) Set(f Fault) { w.fault.Store(uint32(f)) }
+
+// Stall holds streams back, or lets them go on.
+func (w *Worker) Stall(on bool) { w.stalled.Store(on) }
+
+// Last returns the last request and its body.
+func (w *Worker) Last() (*http.Request, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.last, w.body
+}
+
+// Active returns the number of requests that run.
+func (w *Worker) Active() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.active)
+}
+
+func (w *Worker) running(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, ok := w.active[id]
+	return ok
+}
+
+// keep stores a copy that arrives after d.
+func (w *Worker) keep(name string, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.copies[name] = time.Now().Add(d)
+}
+
+// use takes a copy that has arrived.
+func (w *Worker) use(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, ok := w.copies[name]
+	if !ok || time.Now().Before(at) {
+		return false
+	}
+	delete(w.copies, name)
+	return true
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	d := w.pool.Dialect
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get(d.RequestID)
+	w.mu.Lock()
+	w.last, w.body = r, string(body)
+	w.mu.Unlock()
+	rw.Header().Set(d.RequestID, id)
+	if want := r.Header.Get(d.ExpectInstance); want != "" && want != w.cfg.ID {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	from := r.Header.Get(d.From)
+	if Fault(w.fault.Load()) == Full || from != "" && !w.use(from) {
+		rw.Header().Set(d.NotRun, "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if from == "" {
+		w.pool.ran(id)
+	}
+	ctx, done := context.WithCancel(r.Context())
+	w.mu.Lock()
+	w.active[id] = done
+	w.mu.Unlock()
+	defer func() {
+		done()
+		w.mu.Lock()
+		delete(w.active, id)
+		w.mu.Unlock()
+	}()
+	rw.Header().Set(d.Seal, "seal-"+w.cfg.ID)
+	if w.cfg.Events > 0 {
+		w.stream(ctx, rw, r, id)
+		return
+	}
+	w.answer(ctx, rw, id)
+}
+
+func (w *Worker) answer(ctx context.Context, rw http.ResponseWriter, id string) {
+	if !pause(ctx, w.cfg.Work) {
+		return
+	}
+	body := "answer of " + w.cfg.ID + " to " + id
+	switch Fault(w.fault.Load()) {
+	case Lost:
+		panic(http.ErrAbortHandler)
+	case Mute:
+		<-ctx.Done()
+		return
+	case Foreign:
+		rw.Header().Set(w.pool.Dialect.RequestID, "another")
+	case Truncated:
+		rw.Header().Set("Content-Length", strconv.Itoa(len(body)+10))
+		_, _ = io.WriteString(rw, body)
+		panic(http.ErrAbortHandler)
+	case Broken:
+		rw.WriteHeader(http.StatusInternalServerError)
+	case Doubled:
+		w.double(rw, body, id)
+		return
+	}
+	_, _ = io.WriteString(rw, body)
+}
+
+// double sends two answers to one request.
+func (w *Worker) double(rw http.ResponseWriter, body, id string) {
+	c, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", w.pool.Dialect.RequestID, id, len(body), body)
+	_, _ = io.WriteString(c, text+text)
+}
+
+// stream sends events until the end, or until the connection closes.
+func (w *Worker) stream(ctx context.Context, rw http.ResponseWriter, r *http.Request, id string) {
+	d := w.pool.Dialect
+	if backup := r.Header.Get(d.Backup); backup != "" {
+		if addr, err := netip.ParseAddrPort(strings.TrimSpace(backup)); err == nil && w.pool.at(addr) != nil {
+			w.pool.at(addr).keep(addr.String()+"/"+id, w.pool.CopyDelay)
+		}
+	}
+	last, _ := strconv.Atoi(r.Header.Get(d.LastEvent))
+	if !pause(ctx, w.cfg.Read) || Fault(w.fault.Load()) == Lost {
+		panic(http.ErrAbortHandler)
+	}
+	rw.Header().Set("Content-Type", "text/event-stream")
+	for n := last + 1; n <= w.cfg.Events; n++ {
+		for w.stalled.Load() {
+			if !pause(ctx, w.cfg.Gap) {
+				return
+			}
+		}
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d of %s\n\n", n, n, id); err != nil {
+			return
+		}
+		if err := http.NewResponseController(rw).Flush(); err != nil || !pause(ctx, w.cfg.Gap) {
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
