--- a/internal/serve/btentry/stream_test.go
+++ b/internal/serve/btentry/stream_test.go
@@ -45,15 +45,17 @@
 // against streams that end with their engine.
 func TestStreamMovesFromLeavingEngine(t *testing.T) {
 	cases := []struct {
-		name string
-		at   time.Duration
+		name      string
+		at        time.Duration
+		copyDelay time.Duration
 	}{
-		{"young generation without a copy", 400 * time.Millisecond},
-		{"old generation with a copy", 1600 * time.Millisecond},
+		{"young generation without a copy", 400 * time.Millisecond, time.Hour},
+		{"old generation with a copy", 1600 * time.Millisecond, 300 * time.Millisecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, func(h *harness) {
+				h.pool.CopyDelay = c.copyDelay
 				h.engines(3)
 				after(c.at, func() {
 					name := h.home()
@@ -73,6 +75,7 @@
 // a move that is tried once only.
 func TestStreamMovesAgain(t *testing.T) {
 	run(t, func(h *harness) {
+		h.pool.CopyDelay = time.Hour
 		h.engines(3)
 		for i := range 2 {
 			after(time.Duration(400+700*i)*time.Millisecond, func() {
@@ -119,6 +122,7 @@
 // Guards against a take-over that ends a generation on a live engine.
 func TestStreamWaitsForBusyEngine(t *testing.T) {
 	run(t, func(h *harness) {
+		h.pool.CopyDelay = time.Hour
 		h.engines(2)
 		after(400*time.Millisecond, func() {
 			w := h.workers[h.home()]
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -217,10 +217,12 @@
 		}
 	}
 	last, _ := strconv.Atoi(r.Header.Get(d.LastEvent))
+	rw.Header().Set("Content-Type", "text/event-stream")
+	// The head leaves before the first event.
+	_ = http.NewResponseController(rw).Flush()
 	if !pause(ctx, w.cfg.Read) || Fault(w.fault.Load()) == Lost {
 		panic(http.ErrAbortHandler)
 	}
-	rw.Header().Set("Content-Type", "text/event-stream")
 	for n := last + 1; n <= w.cfg.Events; n++ {
 		for w.stalled.Load() {
 			if !pause(ctx, w.cfg.Gap) {
