--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -230,7 +230,7 @@
 	for i := range room {
 		if room[i].upstream.FailureDomain == primary.FailureDomain {
 			// A failure of the domain would take both.
-			room[i].use += sameDomainUse
+			room[i].penalty += sameDomainUse
 		}
 	}
 	return betterOfTwo(room, copyUse)
@@ -243,10 +243,10 @@
 	room, _ := t.room(s, primary, n)
 	for i := range room {
 		if room[i].upstream.FailureDomain != primary.FailureDomain {
-			room[i].use += farUse
+			room[i].penalty += farUse
 		}
 		// A prompt that is being read delays the first event after the move.
-		room[i].use += float64(t.load(room[i].upstream.ID, t.Timer.Now()).Unread) / unreadPerUse
+		room[i].penalty += float64(t.load(room[i].upstream.ID, t.Timer.Now()).Unread) / unreadPerUse
 	}
 	return betterOfTwo(room, moveUse)
 }
@@ -268,7 +268,7 @@
 		l := t.load(u.ID, now)
 		use := float64(l.Memory+l.Copies) / float64(profile.MemoryTokens)
 		sum += use
-		room = append(room, roomy{u, use + float64(n.memory())/float64(profile.MemoryTokens)})
+		room = append(room, roomy{upstream: u, use: use + float64(n.memory())/float64(profile.MemoryTokens)})
 	}
 	return room, sum / float64(max(len(room), 1))
 }
@@ -277,6 +277,8 @@
 type roomy struct {
 	upstream *bramleytack.Upstream
 	use      float64
+	// penalty counts in the comparison of engines only.
+	penalty float64
 }
 
 // betterOfTwo returns the emptier of two engines drawn at random. When an engine
@@ -288,7 +290,7 @@
 		return nil
 	}
 	a, b := room[rand.IntN(len(room))], room[rand.IntN(len(room))]
-	if b.use < a.use {
+	if b.use+b.penalty < a.use+a.penalty {
 		a = b
 	}
 	return a.upstream
--- /dev/null
+++ b/internal/route/btaccount/table_test.go
@@ -0,0 +1,217 @@
+package btaccount
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bramleytack"
+	"bramleytack/bttimer"
+)
+
+const service = "engines"
+
+// guide is a long generation of usual size.
+var guide = Need{Prompt: 3000, Output: 900, MaxOutput: 2000}
+
+// fleet returns a snapshot of n engines over three failure domains.
+func fleet(n int) *bramleytack.Snapshot {
+	s := &bramleytack.Snapshot{
+		Services: map[string]*bramleytack.ServiceRecord{service: {
+			Name: service, ColdPerSecond: 40,
+			Engine: &bramleytack.EngineProfile{Slots: 24, MemoryTokens: 27000, TokensPerEvent: 4, Moves: true, Backups: true},
+		}},
+		Upstreams:      map[bramleytack.UpstreamID]*bramleytack.Upstream{},
+		ByService:      map[string][]*bramleytack.Upstream{},
+		FailureDomains: map[bramleytack.FailureDomainID]*bramleytack.FailureDomain{},
+	}
+	for i := range n {
+		d := bramleytack.FailureDomainID(fmt.Sprintf("d%d", i%3))
+		u := &bramleytack.Upstream{ID: bramleytack.UpstreamID(fmt.Sprintf("e%02d", i)), Service: service, FailureDomain: d, WarmLimit: 24}
+		s.Upstreams[u.ID] = u
+		s.ByService[service] = append(s.ByService[service], u)
+		s.FailureDomains[d] = &bramleytack.FailureDomain{Name: d, State: bramleytack.DomainActive}
+	}
+	return s
+}
+
+// inTime runs a test in fake time.
+func inTime(t *testing.T, f func(t *testing.T, timer *bttimer.Service)) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := bttimer.New(1)
+		defer timer.Close()
+		f(t, timer)
+	})
+}
+
+func newTable(timer *bttimer.Service) *Table { return &Table{Timer: timer, Domain: "d0"} }
+
+// pick chooses an upstream and begins a request there.
+func pick(t *testing.T, table *Table, s *bramleytack.Snapshot, n Need) *bramleytack.Upstream {
+	t.Helper()
+	u, _ := table.Pick(s, table.Eligible(s, service, nil), n)
+	assert.Assert(t, u != nil)
+	table.Begin(u.ID, n)
+	return u
+}
+
+// Pattern: a clump of requests reaches many daemons before they see each other's
+// choice. Guards against all of them meeting at the engine with the best figures
+// (grown Foldwell site, quiet-1: four prompts at one engine within 20 ms).
+func TestClumpSpreadsOverEngines(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(45)
+		for round := range 50 {
+			count := map[bramleytack.UpstreamID]int{}
+			for range 10 {
+				count[pick(t, newTable(timer), s, guide).ID]++
+			}
+			most := 0
+			for _, n := range count {
+				most = max(most, n)
+			}
+			assert.Assert(t, most <= 6, "round %d: %d of 10 prompts at one engine", round, most)
+		}
+	})
+}
+
+// Pattern: steady load at one daemon that knows the others' work. Guards against
+// uneven memory and prompts that wait behind others while engines are idle.
+func TestLoadIsEven(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(12)
+		a, b := newTable(timer), newTable(timer)
+		count := map[bramleytack.UpstreamID]int{}
+		for range 24 {
+			count[pick(t, a, s, guide).ID]++
+			b.SetPeer("a", a.Own())
+			count[pick(t, b, s, guide).ID]++
+			a.SetPeer("b", b.Own())
+		}
+		for _, u := range s.ByService[service] {
+			assert.Assert(t, count[u.ID] >= 3 && count[u.ID] <= 5, "%s has %d of 48", u.ID, count[u.ID])
+		}
+	})
+}
+
+// Pattern: generations need most of the engines' memory. Guards against copies
+// that crowd out running work (grown Foldwell site, quiet-1: 60 preemptions).
+func TestCopiesNeedSpareMemory(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(12)
+		table := newTable(timer)
+		primary := pick(t, table, s, guide)
+		assert.Assert(t, table.PickBackup(s, primary, guide) != nil, "idle engines take no copy")
+		for range 55 {
+			pick(t, table, s, guide)
+		}
+		assert.Assert(t, table.PickBackup(s, primary, guide) == nil, "full engines take a copy")
+		assert.Assert(t, table.PickTarget(s, primary, guide) != nil, "a running generation finds no engine")
+	})
+}
+
+// Pattern: an engine leaves and many daemons move its generations at once.
+// Guards against all moves queueing at one target's link.
+func TestMovesSpread(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(12)
+		primary := s.ByService[service][0]
+		count := map[bramleytack.UpstreamID]int{}
+		near := 0
+		for range 60 {
+			u := newTable(timer).PickTarget(s, primary, guide)
+			count[u.ID]++
+			if u.FailureDomain == primary.FailureDomain {
+				near++
+			}
+		}
+		for id, n := range count {
+			assert.Assert(t, n <= 30, "%d of 60 moves go to %s", n, id)
+		}
+		assert.Assert(t, near >= 20, "%d of 60 moves stay in the failure domain", near)
+	})
+}
+
+// Pattern: many daemons and one cold engine. Guards against more requests than
+// it bears.
+func TestColdLimitIsShared(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		const daemons = 8
+		s := fleet(1)
+		s.ByService[service][0].ColdUntil = time.Now().Add(10 * time.Second)
+		sent := 0
+		tables := make([]*Table, daemons)
+		for i := range tables {
+			tables[i] = newTable(timer)
+			tables[i].Daemons = func() int { return daemons }
+		}
+		for range 100 {
+			for _, table := range tables {
+				if u, _ := table.Pick(s, table.Eligible(s, service, nil), guide); u != nil {
+					sent++
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		// 40 in the second, and one at once from each daemon.
+		assert.Assert(t, sent <= 40+daemons, "%d requests in a second", sent)
+		assert.Assert(t, sent >= 30, "%d requests in a second", sent)
+	})
+}
+
+// Pattern: one upstream fails part of its requests while its health check is
+// good. Guards against work that goes on to it, and against a service without
+// any upstream when all of them fail.
+func TestFailingUpstreamIsEjected(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(3)
+		table := newTable(timer)
+		fail := func(id bramleytack.UpstreamID, o Outcome) { table.Begin(id, Need{}).End(o) }
+		for range 5 {
+			fail("e00", Failed)
+			fail("e01", Served)
+			fail("e02", Served)
+		}
+		assert.Equal(t, len(table.Eligible(s, service, nil)), 2)
+		time.Sleep(ejectMost + time.Second)
+		assert.Equal(t, len(table.Eligible(s, service, nil)), 3, "an ejection never ends")
+		for range 20 {
+			for _, u := range s.ByService[service] {
+				fail(u.ID, Failed)
+			}
+		}
+		assert.Assert(t, len(table.Eligible(s, service, nil)) > 0, "no upstream is left")
+	})
+}
+
+// Guards against accounts that drift: every lease must give back what it took.
+func TestLeasesBalance(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		table := newTable(timer)
+		a, b := table.Begin("e00", guide), table.Begin("e00", guide)
+		c := table.BeginCopy("e01", guide)
+		a.Begun()
+		a.Begun()
+		a.End(Served)
+		a.End(Served)
+		b.End(Abandoned)
+		c.End()
+		c.End()
+		assert.Equal(t, len(table.Own()), 0)
+	})
+}
+
+// Guards against the work of a dead daemon that is counted forever.
+func TestDeadDaemonIsForgotten(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(2)
+		table := newTable(timer)
+		table.SetPeer("h2", map[bramleytack.UpstreamID]Load{"e00": {Running: 20, Unread: 30000}})
+		assert.Equal(t, pick(t, table, s, guide).ID, bramleytack.UpstreamID("e01"))
+		table.Retain(s, map[bramleytack.HostID]bool{})
+		assert.Equal(t, pick(t, table, s, guide).ID, bramleytack.UpstreamID("e00"))
+	})
+}
--- /dev/null
+++ b/internal/serve/btstream/reader_test.go
@@ -0,0 +1,75 @@
+package btstream
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+)
+
+// readAll returns the events of a text and the error that ended it.
+func readAll(r io.Reader) ([]Event, error) {
+	reader := NewReader(r)
+	var events []Event
+	for {
+		e, err := reader.Next()
+		if err != nil {
+			return events, err
+		}
+		events = append(events, e)
+	}
+}
+
+// Guards against events that are changed, joined or passed on in parts.
+func TestReader(t *testing.T) {
+	long := "id: 3\ndata: " + strings.Repeat("x", 3*readerBuffer) + "\n\n"
+	cases := []struct {
+		name, text string
+		ids        []uint64
+		err        error
+	}{
+		{"empty", "", nil, io.EOF},
+		{"two", "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n", []uint64{1, 2}, io.EOF},
+		{"long", long, []uint64{3}, io.EOF},
+		{"cut after a line", "id: 1\ndata: a\n\nid: 2\ndata: b\n", []uint64{1}, io.ErrUnexpectedEOF},
+		{"cut in a line", "id: 1\ndata: a\n\nid: 2\nda", []uint64{1}, io.ErrUnexpectedEOF},
+		{"no id", "data: a\n\n", []uint64{0}, io.EOF},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, r := range []io.Reader{strings.NewReader(c.text), iotest.OneByteReader(strings.NewReader(c.text))} {
+				events, err := readAll(r)
+				assert.Assert(t, errors.Is(err, c.err), "%v", err)
+				assert.Equal(t, len(events), len(c.ids))
+				joined := ""
+				for i, e := range events {
+					assert.Equal(t, e.ID, c.ids[i])
+					joined += string(e.Raw)
+				}
+				assert.Assert(t, strings.HasPrefix(c.text, joined))
+			}
+		})
+	}
+}
+
+// Guards against bytes that a reader loses or makes up.
+func FuzzReader(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Add("\n\n\nid: x\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		events, err := readAll(strings.NewReader(text))
+		joined := ""
+		for _, e := range events {
+			joined += string(e.Raw)
+		}
+		if !strings.HasPrefix(text, joined) {
+			t.Fatalf("events %q are not the beginning of %q", joined, text)
+		}
+		if errors.Is(err, io.EOF) && joined != text {
+			t.Fatalf("clean end after %q of %q", joined, text)
+		}
+	})
+}
