--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -69,6 +69,8 @@
 	Seeds []netip.Addr
 	// Known returns more addresses of daemons.
 	Known func() []netip.Addr
+	// Dial opens connections to daemons. Nil dials TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	members members
 	beat    atomic.Uint64
--- a/internal/fleet/btgossip/pull.go
+++ b/internal/fleet/btgossip/pull.go
@@ -55,8 +55,11 @@
 func (p *puller) fetch(ctx context.Context, r pull) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", netip.AddrPortFrom(r.from, p.n.Self.Port).String())
+	dial := p.n.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	c, err := dial(ctx, "tcp", netip.AddrPortFrom(r.from, p.n.Self.Port).String())
 	if err != nil {
 		return errors.Wrap(err, "btgossip: pull")
 	}
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -39,14 +39,19 @@
 			}
 			continue
 		}
-		var p Packet
-		if err := proto.Unmarshal(buf[:size], &p); err != nil {
-			r.n.Log.Event(btevent.PeerPacketDropped).Stringer("from", from).Err(err).Send()
-			continue
-		}
-		if bramleytack.HostID(p.Host) != r.n.Self.Host {
-			r.take(&p, from)
-		}
+		r.receive(buf[:size], from)
+	}
+}
+
+// receive takes one datagram.
+func (r *receiver) receive(data []byte, from net.Addr) {
+	var p Packet
+	if err := proto.Unmarshal(data, &p); err != nil {
+		r.n.Log.Event(btevent.PeerPacketDropped).Stringer("from", from).Err(err).Send()
+		return
+	}
+	if bramleytack.HostID(p.Host) != r.n.Self.Host {
+		r.take(&p, from)
 	}
 }
 
