--- a/internal/node/btnode/settings.go
+++ b/internal/node/btnode/settings.go
@@ -42,9 +42,4 @@
 	RetryWindow time.Duration
 	// DirectoryValidity is the longest validity of a directory answer.
 	DirectoryValidity time.Duration
-	// ColdExcess multiplies the cold rate of a service; ColdSlack adds to it.
-	ColdExcess float64
-	ColdSlack  float64
-	// LeaveNotice is the time within which work to a leaving upstream must end.
-	LeaveNotice time.Duration
 }
