Ask engines for their leaving while the store is away; move within the domain

Change: a daemon that cannot reach the store asks the engines that run its work every 400 ms; targets of moves are drawn within the failure domain while it has room.

--- a/cmd/bramleytack-fleet/main.go
+++ b/cmd/bramleytack-fleet/main.go
@@ -1,9 +1,3 @@
-// Command bramleytack-fleet runs one daemon on the users' platform.
-//
-// Usage:
-//
-//	bramleytack-fleet            runs until a termination signal
-//	bramleytack-fleet check      checks the settings and exits
 package main
 
 import (
@@ -48,7 +42,7 @@
 	store := platform.NewStore(s.Store)
 	node := btnode.New(s, btnode.Adapter{
 		Feed: store, Registry: store, Codec: platform.Codec{}, Dialect: platform.Dialect(),
-		Mover:   func(pool *btconn.Pool) bramleytack.EngineMover { return &platform.Engines{Pool: pool} },
+		Engines: func(pool *btconn.Pool) btnode.Engines { return &platform.Engines{Pool: pool} },
 		HashKey: platform.HashKey, EncodeAddrs: platform.EncodeAddrs, Calls: store.Calls,
 	}, os.Stdout)
 	reload := &reloader{node: node, signals: make(chan os.Signal, 1)}
--- a/fleet.go
+++ b/fleet.go
@@ -39,6 +39,17 @@
 	Put(ctx context.Context, o Object, expected Revision) (Revision, error)
 }
 
+// EngineReport is what an upstream says of its own end.
+type EngineReport struct {
+	// Leaving is set once the upstream has notice of its end.
+	Leaving bool
+}
+
+// EngineReporter asks upstreams for their state.
+type EngineReporter interface {
+	Report(ctx context.Context, addr netip.AddrPort) (EngineReport, error)
+}
+
 // EngineMover copies a running generation's memory between engines.
 type EngineMover interface {
 	// Move copies what the target lacks of the generation's memory. With stop
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -56,7 +56,9 @@
 	mu    sync.Mutex
 	kinds map[string]*kindState
 	// decoded keeps an upstream's form while its registration is unchanged.
-	decoded   map[string]decodedUpstream
+	decoded map[string]decodedUpstream
+	// leaving holds upstreams that told of their leaving themselves.
+	leaving   map[string]bool
 	listeners []func(Batch)
 
 	current atomic.Pointer[view]
@@ -69,7 +71,7 @@
 
 // NewTable returns an empty replica.
 func NewTable(codec bramleytack.CatalogCodec, timer bramleytack.Timer, log *btevent.Logger) *Table {
-	t := &Table{codec: codec, timer: timer, log: log, kinds: map[string]*kindState{}, decoded: map[string]decodedUpstream{}}
+	t := &Table{codec: codec, timer: timer, log: log, kinds: map[string]*kindState{}, decoded: map[string]decodedUpstream{}, leaving: map[string]bool{}}
 	t.current.Store(&view{changed: make(chan struct{})})
 	return t
 }
@@ -212,6 +214,19 @@
 	delete(k.lapsed, name)
 }
 
+// MarkLeaving notes that an upstream told of its leaving itself. It holds as long
+// as the upstream is registered: an incarnation that leaves does not stay.
+func (t *Table) MarkLeaving(id bramleytack.UpstreamID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leaving[string(id)] {
+		return
+	}
+	t.leaving[string(id)] = true
+	t.log.Event(btevent.UpstreamLeavingSeen).Str("upstream", string(id)).Send()
+	t.rebuild()
+}
+
 // Expire drops registrations whose grace has ended.
 func (t *Table) Expire() {
 	t.mu.Lock()
@@ -299,6 +314,11 @@
 		if u == nil {
 			continue
 		}
+		if t.leaving[name] {
+			left := *u
+			left.State = bramleytack.UpstreamLeaving
+			u = &left
+		}
 		s.Upstreams[u.ID] = u
 		s.ByService[u.Service] = append(s.ByService[u.Service], u)
 		if s.FailureDomains[u.FailureDomain] == nil {
@@ -311,6 +331,7 @@
 	for name := range t.decoded {
 		if _, ok := k.objects[name]; !ok {
 			delete(t.decoded, name)
+			delete(t.leaving, name)
 		}
 	}
 }
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -66,8 +66,8 @@
 	Registry bramleytack.Registry
 	Codec    bramleytack.CatalogCodec
 	Dialect  bramleytack.FleetDialect
-	// Mover returns the calls of engines over a pool.
-	Mover   func(pool *btconn.Pool) bramleytack.EngineMover
+	// Engines returns the calls of engines over a pool.
+	Engines func(pool *btconn.Pool) Engines
 	HashKey func(key string) string
 	// EncodeAddrs writes a directory answer.
 	EncodeAddrs btdirectory.Encoder
@@ -75,6 +75,12 @@
 	Calls func() uint64
 }
 
+// Engines are the calls of model engines that are no requests of callers.
+type Engines interface {
+	bramleytack.EngineMover
+	bramleytack.EngineReporter
+}
+
 // Node is one daemon.
 type Node struct {
 	settings Settings
@@ -88,6 +94,7 @@
 	accounts *btaccount.Table
 	gossip   *btgossip.Node
 	pool     *btconn.Pool
+	engines  Engines
 	handler  *btentry.Handler
 	dump     btdump.Registry
 	registry *prometheus.Registry
@@ -104,6 +111,7 @@
 	n.log = btevent.New(n.logs, zerolog.InfoLevel, s.Host)
 	n.table = btreplica.NewTable(a.Codec, n.timer, n.log)
 	n.pool = &btconn.Pool{}
+	n.engines = a.Engines(n.pool)
 	n.registry = prometheus.NewRegistry()
 	n.accounts = &btaccount.Table{Timer: n.timer, Domain: s.FailureDomain}
 	n.gossip = btgossip.New(&btgossip.Node{
@@ -117,7 +125,7 @@
 	n.accounts.Daemons = n.gossip.Count
 	n.accounts.Changed = n.gossip.LoadChanged
 	n.handler = &btentry.Handler{
-		Table: n.table, Accounts: n.accounts, Pool: n.pool, Dialect: a.Dialect, Mover: a.Mover(n.pool),
+		Table: n.table, Accounts: n.accounts, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), HashKey: a.HashKey, Leaving: n.leaving.Load,
 		Lengths: btforecast.New(n.timer),
 		Budget: &btretry.Budget{
@@ -259,6 +267,7 @@
 		go w.Run(ctx)
 	}
 	go (&registration{node: n}).run(ctx)
+	go (&notices{node: n}).run(ctx)
 }
 
 // loop does what no event starts.
--- /dev/null
+++ b/internal/node/btnode/notices.go
@@ -0,0 +1,70 @@
+package btnode
+
+import (
+	"context"
+	"time"
+
+	"bramleytack"
+	"bramleytack/btevent"
+)
+
+const (
+	// noticePeriod is the time between two questions to an engine. Engines leave
+	// two seconds after their notice.
+	noticePeriod = 400 * time.Millisecond
+	// noticeTimeout bounds one question.
+	noticeTimeout = 200 * time.Millisecond
+)
+
+// notices asks engines for their leaving while the store cannot tell. It asks
+// only engines that run work of this daemon.
+type notices struct{ node *Node }
+
+func (q *notices) run(ctx context.Context) {
+	tick := q.node.timer.Every(noticePeriod, noticePeriod/10)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C():
+		case <-ctx.Done():
+			return
+		}
+		if q.node.contact.Down() {
+			q.ask(ctx)
+		}
+	}
+}
+
+func (q *notices) ask(ctx context.Context) {
+	n := q.node
+	s := n.table.Snapshot()
+	if s == nil {
+		return
+	}
+	for id, l := range n.accounts.Own() {
+		u := s.Upstreams[id]
+		if u == nil || l.Memory == 0 || u.State == bramleytack.UpstreamLeaving {
+			continue
+		}
+		go (&question{node: n, upstream: u}).run(ctx)
+	}
+}
+
+// question is one question to an engine.
+type question struct {
+	node     *Node
+	upstream *bramleytack.Upstream
+}
+
+func (q *question) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	r, err := q.node.engines.Report(ctx, q.upstream.Addr)
+	if err != nil {
+		q.node.log.Event(btevent.UpstreamFailed).Str("upstream", string(q.upstream.ID)).Err(err).Send()
+		return
+	}
+	if r.Leaving {
+		q.node.table.MarkLeaving(q.upstream.ID)
+	}
+}
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -210,9 +210,9 @@
 	// moveUse lets a running generation move to nearly any engine. Forecasts add
 	// up the ends of all generations, which seldom come together.
 	moveUse = 1.25
-	// farUse is what another failure domain adds to the use of an engine when a
-	// generation moves: the move takes twice as long.
-	farUse = 0.35
+	// nearUse is the forecast use up to which a generation moves within its
+	// failure domain. A move to another one takes twice as long.
+	nearUse = 1.0
 	// unreadPerUse is the number of unread prompt tokens that counts as much as
 	// the whole memory when a generation moves.
 	unreadPerUse = 6000.0
@@ -241,12 +241,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	room, _ := t.room(s, primary, n)
+	now := t.Timer.Now()
+	var near []roomy
 	for i := range room {
-		if room[i].upstream.FailureDomain != primary.FailureDomain {
-			room[i].penalty += farUse
-		}
 		// A prompt that is being read delays the first event after the move.
-		room[i].penalty += float64(t.load(room[i].upstream.ID, t.Timer.Now()).Unread) / unreadPerUse
+		room[i].penalty = float64(t.load(room[i].upstream.ID, now).Unread) / unreadPerUse
+		if room[i].upstream.FailureDomain == primary.FailureDomain {
+			near = append(near, room[i])
+		}
+	}
+	if u := betterOfTwo(near, nearUse); u != nil {
+		return u
 	}
 	return betterOfTwo(room, moveUse)
 }
