--- a/btevent/event.go
+++ b/btevent/event.go
@@ -41,6 +41,8 @@
 	HistoryGone         = Event{208, zerolog.InfoLevel, "store has dropped its history, kind is listed again"}
 	StoreRegained       = Event{209, zerolog.InfoLevel, "store answers again"}
 	ReplicaPulled       = Event{210, zerolog.InfoLevel, "objects were pulled from a peer"}
+	FollowBegan         = Event{211, zerolog.InfoLevel, "daemon follows a kind in the store"}
+	FollowEnded         = Event{212, zerolog.InfoLevel, "daemon leaves a kind to others"}
 	LeaseAcquired       = Event{300, zerolog.InfoLevel, "cell lease was acquired"}
 	LeaseLost           = Event{301, zerolog.WarnLevel, "cell lease was lost"}
 	ViewChanged         = Event{302, zerolog.InfoLevel, "view has changed"}
@@ -101,6 +103,8 @@
 		HistoryGone,
 		StoreRegained,
 		ReplicaPulled,
+		FollowBegan,
+		FollowEnded,
 		LeaseAcquired,
 		LeaseLost,
 		ViewChanged,
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -49,12 +49,20 @@
 
 func (w *Watcher) loop(ctx context.Context) {
 	pause := firstPause
-	relist := true
+	relist, following := true, false
 	for ctx.Err() == nil {
 		if w.Active != nil && !w.Active(w.Kind) {
+			if following {
+				following = false
+				w.Log.Event(btevent.FollowEnded).Str("kind", w.Kind).Uint64("upto", uint64(w.Table.Upto(w.Kind))).Send()
+			}
 			w.sleep(ctx, inactivePause)
 			continue
 		}
+		if !following {
+			following = true
+			w.Log.Event(btevent.FollowBegan).Str("kind", w.Kind).Uint64("upto", uint64(w.Table.Upto(w.Kind))).Send()
+		}
 		poll, cancel, stale := w.Resync.begin(ctx, w)
 		err := w.step(poll, relist || stale)
 		cancel()
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -348,7 +348,7 @@
 func (r *registration) run(ctx context.Context) {
 	n := r.node
 	for n.timer.Sleep(ctx, registerPause) == nil {
-		if !n.gossip.Beacon() && len(n.gossip.Alive()) > 0 {
+		if n.contact.Down() || !n.gossip.Beacon() && len(n.gossip.Alive()) > 0 {
 			continue
 		}
 		if err := r.register(ctx); err != nil {
--- a/internal/node/btnode/notices.go
+++ b/internal/node/btnode/notices.go
@@ -12,6 +12,9 @@
 	// noticePeriod is the time between two questions to an engine. Engines leave
 	// two seconds after their notice.
 	noticePeriod = 400 * time.Millisecond
+	// noticeEcho is how long after an outage engines are still asked: their own
+	// writes to the store may take seconds to get through again.
+	noticeEcho = 5 * time.Second
 	// noticeTimeout bounds one question.
 	noticeTimeout = 200 * time.Millisecond
 )
@@ -29,7 +32,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if q.node.contact.Down() {
+		if q.node.contact.FailedWithin(q.node.timer.Now(), noticeEcho) {
 			q.ask(ctx)
 		}
 	}
