--- a/internal/fleet/btreplica/table_test.go
+++ b/internal/fleet/btreplica/table_test.go
@@ -182,3 +182,18 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a daemon that leaves the store to others whose polls hang since
+// before a cut (Karamanlis scale-2, seed 545513502547: a notice came 2.1 s late).
+func TestFollowingOverlaps(t *testing.T) {
+	inTime(t, func(t *testing.T, table *Table, timer *bttimer.Service) {
+		active := true
+		w := &Watcher{Table: table, Timer: timer, Kind: bramleytack.KindConfig, Active: func(string) bool { return active }}
+		assert.Assert(t, w.follows())
+		active = false
+		time.Sleep(watchWait + time.Second/2)
+		assert.Assert(t, w.follows())
+		time.Sleep(overlap)
+		assert.Assert(t, !w.follows())
+	})
+}
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -21,6 +21,9 @@
 	maxPause   = 800 * time.Millisecond
 	// inactivePause is the time between two looks whether to follow.
 	inactivePause = 50 * time.Millisecond
+	// overlap is how long a daemon goes on following after others took over. It
+	// is longer than a poll and its margin.
+	overlap = 3 * time.Second
 	// outageEcho is how long after an outage missing registrations may return.
 	outageEcho = 3 * time.Second
 )
@@ -42,6 +45,30 @@
 	Contact *Contact
 	// Resync is shared by the watchers of all kinds.
 	Resync *Resync
+
+	following bool
+	// wantedAt is when Active last said so.
+	wantedAt time.Time
+}
+
+// follows says whether this daemon should ask the store now. It goes on for a
+// while after others took over: a poll of theirs may hang since before a cut.
+func (w *Watcher) follows() bool {
+	now := w.Timer.Now()
+	active := w.Active == nil || w.Active(w.Kind)
+	if active {
+		w.wantedAt = now
+	}
+	following := active || !w.wantedAt.IsZero() && now.Sub(w.wantedAt) < overlap
+	if following != w.following {
+		w.following = following
+		event := btevent.FollowEnded
+		if following {
+			event = btevent.FollowBegan
+		}
+		w.Log.Event(event).Str("kind", w.Kind).Uint64("upto", uint64(w.Table.Upto(w.Kind))).Send()
+	}
+	return following
 }
 
 // Run follows the kind until the context ends.
@@ -49,20 +76,12 @@
 
 func (w *Watcher) loop(ctx context.Context) {
 	pause := firstPause
-	relist, following := true, false
+	relist := true
 	for ctx.Err() == nil {
-		if w.Active != nil && !w.Active(w.Kind) {
-			if following {
-				following = false
-				w.Log.Event(btevent.FollowEnded).Str("kind", w.Kind).Uint64("upto", uint64(w.Table.Upto(w.Kind))).Send()
-			}
+		if !w.follows() {
 			w.sleep(ctx, inactivePause)
 			continue
 		}
-		if !following {
-			following = true
-			w.Log.Event(btevent.FollowBegan).Str("kind", w.Kind).Uint64("upto", uint64(w.Table.Upto(w.Kind))).Send()
-		}
 		poll, cancel, stale := w.Resync.begin(ctx, w)
 		err := w.step(poll, relist || stale)
 		cancel()
