--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -35,7 +35,8 @@
 	if s.j.need.MaxOutput < backupOutput {
 		return
 	}
-	if s.j.h.Timer.Now().Sub(s.cur.firstAt) >= copyAge && s.goOnFromBackup("leaving") {
+	if s.cur.backup != nil && s.j.h.Timer.Now().Sub(s.cur.firstAt) >= copyAge {
+		s.probe(s.cur.backup)
 		return
 	}
 	s.move()
@@ -57,7 +58,7 @@
 	quiet := now.Sub(s.cur.eventAt)
 	if s.headSent {
 		if quiet >= s.silence() {
-			s.probe()
+			s.probe(s.cur.upstream)
 		}
 		return
 	}
@@ -67,40 +68,53 @@
 	}
 }
 
-// probe finds out whether a silent engine still takes connections. One that
-// does has preempted the generation or reads long prompts, and goes on later.
-func (s *relay) probe() {
+// probe finds out whether an engine takes connections: the current one that is
+// silent, which may have preempted the generation or read long prompts, or the
+// one with the copy, before the current one is ended.
+func (s *relay) probe(u *bramleytack.Upstream) {
 	if s.probing || s.cur.backup == nil || s.cur.cancel == nil {
 		return
 	}
 	s.probing = true
-	go (&probe{relay: s, segment: s.cur}).run()
+	go (&probe{relay: s, segment: s.cur, upstream: u}).run()
 }
 
 // probe is one test of an engine.
 type probe struct {
-	relay   *relay
-	segment *segment
+	relay    *relay
+	segment  *segment
+	upstream *bramleytack.Upstream
 }
 
 func (p *probe) run() {
 	s := p.relay
 	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
 	defer cancel()
-	err := s.j.h.Pool.Check(ctx, p.segment.upstream.Addr)
-	s.probed <- probeResult{segment: p.segment, dead: err != nil && ctx.Err() != nil && s.ctx.Err() == nil}
+	err := s.j.h.Pool.Check(ctx, p.upstream.Addr)
+	s.probed <- probeResult{segment: p.segment, upstream: p.upstream, err: err, silent: ctx.Err() != nil && s.ctx.Err() == nil}
 }
 
 // probeResult is what a probe found.
 type probeResult struct {
-	segment *segment
-	dead    bool
+	segment  *segment
+	upstream *bramleytack.Upstream
+	err      error
+	// silent is set if nothing answered in time.
+	silent bool
 }
 
 func (s *relay) takeProbe(r probeResult) {
 	s.probing = false
-	if r.dead && r.segment == s.cur && s.cur.cancel != nil && s.next == nil {
+	if r.segment != s.cur || s.cur.cancel == nil || s.next != nil {
+		return
+	}
+	switch {
+	case r.upstream == s.cur.upstream && r.err != nil && r.silent:
 		s.goOnFromBackup("silent")
+	case r.upstream == s.cur.upstream:
+	case r.err != nil || !s.goOnFromBackup("leaving"):
+		s.cur.backup = nil
+		s.move()
 	}
 }
 
--- a/internal/serve/btentry/stream_test.go
+++ b/internal/serve/btentry/stream_test.go
@@ -71,6 +71,25 @@
 	}
 }
 
+// Pattern: the engine with the copy died before the notice. Guards against a
+// generation that is ended for a copy that nobody can reach (Foldwell inc-9c7b).
+func TestStreamKeepsRunningWithoutItsCopy(t *testing.T) {
+	run(t, func(h *harness) {
+		h.engines(3)
+		after(1600*time.Millisecond, func() {
+			name := h.home()
+			r, _ := h.workers[name].Last()
+			for backup, u := range h.upstreams {
+				if u.Addr.String() == r.Header.Get(dialect.Backup) {
+					h.workers[backup].Crash()
+				}
+			}
+			h.leave(name)
+		})
+		h.checkWhole(h.stream("/guide/a"))
+	})
+}
+
 // Pattern: every engine but one gets notice, one after the other. Guards against
 // a move that is tried once only.
 func TestStreamMovesAgain(t *testing.T) {
