--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -69,6 +69,7 @@
 // harness is one daemon's entry with stand-ins behind it.
 type harness struct {
 	t         *testing.T
+	net       *btmemnet.Network
 	pool      *btworker.Pool
 	table     *btreplica.Table
 	accounts  *btaccount.Table
@@ -87,7 +88,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := &harness{
 			t: t, upstreams: map[string]*bramleytack.Upstream{}, workers: map[string]*btworker.Worker{},
-			pool:  &btworker.Pool{Net: &btmemnet.Network{}, Dialect: dialect, CopyDelay: 300 * time.Millisecond, MoveTime: 200 * time.Millisecond},
+			net:   &btmemnet.Network{},
+			pool:  &btworker.Pool{Dialect: dialect, CopyDelay: 300 * time.Millisecond, MoveTime: 200 * time.Millisecond},
 			timer: bttimer.New(1), entry: netip.MustParseAddrPort("10.0.0.1:80"),
 			routes: []*bramleytack.Route{
 				{Name: "guide", Host: "h", PathPrefix: "/guide/", Streaming: true, Timeout: 39 * time.Second, TargetLatency: 1800 * time.Millisecond, MaxPause: 180 * time.Millisecond, MaxAttempts: 1, Services: one(streams)},
@@ -97,6 +99,7 @@
 			},
 		}
 		defer h.timer.Close()
+		h.pool.Listen = func(a netip.AddrPort) (net.Listener, error) { return h.net.Listen(a), nil }
 		log := btevent.New(io.Discard, 0, "h1")
 		h.table = btreplica.NewTable(codec{h}, h.timer, log)
 		h.accounts = &btaccount.Table{Timer: h.timer}
@@ -107,7 +110,7 @@
 			HashKey: func(k string) string { return "hash of " + k },
 		}
 		server := &http.Server{Handler: h.handler}
-		go (&serving{server, h.pool.Net.Listen(h.entry)}).run()
+		go (&serving{server, h.net.Listen(h.entry)}).run()
 		f(h)
 		_ = server.Close()
 		for _, w := range h.workers {
@@ -133,7 +136,7 @@
 
 // dial connects from the entry's host.
 func (h *harness) dial(ctx context.Context, _, addr string) (net.Conn, error) {
-	return btmemnet.Dialer{Network: h.pool.Net, From: h.entry.Addr()}.DialPeer(ctx, netip.MustParseAddrPort(addr))
+	return btmemnet.Dialer{Network: h.net, From: h.entry.Addr()}.DialPeer(ctx, netip.MustParseAddrPort(addr))
 }
 
 // engine starts a model engine, shop a plain service.
@@ -194,7 +197,7 @@
 
 func (h *harness) send(id, method, target string, header map[string]string, patience time.Duration) answer {
 	a := answer{id: id}
-	c, err := btmemnet.Dialer{Network: h.pool.Net, From: netip.MustParseAddr("10.9.0.1")}.DialPeer(context.Background(), h.entry)
+	c, err := btmemnet.Dialer{Network: h.net, From: netip.MustParseAddr("10.9.0.1")}.DialPeer(context.Background(), h.entry)
 	assert.NilError(h.t, err)
 	defer c.Close()
 	assert.NilError(h.t, c.SetDeadline(time.Now().Add(patience)))
--- a/internal/serve/btentry/stream_test.go
+++ b/internal/serve/btentry/stream_test.go
@@ -162,9 +162,9 @@
 		after(time.Second, func() {
 			name := h.home()
 			addr := h.upstreams[name].Addr.Addr()
-			h.pool.Net.Silence(h.entry.Addr(), addr)
-			h.pool.Net.Block(h.entry.Addr(), addr, true)
-			h.pool.Net.Block(addr, h.entry.Addr(), true)
+			h.net.Silence(h.entry.Addr(), addr)
+			h.net.Block(h.entry.Addr(), addr, true)
+			h.net.Block(addr, h.entry.Addr(), true)
 		})
 		a := h.stream("/guide/a")
 		h.checkWhole(a)
--- a/internal/standin/btworker/pool.go
+++ b/internal/standin/btworker/pool.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -9,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"bramleytack"
-	"bramleytack/internal/btmemnet"
 )
 
 // errNoRun is the answer to a move of a generation that does not run.
@@ -17,8 +18,12 @@
 
 // Pool is a set of upstreams that know each other.
 type Pool struct {
-	Net     *btmemnet.Network
+	// Listen opens an upstream's address.
+	Listen  func(addr netip.AddrPort) (net.Listener, error)
 	Dialect bramleytack.FleetDialect
+	// Calls serves the calls of engines that are no requests, and says whether
+	// it did. Nil serves none.
+	Calls func(w http.ResponseWriter, r *http.Request) bool
 	// CopyDelay is the time until a copy has arrived, MoveTime the length of a
 	// move.
 	CopyDelay time.Duration
@@ -44,6 +49,19 @@
 	return w
 }
 
+// RanTwice returns the requests that began to run more than once.
+func (p *Pool) RanTwice() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var twice []string
+	for id, n := range p.runs {
+		if n > 1 {
+			twice = append(twice, id)
+		}
+	}
+	return twice
+}
+
 // Runs returns how often a request began to run, over all upstreams. Going on
 // from a copy is no new run.
 func (p *Pool) Runs(id string) int {
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -72,7 +72,10 @@
 }
 
 func (w *Worker) serve() {
-	l := w.pool.Net.Listen(w.cfg.Addr)
+	l, err := w.pool.Listen(w.cfg.Addr)
+	if err != nil {
+		panic(err)
+	}
 	w.server = &http.Server{Handler: w}
 	go w.run(l)
 }
@@ -132,6 +135,9 @@
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	d := w.pool.Dialect
+	if w.pool.Calls != nil && w.pool.Calls(rw, r) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -248,3 +254,6 @@
 		return false
 	}
 }
+
+// Addr returns the upstream's address.
+func (w *Worker) Addr() netip.AddrPort { return w.cfg.Addr }
