--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -51,7 +51,7 @@
 
 // open sends a request and reads the head of the response.
 func (j *job) open(ctx context.Context, u *bramleytack.Upstream, r *btconn.Request) (*btconn.Exchange, error) {
-	c, err := j.h.Pool.Get(ctx, u.Addr)
+	c, err := j.connect(ctx, u)
 	if err != nil {
 		return nil, err
 	}
@@ -68,6 +68,16 @@
 	return x, nil
 }
 
+// connect returns a connection to an upstream. A generation that may not run
+// again gets a new one: an upstream may have dropped a kept one unnoticed, and
+// what was sent on it could then not be called "not run".
+func (j *job) connect(ctx context.Context, u *bramleytack.Upstream) (*btconn.Conn, error) {
+	if j.route.Streaming && !j.route.Repeatable() {
+		return j.h.Pool.Open(ctx, u.Addr)
+	}
+	return j.h.Pool.Get(ctx, u.Addr)
+}
+
 // observe takes an upstream's load from its response.
 func (j *job) observe(u *bramleytack.Upstream, header http.Header) {
 	parts := strings.Split(header.Get(j.h.Dialect.Load), ",")
--- a/internal/serve/btentry/stream_test.go
+++ b/internal/serve/btentry/stream_test.go
@@ -211,3 +211,16 @@
 		assert.Assert(t, time.Since(started) < 100*time.Millisecond)
 	})
 }
+
+// Pattern: an engine restarts at its address while a connection to it is kept.
+// Guards against generations that are sent on the dead connection (own day
+// crash-beside-notice: a guide answered 502 after 2 ms).
+func TestStreamUsesNoKeptConnection(t *testing.T) {
+	run(t, func(h *harness) {
+		h.engines(1)
+		a := h.request(http.MethodPost, "/tag/a", map[string]string{dialect.TokenCounts: "100,40"}, 6*time.Second)
+		h.checkWhole(a)
+		h.net.Silence(h.entry.Addr(), h.upstreams["e1"].Addr.Addr())
+		h.checkWhole(h.stream("/guide/a"))
+	})
+}
