--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -114,7 +114,6 @@
 
 // pass sends an upstream's response unchanged.
 func (j *job) pass(r *reply) {
-	j.answered = true
 	copyHeader(j.w.Header(), r.header)
 	if j.method != http.MethodHead {
 		j.w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -93,7 +93,6 @@
 	// whichever is first.
 	deadline  time.Time
 	workspace bramleytack.WorkspaceID
-	urgency   int
 	method    string
 	target    string
 	host      string
@@ -134,7 +133,6 @@
 }
 
 func (j *job) identify(r *http.Request) bool {
-	j.urgency = j.route.Urgency
 	if len(j.s.Workspaces) == 0 {
 		return true
 	}
@@ -147,9 +145,6 @@
 		return j.route.Public
 	}
 	j.workspace = w.Name
-	if w.Urgency != nil {
-		j.urgency = *w.Urgency
-	}
 	return true
 }
 
@@ -253,7 +248,6 @@
 
 // refuse answers with a status of the system's own.
 func (j *job) refuse(status int, retryAfter time.Duration, reason string) {
-	j.answered = true
 	j.log(btevent.RequestRejected).Int("status", status).Int("sends", j.sends).Str("reason", reason).Send()
 	j.h.Metrics.rejected(status, reason)
 	header := j.w.Header()
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -225,7 +225,6 @@
 		return
 	}
 	s.headSent = true
-	s.j.answered = true
 	s.eventAt = s.j.h.Timer.Now()
 	copyHeader(s.j.w.Header(), s.head.header)
 	s.j.w.WriteHeader(s.head.status)
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -85,7 +85,7 @@
 	writeErr atomic.Bool
 	done     bool
 	once     sync.Once
-	// rest is the number of body bytes still to come, or -1 if unknown.
+	// body is the response's own body, which Read watches for its end.
 	body io.Reader
 }
 
