Trace three tests that failed once

TestEarlyAnswer: the stand-in never answered a second request on a connection that was rightly kept; it now reads on and answers, and the test compares the answer. TestStreamKeepsRunningWithoutItsCopy: the stand-in moved a generation to an engine that was down, which engines refuse. TestMovesSpread: 60 draws over three engines pass the bound of one half by chance in 1 of some 100 runs; 600 draws, same bound.

--- a/internal/route/btaccount/table_test.go
+++ b/internal/route/btaccount/table_test.go
@@ -121,7 +121,9 @@
 		primary := s.ByService[service][0]
 		count := map[bramleytack.UpstreamID]int{}
 		near := 0
-		for range 60 {
+		// Enough draws that chance stays far from the bound of one half.
+		const moves = 600
+		for range moves {
 			u := newTable(timer).PickTarget(s, primary, guide)
 			count[u.ID]++
 			if u.FailureDomain == primary.FailureDomain {
@@ -129,9 +131,9 @@
 			}
 		}
 		for id, n := range count {
-			assert.Assert(t, n <= 30, "%d of 60 moves go to %s", n, id)
+			assert.Assert(t, n <= moves/2, "%d of %d moves go to %s", n, moves, id)
 		}
-		assert.Assert(t, near >= 20, "%d of 60 moves stay in the failure domain", near)
+		assert.Assert(t, near >= moves/3, "%d of %d moves stay in the failure domain", near, moves)
 	})
 }
 
--- a/internal/standin/btworker/pool.go
+++ b/internal/standin/btworker/pool.go
@@ -13,8 +13,9 @@
 	"bramleytack"
 )
 
-// errNoRun is the answer to a move of a generation that does not run.
-var errNoRun = errors.New("btworker: no such generation")
+// errNoRun is the answer to a move of a generation that does not run, or to an
+// upstream that is down.
+var errNoRun = errors.New("btworker: no such generation or target")
 
 // Pool is a set of upstreams that know each other.
 type Pool struct {
@@ -85,7 +86,7 @@
 // Move implements bramleytack.EngineMover.
 func (p *Pool) Move(ctx context.Context, source, target netip.AddrPort, id string, _ bool) (bramleytack.EngineCopy, error) {
 	from, to := p.at(source), p.at(target)
-	if from == nil || to == nil || !from.running(id) {
+	if from == nil || to == nil || !from.running(id) || to.crashed.Load() {
 		return bramleytack.EngineCopy{}, errNoRun
 	}
 	select {
@@ -93,7 +94,7 @@
 	case <-ctx.Done():
 		return bramleytack.EngineCopy{}, ctx.Err()
 	}
-	if !from.running(id) {
+	if !from.running(id) || to.crashed.Load() {
 		return bramleytack.EngineCopy{}, errNoRun
 	}
 	c := bramleytack.EngineCopy{Holder: source, Handle: "move-" + id}
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -63,6 +63,7 @@
 	fault  atomic.Uint32
 	// stalled holds streams back, as a preemption does.
 	stalled atomic.Bool
+	crashed atomic.Bool
 
 	mu     sync.Mutex
 	copies map[string]time.Time
@@ -84,7 +85,10 @@
 func (w *Worker) run(l net.Listener) { _ = w.server.Serve(l) }
 
 // Crash ends the upstream and cuts its connections.
-func (w *Worker) Crash() { _ = w.server.Close() }
+func (w *Worker) Crash() {
+	w.crashed.Store(true)
+	_ = w.server.Close()
+}
 
 // Set sets the fault of later requests.
 func (w *Worker) Set(f Fault) { w.fault.Store(uint32(f)) }
--- a/internal/upstream/btconn/conn_test.go
+++ b/internal/upstream/btconn/conn_test.go
@@ -61,6 +61,8 @@
 		if _, err := io.WriteString(t.c, text); err != nil {
 			return
 		}
+		// An upstream that answered early reads on.
+		_, _ = io.Copy(io.Discard, req.Body)
 	}
 	// Holds the connection open.
 	_, _ = io.Copy(io.Discard, t.c)
@@ -159,18 +161,19 @@
 	})
 }
 
-// Guards against a connection that is kept although a long body was not read
-// when the answer came.
+// Guards against bytes of a long body that reach the next request on its
+// connection, when the upstream answered before it had read the body.
 func TestEarlyAnswer(t *testing.T) {
 	serve(t, true, func(ctx context.Context, p *Pool) {
 		body, _, err := ask(ctx, p, strings.Repeat("x", 4*inlineBody))
 		assert.NilError(t, err)
 		assert.Equal(t, body, "ok")
-		// The stand-in still reads the body, which must not hold the next request.
-		_, c, err := ask(ctx, p, "x")
+		// The rest of the body is still on its way; it must not hold the next
+		// request, nor be taken for it.
+		body, _, err = ask(ctx, p, "x")
 		assert.NilError(t, err)
-		assert.Assert(t, c != nil)
-	}, answered)
+		assert.Equal(t, body, "ok")
+	}, answered, answered)
 }
 
 // Guards against requests that outlive their caller.
