Call what existed, and drop what nothing reads

Cause: a last reading of the change. platform and btentry hashed API keys beside btidentity.HashKey; both commands printed findings by the same function; the profile of a service's engines was looked up in two places, the replicated kinds were listed twice, and a member was encoded twice. relay.begin had a loop that ran once, nextFailed a branch that cannot be reached (a take-over from a copy ends the current engine first), goOnFromBackup checks that Accepts makes, and two fields were never read. Counting the daemons alive copied and sorted their table on the path of each request; it now counts. Behaviour is unchanged; tests keep their assertions.

--- a/cmd/bramleytack-fleet/main.go
+++ b/cmd/bramleytack-fleet/main.go
@@ -8,8 +8,6 @@
 	"runtime"
 	"syscall"
 
-	"github.com/cockroachdb/errors"
-
 	"bramleytack"
 	"bramleytack/internal/node/btnode"
 	"bramleytack/internal/upstream/btconn"
@@ -30,7 +28,7 @@
 	runtime.GOMAXPROCS(1)
 	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
-		report(err)
+		bramleytack.PrintError(os.Stderr, "bramleytack-fleet", err)
 		return exitUsage
 	}
 	if len(args) > 0 && args[0] == "check" {
@@ -42,14 +40,14 @@
 	store := platform.NewStore(s.Store)
 	node := btnode.New(s, btnode.Adapter{
 		Feed: store, Registry: store, Codec: platform.Codec{}, Dialect: platform.Dialect(),
-		Engines: func(pool *btconn.Pool) btnode.Engines { return &platform.Engines{Pool: pool} },
-		HashKey: platform.HashKey, EncodeAddrs: platform.EncodeAddrs, Calls: store.Calls,
+		Engines:     func(pool *btconn.Pool) btnode.Engines { return &platform.Engines{Pool: pool} },
+		EncodeAddrs: platform.EncodeAddrs, Calls: store.Calls,
 	}, os.Stdout)
 	reload := &reloader{node: node, signals: make(chan os.Signal, 1)}
 	signal.Notify(reload.signals, syscall.SIGHUP)
 	go reload.run()
 	if err := node.Run(ctx); err != nil {
-		report(err)
+		bramleytack.PrintError(os.Stderr, "bramleytack-fleet", err)
 		return exitFailed
 	}
 	return exitOK
@@ -67,15 +65,3 @@
 		r.node.Reload(s, err)
 	}
 }
-
-// report prints an error, or each finding on a line of its own.
-func report(err error) {
-	var found bramleytack.Findings
-	if errors.As(err, &found) {
-		for _, f := range found {
-			fmt.Fprintln(os.Stderr, f)
-		}
-		return
-	}
-	fmt.Fprintln(os.Stderr, "bramleytack-fleet:", err)
-}
--- a/cmd/bramleytackd/main.go
+++ b/cmd/bramleytackd/main.go
@@ -7,7 +7,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"bramleytack"
@@ -32,7 +31,7 @@
 	}
 	s, err := btsettings.Load(args, os.ReadFile)
 	if err != nil {
-		report(err)
+		bramleytack.PrintError(os.Stderr, "bramleytackd", err)
 		return exitUsage
 	}
 	if check {
@@ -41,7 +40,7 @@
 	}
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
-		report(err)
+		bramleytack.PrintError(os.Stderr, "bramleytackd", err)
 		return exitUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -53,20 +52,8 @@
 		err = d.Run(ctx)
 	}
 	if err != nil {
-		report(err)
+		bramleytack.PrintError(os.Stderr, "bramleytackd", err)
 		return exitFailed
 	}
 	return exitOK
 }
-
-// report prints an error, or each finding on a line of its own.
-func report(err error) {
-	var found bramleytack.Findings
-	if errors.As(err, &found) {
-		for _, f := range found {
-			fmt.Fprintln(os.Stderr, f)
-		}
-		return
-	}
-	fmt.Fprintln(os.Stderr, "bramleytackd:", err)
-}
--- a/finding.go
+++ b/finding.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Severity says whether a finding makes what was checked invalid.
@@ -106,3 +109,17 @@
 	}
 	return invalid
 }
+
+// PrintError prints an error after the program's name, or each finding on a
+// line of its own. A stream that cannot be written to is ignored: there is
+// nowhere left to say so.
+func PrintError(w io.Writer, program string, err error) {
+	var found Findings
+	if !errors.As(err, &found) {
+		_, _ = fmt.Fprintln(w, program+":", err)
+		return
+	}
+	for _, f := range found {
+		_, _ = fmt.Fprintln(w, f)
+	}
+}
--- a/fleet.go
+++ b/fleet.go
@@ -20,6 +20,9 @@
 	KindDaemons = "daemons"
 )
 
+// ReplicatedKinds are the kinds that every daemon holds.
+var ReplicatedKinds = []string{KindConfig, KindUpstreams, KindOutages}
+
 // ErrHistoryGone is returned for changes that the store no longer has.
 var ErrHistoryGone = errors.New("bramleytack: history of the store is gone")
 
--- a/internal/fleet/btgossip/members.go
+++ b/internal/fleet/btgossip/members.go
@@ -41,6 +41,14 @@
 	return other.Beat > p.Beat
 }
 
+func (p *Peer) encode() *Member {
+	a := p.Addr.As4()
+	return &Member{
+		Host: string(p.Host), Address: a[:], Incarnation: p.Incarnation, Beat: p.Beat,
+		Ready: p.Ready, Leaving: p.Leaving, StoreDown: p.StoreDown, FailureDomain: string(p.FailureDomain),
+	}
+}
+
 // members is the table of the other daemons.
 type members struct {
 	mu    sync.Mutex
@@ -91,6 +99,19 @@
 	return all
 }
 
+// alive counts the daemons that are alive. It is on the path of requests.
+func (m *members) alive(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, p := range m.peers {
+		if p.alive(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // distrust takes all daemons for dead until they are heard from again.
 func (m *members) distrust(now time.Time) {
 	m.mu.Lock()
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -87,7 +87,7 @@
 
 // New returns the part of a daemon that n describes.
 func New(n *Node) *Node {
-	n.pulls = make(chan pull, len(kinds))
+	n.pulls = make(chan pull, len(bramleytack.ReplicatedKinds))
 	n.nudge = make(chan struct{}, 1)
 	n.loads = make(chan struct{}, 1)
 	n.started = n.Timer.Now()
@@ -142,7 +142,7 @@
 }
 
 // Count returns the number of daemons alive, this one included.
-func (n *Node) Count() int { return len(n.Alive()) + 1 }
+func (n *Node) Count() int { return n.members.alive(n.Timer.Now()) + 1 }
 
 // Distrust forgets what is believed of other daemons, after a suspension.
 func (n *Node) Distrust() { n.members.distrust(n.Timer.Now()) }
@@ -243,11 +243,11 @@
 }
 
 func (n *Node) self() *Member {
-	a := n.Self.Addr.As4()
-	return &Member{
-		Host: string(n.Self.Host), Address: a[:], Incarnation: n.Self.Incarnation, Beat: n.beat.Load(),
-		Ready: n.Ready(), Leaving: n.Leaving(), StoreDown: n.Contact.Down(), FailureDomain: string(n.Self.FailureDomain),
+	p := Peer{
+		Host: n.Self.Host, Addr: n.Self.Addr, FailureDomain: n.Self.FailureDomain, Incarnation: n.Self.Incarnation,
+		Beat: n.beat.Load(), Ready: n.Ready(), Leaving: n.Leaving(), StoreDown: n.Contact.Down(),
 	}
+	return p.encode()
 }
 
 func (n *Node) digest(peers []Peer) *Digest {
@@ -261,13 +261,9 @@
 		if !p.alive(now) {
 			continue
 		}
-		a := p.Addr.As4()
-		d.Members = append(d.Members, &Member{
-			Host: string(p.Host), Address: a[:], Incarnation: p.Incarnation, Beat: p.Beat,
-			Ready: p.Ready, Leaving: p.Leaving, StoreDown: p.StoreDown, FailureDomain: string(p.FailureDomain),
-		})
+		d.Members = append(d.Members, p.encode())
 	}
-	for _, kind := range kinds {
+	for _, kind := range bramleytack.ReplicatedKinds {
 		d.Kinds = append(d.Kinds, &KindRevision{Kind: kind, Content: uint64(n.Table.Content(kind))})
 	}
 	d.Loads = n.ownLoads()
@@ -286,6 +282,3 @@
 }
 
 func count(n int) uint32 { return uint32(max(n, 0)) }
-
-// kinds are the kinds that daemons learn from each other.
-var kinds = []string{bramleytack.KindConfig, bramleytack.KindUpstreams, bramleytack.KindOutages}
--- a/internal/fleet/btreplica/contact.go
+++ b/internal/fleet/btreplica/contact.go
@@ -10,8 +10,7 @@
 // Contact is what a daemon knows about its path to the store.
 type Contact struct {
 	mu sync.Mutex
-	// lastAnswer and lastFailure are the times of the latest calls.
-	lastAnswer  time.Time
+	// lastFailure is the time of the latest call that failed.
 	lastFailure time.Time
 	down        bool
 }
@@ -19,7 +18,6 @@
 func (c *Contact) answered(log *btevent.Logger, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastAnswer = now
 	if c.down {
 		c.down = false
 		log.Event(btevent.StoreRegained).Dur("away", now.Sub(c.lastFailure)).Send()
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -67,7 +67,6 @@
 	Dialect  bramleytack.FleetDialect
 	// Engines returns the calls of engines over a pool.
 	Engines func(pool *btconn.Pool) Engines
-	HashKey func(key string) string
 	// EncodeAddrs writes a directory answer.
 	EncodeAddrs btdirectory.Encoder
 	// Calls returns the number of calls to the store.
@@ -125,7 +124,7 @@
 	n.accounts.Changed = n.gossip.LoadChanged
 	n.handler = &btentry.Handler{
 		Table: n.table, Accounts: n.accounts, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
-		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), HashKey: a.HashKey, Leaving: n.leaving.Load,
+		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.leaving.Load,
 		Lengths: btforecast.New(n.timer),
 		Budget: &btretry.Budget{
 			Timer: n.timer, Ratio: budgetShare * s.Bounds.RetryRatio,
@@ -255,7 +254,7 @@
 
 // follow starts the watchers of the store.
 func (n *Node) follow(ctx context.Context) {
-	for _, kind := range []string{bramleytack.KindConfig, bramleytack.KindUpstreams, bramleytack.KindOutages} {
+	for _, kind := range bramleytack.ReplicatedKinds {
 		w := &btreplica.Watcher{
 			Feed: n.adapter.Feed, Table: n.table, Timer: n.timer, Log: n.log, Kind: kind,
 			Active: n.gossip.Follows, Contact: &n.contact, Resync: &n.resync,
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -169,8 +169,9 @@
 	return good
 }
 
-// Pick returns the candidate with the lowest expected delay that the cold limit
-// allows, or nil, and the delay.
+// Pick returns one of the candidates with the lowest expected delays that the
+// cold limit allows, drawn at random, and its delay. It returns nil if there is
+// none.
 func (t *Table) Pick(s *bramleytack.Snapshot, candidates []*bramleytack.Upstream, n Need) (*bramleytack.Upstream, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -259,7 +260,7 @@
 // room returns the other engines of a service with their forecast use if they
 // took a copy, and the mean use without it. The caller holds the lock.
 func (t *Table) room(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) ([]roomy, float64) {
-	profile := engineOf(s, primary.Service)
+	profile := s.Engine(primary.Service)
 	if profile == nil || profile.MemoryTokens <= 0 {
 		return nil, 0
 	}
@@ -301,13 +302,6 @@
 	return a.upstream
 }
 
-func engineOf(s *bramleytack.Snapshot, service string) *bramleytack.EngineProfile {
-	if r := s.Services[service]; r != nil {
-		return r.Engine
-	}
-	return nil
-}
-
 // score returns the expected delay in milliseconds.
 func (t *Table) score(s *bramleytack.Snapshot, u *bramleytack.Upstream, n Need, now time.Time) float64 {
 	l := t.load(u.ID, now)
@@ -318,7 +312,7 @@
 	if age := now.Sub(u.Started); age >= 0 && age < slowStart {
 		score += slowMillis * (1 - age.Seconds()/slowStart.Seconds())
 	}
-	profile := engineOf(s, u.Service)
+	profile := s.Engine(u.Service)
 	if profile == nil {
 		return score + plainMillis*float64(l.Running)/float64(max(u.WarmLimit, 1))
 	}
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -15,6 +15,7 @@
 
 	"bramleytack"
 	"bramleytack/btevent"
+	"bramleytack/btidentity"
 	"bramleytack/btretry"
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
@@ -43,8 +44,6 @@
 	Metrics  *Metrics
 	Budget   *btretry.Budget
 	Lengths  *btforecast.Lengths
-	// HashKey returns the hash of an API key by which the snapshot knows it.
-	HashKey func(key string) string
 	// Leaving says whether the daemon is shutting down.
 	Leaving func() bool
 
@@ -101,7 +100,6 @@
 	need      btaccount.Need
 	// expected is the delay that the last chosen upstream is expected to have.
 	expected time.Duration
-	answered bool
 	sends    int
 }
 
@@ -139,7 +137,7 @@
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	var w *bramleytack.Workspace
 	if strings.EqualFold(scheme, "Bearer") {
-		w = j.s.ByKeyHash[j.h.HashKey(strings.TrimSpace(key))]
+		w = j.s.ByKeyHash[btidentity.HashKey(strings.TrimSpace(key))]
 	}
 	if w == nil {
 		return j.route.Public
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -143,7 +143,7 @@
 	}
 	s.j.s = s.j.h.Table.Snapshot()
 	u := s.j.s.Upstreams[g.backup.ID]
-	if u == nil || u.State == bramleytack.UpstreamLeaving || !s.j.s.Accepts(u.ID) {
+	if !s.j.s.Accepts(g.backup.ID) {
 		return false
 	}
 	// A copy can be used once, and only after its generation has stopped.
@@ -200,13 +200,10 @@
 	s.giveUp()
 }
 
-// nextFailed handles a take-over that failed.
-func (s *relay) nextFailed(g *segment) {
+// nextFailed handles a take-over that failed. The current engine still runs
+// only if the next one was to run the stream again: a copy needs its end.
+func (s *relay) nextFailed() {
 	if s.cur.cancel != nil {
-		// The current engine still runs.
-		if g.origin == fromCopy && leaving(s.j.h.Table.Snapshot(), s.cur.upstream) {
-			s.move()
-		}
 		return
 	}
 	if s.goOnFromBackup("second copy") || s.runAgain("take-over failed") {
@@ -219,7 +216,7 @@
 // other engine reads the tokens that the copy lacks again: that takes less time
 // than a second copy, which would queue behind those of other generations.
 func (s *relay) move() {
-	profile := s.j.profile()
+	profile := s.j.s.Engine(s.j.service)
 	if s.moving || profile == nil || !profile.Moves || s.j.h.Mover == nil {
 		return
 	}
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -18,6 +18,7 @@
 
 	"bramleytack"
 	"bramleytack/btevent"
+	"bramleytack/btidentity"
 	"bramleytack/btretry"
 	"bramleytack/bttimer"
 	"bramleytack/internal/btmemnet"
@@ -57,7 +58,7 @@
 	}
 	w := &bramleytack.Workspace{Name: "w1"}
 	s.Workspaces = map[bramleytack.WorkspaceID]*bramleytack.Workspace{w.Name: w}
-	s.ByKeyHash = map[string]*bramleytack.Workspace{"hash of " + key: w}
+	s.ByKeyHash = map[string]*bramleytack.Workspace{btidentity.HashKey(key): w}
 	return nil
 }
 
@@ -107,7 +108,6 @@
 			Table: h.table, Accounts: h.accounts, Dialect: dialect, Mover: h.pool, Timer: h.timer, Log: log,
 			Pool: &btconn.Pool{Dial: h.dial}, Metrics: btentry.NewMetrics(prometheus.NewRegistry()),
 			Budget: &btretry.Budget{Timer: h.timer}, Lengths: btforecast.New(h.timer),
-			HashKey: func(k string) string { return "hash of " + k },
 		}
 		server := &http.Server{Handler: h.handler}
 		go (&serving{server, h.net.Listen(h.entry)}).run()
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btaccount"
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -115,21 +115,18 @@
 	return s.next.items
 }
 
-// begin sends the first segment.
+// begin sends the first segment, and says whether there is an engine for it.
 func (s *relay) begin() bool {
-	for range maxUnsent {
-		u := s.j.pick(s.tried)
-		if u == nil {
-			return false
-		}
-		s.tried[u.ID] = true
-		s.cur = s.segment(u, fromStart, "")
-		s.cur.start(s.ctx)
-		s.j.log(btevent.AttemptStarted).Str("upstream", string(u.ID)).Int("prompt", s.j.need.Prompt).
-			Int("output", s.j.need.Output).Str("backup", s.cur.backupName()).Dur("expected", s.j.expected).Uint64("version", s.j.s.Version).Send()
-		return true
+	u := s.j.pick(s.tried)
+	if u == nil {
+		return false
 	}
-	return false
+	s.tried[u.ID] = true
+	s.cur = s.segment(u, fromStart, "")
+	s.cur.start(s.ctx)
+	s.j.log(btevent.AttemptStarted).Str("upstream", string(u.ID)).Int("prompt", s.j.need.Prompt).
+		Int("output", s.j.need.Output).Str("backup", s.cur.backupName()).Dur("expected", s.j.expected).Uint64("version", s.j.s.Version).Send()
+	return true
 }
 
 func (g *segment) backupName() string {
@@ -150,7 +147,7 @@
 	if copyName != "" {
 		g.request.Header.Set(d.From, copyName)
 	}
-	profile := j.profile()
+	profile := j.s.Engine(j.service)
 	if profile != nil && profile.Backups && j.need.MaxOutput >= backupOutput {
 		if g.backup = j.h.Accounts.PickBackup(j.s, u, j.need); g.backup != nil {
 			g.request.Header.Set(d.Backup, g.backup.Addr.String())
@@ -159,13 +156,6 @@
 	return g
 }
 
-func (j *job) profile() *bramleytack.EngineProfile {
-	if r := j.s.Services[j.service]; r != nil {
-		return r.Engine
-	}
-	return nil
-}
-
 // take handles an item of a segment.
 func (s *relay) take(g *segment, i item) {
 	if g.cancel == nil {
@@ -258,7 +248,7 @@
 
 // learn takes the length of a whole generation into the forecast.
 func (s *relay) learn() {
-	if p := s.j.profile(); p != nil && s.j.need.MaxOutput > 0 {
+	if p := s.j.s.Engine(s.j.service); p != nil && s.j.need.MaxOutput > 0 {
 		s.j.h.Lengths.Learn(s.j.route.Name, int(s.last)*p.TokensPerEvent)
 	}
 }
@@ -270,7 +260,7 @@
 	if g == s.next {
 		s.next = nil
 		if !s.tryCopyAgain(g, r) {
-			s.nextFailed(g)
+			s.nextFailed()
 		}
 		return
 	}
@@ -299,7 +289,7 @@
 	if g == s.next {
 		g.close(btaccount.Failed)
 		s.next = nil
-		s.nextFailed(g)
+		s.nextFailed()
 		return
 	}
 	g.close(btaccount.Failed)
--- a/snapshot.go
+++ b/snapshot.go
@@ -154,6 +154,15 @@
 // In says whether the upstream belongs to a cell.
 func (u *Upstream) In(cell CellID) bool { return u.Cell == "" || u.Cell == cell }
 
+// Engine returns the profile of a service's engines, or nil if the service is
+// unknown or plain.
+func (s *Snapshot) Engine(service string) *EngineProfile {
+	if r := s.Services[service]; r != nil {
+		return r.Engine
+	}
+	return nil
+}
+
 // Accepts says whether an upstream may get new work under the snapshot.
 func (s *Snapshot) Accepts(id UpstreamID) bool {
 	u, ok := s.Upstreams[id]
