Stagger the first look at the store and probe an absent one rarely

While the store was away, three watchers of each daemon called it every 0.8 to 1.6 s.

While the store is away one watcher of a daemon asks, and all daemons together ask every 50 ms. Ranks use xxhash as views do: FNV put all hosts of a domain next to each other.

--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -1,14 +1,17 @@
 package btgossip
 
 import (
+	"cmp"
 	"context"
-	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"bramleytack"
@@ -35,8 +38,11 @@
 	// daemons that find all of their seeds down.
 	beacons = 5
 	// settle is the time after the start in which a daemon listens for others
-	// before it decides whether to follow the store. Seeds answer within it.
-	settle = 350 * time.Millisecond
+	// before it decides whether to follow the store. Seeds answer within it. The
+	// last of the daemons in the order of their ranks waits for settleSpan more:
+	// when all start at once, the first ones read the store for them.
+	settle     = 250 * time.Millisecond
+	settleSpan = 900 * time.Millisecond
 	// seedEvery is the number of periods between digests to silent addresses.
 	seedEvery = 5
 	// receiveBuffer holds the largest datagram.
@@ -144,6 +150,18 @@
 // Count returns the number of daemons alive, this one included.
 func (n *Node) Count() int { return n.members.alive(n.Timer.Now()) + 1 }
 
+// Cut returns the number of daemons alive that the store does not answer, this
+// one counted in.
+func (n *Node) Cut() int {
+	cut := 1
+	for _, p := range n.Alive() {
+		if p.StoreDown {
+			cut++
+		}
+	}
+	return cut
+}
+
 // Distrust forgets what is believed of other daemons, after a suspension.
 func (n *Node) Distrust() { n.members.distrust(n.Timer.Now()) }
 
@@ -161,12 +179,18 @@
 
 // leads says whether this daemon is among the first few of those alive.
 func (n *Node) leads(few int) bool {
-	if n.Timer.Now().Sub(n.started) < settle {
+	mine := rank(n.Self.Host)
+	now := n.Timer.Now()
+	age := now.Sub(n.started)
+	if age < settleTime(mine) {
 		return false
 	}
 	better := 0
-	mine := rank(n.Self.Host)
-	for _, p := range n.Alive() {
+	for _, p := range n.members.list(now) {
+		// At first a daemon has only rumors of most others, all of them recent.
+		if !p.alive(now) && age >= aliveFor {
+			continue
+		}
 		if !p.StoreDown && !p.Leaving && rank(p.Host) < mine {
 			better++
 		}
@@ -174,12 +198,14 @@
 	return better < few
 }
 
-func rank(h bramleytack.HostID) uint64 {
-	f := fnv.New64a()
-	_, _ = f.Write([]byte(h))
-	return f.Sum64()
+// settleTime returns how long a daemon of a rank waits before it follows the
+// store.
+func settleTime(rank uint64) time.Duration {
+	return settle + time.Duration(float64(rank)/math.MaxUint64*float64(settleSpan))
 }
 
+func rank(h bramleytack.HostID) uint64 { return xxhash.Sum64String(string(h)) }
+
 // send tells a few daemons what this one knows.
 func (n *Node) send() {
 	n.beat.Add(1)
@@ -253,7 +279,10 @@
 func (n *Node) digest(peers []Peer) *Digest {
 	d := &Digest{Members: []*Member{n.self()}}
 	now := n.Timer.Now()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	// The followers of the store come first, the others as chance has it.
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(rank(a.Host), rank(b.Host)) })
+	rest := peers[min(watchers, len(peers)):]
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 	for _, p := range peers {
 		if len(d.Members) >= membersPerDigest {
 			break
--- a/internal/fleet/btgossip/node_test.go
+++ b/internal/fleet/btgossip/node_test.go
@@ -271,6 +271,32 @@
 	})
 }
 
+// Pattern: all daemons start at once. Guards against a herd at the store: each
+// used to follow it until it had heard of the others (grown Foldwell site: 64
+// readers for 4 s, 1,500 calls).
+func TestFewFollowTheStoreAtTheStart(t *testing.T) {
+	play(t, 48, 0, func(c *cell) {
+		followed := map[int]bool{}
+		for range 40 {
+			for i, node := range c.nodes {
+				if node.Follows(bramleytack.KindUpstreams) {
+					followed[i] = true
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, len(followed) >= busyWatchers && len(followed) <= 3*busyWatchers, "%d daemons followed", len(followed))
+	})
+}
+
+// Guards against a lone daemon that waits for others before it reads the store.
+func TestLoneDaemonFollowsSoon(t *testing.T) {
+	play(t, 1, 0, func(c *cell) {
+		time.Sleep(settle + settleSpan)
+		assert.Assert(t, c.nodes[0].Follows(bramleytack.KindConfig))
+	})
+}
+
 // Pattern: a generation starts. Guards against other daemons that learn of it a
 // whole period later.
 func TestLoadIsToldAtOnce(t *testing.T) {
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -83,8 +83,14 @@
 			Host: bramleytack.HostID(m.Host), Addr: addr, FailureDomain: bramleytack.FailureDomainID(m.FailureDomain),
 			Incarnation: m.Incarnation, Beat: m.Beat, Ready: m.Ready, Leaving: m.Leaving, StoreDown: m.StoreDown,
 		}
-		if n.members.merge(peer, m.Host == p.Host, now) {
-			n.Log.Event(btevent.PeerSeen).Str("peer", m.Host).Stringer("addr", addr).Uint64("incarnation", m.Incarnation).Send()
+		direct := m.Host == p.Host
+		if !n.members.merge(peer, direct, now) {
+			continue
+		}
+		n.Log.Event(btevent.PeerSeen).Str("peer", m.Host).Stringer("addr", addr).Uint64("incarnation", m.Incarnation).Send()
+		if direct && n.Self.Addr.IsValid() {
+			// A daemon that has just started learns at once who follows the store.
+			n.write(n.encode(&Packet{Digest: n.digest(n.members.list(now))}), addr)
 		}
 	}
 	for _, k := range d.Kinds {
--- a/internal/fleet/btreplica/contact.go
+++ b/internal/fleet/btreplica/contact.go
@@ -13,11 +13,37 @@
 	// lastFailure is the time of the latest call that failed.
 	lastFailure time.Time
 	down        bool
+	// prober is the watcher that asks whether the store is back.
+	prober *Watcher
+}
+
+// mayCall says whether a watcher should call the store. While the store is away,
+// one watcher asks for all: each call costs, also one that fails.
+func (c *Contact) mayCall(w *Watcher) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.down {
+		return true
+	}
+	if c.prober == nil {
+		c.prober = w
+	}
+	return c.prober == w
+}
+
+// release lets another watcher ask whether the store is back.
+func (c *Contact) release(w *Watcher) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.prober == w {
+		c.prober = nil
+	}
 }
 
 func (c *Contact) answered(log *btevent.Logger, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.prober = nil
 	if c.down {
 		c.down = false
 		log.Event(btevent.StoreRegained).Dur("away", now.Sub(c.lastFailure)).Send()
--- a/internal/fleet/btreplica/table_test.go
+++ b/internal/fleet/btreplica/table_test.go
@@ -123,13 +123,24 @@
 	version bramleytack.Revision
 	gone    map[string]bool
 	hang    map[string]bool
+	away    bool
 	calls   int
 }
 
+// set changes the feed while watchers read it.
+func (f *feed) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
 func (f *feed) List(_ context.Context, kind string) ([]bramleytack.Object, bramleytack.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
+	if f.away {
+		return nil, 0, bramleytack.ErrStoreDown
+	}
 	f.gone[kind], f.hang[kind] = false, false
 	return []bramleytack.Object{object(kind, "main", f.version, byte(f.version))}, f.version, nil
 }
@@ -137,9 +148,11 @@
 func (f *feed) Changes(ctx context.Context, kind string, after bramleytack.Revision, wait time.Duration) ([]bramleytack.Object, bramleytack.Revision, error) {
 	f.mu.Lock()
 	f.calls++
-	gone, hang, version := f.gone[kind], f.hang[kind], f.version
+	gone, hang, away, version := f.gone[kind], f.hang[kind], f.away, f.version
 	f.mu.Unlock()
 	switch {
+	case away:
+		return nil, 0, bramleytack.ErrStoreDown
 	case gone:
 		return nil, 0, bramleytack.ErrHistoryGone
 	case hang:
@@ -183,6 +196,42 @@
 	})
 }
 
+// Pattern: the store is away for every daemon. Guards against calls by all
+// watchers of all daemons (grown Foldwell site, trouble-3: 3,000 calls in 8 s),
+// and against a kind that stays behind once the store is back.
+func TestOneWatcherProbesAbsentStore(t *testing.T) {
+	inTime(t, func(t *testing.T, table *Table, timer *bttimer.Service) {
+		const daemons = 60
+		f := &feed{version: 1, gone: map[string]bool{}, hang: map[string]bool{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var resync Resync
+		var contact Contact
+		for _, kind := range []string{bramleytack.KindConfig, bramleytack.KindUpstreams} {
+			go (&Watcher{
+				Feed: f, Table: table, Timer: timer, Log: btevent.New(io.Discard, 0, "h"), Kind: kind,
+				Contact: &contact, Resync: &resync, Cut: func() int { return daemons },
+			}).Run(ctx)
+		}
+		time.Sleep(time.Second)
+		f.set(func() { f.away, f.version = true, 2 })
+		// The next polls tell.
+		time.Sleep(watchWait)
+		f.set(func() { f.calls = 0 })
+		const away = 20 * time.Second
+		time.Sleep(away)
+		f.set(func() {
+			most := int(away/(daemons*probeSpacing)) + 1
+			assert.Assert(t, f.calls > 0 && f.calls <= most, "%d calls, at most %d", f.calls, most)
+			f.away = false
+		})
+		time.Sleep(daemons*probeSpacing + 2*time.Second)
+		assert.Equal(t, table.Snapshot().Version, uint64(2))
+		assert.Equal(t, table.Upto(bramleytack.KindUpstreams), bramleytack.Revision(2))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a daemon that leaves the store to others whose polls hang since
 // before a cut (Karamanlis scale-2, seed 545513502547: a notice came 2.1 s late).
 func TestFollowingOverlaps(t *testing.T) {
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -19,6 +19,9 @@
 	// counts against the store's rate, also a refused one.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
+	// probeSpacing is the mean time between the calls that all daemons together
+	// make to find out whether the store is back.
+	probeSpacing = 50 * time.Millisecond
 	// inactivePause is the time between two looks whether to follow.
 	inactivePause = 50 * time.Millisecond
 	// overlap is how long a daemon goes on following after others took over. It
@@ -38,6 +41,9 @@
 	// Active says whether this daemon should ask the store for a kind now. Nil
 	// means always.
 	Active func(kind string) bool
+	// Cut returns the number of daemons that the store does not answer, this one
+	// included. Nil means that there are no others.
+	Cut func() int
 	// Pause is the time between an answer and the next poll. Changes within it
 	// come in one answer.
 	Pause time.Duration
@@ -79,6 +85,11 @@
 	relist := true
 	for ctx.Err() == nil {
 		if !w.follows() {
+			w.Contact.release(w)
+			w.sleep(ctx, inactivePause)
+			continue
+		}
+		if !w.Contact.mayCall(w) {
 			w.sleep(ctx, inactivePause)
 			continue
 		}
@@ -106,7 +117,7 @@
 				w.Resync.All(w)
 			}
 			relist = relist || stale
-			w.sleep(ctx, pause+rand.N(pause))
+			w.sleep(ctx, max(pause, w.share())+rand.N(pause))
 			pause = min(2*pause, maxPause)
 		}
 	}
@@ -130,5 +141,14 @@
 	return nil
 }
 
+// share returns the pause that spreads the calls of all daemons without the
+// store.
+func (w *Watcher) share() time.Duration {
+	if w.Cut == nil {
+		return 0
+	}
+	return time.Duration(w.Cut()) * probeSpacing
+}
+
 // sleep waits for d or until the context ends.
 func (w *Watcher) sleep(ctx context.Context, d time.Duration) { _ = w.Timer.Sleep(ctx, d) }
