Avoid upstreams that refuse connections for longer, and try more of them

Ruled out: memory and slots of the live engines (first events after 0.2 to 0.6 s), the cold limit.

Change: the pause after a refused connection doubles up to 5 s; 16 upstreams are tried within 1.6 s instead of four; such upstreams are no targets of moves or copies.

--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -17,11 +17,16 @@
 	// ejectFor is the first ejection; repeated ones double up to ejectMost.
 	ejectFor  = time.Second
 	ejectMost = 8 * time.Second
-	// unreachableFor keeps work from an upstream that refused a connection.
-	unreachableFor = 300 * time.Millisecond
+	// unreachableFor keeps work from an upstream that refused a connection. It
+	// doubles with each refusal in a row up to unreachableMost: while the store is
+	// away, upstreams that have ended stay registered.
+	unreachableFor  = 300 * time.Millisecond
+	unreachableMost = 5 * time.Second
 	// misdirectedFor keeps work from an upstream whose address another instance
 	// has. It is gone; its registration follows within a few seconds.
 	misdirectedFor = 10 * time.Second
+	// maxDoublings bounds the growth of both pauses before their own bounds do.
+	maxDoublings = 5
 	// loadFresh is how long a load header counts.
 	loadFresh = 300 * time.Millisecond
 )
@@ -99,7 +104,9 @@
 	ejections    int
 	ejectedUntil time.Time
 	avoidUntil   time.Time
-	cold         bucket
+	// refusals counts the connections in a row that were refused.
+	refusals int
+	cold     bucket
 }
 
 // Lease is a request's entry in the account of an upstream.
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -268,7 +268,7 @@
 	var room []roomy
 	sum := 0.0
 	for _, u := range s.ByService[primary.Service] {
-		if u.ID == primary.ID || !s.Accepts(u.ID) || now.Before(t.account(u.ID).ejectedUntil) {
+		if a := t.account(u.ID); u.ID == primary.ID || !s.Accepts(u.ID) || now.Before(a.ejectedUntil) || now.Before(a.avoidUntil) {
 			continue
 		}
 		l := t.load(u.ID, now)
@@ -362,6 +362,9 @@
 // judge takes the outcome of an attempt into the upstream's health.
 func (t *Table) judge(id bramleytack.UpstreamID, a *account, o Outcome) {
 	now := t.Timer.Now()
+	if o == Served || o == Refused {
+		a.refusals = 0
+	}
 	failed := 0.0
 	switch o {
 	case Abandoned, Refused:
@@ -370,7 +373,12 @@
 		a.avoidUntil = now.Add(misdirectedFor)
 		return
 	case Unreachable:
-		a.avoidUntil = now.Add(unreachableFor)
+		if now.Before(a.avoidUntil) {
+			// Requests that were under way together count once.
+			return
+		}
+		a.avoidUntil = now.Add(min(unreachableFor<<min(a.refusals, maxDoublings), unreachableMost))
+		a.refusals++
 		failed = 1
 	case Failed:
 		failed = 1
@@ -384,7 +392,7 @@
 		return
 	}
 	if a.failures > ejectAbove && a.failures > t.typicalFailures(id)+ejectMargin {
-		d := min(ejectFor<<min(a.ejections, 3), ejectMost)
+		d := min(ejectFor<<min(a.ejections, maxDoublings), ejectMost)
 		a.ejections++
 		a.ejectedUntil = now.Add(d)
 		a.failures = ejectAbove
--- a/internal/route/btaccount/table_test.go
+++ b/internal/route/btaccount/table_test.go
@@ -189,6 +189,33 @@
 	})
 }
 
+// Pattern: upstreams end while the store is away and stay registered. Guards
+// against requests that meet each of them again and again, and against moves to
+// them.
+func TestEndedUpstreamIsAvoidedForLonger(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(2)
+		table := newTable(timer)
+		met := 0
+		for range 200 {
+			u, _ := table.Pick(s, table.Eligible(s, service, nil), Need{})
+			l := table.Begin(u.ID, Need{})
+			if u.ID == "e00" {
+				met++
+				l.End(Unreachable)
+				assert.Assert(t, table.PickTarget(s, s.Upstreams["e01"], guide) == nil, "a move goes to an ended engine")
+			} else {
+				l.End(Served)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, met > 0 && met <= 9, "%d of 200 requests met the ended upstream", met)
+		table.Begin("e00", Need{}).End(Served)
+		time.Sleep(unreachableMost)
+		assert.Equal(t, len(table.Eligible(s, service, nil)), 2, "an upstream that is back is avoided")
+	})
+}
+
 // Guards against accounts that drift: every lease must give back what it took.
 func TestLeasesBalance(t *testing.T) {
 	inTime(t, func(t *testing.T, timer *bttimer.Service) {
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -19,8 +19,13 @@
 	patience = 3
 	// leastPatience keeps short targets from abandoning calls too early.
 	leastPatience = 250 * time.Millisecond
-	// maxUnsent bounds the upstreams that are tried without sending anything.
-	maxUnsent = 4
+	// maxUnsent bounds the upstreams that are tried without sending anything. A
+	// refused connection takes a round trip; while the store is away half of the
+	// registered upstreams may have ended.
+	maxUnsent = 16
+	// maxUnsentTime bounds the time spent on them. An upstream that does not
+	// answer at all takes 400 ms.
+	maxUnsentTime = 1600 * time.Millisecond
 	// retryPause is the middle of the advice to callers whose request found no
 	// upstream; retryShare is the most of their time left.
 	retryPause = 250 * time.Millisecond
@@ -47,7 +52,7 @@
 			arrived++
 		}
 		if r.unsent || r.misdirected {
-			if unsent++; unsent >= maxUnsent {
+			if unsent++; !j.mayTryMore(unsent) {
 				break
 			}
 			continue
@@ -61,6 +66,12 @@
 	j.finishCall(ctx, last)
 }
 
+// mayTryMore says whether one more upstream is tried after some that took
+// nothing.
+func (j *job) mayTryMore(unsent int) bool {
+	return unsent < maxUnsent && j.h.Timer.Now().Sub(j.received) < maxUnsentTime
+}
+
 // better returns the reply that says more to the caller.
 func better(a, b *reply) *reply {
 	if a == nil || b.usable() || b.outcome != bramleytack.NotRun && !a.usable() {
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -277,8 +277,11 @@
 		s.j.sends++
 		s.verdict = better(s.verdict, r)
 	}
-	may := r.unsent || (r.misdirected || s.j.again(r)) && s.j.h.Budget.Retry(s.j.service)
-	if len(s.tried) < maxUnsent && may && s.begin() {
+	may := r.unsent && s.j.mayTryMore(len(s.tried))
+	if !r.unsent && len(s.tried) < maxUnsent && (r.misdirected || s.j.again(r)) {
+		may = s.j.h.Budget.Retry(s.j.service)
+	}
+	if may && s.begin() {
 		return
 	}
 	s.giveUp()
--- a/internal/serve/btentry/stream_test.go
+++ b/internal/serve/btentry/stream_test.go
@@ -212,6 +212,21 @@
 	})
 }
 
+// Pattern: most engines have ended while the store is away, so that they stay
+// registered. Guards against streams that are refused after a few of them (grown
+// Foldwell site, trouble-3: 350 refusals in 10 s with 20 live engines).
+func TestStreamFindsTheLiveEngine(t *testing.T) {
+	run(t, func(h *harness) {
+		h.engines(9)
+		for name, w := range h.workers {
+			if name != "e5" {
+				w.Crash()
+			}
+		}
+		h.checkWhole(h.stream("/guide/a"))
+	})
+}
+
 // Pattern: an engine restarts at its address while a connection to it is kept.
 // Guards against generations that are sent on the dead connection (own day
 // crash-beside-notice: a guide answered 502 after 2 ms).
