Let all daemons know when nobody reads the store, and ask engines for notices

Only a daemon whose own call failed asked engines, but at 60 hosts few daemons call the store; the others become readers one after the other, which took 5 s.

Change: digests say whether a daemon reads the registrations of upstreams and gets answers; a daemon that loses the store tells all others at once; daemons ask engines while nobody reads, and for 5 s after. A daemon that cannot reach the store while others can does not ask any more. The position in a stream is logged as lastEvent: it shared the key of the event number.

--- a/internal/fleet/btgossip/members.go
+++ b/internal/fleet/btgossip/members.go
@@ -27,6 +27,8 @@
 	Ready         bool
 	Leaving       bool
 	StoreDown     bool
+	// StoreRead says that the daemon reads the store's registrations of upstreams.
+	StoreRead bool
 	// RiseAt is when the beat last rose as far as this daemon knows.
 	RiseAt time.Time
 }
@@ -45,7 +47,7 @@
 	a := p.Addr.As4()
 	return &Member{
 		Host: string(p.Host), Address: a[:], Incarnation: p.Incarnation, Beat: p.Beat,
-		Ready: p.Ready, Leaving: p.Leaving, StoreDown: p.StoreDown, FailureDomain: string(p.FailureDomain),
+		Ready: p.Ready, Leaving: p.Leaving, StoreDown: p.StoreDown, StoreRead: p.StoreRead, FailureDomain: string(p.FailureDomain),
 	}
 }
 
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -162,6 +162,24 @@
 	return cut
 }
 
+// StoreRead says whether some daemon alive reads what upstreams register.
+func (n *Node) StoreRead() bool {
+	if n.Contact.ReadsUpstreams(n.Timer.Now()) {
+		return true
+	}
+	return slices.ContainsFunc(n.Alive(), func(p Peer) bool { return p.StoreRead })
+}
+
+// Announce tells all daemons alive what this one knows. It is for news that
+// cannot wait for the digests to come around.
+func (n *Node) Announce() {
+	n.beat.Add(1)
+	data := n.encode(&Packet{Digest: n.digest(n.members.list(n.Timer.Now()))})
+	for _, p := range n.Alive() {
+		n.write(data, p.Addr)
+	}
+}
+
 // Distrust forgets what is believed of other daemons, after a suspension.
 func (n *Node) Distrust() { n.members.distrust(n.Timer.Now()) }
 
@@ -272,6 +290,7 @@
 	p := Peer{
 		Host: n.Self.Host, Addr: n.Self.Addr, FailureDomain: n.Self.FailureDomain, Incarnation: n.Self.Incarnation,
 		Beat: n.beat.Load(), Ready: n.Ready(), Leaving: n.Leaving(), StoreDown: n.Contact.Down(),
+		StoreRead: n.Contact.ReadsUpstreams(n.Timer.Now()),
 	}
 	return p.encode()
 }
--- a/internal/fleet/btgossip/node_test.go
+++ b/internal/fleet/btgossip/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -297,6 +298,60 @@
 	})
 }
 
+// feed is a store that can be away for every daemon.
+type feed struct{ away atomic.Bool }
+
+func (f *feed) List(context.Context, string) ([]bramleytack.Object, bramleytack.Revision, error) {
+	if f.away.Load() {
+		return nil, 0, bramleytack.ErrStoreDown
+	}
+	return nil, 1, nil
+}
+
+func (f *feed) Changes(ctx context.Context, kind string, after bramleytack.Revision, wait time.Duration) ([]bramleytack.Object, bramleytack.Revision, error) {
+	const look = 50 * time.Millisecond
+	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(look) {
+		if f.away.Load() || ctx.Err() != nil {
+			return nil, 0, bramleytack.ErrStoreDown
+		}
+	}
+	return f.List(ctx, kind)
+}
+
+// Pattern: the store goes away for every daemon, and most of them never call it.
+// Guards against daemons that do not know and wait for notices of the store
+// (grown Foldwell site, trouble-3: 29 generations ended with engines whose notice
+// only few daemons had asked for).
+func TestAllLearnThatNobodyReadsTheStore(t *testing.T) {
+	play(t, 24, 0.05, func(c *cell) {
+		var f feed
+		ctx, stop := context.WithCancel(context.Background())
+		for _, n := range c.nodes {
+			n.Contact.Lost = n.Announce
+			w := &btreplica.Watcher{
+				Feed: &f, Table: n.Table, Timer: c.timer, Log: n.Log, Kind: bramleytack.KindUpstreams,
+				Active: n.Follows, Contact: n.Contact, Resync: &btreplica.Resync{},
+			}
+			go w.Run(ctx)
+		}
+		check := func(want bool) {
+			for i, n := range c.nodes {
+				assert.Equal(t, n.StoreRead(), want, "daemon %d", i)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		check(true)
+		f.away.Store(true)
+		time.Sleep(600 * time.Millisecond)
+		check(false)
+		f.away.Store(false)
+		time.Sleep(4 * time.Second)
+		check(true)
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // Pattern: a generation starts. Guards against other daemons that learn of it a
 // whole period later.
 func TestLoadIsToldAtOnce(t *testing.T) {
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -81,7 +81,7 @@
 		}
 		peer := Peer{
 			Host: bramleytack.HostID(m.Host), Addr: addr, FailureDomain: bramleytack.FailureDomainID(m.FailureDomain),
-			Incarnation: m.Incarnation, Beat: m.Beat, Ready: m.Ready, Leaving: m.Leaving, StoreDown: m.StoreDown,
+			Incarnation: m.Incarnation, Beat: m.Beat, Ready: m.Ready, Leaving: m.Leaving, StoreDown: m.StoreDown, StoreRead: m.StoreRead,
 		}
 		direct := m.Host == p.Host
 		if !n.members.merge(peer, direct, now) {
--- a/internal/fleet/btreplica/contact.go
+++ b/internal/fleet/btreplica/contact.go
@@ -4,15 +4,24 @@
 	"sync"
 	"time"
 
+	"bramleytack"
 	"bramleytack/btevent"
 )
 
+// readFresh is how long an answer shows that a daemon reads the store: a poll and
+// the margin of its transport.
+const readFresh = watchWait + time.Second
+
 // Contact is what a daemon knows about its path to the store.
 type Contact struct {
 	mu sync.Mutex
 	// lastFailure is the time of the latest call that failed.
 	lastFailure time.Time
 	down        bool
+	// upstreamsAt is the time of the latest answer about upstreams.
+	upstreamsAt time.Time
+	// Lost is called when the store stops answering. It may be nil.
+	Lost func()
 	// prober is the watcher that asks whether the store is back.
 	prober *Watcher
 }
@@ -40,9 +49,12 @@
 	}
 }
 
-func (c *Contact) answered(log *btevent.Logger, now time.Time) {
+func (c *Contact) answered(log *btevent.Logger, kind string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if kind == bramleytack.KindUpstreams {
+		c.upstreamsAt = now
+	}
 	c.prober = nil
 	if c.down {
 		c.down = false
@@ -52,17 +64,33 @@
 
 // failed notes a failure and says whether it is the first after an answer.
 func (c *Contact) failed(log *btevent.Logger, now time.Time, err error) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastFailure = now
-	if c.down {
+	if !c.lose(now) {
 		return false
 	}
-	c.down = true
 	log.Event(btevent.StoreDown).Err(err).Send()
+	if c.Lost != nil {
+		c.Lost()
+	}
 	return true
 }
 
+// lose says whether the store answered before.
+func (c *Contact) lose(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastFailure = now
+	was := c.down
+	c.down = true
+	return !was
+}
+
+// ReadsUpstreams says whether the store has answered about upstreams lately.
+func (c *Contact) ReadsUpstreams(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.down && !c.upstreamsAt.IsZero() && now.Sub(c.upstreamsAt) < readFresh
+}
+
 // Down says whether the latest call failed.
 func (c *Contact) Down() bool {
 	c.mu.Lock()
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -100,7 +100,7 @@
 		case err == nil:
 			relist = false
 			pause = firstPause
-			w.Contact.answered(w.Log, w.Timer.Now())
+			w.Contact.answered(w.Log, w.Kind, w.Timer.Now())
 			if w.Pause > 0 {
 				w.sleep(ctx, w.Pause)
 			}
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -120,6 +120,7 @@
 		Table: n.table, Accounts: n.accounts, Contact: &n.contact, Timer: n.timer, Log: n.log,
 		Ready: n.Ready, Leaving: n.leaving.Load, Seeds: addrsOf(s.Seeds), Known: n.knownAddrs,
 	})
+	n.contact.Lost = n.gossip.Announce
 	n.accounts.Daemons = n.gossip.Count
 	n.accounts.Changed = n.gossip.LoadChanged
 	n.handler = &btentry.Handler{
--- a/internal/node/btnode/notices.go
+++ b/internal/node/btnode/notices.go
@@ -19,9 +19,13 @@
 	noticeTimeout = 200 * time.Millisecond
 )
 
-// notices asks engines for their leaving while the store cannot tell. It asks
-// only engines that run work of this daemon.
-type notices struct{ node *Node }
+// notices asks engines for their leaving while the store cannot tell this daemon
+// or any other. It asks only engines that run work of this daemon.
+type notices struct {
+	node *Node
+	// unreadAt is the last time at which no daemon read the store.
+	unreadAt time.Time
+}
 
 func (q *notices) run(ctx context.Context) {
 	tick := q.node.timer.Every(noticePeriod, noticePeriod/10)
@@ -32,12 +36,23 @@
 		case <-ctx.Done():
 			return
 		}
-		if q.node.contact.FailedWithin(q.node.timer.Now(), noticeEcho) {
+		if q.due() {
 			q.ask(ctx)
 		}
 	}
 }
 
+// due says whether the store may be hiding a notice. Most daemons learn from
+// others that the store is away: only a few read it.
+func (q *notices) due() bool {
+	n := q.node
+	now := n.timer.Now()
+	if !n.gossip.StoreRead() {
+		q.unreadAt = now
+	}
+	return !q.unreadAt.IsZero() && now.Sub(q.unreadAt) < noticeEcho
+}
+
 func (q *notices) ask(ctx context.Context) {
 	n := q.node
 	s := n.table.Snapshot()
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -158,7 +158,7 @@
 	s.next = s.segment(u, from, copyName)
 	s.next.start(s.ctx)
 	s.j.log(btevent.HandoverStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(u.ID)).Stringer("origin", from).
-		Str("reason", reason).Uint64("event", s.last).Str("backup", s.next.backupName()).Send()
+		Str("reason", reason).Uint64("lastEvent", s.last).Str("backup", s.next.backupName()).Send()
 }
 
 // runAgain sends a resumable stream to another engine.
@@ -226,7 +226,7 @@
 	}
 	s.moving = true
 	m := &move{relay: s, source: s.cur, target: target}
-	s.j.log(btevent.MoveStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(target.ID)).Uint64("event", s.last).Send()
+	s.j.log(btevent.MoveStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(target.ID)).Uint64("lastEvent", s.last).Send()
 	go m.run()
 }
 
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -199,7 +199,7 @@
 	}
 	s.sendHead()
 	if _, err := s.j.w.Write(i.event.Raw); err != nil {
-		s.j.log(btevent.CallerLeft).Err(err).Uint64("event", s.last).Send()
+		s.j.log(btevent.CallerLeft).Err(err).Uint64("lastEvent", s.last).Send()
 		s.done = true
 		return
 	}
@@ -229,7 +229,7 @@
 	s.moving = false
 	old.close(btaccount.Abandoned)
 	s.j.log(btevent.StreamMoved).Str("from", string(old.upstream.ID)).Str("to", string(s.cur.upstream.ID)).
-		Stringer("origin", s.cur.origin).Uint64("event", s.last).Dur("pause", s.j.h.Timer.Now().Sub(s.eventAt)).Send()
+		Stringer("origin", s.cur.origin).Uint64("lastEvent", s.last).Dur("pause", s.j.h.Timer.Now().Sub(s.eventAt)).Send()
 }
 
 // complete ends the response.
@@ -242,7 +242,7 @@
 	g.close(btaccount.Served)
 	s.learn()
 	s.j.log(btevent.RequestAnswered).Str("upstream", string(g.upstream.ID)).Int("status", s.head.status).
-		Uint64("event", s.last).Dur("first", s.firstAfter).Dur("longestPause", s.longestPause).Send()
+		Uint64("lastEvent", s.last).Dur("first", s.firstAfter).Dur("longestPause", s.longestPause).Send()
 	s.j.h.Metrics.answered(s.j, s.head.status)
 }
 
@@ -305,9 +305,9 @@
 	j := s.j
 	switch {
 	case errors.Is(context.Cause(s.ctx), context.Canceled):
-		j.log(btevent.CallerLeft).Uint64("event", s.last).Send()
+		j.log(btevent.CallerLeft).Uint64("lastEvent", s.last).Send()
 	case s.headSent:
-		j.log(btevent.StreamBroken).Uint64("event", s.last).Dur("left", j.left()).Send()
+		j.log(btevent.StreamBroken).Uint64("lastEvent", s.last).Dur("left", j.left()).Send()
 		j.h.Metrics.broken()
 		s.close()
 		// Closes the connection without the end of the response.
