--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +42,7 @@
 	// before it decides whether to follow the store. Seeds answer within it. The
 	// last of the daemons in the order of their ranks waits for settleSpan more:
 	// when all start at once, the first ones read the store for them.
-	settle     = 250 * time.Millisecond
+	settle     = 100 * time.Millisecond
 	settleSpan = 900 * time.Millisecond
 	// seedEvery is the number of periods between digests to silent addresses.
 	seedEvery = 5
@@ -82,7 +83,8 @@
 	beat    atomic.Uint64
 	started time.Time
 	conn    net.PacketConn
-	pulling atomic.Bool
+	// pulling holds the kinds that are being pulled.
+	pulling sync.Map
 	pulls   chan pull
 	nudge   chan struct{}
 	loads   chan struct{}
@@ -174,12 +176,20 @@
 // cannot wait for the digests to come around.
 func (n *Node) Announce() {
 	n.beat.Add(1)
-	data := n.encode(&Packet{Digest: n.digest(n.members.list(n.Timer.Now()))})
-	for _, p := range n.Alive() {
-		n.write(data, p.Addr)
+	now := n.Timer.Now()
+	peers := n.members.list(now)
+	data := n.encode(&Packet{Digest: n.digest(slices.Clone(peers))})
+	for _, p := range peers {
+		if p.alive(now) || n.young(now) {
+			n.write(data, p.Addr)
+		}
 	}
 }
 
+// young says whether this daemon has only rumors of most others, all of them
+// recent.
+func (n *Node) young(now time.Time) bool { return now.Sub(n.started) < aliveFor }
+
 // Distrust forgets what is believed of other daemons, after a suspension.
 func (n *Node) Distrust() { n.members.distrust(n.Timer.Now()) }
 
@@ -199,14 +209,12 @@
 func (n *Node) leads(few int) bool {
 	mine := rank(n.Self.Host)
 	now := n.Timer.Now()
-	age := now.Sub(n.started)
-	if age < settleTime(mine) {
+	if now.Sub(n.started) < settleTime(mine) {
 		return false
 	}
 	better := 0
 	for _, p := range n.members.list(now) {
-		// At first a daemon has only rumors of most others, all of them recent.
-		if !p.alive(now) && age >= aliveFor {
+		if !p.alive(now) && !n.young(now) {
 			continue
 		}
 		if !p.StoreDown && !p.Leaving && rank(p.Host) < mine {
@@ -257,7 +265,7 @@
 	seen := map[netip.Addr]bool{n.Self.Addr: true}
 	for _, p := range peers {
 		seen[p.Addr] = true
-		if p.alive(now) {
+		if p.alive(now) || n.young(now) {
 			alive = append(alive, p.Addr)
 		} else {
 			silent = append(silent, p.Addr)
--- a/internal/fleet/btgossip/node_test.go
+++ b/internal/fleet/btgossip/node_test.go
@@ -290,6 +290,37 @@
 	})
 }
 
+// Pattern: all daemons start at once and a few read the store. Guards against
+// daemons that learn one kind of objects with each digest (grown Karamanlis site,
+// trouble-1: 0.7 s from the start to the first upstream).
+func TestAllHaveTheObjectsSoonAfterTheStart(t *testing.T) {
+	play(t, 48, 0, func(c *cell) {
+		var f feed
+		ctx, stop := context.WithCancel(context.Background())
+		for _, n := range c.nodes {
+			for _, kind := range bramleytack.ReplicatedKinds {
+				w := &btreplica.Watcher{
+					Feed: &f, Table: n.Table, Timer: c.timer, Log: n.Log, Kind: kind,
+					Active: n.Follows, Contact: n.Contact, Resync: &btreplica.Resync{},
+				}
+				go w.Run(ctx)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		without := 0
+		for _, n := range c.nodes {
+			for _, kind := range bramleytack.ReplicatedKinds {
+				if n.Table.Upto(kind) == 0 {
+					without++
+				}
+			}
+		}
+		assert.Equal(t, without, 0)
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // Guards against a lone daemon that waits for others before it reads the store.
 func TestLoneDaemonFollowsSoon(t *testing.T) {
 	play(t, 1, 0, func(c *cell) {
@@ -301,14 +332,15 @@
 // feed is a store that can be away for every daemon.
 type feed struct{ away atomic.Bool }
 
-func (f *feed) List(context.Context, string) ([]bramleytack.Object, bramleytack.Revision, error) {
+func (f *feed) List(_ context.Context, kind string) ([]bramleytack.Object, bramleytack.Revision, error) {
 	if f.away.Load() {
 		return nil, 0, bramleytack.ErrStoreDown
 	}
-	return nil, 1, nil
+	o := bramleytack.Object{Key: bramleytack.Key{Kind: kind, Name: "main"}, Version: 1, Data: []byte("x")}
+	return []bramleytack.Object{o}, 1, nil
 }
 
-func (f *feed) Changes(ctx context.Context, kind string, after bramleytack.Revision, wait time.Duration) ([]bramleytack.Object, bramleytack.Revision, error) {
+func (f *feed) Changes(ctx context.Context, kind string, _ bramleytack.Revision, wait time.Duration) ([]bramleytack.Object, bramleytack.Revision, error) {
 	const look = 50 * time.Millisecond
 	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(look) {
 		if f.away.Load() || ctx.Err() != nil {
--- a/internal/fleet/btgossip/pull.go
+++ b/internal/fleet/btgossip/pull.go
@@ -26,13 +26,20 @@
 	kind string
 }
 
-// pull asks a daemon that is ahead. It drops the request if others wait: the
-// next digest asks again.
+// pull asks a daemon that is ahead. It drops the request if one for the kind
+// waits: the next digest asks again.
 func (n *Node) pull(from netip.Addr, kind string) {
-	if !from.IsValid() || n.pulling.Swap(true) {
+	if !from.IsValid() {
 		return
 	}
-	n.pulls <- pull{from: from, kind: kind}
+	if _, waits := n.pulling.LoadOrStore(kind, true); waits {
+		return
+	}
+	select {
+	case n.pulls <- pull{from: from, kind: kind}:
+	default:
+		n.pulling.Delete(kind)
+	}
 }
 
 // puller fetches what other daemons have.
@@ -43,7 +50,7 @@
 		select {
 		case r := <-p.n.pulls:
 			err := p.fetch(ctx, r)
-			p.n.pulling.Store(false)
+			p.n.pulling.Delete(r.kind)
 			p.n.Log.Event(btevent.ReplicaPulled).Str("kind", r.kind).Stringer("from", r.from).
 				Uint64("upto", uint64(p.n.Table.Upto(r.kind))).AnErr("cause", err).Send()
 		case <-ctx.Done():
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -121,9 +121,18 @@
 	return true
 }
 
-// push sends changes that came from the store to all daemons alive.
+// push sends changes that came from the store to all daemons alive. Whole kinds
+// are only announced: daemons that are behind pull them.
 func (n *Node) push(b btreplica.Batch) {
-	if !b.FromStore || b.Full || len(b.Objects) == 0 {
+	switch {
+	case b.Full && b.FromStore:
+		// Others that have just started wait for it.
+		n.Announce()
+		return
+	case b.Full:
+		n.Nudge()
+		return
+	case !b.FromStore, len(b.Objects) == 0:
 		return
 	}
 	data := n.encode(&Packet{Batch: encodeBatch(b)})
