Log registrations that are gone

An upstream that vanishes without notice left no line, though it changes what the daemon believes: the balance of memory over engines could not be read from logs. BT407 names the upstream and the revision.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -56,6 +56,7 @@
 	UpstreamUndecoded   = Event{404, zerolog.WarnLevel, "registration names no upstream to use"}
 	UpstreamRegistered  = Event{405, zerolog.InfoLevel, "registration of an upstream has changed"}
 	UpstreamLeavingSeen = Event{406, zerolog.InfoLevel, "upstream has told of its leaving"}
+	UpstreamRemoved     = Event{407, zerolog.InfoLevel, "registration of an upstream is gone"}
 	RequestFailed       = Event{500, zerolog.WarnLevel, "request failed"}
 	RequestRefused      = Event{501, zerolog.DebugLevel, "request was refused"}
 	RequestRejected     = Event{502, zerolog.InfoLevel, "request was answered by the daemon itself"}
@@ -118,6 +119,7 @@
 		UpstreamUndecoded,
 		UpstreamRegistered,
 		UpstreamLeavingSeen,
+		UpstreamRemoved,
 		RequestFailed,
 		RequestRefused,
 		RequestRejected,
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -330,6 +330,7 @@
 	}
 	for name := range t.decoded {
 		if _, ok := k.objects[name]; !ok {
+			t.log.Event(btevent.UpstreamRemoved).Str("upstream", name).Uint64("upto", uint64(k.upto)).Send()
 			delete(t.decoded, name)
 			delete(t.leaving, name)
 		}
