Place generations by the memory they really hold, and let them wait for room

The log rebuilds each engine's memory: the active engines are 0.8 to 0.95 full in the mean, up to 1.3 with what waits in their queues. Forecasts say 477 tokens for guides that make 825; at each notice, up to 25 moves met at the emptiest engine within 0.4 s; several daemons sent prompts to the same engine.

--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -67,10 +67,36 @@
 	Prompt    int
 	Output    int
 	MaxOutput int
+	// Made are tokens that were generated before, at another upstream.
+	Made int
+	// Copied is set if the upstream holds the prompt and what was made of it.
+	Copied bool
 }
 
-// memory returns the tokens that the request holds at its end.
-func (n Need) memory() int { return n.Prompt + n.Output }
+// growAhead are the tokens that a running generation is expected to make before
+// others hear of its growth, about a second's.
+const growAhead = 120
+
+// memory returns the tokens that the request is expected to hold.
+func (n Need) memory() int { return n.held(n.Made) }
+
+// held returns the tokens that the request is expected to hold once it has made
+// some. Long generations outgrow their forecast, and more of those that run are
+// long than of those that start.
+func (n Need) held(made int) int {
+	if n.Prompt == 0 {
+		return 0
+	}
+	return n.Prompt + max(n.Output, made+growAhead)
+}
+
+// unread returns the tokens that the upstream reads before the first event.
+func (n Need) unread() int {
+	if n.Copied {
+		return 0
+	}
+	return n.Prompt
+}
 
 // Load is the work of one daemon at an upstream.
 type Load struct {
@@ -83,11 +109,11 @@
 	Copies int
 }
 
-func (l *Load) add(o Load) {
-	l.Running += o.Running
-	l.Unread += o.Unread
-	l.Memory += o.Memory
-	l.Copies += o.Copies
+func (l *Load) add(o Load, sign int) {
+	l.Running += sign * o.Running
+	l.Unread += sign * o.Unread
+	l.Memory += sign * o.Memory
+	l.Copies += sign * o.Copies
 }
 
 func (l Load) empty() bool { return l == Load{} }
@@ -116,6 +142,9 @@
 	need  Need
 	once  sync.Once
 	begun bool
+	ended bool
+	// held is what the request has in the account's memory.
+	held int
 }
 
 // Begun notes that the upstream has read the prompt.
@@ -126,10 +155,21 @@
 		return
 	}
 	l.begun = true
-	l.table.account(l.id).own.Unread -= l.need.Prompt
+	l.table.account(l.id).own.Unread -= l.need.unread()
 	l.table.changed(l.need)
 }
 
+// Grow notes how many tokens the request has made. Other daemons hear of it with
+// the next report.
+func (l *Lease) Grow(made int) {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	if more := l.need.held(made) - l.held; more > 0 && !l.ended {
+		l.held += more
+		l.table.account(l.id).own.Memory += more
+	}
+}
+
 // End takes the request out of the account.
 func (l *Lease) End(o Outcome) {
 	l.once.Do(func() {
@@ -137,10 +177,11 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		a := t.account(l.id)
+		l.ended = true
 		a.own.Running--
-		a.own.Memory -= l.need.memory()
+		a.own.Memory -= l.held
 		if !l.begun {
-			a.own.Unread -= l.need.Prompt
+			a.own.Unread -= l.need.unread()
 		}
 		t.judge(l.id, a, o)
 		t.changed(l.need)
@@ -164,6 +205,7 @@
 		l.table.mu.Lock()
 		defer l.table.mu.Unlock()
 		l.table.account(l.id).own.Copies -= l.tokens
+		l.table.changed(Need{Prompt: l.tokens})
 	})
 }
 
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -37,6 +37,8 @@
 	// sameDomainUse is what a copy in the generation's own failure domain adds to
 	// the use of an engine in the comparison.
 	sameDomainUse = 0.1
+	// noPlaceUse is the use of an engine whose batch is full.
+	noPlaceUse = 2.0
 	// coldBurst is the number of requests a cold upstream may get at once from
 	// one daemon.
 	coldBurst = 1.0
@@ -56,6 +58,8 @@
 	mu       sync.Mutex
 	accounts map[bramleytack.UpstreamID]*account
 	peers    map[bramleytack.HostID]map[bramleytack.UpstreamID]Load
+	// others is the sum of peers.
+	others map[bramleytack.UpstreamID]Load
 }
 
 // account returns the account of an upstream. The caller holds the lock.
@@ -77,10 +81,10 @@
 	defer t.mu.Unlock()
 	a := t.account(id)
 	a.own.Running++
-	a.own.Unread += n.Prompt
+	a.own.Unread += n.unread()
 	a.own.Memory += n.memory()
 	t.changed(n)
-	return &Lease{table: t, id: id, need: n}
+	return &Lease{table: t, id: id, need: n, held: n.memory()}
 }
 
 func (t *Table) changed(n Need) {
@@ -94,6 +98,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.account(id).own.Copies += n.memory()
+	t.changed(n)
 	return &CopyLease{table: t, id: id, tokens: n.memory()}
 }
 
@@ -125,7 +130,25 @@
 	if t.peers == nil {
 		t.peers = map[bramleytack.HostID]map[bramleytack.UpstreamID]Load{}
 	}
+	t.addPeer(t.peers[h], -1)
 	t.peers[h] = loads
+	t.addPeer(loads, 1)
+}
+
+// addPeer adds a daemon's loads to those of all, or takes them off.
+func (t *Table) addPeer(loads map[bramleytack.UpstreamID]Load, sign int) {
+	if t.others == nil {
+		t.others = map[bramleytack.UpstreamID]Load{}
+	}
+	for id, l := range loads {
+		sum := t.others[id]
+		sum.add(l, sign)
+		if sum.empty() {
+			delete(t.others, id)
+		} else {
+			t.others[id] = sum
+		}
+	}
 }
 
 // Retain drops the reports of daemons that are not alive, and the accounts of
@@ -135,6 +158,7 @@
 	defer t.mu.Unlock()
 	for h := range t.peers {
 		if !alive[h] {
+			t.addPeer(t.peers[h], -1)
 			delete(t.peers, h)
 		}
 	}
@@ -173,14 +197,26 @@
 // cold limit allows, drawn at random, and its delay. It returns nil if there is
 // none.
 func (t *Table) Pick(s *bramleytack.Snapshot, candidates []*bramleytack.Upstream, n Need) (*bramleytack.Upstream, time.Duration) {
+	u, d, _ := t.PickWithRoom(s, candidates, n, math.Inf(1))
+	return u, d
+}
+
+// PickWithRoom is Pick among the candidates whose forecast use of memory, the
+// request included, is at most limit. It says whether all that the cold limit
+// allows are fuller.
+func (t *Table) PickWithRoom(s *bramleytack.Snapshot, candidates []*bramleytack.Upstream, n Need, limit float64) (*bramleytack.Upstream, time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	scores := make([]float64, len(candidates))
-	best := math.Inf(1)
+	best, full := math.Inf(1), false
 	for i, u := range candidates {
 		scores[i] = math.Inf(1)
-		if t.coldAllows(s, u, now, false) {
+		switch {
+		case !t.coldAllows(s, u, now, false):
+		case t.use(s, u, n, now) > limit:
+			full = true
+		default:
 			scores[i] = t.score(s, u, n, now)
 			best = min(best, scores[i])
 		}
@@ -196,9 +232,24 @@
 		}
 	}
 	if chosen < 0 || !t.coldAllows(s, candidates[chosen], now, true) {
-		return nil, 0
+		return nil, 0, full
 	}
-	return candidates[chosen], time.Duration(scores[chosen] * float64(time.Millisecond))
+	return candidates[chosen], time.Duration(scores[chosen] * float64(time.Millisecond)), false
+}
+
+// use returns the share of an engine's memory that is in use with one more
+// request. An engine without a free place counts as full.
+func (t *Table) use(s *bramleytack.Snapshot, u *bramleytack.Upstream, n Need, now time.Time) float64 {
+	profile := s.Engine(u.Service)
+	if profile == nil || profile.MemoryTokens <= 0 {
+		return 0
+	}
+	l := t.load(u.ID, now)
+	use := float64(l.Memory+l.Copies+n.memory()) / float64(profile.MemoryTokens)
+	if l.Running >= profile.Slots {
+		return max(use, noPlaceUse)
+	}
+	return use
 }
 
 const (
@@ -211,12 +262,9 @@
 	// moveUse lets a running generation move to nearly any engine. Forecasts add
 	// up the ends of all generations, which seldom come together.
 	moveUse = 1.25
-	// nearUse is the forecast use up to which a generation moves within its
-	// failure domain. A move to another one takes twice as long.
-	nearUse = 1.0
-	// unreadPerUse is the number of unread prompt tokens that counts as much as
-	// the whole memory when a generation moves.
-	unreadPerUse = 6000.0
+	// queuedHalf is the number of tokens that an engine still has to read or to
+	// receive at which it is half as likely to become the target of a move.
+	queuedHalf = 4000.0
 )
 
 // PickBackup returns an engine that keeps a copy of a generation at primary in
@@ -237,26 +285,47 @@
 	return betterOfTwo(room, copyUse)
 }
 
-// PickTarget returns an engine that a generation at primary moves to, or nil.
+// PickTarget returns an engine that a generation at primary moves to, or nil. It
+// takes one of the same failure domain if there is room: a move to another domain
+// takes twice as long on the link of the engine that leaves.
 func (t *Table) PickTarget(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) *bramleytack.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	room, _ := t.room(s, primary, n)
-	now := t.Timer.Now()
 	var near []roomy
-	for i := range room {
-		// A prompt that is being read delays the first event after the move.
-		room[i].penalty = float64(t.load(room[i].upstream.ID, now).Unread) / unreadPerUse
-		if room[i].upstream.FailureDomain == primary.FailureDomain {
-			near = append(near, room[i])
+	for _, r := range room {
+		if r.upstream.FailureDomain == primary.FailureDomain {
+			near = append(near, r)
 		}
 	}
-	if u := betterOfTwo(near, nearUse); u != nil {
-		return u
+	for _, list := range [][]roomy{near, room} {
+		if u := t.drawByRoom(list); u != nil {
+			return u
+		}
 	}
 	return betterOfTwo(room, moveUse)
 }
 
+// drawByRoom draws an engine by the memory that is free. When engines leave, all
+// daemons move their generations at once, and the emptiest engine of all would
+// get more than its memory and its link take.
+func (t *Table) drawByRoom(room []roomy) *bramleytack.Upstream {
+	now := t.Timer.Now()
+	weights, sum := make([]float64, len(room)), 0.0
+	for i, r := range room {
+		l := t.load(r.upstream.ID, now)
+		weights[i] = max(0, 1-r.use) / (1 + float64(l.Unread+l.Copies)/queuedHalf)
+		sum += weights[i]
+	}
+	at := rand.Float64() * sum
+	for i, w := range weights {
+		if at -= w; at < 0 {
+			return room[i].upstream
+		}
+	}
+	return nil
+}
+
 // room returns the other engines of a service with their forecast use if they
 // took a copy, and the mean use without it. The caller holds the lock.
 func (t *Table) room(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) ([]roomy, float64) {
@@ -331,9 +400,7 @@
 func (t *Table) load(id bramleytack.UpstreamID, now time.Time) Load {
 	a := t.account(id)
 	l := a.own
-	for _, loads := range t.peers {
-		l.add(loads[id])
-	}
+	l.add(t.others[id], 1)
 	if now.Sub(a.reportedAt) < loadFresh {
 		l.Running = max(l.Running, a.reported)
 	}
--- a/internal/route/btaccount/table_test.go
+++ b/internal/route/btaccount/table_test.go
@@ -137,6 +137,57 @@
 	})
 }
 
+// Pattern: engines are nearly full and a few have just come, when others leave.
+// Guards against all moves meeting at the new ones (grown Foldwell site, scale-1:
+// 25 moves to one engine within 0.4 s, whose link takes six a second).
+func TestMovesSpreadOverFreeMemory(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(33)
+		primary := s.ByService[service][0]
+		loads := map[bramleytack.UpstreamID]Load{}
+		for i, u := range s.ByService[service] {
+			if i > 3 {
+				loads[u.ID] = Load{Running: 5, Memory: 18000}
+			}
+		}
+		count := map[bramleytack.UpstreamID]int{}
+		const moves = 300
+		for range moves {
+			table := newTable(timer)
+			table.SetPeer("h2", loads)
+			u := table.PickTarget(s, primary, guide)
+			assert.Equal(t, u.FailureDomain, primary.FailureDomain)
+			count[u.ID]++
+		}
+		for id, n := range count {
+			assert.Assert(t, n <= moves*45/100, "%d of %d moves go to %s", n, moves, id)
+		}
+		assert.Assert(t, len(count) >= 8, "moves go to %d engines only", len(count))
+	})
+}
+
+// Pattern: long generations outgrow their forecast. Guards against engines that
+// are filled by the forecast alone (grown Foldwell site: 477 tokens forecast, 825
+// made in the mean).
+func TestGrownGenerationCounts(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(2)
+		table := newTable(timer)
+		grown := table.Begin("e00", guide)
+		table.Begin("e01", guide)
+		grown.Begun()
+		grown.Grow(100)
+		assert.Equal(t, table.Own()["e00"].Memory, table.Own()["e01"].Memory)
+		grown.Grow(4 * guide.Output)
+		assert.Equal(t, table.Own()["e00"].Memory, guide.Prompt+4*guide.Output+growAhead)
+		_, _, full := table.PickWithRoom(s, s.ByService[service][:1], Need{Prompt: 22000, Output: 100}, 1)
+		assert.Assert(t, full)
+		grown.End(Served)
+		grown.Grow(8 * guide.Output)
+		assert.Equal(t, table.Own()["e00"].Memory, 0)
+	})
+}
+
 // Pattern: many daemons and one cold engine. Guards against more requests than
 // it bears.
 func TestColdLimitIsShared(t *testing.T) {
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -220,12 +220,12 @@
 	if s.moving || profile == nil || !profile.Moves || s.j.h.Mover == nil {
 		return
 	}
-	target := s.j.h.Accounts.PickTarget(s.j.s, s.cur.upstream, s.j.need)
+	target := s.j.h.Accounts.PickTarget(s.j.s, s.cur.upstream, s.need())
 	if target == nil {
 		return
 	}
 	s.moving = true
-	m := &move{relay: s, source: s.cur, target: target}
+	m := &move{relay: s, source: s.cur, target: target, need: s.need()}
 	s.j.log(btevent.MoveStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(target.ID)).Uint64("lastEvent", s.last).Send()
 	go m.run()
 }
@@ -235,12 +235,13 @@
 	relay  *relay
 	source *segment
 	target *bramleytack.Upstream
+	need   btaccount.Need
 }
 
 func (m *move) run() {
 	s := m.relay
 	r := moveResult{source: m.source, target: m.target}
-	held := s.j.h.Accounts.BeginCopy(m.target.ID, s.j.need)
+	held := s.j.h.Accounts.BeginCopy(m.target.ID, m.need)
 	defer held.End()
 	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
 	defer cancel()
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -53,7 +53,7 @@
 	s.Version = 1
 	s.Routes = bramleytack.NewRouteTable(c.h.routes)
 	s.Services = map[string]*bramleytack.ServiceRecord{
-		streams: {Name: streams, Engine: &bramleytack.EngineProfile{Slots: 24, MemoryTokens: 1 << 20, TokensPerEvent: 4, Moves: true, Backups: true}},
+		streams: {Name: streams, Engine: &bramleytack.EngineProfile{Slots: 24, MemoryTokens: c.h.memory, TokensPerEvent: 4, Moves: true, Backups: true}},
 		calls:   {Name: calls},
 	}
 	w := &bramleytack.Workspace{Name: "w1"}
@@ -82,6 +82,8 @@
 	upto      bramleytack.Revision
 	entry     netip.AddrPort
 	requests  int
+	// memory is the tokens that an engine holds.
+	memory int
 }
 
 // run plays a test in fake time.
@@ -91,7 +93,7 @@
 			t: t, upstreams: map[string]*bramleytack.Upstream{}, workers: map[string]*btworker.Worker{},
 			net:   &btmemnet.Network{},
 			pool:  &btworker.Pool{Dialect: dialect, CopyDelay: 300 * time.Millisecond, MoveTime: 200 * time.Millisecond},
-			timer: bttimer.New(1), entry: netip.MustParseAddrPort("10.0.0.1:80"),
+			timer: bttimer.New(1), entry: netip.MustParseAddrPort("10.0.0.1:80"), memory: 1 << 20,
 			routes: []*bramleytack.Route{
 				{Name: "guide", Host: "h", PathPrefix: "/guide/", Streaming: true, Timeout: 39 * time.Second, TargetLatency: 1800 * time.Millisecond, MaxPause: 180 * time.Millisecond, MaxAttempts: 1, Services: one(streams)},
 				{Name: "tag", Host: "h", PathPrefix: "/tag/", Streaming: true, Resumable: true, Timeout: 6 * time.Second, TargetLatency: 1500 * time.Millisecond, MaxPause: 180 * time.Millisecond, MaxAttempts: 2, Services: one(streams)},
--- a/internal/serve/btentry/metrics.go
+++ b/internal/serve/btentry/metrics.go
@@ -26,6 +26,7 @@
 	first      prometheus.Histogram
 	gaps       prometheus.Histogram
 	handovers  prometheus.Histogram
+	roomWaits  prometheus.Histogram
 }
 
 // NewMetrics registers the metrics.
@@ -38,8 +39,9 @@
 		first:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_first_event_seconds", Help: "Time to the first event.", Buckets: latencyBuckets}),
 		gaps:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_event_gap_seconds", Help: "Time between events.", Buckets: gapBuckets}),
 		handovers:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_handover_pause_seconds", Help: "Pause of a stream that went on at another engine.", Buckets: gapBuckets}),
+		roomWaits:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_room_wait_seconds", Help: "Time until an engine had room for a generation.", Buckets: latencyBuckets}),
 	}
-	r.MustRegister(m.answers, m.rejections, m.brokenOff, m.latency, m.first, m.gaps, m.handovers)
+	r.MustRegister(m.answers, m.rejections, m.brokenOff, m.latency, m.first, m.gaps, m.handovers, m.roomWaits)
 	return m
 }
 
@@ -76,6 +78,12 @@
 	}
 }
 
+func (m *Metrics) waited(d time.Duration) {
+	if m != nil {
+		m.roomWaits.Observe(d.Seconds())
+	}
+}
+
 func (m *Metrics) event(gap time.Duration, handover bool) {
 	if m == nil {
 		return
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -38,6 +38,7 @@
 	backup *bramleytack.Upstream
 	// origin says what the segment goes on from.
 	origin origin
+	need   btaccount.Need
 	items  chan item
 	cancel context.CancelFunc
 	// started is when the request was sent, eventAt when the last event came.
@@ -75,9 +76,9 @@
 	now := g.job.h.Timer.Now()
 	g.started, g.eventAt = now, now
 	g.items = make(chan item, pendingEvents)
-	g.lease = g.job.h.Accounts.Begin(g.upstream.ID, g.job.need)
+	g.lease = g.job.h.Accounts.Begin(g.upstream.ID, g.need)
 	if g.backup != nil {
-		g.copies = g.job.h.Accounts.BeginCopy(g.backup.ID, g.job.need)
+		g.copies = g.job.h.Accounts.BeginCopy(g.backup.ID, g.need)
 	}
 	go g.run(ctx)
 }
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -36,7 +36,9 @@
 	// stream without any event is sent to another engine, if the engine is also
 	// late by lateFactor of what was expected of it.
 	firstEventShare = 0.8
-	lateFactor      = 3
+	// growEvents is the number of events between two notes of a generation's size.
+	growEvents = 12
+	lateFactor = 3
 )
 
 // relay is a stream on its way to the caller.
@@ -117,15 +119,18 @@
 
 // begin sends the first segment, and says whether there is an engine for it.
 func (s *relay) begin() bool {
-	u := s.j.pick(s.tried)
+	started := s.j.h.Timer.Now()
+	u := s.j.awaitRoom(s.ctx, s.tried)
 	if u == nil {
 		return false
 	}
+	waited := s.j.h.Timer.Now().Sub(started)
+	s.j.h.Metrics.waited(waited)
 	s.tried[u.ID] = true
 	s.cur = s.segment(u, fromStart, "")
 	s.cur.start(s.ctx)
 	s.j.log(btevent.AttemptStarted).Str("upstream", string(u.ID)).Int("prompt", s.j.need.Prompt).
-		Int("output", s.j.need.Output).Str("backup", s.cur.backupName()).Dur("expected", s.j.expected).Uint64("version", s.j.s.Version).Send()
+		Int("output", s.j.need.Output).Str("backup", s.cur.backupName()).Dur("expected", s.j.expected).Dur("waited", waited).Uint64("version", s.j.s.Version).Send()
 	return true
 }
 
@@ -140,7 +145,8 @@
 // segment goes on from one.
 func (s *relay) segment(u *bramleytack.Upstream, from origin, copyName string) *segment {
 	j, d := s.j, s.j.h.Dialect
-	g := &segment{job: j, upstream: u, origin: from, copyName: copyName, request: j.request(u)}
+	g := &segment{job: j, upstream: u, origin: from, need: s.need(), copyName: copyName, request: j.request(u)}
+	g.need.Copied = from == fromCopy
 	if from != fromStart && (s.headSent || s.last > 0) {
 		g.request.Header.Set(d.LastEvent, strconv.FormatUint(s.last, 10))
 	}
@@ -149,13 +155,28 @@
 	}
 	profile := j.s.Engine(j.service)
 	if profile != nil && profile.Backups && j.need.MaxOutput >= backupOutput {
-		if g.backup = j.h.Accounts.PickBackup(j.s, u, j.need); g.backup != nil {
+		if g.backup = j.h.Accounts.PickBackup(j.s, u, g.need); g.backup != nil {
 			g.request.Header.Set(d.Backup, g.backup.Addr.String())
 		}
 	}
 	return g
 }
 
+// need returns what the rest of the stream takes of an engine.
+func (s *relay) need() btaccount.Need {
+	n := s.j.need
+	n.Made = s.made()
+	return n
+}
+
+// made returns the tokens that the caller has.
+func (s *relay) made() int {
+	if p := s.j.s.Engine(s.j.service); p != nil {
+		return int(s.last) * p.TokensPerEvent
+	}
+	return 0
+}
+
 // take handles an item of a segment.
 func (s *relay) take(g *segment, i item) {
 	if g.cancel == nil {
@@ -197,6 +218,9 @@
 		}
 		s.last = i.event.ID
 	}
+	if g.events%growEvents == 0 {
+		g.lease.Grow(s.made())
+	}
 	s.sendHead()
 	if _, err := s.j.w.Write(i.event.Raw); err != nil {
 		s.j.log(btevent.CallerLeft).Err(err).Uint64("lastEvent", s.last).Send()
@@ -248,8 +272,8 @@
 
 // learn takes the length of a whole generation into the forecast.
 func (s *relay) learn() {
-	if p := s.j.s.Engine(s.j.service); p != nil && s.j.need.MaxOutput > 0 {
-		s.j.h.Lengths.Learn(s.j.route.Name, int(s.last)*p.TokensPerEvent)
+	if s.j.need.MaxOutput > 0 && s.made() > 0 {
+		s.j.h.Lengths.Learn(s.j.route.Name, s.made())
 	}
 }
 
