Keep most digests within the failure domain

Change: of the seven targets of a digest two are in other domains, more only if the own domain has too few daemons. Changes of objects and of loads still go to all daemons at once.

--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -27,6 +27,10 @@
 	period = 200 * time.Millisecond
 	// fanout is the number of daemons that get each digest.
 	fanout = 7
+	// farFanout is the number of these in other failure domains if there are many
+	// daemons. Bytes between domains cost more, and daemons of one domain tell
+	// each other.
+	farFanout = 2
 	// maxPacket keeps datagrams within one frame.
 	maxPacket = 1400
 	// membersPerDigest bounds the members in a digest.
@@ -261,14 +265,17 @@
 // alive, and at times those that are not.
 func (n *Node) targets(peers []Peer) []netip.Addr {
 	now := n.Timer.Now()
-	var alive, silent []netip.Addr
+	var near, far, silent []netip.Addr
 	seen := map[netip.Addr]bool{n.Self.Addr: true}
 	for _, p := range peers {
 		seen[p.Addr] = true
-		if p.alive(now) || n.young(now) {
-			alive = append(alive, p.Addr)
-		} else {
+		switch {
+		case !p.alive(now) && !n.young(now):
 			silent = append(silent, p.Addr)
+		case p.FailureDomain == n.Self.FailureDomain:
+			near = append(near, p.Addr)
+		default:
+			far = append(far, p.Addr)
 		}
 	}
 	for _, a := range n.Seeds {
@@ -285,8 +292,10 @@
 			}
 		}
 	}
-	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	alive = alive[:min(len(alive), fanout)]
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	first := min(len(far), max(farFanout, fanout-len(near)))
+	alive := append(far[:first], near[:min(len(near), fanout-first)]...)
 	if len(alive) == 0 || n.round%seedEvery == 0 {
 		rand.Shuffle(len(silent), func(i, j int) { silent[i], silent[j] = silent[j], silent[i] })
 		alive = append(alive, silent[:min(len(silent), fanout)]...)
--- a/internal/fleet/btgossip/node_test.go
+++ b/internal/fleet/btgossip/node_test.go
@@ -32,11 +32,23 @@
 	cut   map[netip.Addr]bool
 	rng   *rand.Rand
 	loss  float64
+	// near and far count datagrams within and between failure domains.
+	near, far int
 }
 
+// domains is the number of failure domains of a cell.
+const domains = 3
+
+func domainOf(a netip.Addr) int { return int(a.As4()[3]-1) % domains }
+
 func (b *hub) deliver(from, to netip.Addr, data []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if domainOf(from) == domainOf(to) {
+		b.near++
+	} else {
+		b.far++
+	}
 	c := b.conns[to]
 	if c == nil || b.cut[from] || b.cut[to] || b.rng.Float64() < b.loss {
 		return
@@ -148,7 +160,7 @@
 	table := btreplica.NewTable(codec{}, c.timer, log)
 	n := New(&Node{
 		Self: Self{
-			Host: bramleytack.HostID(fmt.Sprintf("h%02d", i)), Addr: addrOf(i), FailureDomain: "d", Port: port,
+			Host: bramleytack.HostID(fmt.Sprintf("h%02d", i)), Addr: addrOf(i), FailureDomain: bramleytack.FailureDomainID(fmt.Sprint("d", domainOf(addrOf(i)))), Port: port,
 			Incarnation: uint64(time.Now().UnixMilli()),
 		},
 		Table: table, Accounts: &btaccount.Table{Timer: c.timer}, Contact: &btreplica.Contact{}, Timer: c.timer, Log: log,
@@ -321,6 +333,23 @@
 	})
 }
 
+// Guards against digests that cross failure domains more than they need to: bytes
+// between domains are priced (grown Foldwell site: 177 MB a day).
+func TestDigestsStayInTheDomain(t *testing.T) {
+	play(t, 24, 0, func(c *cell) {
+		time.Sleep(3 * time.Second)
+		c.hub.mu.Lock()
+		c.hub.near, c.hub.far = 0, 0
+		c.hub.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		c.hub.mu.Lock()
+		near, far := c.hub.near, c.hub.far
+		c.hub.mu.Unlock()
+		assert.Assert(t, far*fanout <= (near+far)*(farFanout+1), "%d of %d datagrams cross domains", far, near+far)
+		c.checkAlive(23, 0, 1, 2)
+	})
+}
+
 // Guards against a lone daemon that waits for others before it reads the store.
 func TestLoneDaemonFollowsSoon(t *testing.T) {
 	play(t, 1, 0, func(c *cell) {
