Log ejections, and split the table of accounts by job

An ejection changes what a daemon believes and left no line: BT408 names the upstream, its failures beside the mean of its peers, and the pause. The packet fuzz test gives its node a connection, so that the receiver needs no guard for it; 52,000 executions without a finding.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -57,6 +57,7 @@
 	UpstreamRegistered  = Event{405, zerolog.InfoLevel, "registration of an upstream has changed"}
 	UpstreamLeavingSeen = Event{406, zerolog.InfoLevel, "upstream has told of its leaving"}
 	UpstreamRemoved     = Event{407, zerolog.InfoLevel, "registration of an upstream is gone"}
+	UpstreamEjected     = Event{408, zerolog.WarnLevel, "upstream gets no work because of failures"}
 	RequestFailed       = Event{500, zerolog.WarnLevel, "request failed"}
 	RequestRefused      = Event{501, zerolog.DebugLevel, "request was refused"}
 	RequestRejected     = Event{502, zerolog.InfoLevel, "request was answered by the daemon itself"}
@@ -120,6 +121,7 @@
 		UpstreamRegistered,
 		UpstreamLeavingSeen,
 		UpstreamRemoved,
+		UpstreamEjected,
 		RequestFailed,
 		RequestRefused,
 		RequestRejected,
--- a/internal/fleet/btgossip/node_test.go
+++ b/internal/fleet/btgossip/node_test.go
@@ -44,6 +44,9 @@
 func (b *hub) deliver(from, to netip.Addr, data []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !from.IsValid() || !to.Is4() {
+		return
+	}
 	if domainOf(from) == domainOf(to) {
 		b.near++
 	} else {
@@ -444,7 +447,9 @@
 			log := btevent.New(io.Discard, 0, "h")
 			n := New(&Node{
 				Table: btreplica.NewTable(codec{}, timer, log), Accounts: &btaccount.Table{Timer: timer}, Timer: timer, Log: log,
+				Contact: &btreplica.Contact{}, Ready: func() bool { return true }, Leaving: func() bool { return false },
 			})
+			n.conn = &packetConn{hub: &hub{}}
 			r := &receiver{n: n, last: map[bramleytack.HostID]position{}}
 			r.receive(data, &net.UDPAddr{})
 		})
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		n.Log.Event(btevent.PeerSeen).Str("peer", m.Host).Stringer("addr", addr).Uint64("incarnation", m.Incarnation).Send()
-		if direct && n.Self.Addr.IsValid() {
+		if direct {
 			// A daemon that has just started learns at once who follows the store.
 			n.write(n.encode(&Packet{Digest: n.digest(n.members.list(now))}), addr)
 		}
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -111,7 +111,7 @@
 	n.pool = &btconn.Pool{}
 	n.engines = a.Engines(n.pool)
 	n.registry = prometheus.NewRegistry()
-	n.accounts = &btaccount.Table{Timer: n.timer, Domain: s.FailureDomain}
+	n.accounts = &btaccount.Table{Timer: n.timer, Domain: s.FailureDomain, Log: n.log}
 	n.gossip = btgossip.New(&btgossip.Node{
 		Self: btgossip.Self{
 			Host: s.Host, Addr: s.Addr, FailureDomain: s.FailureDomain,
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -3,11 +3,11 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"bramleytack"
+	"bramleytack/btevent"
 )
 
 const (
@@ -34,9 +34,6 @@
 	// as alike. Requests come in clumps at many daemons at once, which all see
 	// the same best upstream before they see each other's choice.
 	alikeMillis = 50.0
-	// sameDomainUse is what a copy in the generation's own failure domain adds to
-	// the use of an engine in the comparison.
-	sameDomainUse = 0.1
 	// noPlaceUse is the use of an engine whose batch is full.
 	noPlaceUse = 2.0
 	// coldBurst is the number of requests a cold upstream may get at once from
@@ -52,8 +49,10 @@
 	// Daemons returns the number of daemons that share the cold limits.
 	Daemons func() int
 	// Changed is called, with the table locked, when this daemon's work at a
-	// model engine changes.
+	// model engine changes, or when it ejects an upstream.
 	Changed func()
+	// Log may be nil.
+	Log *btevent.Logger
 
 	mu       sync.Mutex
 	accounts map[bramleytack.UpstreamID]*account
@@ -174,41 +173,6 @@
 	}
 }
 
-// Eligible returns the upstreams of a service that may get new work, without
-// those in tried. Ejected ones are left out as long as others remain, those that
-// only other daemons eject as long as half of the service remains.
-func (t *Table) Eligible(s *bramleytack.Snapshot, service string, tried map[bramleytack.UpstreamID]bool) []*bramleytack.Upstream {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.Timer.Now()
-	var good, doubted, ejected []*bramleytack.Upstream
-	accepted := 0
-	for _, u := range s.ByService[service] {
-		if !s.Accepts(u.ID) {
-			continue
-		}
-		accepted++
-		a := t.account(u.ID)
-		a.service = service
-		switch {
-		case tried[u.ID]:
-		case now.Before(a.ejectedUntil) || now.Before(a.avoidUntil):
-			ejected = append(ejected, u)
-		case t.others[u.ID].Ejections >= ejectQuorum:
-			doubted = append(doubted, u)
-		default:
-			good = append(good, u)
-		}
-	}
-	if 2*len(doubted) > accepted || len(good) == 0 {
-		good = append(good, doubted...)
-	}
-	if len(good) == 0 {
-		return ejected
-	}
-	return good
-}
-
 // Pick returns one of the candidates with the lowest expected delays that the
 // cold limit allows, drawn at random, and its delay. It returns nil if there is
 // none.
@@ -268,125 +232,6 @@
 	return use
 }
 
-const (
-	// spareUse is the forecast use of all engines of a service above which no
-	// copies are kept in case of a failure: they would delay running work more
-	// often than a failure strikes.
-	spareUse = 0.55
-	// copyUse is the forecast use up to which an engine takes such a copy.
-	copyUse = 0.75
-	// moveUse lets a running generation move to nearly any engine. Forecasts add
-	// up the ends of all generations, which seldom come together.
-	moveUse = 1.25
-	// queuedHalf is the number of tokens that an engine still has to read or to
-	// receive at which it is half as likely to become the target of a move.
-	queuedHalf = 4000.0
-)
-
-// PickBackup returns an engine that keeps a copy of a generation at primary in
-// case of a failure, or nil if memory is short.
-func (t *Table) PickBackup(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) *bramleytack.Upstream {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	room, mean := t.room(s, primary, n)
-	if mean > spareUse {
-		return nil
-	}
-	for i := range room {
-		if room[i].upstream.FailureDomain == primary.FailureDomain {
-			// A failure of the domain would take both.
-			room[i].penalty += sameDomainUse
-		}
-	}
-	return betterOfTwo(room, copyUse)
-}
-
-// PickTarget returns an engine that a generation at primary moves to, or nil. It
-// takes one of the same failure domain if there is room: a move to another domain
-// takes twice as long on the link of the engine that leaves.
-func (t *Table) PickTarget(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) *bramleytack.Upstream {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	room, _ := t.room(s, primary, n)
-	var near []roomy
-	for _, r := range room {
-		if r.upstream.FailureDomain == primary.FailureDomain {
-			near = append(near, r)
-		}
-	}
-	for _, list := range [][]roomy{near, room} {
-		if u := t.drawByRoom(list); u != nil {
-			return u
-		}
-	}
-	return betterOfTwo(room, moveUse)
-}
-
-// drawByRoom draws an engine by the memory that is free. When engines leave, all
-// daemons move their generations at once, and the emptiest engine of all would
-// get more than its memory and its link take.
-func (t *Table) drawByRoom(room []roomy) *bramleytack.Upstream {
-	now := t.Timer.Now()
-	weights, sum := make([]float64, len(room)), 0.0
-	for i, r := range room {
-		l := t.load(r.upstream.ID, now)
-		weights[i] = max(0, 1-r.use) / (1 + float64(l.Unread+l.Copies)/queuedHalf)
-		sum += weights[i]
-	}
-	at := rand.Float64() * sum
-	for i, w := range weights {
-		if at -= w; at < 0 {
-			return room[i].upstream
-		}
-	}
-	return nil
-}
-
-// room returns the other engines of a service with their forecast use if they
-// took a copy, and the mean use without it. The caller holds the lock.
-func (t *Table) room(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) ([]roomy, float64) {
-	profile := s.Engine(primary.Service)
-	if profile == nil || profile.MemoryTokens <= 0 {
-		return nil, 0
-	}
-	now := t.Timer.Now()
-	var room []roomy
-	sum := 0.0
-	for _, u := range s.ByService[primary.Service] {
-		if a := t.account(u.ID); u.ID == primary.ID || !s.Accepts(u.ID) || now.Before(a.ejectedUntil) || now.Before(a.avoidUntil) {
-			continue
-		}
-		l := t.load(u.ID, now)
-		use := float64(l.Memory+l.Copies) / float64(profile.MemoryTokens)
-		sum += use
-		room = append(room, roomy{upstream: u, use: use + float64(n.memory())/float64(profile.MemoryTokens)})
-	}
-	return room, sum / float64(max(len(room), 1))
-}
-
-// roomy is an engine with room for a copy.
-type roomy struct {
-	upstream *bramleytack.Upstream
-	use      float64
-	// penalty counts in the comparison of engines only.
-	penalty float64
-}
-
-// betterOfTwo returns the emptier of two engines drawn at random. When an engine
-// leaves, many daemons choose at once by the same figures; the emptiest engine
-// of all would get every copy.
-func betterOfTwo(room []roomy, limit float64) *bramleytack.Upstream {
-	room = slices.DeleteFunc(room, func(r roomy) bool { return r.use >= limit })
-	if len(room) == 0 {
-		return nil
-	}
-	a, b := room[rand.IntN(len(room))], room[rand.IntN(len(room))]
-	if b.use+b.penalty < a.use+a.penalty {
-		a = b
-	}
-	return a.upstream
-}
-
 // score returns the expected delay in milliseconds.
 func (t *Table) score(s *bramleytack.Snapshot, u *bramleytack.Upstream, n Need, now time.Time) float64 {
 	l := t.load(u.ID, now)
@@ -441,62 +286,3 @@
 	}
 	return ok
 }
-
-// judge takes the outcome of an attempt into the upstream's health.
-func (t *Table) judge(id bramleytack.UpstreamID, a *account, o Outcome) {
-	now := t.Timer.Now()
-	if o == Served || o == Refused {
-		a.refusals = 0
-	}
-	failed := 0.0
-	switch o {
-	case Abandoned, Refused:
-		return
-	case Misdirected:
-		a.avoidUntil = now.Add(misdirectedFor)
-		return
-	case Unreachable:
-		if now.Before(a.avoidUntil) {
-			// Requests that were under way together count once.
-			return
-		}
-		a.avoidUntil = now.Add(min(unreachableFor<<min(a.refusals, maxDoublings), unreachableMost))
-		a.refusals++
-		failed = 1
-	case Failed:
-		failed = 1
-	}
-	a.samples++
-	a.failures += failureWeight * (failed - a.failures)
-	if failed == 0 {
-		if a.failures < ejectAbove/2 {
-			a.ejections = 0
-		}
-		return
-	}
-	if a.failures > ejectAbove && a.failures > t.typicalFailures(id, a.service)+ejectMargin {
-		d := min(ejectFor<<min(a.ejections, maxDoublings), ejectMost)
-		a.ejections++
-		a.ejectedUntil, a.failing = now.Add(d), o == Failed
-		a.failures = afterEjection
-		if t.Changed != nil {
-			t.Changed()
-		}
-	}
-}
-
-// typicalFailures returns the mean failure average of the service's other
-// upstreams.
-func (t *Table) typicalFailures(except bramleytack.UpstreamID, service string) float64 {
-	sum, n := 0.0, 0
-	for id, a := range t.accounts {
-		if id != except && a.service == service && a.samples > 0 {
-			sum += a.failures
-			n++
-		}
-	}
-	if n == 0 {
-		return 0
-	}
-	return sum / float64(n)
-}
--- a/internal/route/btaccount/table_test.go
+++ b/internal/route/btaccount/table_test.go
@@ -1,7 +1,9 @@
 package btaccount
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"bramleytack"
+	"bramleytack/btevent"
 	"bramleytack/bttimer"
 )
 
@@ -248,13 +251,16 @@
 	inTime(t, func(t *testing.T, timer *bttimer.Service) {
 		s := fleet(3)
 		told := 0
+		var lines bytes.Buffer
 		sick := newTable(timer)
+		sick.Log = btevent.New(&lines, 0, "h1")
 		sick.Changed = func() { told++ }
 		sick.Eligible(s, service, nil)
 		for range 2 {
 			sick.Begin("e00", Need{}).End(Failed)
 		}
 		assert.Assert(t, told > 0, "an ejection is not told")
+		assert.Assert(t, strings.Contains(lines.String(), `"upstream":"e00"`), "an ejection is not logged")
 		assert.Equal(t, sick.Own()["e00"].Ejections, 1)
 		table := newTable(timer)
 		count := func() int { return len(table.Eligible(s, service, nil)) }
