--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -36,9 +36,9 @@
 	// stream without any event is sent to another engine, if the engine is also
 	// late by lateFactor of what was expected of it.
 	firstEventShare = 0.8
+	lateFactor      = 3
 	// growEvents is the number of events between two notes of a generation's size.
 	growEvents = 12
-	lateFactor = 3
 )
 
 // relay is a stream on its way to the caller.
