Send to all daemons in one place, and fold what one caller is left of

Since notices ask whether anybody reads the store, FailedWithin had Disturbed as its only caller; it is one function again. Behaviour is unchanged.

Run: tests of internal/fleet and internal/node, formatter, linter, vet.

--- a/internal/fleet/btgossip/load.go
+++ b/internal/fleet/btgossip/load.go
@@ -30,9 +30,7 @@
 			return
 		}
 		data := n.encode(&Packet{Digest: &Digest{Loads: n.ownLoads()}})
-		for _, p := range n.Alive() {
-			n.write(data, p.Addr)
-		}
+		n.broadcast(data)
 		if n.Timer.Sleep(ctx, loadPause) != nil {
 			return
 		}
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -261,6 +261,13 @@
 	_, _ = n.conn.WriteTo(data, net.UDPAddrFromAddrPort(netip.AddrPortFrom(a, n.Self.Port)))
 }
 
+// broadcast sends to all daemons alive.
+func (n *Node) broadcast(data []byte) {
+	for _, p := range n.Alive() {
+		n.write(data, p.Addr)
+	}
+}
+
 // targets returns the addresses that get the digest: a few daemons that are
 // alive, and at times those that are not.
 func (n *Node) targets(peers []Peer) []netip.Addr {
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -146,9 +146,7 @@
 		n.Nudge()
 		return
 	}
-	for _, p := range n.Alive() {
-		n.write(data, p.Addr)
-	}
+	n.broadcast(data)
 }
 
 func encodeBatch(b btreplica.Batch) *ObjectBatch {
--- a/internal/fleet/btreplica/contact.go
+++ b/internal/fleet/btreplica/contact.go
@@ -98,12 +98,9 @@
 	return c.down
 }
 
-// Disturbed says whether the store failed within the last few seconds.
-func (c *Contact) Disturbed(now time.Time) bool { return c.FailedWithin(now, outageEcho) }
-
-// FailedWithin says whether the store is away or failed within d.
-func (c *Contact) FailedWithin(now time.Time, d time.Duration) bool {
+// Disturbed says whether the store is away or failed within the last few seconds.
+func (c *Contact) Disturbed(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.down || !c.lastFailure.IsZero() && now.Sub(c.lastFailure) < d
+	return c.down || !c.lastFailure.IsZero() && now.Sub(c.lastFailure) < outageEcho
 }
