Do not eject upstreams that refuse connections

Refused connections set the pause of at most 5 s and also counted towards an ejection of up to 8 s, which a later success does not end. The test draws upstreams at random and fails when the last refusal ejects. Change: refused connections only set the pause. All ejections now come from responses, so the field that told them apart is gone. Conclusion: a fault of the product that the test was right to show.

--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -139,10 +139,7 @@
 	samples      int
 	ejections    int
 	ejectedUntil time.Time
-	// failing says that responses of the upstream led to the ejection, not its
-	// silence, which may be that of a link.
-	failing    bool
-	avoidUntil time.Time
+	avoidUntil   time.Time
 	// refusals counts the connections in a row that were refused.
 	refusals int
 	cold     bucket
--- a/internal/route/btaccount/health.go
+++ b/internal/route/btaccount/health.go
@@ -58,9 +58,11 @@
 			// Requests that were under way together count once.
 			return
 		}
+		// No ejection follows: it would outlast unreachableMost, and nothing that
+		// the upstream serves meanwhile would end it.
 		a.avoidUntil = now.Add(min(unreachableFor<<min(a.refusals, maxDoublings), unreachableMost))
 		a.refusals++
-		failed = 1
+		return
 	case Failed:
 		failed = 1
 	}
@@ -75,7 +77,7 @@
 	if a.failures > ejectAbove && a.failures > t.typicalFailures(id, a.service)+ejectMargin {
 		d := min(ejectFor<<min(a.ejections, maxDoublings), ejectMost)
 		a.ejections++
-		a.ejectedUntil, a.failing = now.Add(d), o == Failed
+		a.ejectedUntil = now.Add(d)
 		t.Log.Event(btevent.UpstreamEjected).Str("upstream", string(id)).Str("service", a.service).Stringer("outcome", o).
 			Float64("failures", a.failures).Float64("typical", t.typicalFailures(id, a.service)).Dur("pause", d).Send()
 		a.failures = afterEjection
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -117,7 +117,7 @@
 	now := t.Timer.Now()
 	for id, a := range t.accounts {
 		l := a.own
-		if a.failing && now.Before(a.ejectedUntil) {
+		if now.Before(a.ejectedUntil) {
 			l.Ejections = 1
 		}
 		if !l.empty() {
--- a/internal/route/btaccount/table_test.go
+++ b/internal/route/btaccount/table_test.go
@@ -338,6 +338,26 @@
 	})
 }
 
+// Guards against an ejection on top of the pause after refused connections, which
+// kept work from an upstream for 8 s after it was back.
+func TestReturnedUpstreamIsUsedInTime(t *testing.T) {
+	inTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(2)
+		table := newTable(timer)
+		for range 300 {
+			if len(table.Eligible(s, service, nil)) == 2 {
+				table.Begin("e00", Need{}).End(Unreachable)
+			}
+			time.Sleep(100 * time.Millisecond)
+			refused := timer.Now()
+			for len(table.Eligible(s, service, nil)) < 2 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			assert.Assert(t, timer.Now().Sub(refused) <= unreachableMost, "avoided for %v", timer.Now().Sub(refused))
+		}
+	})
+}
+
 // Guards against accounts that drift: every lease must give back what it took.
 func TestLeasesBalance(t *testing.T) {
 	inTime(t, func(t *testing.T, timer *bttimer.Service) {
