Do not blame an upstream for a caller that left

Cause: found by reading. The end of a caller's connection closes the exchange with the upstream, and the error that follows counted as a failure of the upstream: a caller that left after 10 ms four times in a row ejected it. Ruled out: streams, whose segments are closed as abandoned. Change: an attempt that ends with its caller says nothing of the upstream, unless it had taken the time after which the upstream counts as late. Before and after: TestLeavingCallersEjectSilentUpstreamsOnly, ejected, now not unless silent.

--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -91,14 +91,20 @@
 	}
 }
 
-// attempt sends the request to an upstream and reads the whole response.
+// attempt sends the request to an upstream and reads the whole response. The
+// context ends with the caller's connection.
 func (j *job) attempt(ctx context.Context, u *bramleytack.Upstream, timeout time.Duration) *reply {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	lease := j.h.Accounts.Begin(u.ID, j.need)
 	started := j.h.Timer.Now()
-	r := j.exchange(ctx, u)
-	lease.End(j.health(r))
+	r := j.exchange(limited, u)
+	health := j.health(r)
+	if r.err != nil && errors.Is(ctx.Err(), context.Canceled) && j.h.Timer.Now().Sub(started) < j.usualPatience() {
+		// The caller left, and the upstream was not late.
+		health = btaccount.Abandoned
+	}
+	lease.End(health)
 	j.logAttempt(r, started)
 	return r
 }
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -105,7 +105,12 @@
 	if !j.route.Repeatable() || j.sends+1 >= j.route.MaxAttempts {
 		return left
 	}
-	return min(left, max(patience*j.route.TargetLatency, leastPatience))
+	return min(left, j.usualPatience())
+}
+
+// usualPatience returns the time after which an upstream counts as late.
+func (j *job) usualPatience() time.Duration {
+	return max(patience*j.route.TargetLatency, leastPatience)
 }
 
 // finishCall answers the caller.
--- a/internal/serve/btentry/call_test.go
+++ b/internal/serve/btentry/call_test.go
@@ -40,6 +40,35 @@
 	})
 }
 
+// Pattern: callers that leave before their answer. Guards against upstreams that
+// are ejected for it, and against silent ones that are not.
+func TestLeavingCallersEjectSilentUpstreamsOnly(t *testing.T) {
+	cases := []struct {
+		fault    btworker.Fault
+		patience time.Duration
+		ejected  bool
+	}{
+		{btworker.Healthy, 10 * time.Millisecond, false},
+		{btworker.Mute, 10 * time.Millisecond, false},
+		{btworker.Mute, time.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%s %v", c.fault, c.patience), func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.shop("s1").Set(c.fault)
+				ejected := false
+				for range 20 {
+					a := h.request(http.MethodPost, "/order/a", nil, c.patience)
+					assert.Check(t, a.err != nil)
+					time.Sleep(100 * time.Millisecond)
+					ejected = ejected || h.accounts.Own()["s1"].Ejections > 0
+				}
+				assert.Check(t, ejected == c.ejected, "ejected: %v", ejected)
+			})
+		})
+	}
+}
+
 // Guards against wrong or doubtful answers, by the fault of one of two upstreams.
 func TestCallFaults(t *testing.T) {
 	cases := []struct {
