Tell all daemons of an upstream that leaves by its own word

Six long generations were sent to engines whose leaving four of eight daemons had known for up to 0.8 s, and ended with 502 when the engine did. Ruled out: late questions (four daemons knew in time), stale registrations (the engine was still registered, the store was away). What still breaks there are moves that do not end before the engine does: a report is up to 0.5 s old, and 0.85 s are left.

--- a/internal/node/btnode/notices.go
+++ b/internal/node/btnode/notices.go
@@ -20,7 +20,8 @@
 )
 
 // notices asks engines for their leaving while the store cannot tell this daemon
-// or any other. It asks only engines that run work of this daemon.
+// or any other. It asks only engines that run work of this daemon, and tells the
+// others what it hears: they would send them work.
 type notices struct {
 	node *Node
 	// unreadAt is the last time at which no daemon read the store.
@@ -82,7 +83,7 @@
 		q.node.log.Event(btevent.UpstreamFailed).Str("upstream", string(q.upstream.ID)).Err(err).Send()
 		return
 	}
-	if r.Leaving {
-		q.node.table.MarkLeaving(q.upstream.ID)
+	if r.Leaving && q.node.table.MarkLeaving(q.upstream.ID, "") {
+		q.node.gossip.TellLeaving(q.upstream.ID)
 	}
 }
