Keep the place of a generation that its caller left unnamed

Cause of the red TestColdAfterRestart: an engine runs on after a connection closes, so that streams can be resumed, and names a generation with its first token. A caller that leaves before it (silence of 3 s, first token at 2.5 to 13 s while engines are cold) leaves a generation that nobody can cancel; its entry released the place at once, and the cold engine got one more than the 4 it bears. Ruled out: grants of the frozen coordinator (engine of a new incarnation, four other daemons hold all requests), two owners (one view). Change: a release says when the upstream may still run the request; the owner keeps the place until a load report no longer lists it, as it does for dead entries.

--- a/btowner/held.go
+++ b/btowner/held.go
@@ -30,9 +30,11 @@
 	// proven is set when the progress was counted as a success.
 	proven bool
 	// dead is set when the entry has left the view.
-	dead  bool
-	moved bool
-	use   moments
+	dead bool
+	// leftAt is when the entry abandoned the request.
+	leftAt time.Time
+	moved  bool
+	use    moments
 }
 
 func (h *held) end() time.Time {
@@ -62,11 +64,13 @@
 	if !h.listed.IsZero() {
 		return at.After(h.listed)
 	}
-	wait := goneLive
-	if h.dead {
-		wait = goneDead
+	switch {
+	case !h.leftAt.IsZero():
+		return at.After(h.leftAt.Add(goneDead))
+	case h.dead:
+		return at.After(h.validUntil.Add(goneDead))
 	}
-	return at.After(h.validUntil.Add(wait))
+	return at.After(h.validUntil.Add(goneLive))
 }
 
 // ended is a reservation that no longer counts.
--- a/btowner/upstream.go
+++ b/btowner/upstream.go
@@ -249,16 +249,23 @@
 	if u.suspect == h.Grant {
 		u.suspect = ""
 	}
-	u.ended[h.Grant] = ended{held: h, at: now, released: released}
+	u.ended[h.Grant] = ended{held: h, at: now, released: released || !h.leftAt.IsZero()}
 }
 
 // Release frees a place and learns from how the request ended. A release of
-// an unknown grant is remembered, since its reservation may still arrive.
+// an unknown grant is remembered, since its reservation may still arrive. The
+// place of an abandoned request is kept until a report shows that it has ended:
+// upstreams run on without a caller, and a cold one bears no request more.
 func (u *Upstream) Release(now time.Time, v bramleytack.Release) {
 	h, ok := u.held[v.Grant]
-	if ok {
+	switch {
+	case ok && !h.leftAt.IsZero():
+		return
+	case ok && v.Abandoned && !u.cfg.WithoutReports:
+		h.leftAt = now
+	case ok:
 		u.drop(now, h, true)
-	} else {
+	default:
 		e, known := u.ended[v.Grant]
 		if known && e.released {
 			return
@@ -363,7 +370,7 @@
 	}
 	var best *held
 	for _, h := range u.held {
-		if h.produced > 0 || h.moved || h.Suspect || h.dead {
+		if h.produced > 0 || h.moved || h.Suspect || h.dead || !h.leftAt.IsZero() {
 			continue
 		}
 		if best == nil || h.Priority < best.Priority || (h.Priority == best.Priority && h.granted.After(best.granted)) {
--- a/btowner/upstream_test.go
+++ b/btowner/upstream_test.go
@@ -110,6 +110,22 @@
 	c.release(r, bramleytack.Ran)
 }
 
+// leave lets an entry abandon a request that the engine goes on with.
+func (c *cluster) leave() {
+	ids := slices.Sorted(maps.Keys(c.engine))
+	if len(ids) == 0 {
+		return
+	}
+	r := c.engine[rapid.SampledFrom(ids).Draw(c.t, "left")]
+	if _, ok := c.live[r.Grant]; !ok {
+		return
+	}
+	delete(c.live, r.Grant)
+	if rapid.IntRange(0, 3).Draw(c.t, "lost") > 0 {
+		c.owner.Release(c.now, bramleytack.Release{Grant: r.Grant, Outcome: bramleytack.Ran, Abandoned: true})
+	}
+}
+
 func (c *cluster) kill() {
 	if len(c.live) == 0 {
 		return
@@ -171,7 +187,7 @@
 
 // Guards against an upstream that runs more than its limit, or an owner that
 // loses places for good, under any order of reservations, lost releases,
-// lagging reports, deaths of entries and owners, and restarts.
+// abandoned requests, lagging reports, deaths of entries and owners, and restarts.
 func TestNeverOverLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := &cluster{
@@ -196,6 +212,7 @@
 			}),
 			"dispatch": act(c.dispatch),
 			"finish":   act(c.finish),
+			"leave":    act(c.leave),
 			"kill":     act(c.kill),
 			"observe":  act(c.observe),
 			"report":   act(c.report),
@@ -222,6 +239,35 @@
 	})
 }
 
+// Guards against the place of a generation that runs without its caller being
+// given away (TestColdAfterRestart: callers left before the first token, and a cold
+// engine got one generation more than it bears).
+func TestAbandonedRequestKeepsItsPlace(t *testing.T) {
+	now := start
+	u := NewUpstream(Config{}, now, record(1, 0))
+	report := func(ids ...bramleytack.RequestID) {
+		now = now.Add(100 * time.Millisecond)
+		r := bramleytack.LoadReport{Instance: "i", At: now, Running: len(ids)}
+		for _, id := range ids {
+			r.Generations = append(r.Generations, bramleytack.GenerationState{Request: id})
+		}
+		u.Report(now, r)
+	}
+	admits := func(id string) bool {
+		_, err := u.Reserve(now, reservation(id, bramleytack.Standard))
+		return err == nil
+	}
+	report()
+	assert.Assert(t, admits("1"))
+	report("1")
+	u.Release(now, bramleytack.Release{Grant: "1", Outcome: bramleytack.Ran, Abandoned: true})
+	assert.Assert(t, !admits("2"), "the engine runs the abandoned generation")
+	report("1")
+	assert.Assert(t, !admits("3"), "the engine runs the abandoned generation")
+	report()
+	assert.Assert(t, admits("4"), "the place was lost")
+}
+
 // Guards against wrong counts in single cases of late and lost messages.
 func TestMessages(t *testing.T) {
 	t.Run("a reservation after its release is refused", func(t *testing.T) {
--- a/btremote/owners.go
+++ b/btremote/owners.go
@@ -240,7 +240,7 @@
 	defer cancel()
 	_, err := btpeer.Call[btwire.Release, btwire.ReleaseReply](ctx, o.Node, owner, &btwire.Release{
 		Grant: string(v.Grant), Upstream: string(v.Upstream), Entry: string(o.Self), Outcome: v.Outcome.String(),
-		Failed: v.Failed, Tokens: int64(v.Tokens), FirstToken: durationpb.New(v.FirstToken),
+		Failed: v.Failed, Abandoned: v.Abandoned, Tokens: int64(v.Tokens), FirstToken: durationpb.New(v.FirstToken),
 	})
 	return err
 }
@@ -385,7 +385,7 @@
 	err := o.releaseHere(ctx, bramleytack.Release{
 		Grant: bramleytack.GrantID(m.GetGrant()), Upstream: bramleytack.UpstreamID(m.GetUpstream()),
 		Outcome: bramleytack.ParseOutcome(m.GetOutcome()), Failed: m.GetFailed(), Tokens: int(m.GetTokens()),
-		FirstToken: m.GetFirstToken().AsDuration(),
+		Abandoned: m.GetAbandoned(), FirstToken: m.GetFirstToken().AsDuration(),
 	})
 	return &btwire.ReleaseReply{Known: err == nil}, nil
 }
--- a/btroute/filter.go
+++ b/btroute/filter.go
@@ -180,6 +180,7 @@
 		Upstream:   id,
 		Outcome:    outcome,
 		Failed:     failed(e),
+		Abandoned:  e != nil && outcome != bramleytack.NotRun && rec.unopened() && r.request.Kind == bramleytack.Generate,
 		FirstToken: rec.firstToken,
 	}
 	// The length of an interrupted output says nothing about the length of a
--- a/btroute/filter_test.go
+++ b/btroute/filter_test.go
@@ -125,6 +125,36 @@
 	}
 }
 
+// Guards against the place of a generation being given away that its upstream has
+// not named yet and therefore nobody can cancel.
+func TestUnnamedGenerationIsAbandoned(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		open      bool
+		err       error
+		abandoned bool
+	}{
+		{"caller left before the name", false, context.Canceled, true},
+		{"caller left after the name", true, context.Canceled, false},
+		{"refused", false, bramleytack.NewError(bramleytack.CodeOverloaded, bramleytack.NotRun, "full"), false},
+		{"complete", true, nil, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, owner := newFilter(t, upstreams("a"))
+				next := bramleytack.HandlerFunc(func(_ context.Context, _ *bramleytack.Request, w bramleytack.Reply) error {
+					if test.open {
+						_ = w.Open(bramleytack.Opening{})
+					}
+					return test.err
+				})
+				_ = f.Handle(t.Context(), &bramleytack.Request{Kind: bramleytack.Generate, Model: "m"}, &nullReply{}, next)
+				assert.Equal(t, owner.releases[0].Abandoned, test.abandoned)
+			})
+		})
+	}
+}
+
 // Guards against giving up, or failing with a wrong outcome, when owners
 // refuse or do not answer; and against a suspect that runs beside others.
 func TestFilterReservations(t *testing.T) {
--- a/btroute/recorder.go
+++ b/btroute/recorder.go
@@ -20,6 +20,9 @@
 	firstToken time.Duration
 }
 
+// unopened says that the upstream has not named the generation.
+func (r *recorder) unopened() bool { return r.opening == nil && !r.delivered }
+
 // Open keeps the opening for the first token.
 func (r *recorder) Open(o bramleytack.Opening) error {
 	r.opening = &o
--- a/owner.go
+++ b/owner.go
@@ -43,6 +43,9 @@
 	Outcome  Outcome
 	// Failed is set when the upstream failed while it ran the request.
 	Failed bool
+	// Abandoned is set when the upstream may run the request still: the entry left
+	// before it had the name by which to cancel it.
+	Abandoned bool
 	// Tokens is the length of the output.
 	Tokens int
 	// FirstToken is the time to the first token. Zero means none came.
