Blame no upstream for calls that fail wherever they run

Ruled out: sick upstreams (the same path fails at all three and for the caller's repeat), the comparison with peers (three upstreams, the third sees nothing). Change: an answer of 5xx to a call that may be repeated counts once another upstream did better; a call that fails alike everywhere, or that was not repeated, blames none. Calls that may not be repeated count as before.

--- a/internal/route/btaccount/health.go
+++ b/internal/route/btaccount/health.go
@@ -40,6 +40,14 @@
 	return good
 }
 
+// Blame counts a failure of an upstream whose attempt ended as abandoned, before it
+// was known who was at fault.
+func (t *Table) Blame(id bramleytack.UpstreamID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.judge(id, t.account(id), Failed)
+}
+
 // judge takes the outcome of an attempt into the upstream's health.
 func (t *Table) judge(id bramleytack.UpstreamID, a *account, o Outcome) {
 	now := t.Timer.Now()
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -34,6 +34,8 @@
 	misdirected bool
 	// unsent is set if no byte of the request left.
 	unsent bool
+	// unjudged is set if the upstream's failure does not count for its health yet.
+	unjudged bool
 	err    error
 }
 
@@ -100,6 +102,10 @@
 	started := j.h.Timer.Now()
 	r := j.exchange(limited, u)
 	health := j.health(r)
+	if health == btaccount.Failed && r.usable() && j.route.Repeatable() {
+		// Another upstream shows whether the request fails wherever it runs.
+		health, r.unjudged = btaccount.Abandoned, true
+	}
 	if r.err != nil && errors.Is(ctx.Err(), context.Canceled) && j.h.Timer.Now().Sub(started) < j.usualPatience() {
 		// The caller left, and the upstream was not late.
 		health = btaccount.Abandoned
--- a/internal/serve/btentry/call_test.go
+++ b/internal/serve/btentry/call_test.go
@@ -69,6 +69,44 @@
 	}
 }
 
+// Pattern: checks that fail wherever they run. Guards against the ejection of
+// sound upstreams (Foldwell inc-ecff: seven in calm seconds).
+func TestFailingChecksEjectNoUpstream(t *testing.T) {
+	run(t, func(h *harness) {
+		shops := []*btworker.Worker{h.shop("s1"), h.shop("s2"), h.shop("s3")}
+		for n := range 400 {
+			fault := btworker.Healthy
+			if n%20 < 5 {
+				fault = btworker.Broken
+			}
+			for _, w := range shops {
+				w.Set(fault)
+			}
+			_ = h.request(http.MethodGet, "/check/a", nil, callPatience)
+			assert.Check(t, len(h.accounts.Own()) == 0, "after %d requests: %v", n, h.accounts.Own())
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+}
+
+// Pattern: one upstream fails what others serve. Guards against an upstream that
+// nobody blames.
+func TestFailingUpstreamIsEjected(t *testing.T) {
+	run(t, func(h *harness) {
+		h.shop("s1").Set(btworker.Broken)
+		h.shop("s2")
+		ejected := false
+		for range 40 {
+			_ = h.request(http.MethodGet, "/check/a", nil, callPatience)
+			own := h.accounts.Own()
+			ejected = ejected || own["s1"].Ejections > 0
+			assert.Check(t, own["s2"].Ejections == 0)
+			time.Sleep(300 * time.Millisecond)
+		}
+		assert.Check(t, ejected)
+	})
+}
+
 // Guards against wrong or doubtful answers, by the fault of one of two upstreams.
 func TestCallFaults(t *testing.T) {
 	cases := []struct {
