--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -36,7 +36,7 @@
 	unsent bool
 	// unjudged is set if the upstream's failure does not count for its health yet.
 	unjudged bool
-	err    error
+	err      error
 }
 
 // usable says whether the reply is a whole response of the upstream.
