Have the exchange's connection before anything can send

Cause: found by reading. Change: Start sets the connection before it returns, and starts the goroutines. Before and after: tests of the package with the race detector green; no test can force the order in the daemon.

--- a/internal/fleet/btgossip/doc.go
+++ b/internal/fleet/btgossip/doc.go
@@ -17,6 +17,6 @@
 // # Usage
 //
 //	n := &btgossip.Node{Self: self, Table: table, Accounts: accounts, Timer: timers}
-//	go n.Run(ctx, packetConn, listener)
+//	n.Start(ctx, packetConn, listener)
 //	for _, m := range n.Alive() { ... }
 package btgossip
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -113,8 +113,9 @@
 	return n
 }
 
-// Run exchanges digests until the context ends.
-func (n *Node) Run(ctx context.Context, conn net.PacketConn, l net.Listener) {
+// Start exchanges digests until the context ends. The other methods may be called
+// from then on.
+func (n *Node) Start(ctx context.Context, conn net.PacketConn, l net.Listener) {
 	n.conn = conn
 	n.Table.Listen(n.push)
 	context.AfterFunc(ctx, func() { conn.Close(); l.Close() })
@@ -122,7 +123,7 @@
 	go (&puller{n}).run(ctx)
 	go (&server{n: n}).run(ctx, l)
 	go (&loadSender{n}).run(ctx)
-	n.loop(ctx)
+	go n.loop(ctx)
 }
 
 // loop sends a digest each period.
--- a/internal/fleet/btgossip/node_test.go
+++ b/internal/fleet/btgossip/node_test.go
@@ -190,7 +190,7 @@
 	c.hub.mu.Lock()
 	c.hub.conns[addrOf(i)] = conn
 	c.hub.mu.Unlock()
-	go n.Run(ctx, conn, c.network.Listen(netip.AddrPortFrom(addrOf(i), port)))
+	n.Start(ctx, conn, c.network.Listen(netip.AddrPortFrom(addrOf(i), port)))
 	c.nodes[i], c.stops[i] = n, stop
 }
 
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -199,7 +199,7 @@
 	if err != nil {
 		return errors.Wrap(err, "btnode: peer address")
 	}
-	go n.gossip.Run(ctx, packets, pulls)
+	n.gossip.Start(ctx, packets, pulls)
 	n.follow(ctx)
 	mux := n.infoMux()
 	for _, s := range []struct {
