Spare only upstreams that know their end while the store is away

Of 22 engines that told of their leaving, 14 ended 0.8 s later, but 8 were to leave only once the store had noted it, and served until 28 s, 2 s after its return. Change: a report counts only if it says when the engine ends. Test: TestOnlyKnownEndsCount.

--- a/fleet.go
+++ b/fleet.go
@@ -46,6 +46,8 @@
 type EngineReport struct {
 	// Leaving is set once the upstream has notice of its end.
 	Leaving bool
+	// EndsIn is the time until then, zero if the upstream does not know it.
+	EndsIn time.Duration
 }
 
 // EngineReporter asks upstreams for their state.
--- a/internal/node/btnode/notices.go
+++ b/internal/node/btnode/notices.go
@@ -83,7 +83,9 @@
 		q.node.log.Event(btevent.UpstreamFailed).Str("upstream", string(q.upstream.ID)).Err(err).Send()
 		return
 	}
-	if r.Leaving && q.node.table.MarkLeaving(q.upstream.ID, "") {
+	// One that does not know its end serves until the store has noted its leaving,
+	// which an outage delays.
+	if r.EndsIn > 0 && q.node.table.MarkLeaving(q.upstream.ID, "") {
 		q.node.gossip.TellLeaving(q.upstream.ID)
 	}
 }
