--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -198,11 +198,6 @@
 	}
 }
 
-// TellLeaving tells all daemons alive that an upstream has told of its leaving.
-func (n *Node) TellLeaving(id bramleytack.UpstreamID) {
-	n.broadcast(n.encode(&Packet{Leaving: []string{string(id)}}))
-}
-
 // young says whether this daemon has only rumors of most others, all of them
 // recent.
 func (n *Node) young(now time.Time) bool { return now.Sub(n.started) < aliveFor }
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -63,9 +63,6 @@
 	if d := p.Digest; d != nil {
 		r.takeDigest(p, d, sender)
 	}
-	for _, id := range p.Leaving {
-		r.n.Table.MarkLeaving(bramleytack.UpstreamID(id), bramleytack.HostID(p.Host))
-	}
 	if p.Batch != nil && !r.n.Table.Apply(p.Batch.decode()) {
 		r.n.pull(sender, p.Batch.Kind)
 	}
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -214,19 +214,17 @@
 	delete(k.lapsed, name)
 }
 
-// MarkLeaving notes that an upstream told of its leaving, this daemon or the one
-// that is named. It holds as long as the upstream is registered: an incarnation
-// that leaves does not stay. It says whether that is news.
-func (t *Table) MarkLeaving(id bramleytack.UpstreamID, from bramleytack.HostID) bool {
+// MarkLeaving notes that an upstream told of its leaving itself. It holds as long
+// as the upstream is registered: an incarnation that leaves does not stay.
+func (t *Table) MarkLeaving(id bramleytack.UpstreamID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.leaving[string(id)] {
-		return false
+		return
 	}
 	t.leaving[string(id)] = true
-	t.log.Event(btevent.UpstreamLeavingSeen).Str("upstream", string(id)).Str("from", string(from)).Send()
+	t.log.Event(btevent.UpstreamLeavingSeen).Str("upstream", string(id)).Send()
 	t.rebuild()
-	return true
 }
 
 // Expire drops registrations whose grace has ended.
--- a/internal/node/btnode/notices.go
+++ b/internal/node/btnode/notices.go
@@ -20,8 +20,7 @@
 )
 
 // notices asks engines for their leaving while the store cannot tell this daemon
-// or any other. It asks only engines that run work of this daemon, and tells the
-// others what it hears: they would send them work.
+// or any other. It asks only engines that run work of this daemon.
 type notices struct {
 	node *Node
 	// unreadAt is the last time at which no daemon read the store.
@@ -85,7 +84,7 @@
 	}
 	// One that does not know its end serves until the store has noted its leaving,
 	// which an outage delays.
-	if r.EndsIn > 0 && q.node.table.MarkLeaving(q.upstream.ID, "") {
-		q.node.gossip.TellLeaving(q.upstream.ID)
+	if r.EndsIn > 0 {
+		q.node.table.MarkLeaving(q.upstream.ID)
 	}
 }
