Let idle watchers rest once there is a configuration

A kind without objects (failure domains out of service) stays at revision 0 at every daemon that does not follow it, so that its watcher looked a hundred times a second for good. Change: the short pause holds until there is a configuration, for all kinds.

--- a/internal/fleet/btreplica/table_test.go
+++ b/internal/fleet/btreplica/table_test.go
@@ -246,3 +246,24 @@
 		assert.Assert(t, !w.follows())
 	})
 }
+
+// Guards against watchers that look for work a hundred times a second for good: a
+// kind without objects stays at revision 0 at daemons that do not follow it.
+func TestIdleWatchersRest(t *testing.T) {
+	inTime(t, func(t *testing.T, table *Table, timer *bttimer.Service) {
+		assert.Assert(t, table.Apply(config(10, 4)))
+		looks := 0
+		var contact Contact
+		w := &Watcher{
+			Table: table, Timer: timer, Kind: bramleytack.KindOutages, Contact: &contact, Resync: &Resync{},
+			Active: func(string) bool { looks++; return false },
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		const length = 10 * time.Second
+		time.Sleep(length)
+		stop()
+		synctest.Wait()
+		assert.Assert(t, looks <= int(length/inactivePause)+1, "%d looks", looks)
+	})
+}
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -24,7 +24,7 @@
 	probeSpacing = 50 * time.Millisecond
 	// inactivePause is the time between two looks whether to follow.
 	inactivePause = 50 * time.Millisecond
-	// emptyPause is the same while nothing is known of the kind: callers wait.
+	// emptyPause is the same while there is no configuration: callers wait.
 	emptyPause = 10 * time.Millisecond
 	// overlap is how long a daemon goes on following after others took over. It
 	// is longer than a poll and its margin.
@@ -145,7 +145,7 @@
 
 // inactive returns the time until the next look whether to follow.
 func (w *Watcher) inactive() time.Duration {
-	if w.Table.Upto(w.Kind) == 0 {
+	if w.Table.Snapshot() == nil {
 		return emptyPause
 	}
 	return inactivePause
