Name the state of an abandoned reservation

Change: held.abandoned serves them. Behaviour unchanged. Measured: tests of the package pass, the property test included.

--- a/btowner/held.go
+++ b/btowner/held.go
@@ -37,6 +37,9 @@
 	use    moments
 }
 
+// abandoned says that the entry has left the request to the upstream.
+func (h *held) abandoned() bool { return !h.leftAt.IsZero() }
+
 func (h *held) end() time.Time {
 	if h.Deadline.IsZero() {
 		return h.granted.Add(maxLife)
@@ -65,7 +68,7 @@
 		return at.After(h.listed)
 	}
 	switch {
-	case !h.leftAt.IsZero():
+	case h.abandoned():
 		return at.After(h.leftAt.Add(goneDead))
 	case h.dead:
 		return at.After(h.validUntil.Add(goneDead))
--- a/btowner/upstream.go
+++ b/btowner/upstream.go
@@ -249,7 +249,7 @@
 	if u.suspect == h.Grant {
 		u.suspect = ""
 	}
-	u.ended[h.Grant] = ended{held: h, at: now, released: released || !h.leftAt.IsZero()}
+	u.ended[h.Grant] = ended{held: h, at: now, released: released || h.abandoned()}
 }
 
 // Release frees a place and learns from how the request ended. A release of
@@ -259,7 +259,7 @@
 func (u *Upstream) Release(now time.Time, v bramleytack.Release) {
 	h, ok := u.held[v.Grant]
 	switch {
-	case ok && !h.leftAt.IsZero():
+	case ok && h.abandoned():
 		return
 	case ok && v.Abandoned && !u.cfg.WithoutReports:
 		h.leftAt = now
@@ -370,7 +370,7 @@
 	}
 	var best *held
 	for _, h := range u.held {
-		if h.produced > 0 || h.moved || h.Suspect || h.dead || !h.leftAt.IsZero() {
+		if h.produced > 0 || h.moved || h.Suspect || h.dead || h.abandoned() {
 			continue
 		}
 		if best == nil || h.Priority < best.Priority || (h.Priority == best.Priority && h.granted.After(best.granted)) {
