Judge failing calls without a type of their own

Cause: the last reading: the verdict counted what the job counts as sends. Change: the call keeps the upstreams that failed; one of several is blamed, as before. Behaviour unchanged. Measured: TestFailingChecksEjectNoUpstream, TestFailingUpstreamIsEjected and the package's other tests pass.

--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -36,7 +36,7 @@
 func (j *job) call(ctx context.Context) {
 	tried := map[bramleytack.UpstreamID]bool{}
 	var last *reply
-	var v verdict
+	var failing []*bramleytack.Upstream
 	unsent, arrived := 0, 0
 	for ctx.Err() == nil {
 		u := j.pick(tried)
@@ -59,43 +59,21 @@
 			continue
 		}
 		j.sends++
-		v.add(r)
+		if r.unjudged {
+			failing = append(failing, r.upstream)
+		}
 		last = better(last, r)
 		if !j.again(r) {
 			break
 		}
 	}
-	if u := v.culprit(); u != nil {
-		j.h.Accounts.Blame(u.ID)
+	if len(failing) == 1 && j.sends > 1 {
+		// It did better at another upstream.
+		j.h.Accounts.Blame(failing[0].ID)
 	}
 	j.finishCall(ctx, last)
 }
 
-// verdict finds out whether an upstream or the request itself is at fault when a
-// call that may be repeated fails.
-type verdict struct {
-	failed *bramleytack.Upstream
-	// alike counts the upstreams that answered with a failure, tried all that the
-	// call reached.
-	alike, tried int
-}
-
-func (v *verdict) add(r *reply) {
-	v.tried++
-	if r.unjudged {
-		v.failed = r.upstream
-		v.alike++
-	}
-}
-
-// culprit returns the upstream at which the call failed unlike at others.
-func (v *verdict) culprit() *bramleytack.Upstream {
-	if v.alike != 1 || v.tried == 1 {
-		return nil
-	}
-	return v.failed
-}
-
 // mayTryMore says whether one more upstream is tried after some that took
 // nothing.
 func (j *job) mayTryMore(unsent int) bool {
