Frame pulls by the library, and build news in one place

Change: a wrapped bytes value frames the compressed batch, news serves all three, join takes from the queue directly.

--- a/internal/fleet/btgossip/doc.go
+++ b/internal/fleet/btgossip/doc.go
@@ -16,7 +16,7 @@
 //
 // # Usage
 //
-//	n := &btgossip.Node{Self: self, Table: table, Accounts: accounts, Timer: timers}
+//	n := btgossip.New(&btgossip.Node{Self: self, Table: table, Accounts: accounts, Timer: timers})
 //	n.Start(ctx, packetConn, listener)
 //	for _, m := range n.Alive() { ... }
 package btgossip
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -187,10 +187,9 @@
 // Announce tells all daemons alive what this one knows. It is for news that
 // cannot wait for the digests to come around.
 func (n *Node) Announce() {
-	n.beat.Add(1)
 	now := n.Timer.Now()
 	peers := n.members.list(now)
-	data := n.encode(&Packet{Digest: n.digest(slices.Clone(peers))})
+	data := n.news(peers)
 	for _, p := range peers {
 		if p.alive(now) || n.young(now) {
 			n.write(data, p.Addr)
@@ -223,8 +222,7 @@
 func (n *Node) Meet(all []Beacon) {
 	slices.SortFunc(all, func(a, b Beacon) int { return cmp.Compare(rank(a.Host), rank(b.Host)) })
 	n.known.Store(&all)
-	n.beat.Add(1)
-	data := n.encode(&Packet{Digest: n.digest(n.members.list(n.Timer.Now()))})
+	data := n.news(n.members.list(n.Timer.Now()))
 	for _, b := range all[:min(len(all), fanout)] {
 		if b.Host != n.Self.Host {
 			n.write(data, b.Addr)
@@ -275,15 +273,20 @@
 
 // send tells a few daemons what this one knows.
 func (n *Node) send() {
-	n.beat.Add(1)
 	n.round++
 	peers := n.members.list(n.Timer.Now())
-	data := n.encode(&Packet{Digest: n.digest(peers)})
+	data := n.news(peers)
 	for _, a := range n.targets(peers) {
 		n.write(data, a)
 	}
 }
 
+// news returns a digest with a new beat.
+func (n *Node) news(peers []Peer) []byte {
+	n.beat.Add(1)
+	return n.encode(&Packet{Digest: n.digest(slices.Clone(peers))})
+}
+
 func (n *Node) encode(p *Packet) []byte {
 	p.Host, p.Incarnation, p.Sequence = string(n.Self.Host), n.Self.Incarnation, n.sequence.Add(1)
 	data, err := proto.Marshal(p)
--- a/internal/fleet/btgossip/pull.go
+++ b/internal/fleet/btgossip/pull.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"compress/flate"
 	"context"
-	"encoding/binary"
 	"io"
 	"net"
 	"net/netip"
@@ -15,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"bramleytack"
 	"bramleytack/btevent"
@@ -77,18 +77,14 @@
 }
 
 // join takes the other requests that wait for the same daemon, and puts back
-// those for others.
+// those for others. Nobody else takes requests, and there is room for one a kind.
 func (p *puller) join(first pull) []pull {
 	all := []pull{first}
 	for range len(p.n.pulls) {
-		select {
-		case r := <-p.n.pulls:
-			if r.from == first.from {
-				all = append(all, r)
-			} else {
-				p.n.pulls <- r
-			}
-		default:
+		if r := <-p.n.pulls; r.from == first.from {
+			all = append(all, r)
+		} else {
+			p.n.pulls <- r
 		}
 	}
 	return all
@@ -143,23 +139,18 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	return append(binary.AppendUvarint(nil, uint64(packed.Len())), packed.Bytes()...), nil
+	var framed bytes.Buffer
+	_, err = protodelim.MarshalTo(&framed, wrapperspb.Bytes(packed.Bytes()))
+	return framed.Bytes(), err
 }
 
 // readPacked reads what pack wrote.
 func readPacked(br *bufio.Reader) (*ObjectBatch, error) {
-	size, err := binary.ReadUvarint(br)
-	if err != nil {
-		return nil, err
-	}
-	if size > maxPull {
-		return nil, errTooLarge
-	}
-	packed := make([]byte, size)
-	if _, err := io.ReadFull(br, packed); err != nil {
+	var packed wrapperspb.BytesValue
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxPull}).UnmarshalFrom(br, &packed); err != nil {
 		return nil, err
 	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxPull+1))
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed.Value)), maxPull+1))
 	if err != nil {
 		return nil, err
 	}
