Drop what nothing reads of an upstream's report

Change: the report holds the end alone. Measured: tests of platform and node pass. Behaviour unchanged.

--- a/fleet.go
+++ b/fleet.go
@@ -44,9 +44,8 @@
 
 // EngineReport is what an upstream says of its own end.
 type EngineReport struct {
-	// Leaving is set once the upstream has notice of its end.
-	Leaving bool
-	// EndsIn is the time until then, zero if the upstream does not know it.
+	// EndsIn is the time until its end, zero if it does not know one. One that is to
+	// leave once the store has noted it does not.
 	EndsIn time.Duration
 }
 
--- a/internal/node/btnode/notices_test.go
+++ b/internal/node/btnode/notices_test.go
@@ -45,9 +45,8 @@
 		report  bramleytack.EngineReport
 		leaving bool
 	}{
-		{"runs", bramleytack.EngineReport{}, false},
-		{"leaves once it may", bramleytack.EngineReport{Leaving: true}, false},
-		{"ends soon", bramleytack.EngineReport{Leaving: true, EndsIn: time.Second}, true},
+		{"runs, or leaves once it may", bramleytack.EngineReport{}, false},
+		{"ends soon", bramleytack.EngineReport{EndsIn: time.Second}, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			a := Adapter{Codec: oneUpstream{}, Engines: func(*btconn.Pool) Engines { return reports{report: test.report} }}
