--- a/fleet.go
+++ b/fleet.go
@@ -113,4 +113,7 @@
 	// ReadyPath and ResolvePath are the paths of the daemon's own calls.
 	ReadyPath   string
 	ResolvePath string
+	// CallerDomain is the query parameter of ResolvePath with the caller's failure
+	// domain.
+	CallerDomain string
 }
--- a/internal/fleet/btdirectory/handler_test.go
+++ b/internal/fleet/btdirectory/handler_test.go
@@ -4,12 +4,14 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 
+	"bramleytack"
 	"bramleytack/internal/fleet/btgossip"
 )
 
@@ -31,6 +33,7 @@
 		return w.Code
 	}
 	assert.Equal(t, get(), http.StatusOK)
+	slices.SortFunc(listed, netip.AddrPort.Compare)
 	assert.DeepEqual(t, listed, []netip.AddrPort{netip.AddrPortFrom(addr(1), 80), netip.AddrPortFrom(addr(2), 80)}, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }))
 	assert.Equal(t, validFor, 500*time.Millisecond)
 	ready, peers = false, nil
@@ -42,3 +45,34 @@
 	assert.Equal(t, get(), http.StatusOK)
 	assert.Equal(t, len(listed), maxAddrs)
 }
+
+// Guards against callers that are sent to another failure domain although their own has
+// enough daemons, and against those of a small one that get only few addresses.
+func TestCallersStayInTheirDomain(t *testing.T) {
+	const perDomain = 20
+	var listed []netip.AddrPort
+	var peers []btgossip.Peer
+	for i := range byte(2 * perDomain) {
+		domain := bramleytack.FailureDomainID("a")
+		if i >= perDomain {
+			domain = "b"
+		}
+		peers = append(peers, btgossip.Peer{Addr: netip.AddrFrom4([4]byte{10, 0, 0, i + 2}), FailureDomain: domain, Ready: true})
+	}
+	h := &Handler{
+		Peers: func() []btgossip.Peer { return peers }, Entry: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "c", DomainParam: "zone",
+		Ready: func() bool { return true }, Encode: func(a []netip.AddrPort, _ time.Duration) any { listed = a; return a },
+	}
+	ask := func(query string) {
+		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/?"+query, nil))
+	}
+	ask("zone=b")
+	assert.Equal(t, len(listed), perDomain)
+	for _, a := range listed {
+		assert.Assert(t, a.Addr().As4()[3] >= perDomain+2, "%s is in another failure domain", a)
+	}
+	for _, query := range []string{"zone=c", "zone=", "", "zone=unknown"} {
+		ask(query)
+		assert.Equal(t, len(listed), 2*perDomain+1, "query %q", query)
+	}
+}
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"math"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -17,25 +16,12 @@
 
 	"bramleytack"
 	"bramleytack/btevent"
+	"bramleytack/internal/fleet/bthub"
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
 )
 
 const (
-	// digestPeriod is the time between two digests. Loads lose their value once they
-	// are older than the time that an engine needs to process a prompt.
-	digestPeriod = 200 * time.Millisecond
-	// fanout is the number of daemons that get each digest.
-	fanout = 7
-	// crossDomainFanout is how many of these are in other failure domains, unless
-	// the sender's own domain has too few daemons. Traffic between domains costs
-	// more, and the daemons of a domain forward what they receive to each other.
-	crossDomainFanout = 2
-	// maxPacketSize is the size in bytes up to which changes are pushed. Such a
-	// datagram fits into one Ethernet frame.
-	maxPacketSize = 1400
-	// maxDigestMembers bounds the daemons listed in a digest, the sender included.
-	maxDigestMembers = 16
 	// followersPerKind is the number of daemons that follow a kind in the store on
 	// behalf of all. upstreamFollowers is the number for the registrations of
 	// upstreams, the kind that changes most.
@@ -51,9 +37,6 @@
 	// followersPerKind of the registered daemons do not wait.
 	minSettleTime = 100 * time.Millisecond
 	settleSpread  = 900 * time.Millisecond
-	// silentRounds is the number of rounds between two digests to addresses from which
-	// no live daemon is known.
-	silentRounds = 5
 	// receiveBufferSize in bytes holds the largest datagram.
 	receiveBufferSize = 64 << 10
 )
@@ -65,8 +48,11 @@
 	FailureDomain bramleytack.FailureDomainID
 	// Port is the port for datagrams and pulls, the same for all daemons.
 	Port uint16
-	// Incarnation is the start of this process in Unix milliseconds.
+	// Incarnation is the start of this process in Unix milliseconds. Node raises its
+	// copy if the other daemons have seen a higher one.
 	Incarnation uint64
+	// Processor is the processor share in thousandths of a core, zero if unknown.
+	Processor uint32
 }
 
 // Node exchanges digests, changes and pulls with the other daemons. Its methods
@@ -85,10 +71,23 @@
 	Seeds []netip.Addr
 	// Dial opens connections for pulls. Nil means net.Dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
-
-	peers     peerTable
-	heartbeat atomic.Uint64
-	started   time.Time
+	// DirectFleet is the number of daemons up to which a fleet has no hubs. Zero means
+	// the default of 96.
+	DirectFleet int
+	// Traffic counts the datagrams sent.
+	Traffic Traffic
+
+	peers       peerTable
+	cachedView  atomic.Pointer[view]
+	memberQuery pace
+	// hub and client are used in a fleet with hubs.
+	hub          bthub.Hub
+	client       bthub.Client
+	remoteTables remoteTables
+	heartbeat    atomic.Uint64
+	// incarnation is Self.Incarnation, or a higher one after outdated.
+	incarnation atomic.Uint64
+	started     time.Time
 	// registered holds the daemons registered in the store, sorted by rank.
 	registered atomic.Pointer[[]RegisteredDaemon]
 	conn       net.PacketConn
@@ -117,6 +116,8 @@
 	n.digestSignal = make(chan struct{}, 1)
 	n.loadSignal = make(chan struct{}, 1)
 	n.started = n.Timer.Now()
+	n.peers.domain = n.Self.FailureDomain
+	n.incarnation.Store(n.Self.Incarnation)
 	return n
 }
 
@@ -130,6 +131,7 @@
 	go (&puller{n}).run(ctx)
 	go (&server{n: n}).run(ctx, l)
 	go (&loadSender{n}).run(ctx)
+	go (&hubSender{n: n}).run(ctx)
 	go n.loop(ctx)
 }
 
@@ -156,63 +158,47 @@
 	}
 }
 
-// Alive returns the other daemons that are alive, sorted by host.
-func (n *Node) Alive() []Peer {
-	now := n.Timer.Now()
-	var alive []Peer
-	for _, p := range n.peers.list(now) {
-		if p.alive(now) {
-			alive = append(alive, p)
-		}
-	}
-	return alive
-}
+// Alive returns the other daemons that are alive, sorted by host. The caller must not
+// change the slice.
+func (n *Node) Alive() []Peer { return n.view().alive }
 
 // Count returns the number of daemons alive, this one included.
-func (n *Node) Count() int { return n.peers.countAlive(n.Timer.Now()) + 1 }
+func (n *Node) Count() int { return len(n.view().alive) + 1 }
 
 // StoreDownCount returns the number of live daemons that the store does not answer.
 // It counts this daemon in any case, because only a daemon without the store asks.
-func (n *Node) StoreDownCount() int {
-	count := 1
-	for _, p := range n.Alive() {
-		if p.StoreDown {
-			count++
-		}
-	}
-	return count
-}
+func (n *Node) StoreDownCount() int { return n.view().storeDown + 1 }
 
 // HasStoreReader reports whether any live daemon, this one included, reads the
 // registrations of upstreams from the store and gets answers.
 func (n *Node) HasStoreReader() bool {
-	if n.StoreStatus.ReadsUpstreams(n.Timer.Now()) {
-		return true
-	}
-	return slices.ContainsFunc(n.Alive(), func(p Peer) bool { return p.StoreRead })
+	return n.StoreStatus.ReadsUpstreams(n.Timer.Now()) || n.view().storeRead
 }
 
 // Announce sends a digest to all live daemons, for changes that cannot wait until
-// periodic digests reach all of them.
+// periodic digests reach all of them. In a fleet with hubs it goes to this failure
+// domain and the hubs of the others.
 func (n *Node) Announce() {
-	now := n.Timer.Now()
-	peers := n.peers.list(now)
-	data := n.nextDigest(peers)
-	for _, p := range peers {
-		if p.alive(now) || n.recentlyStarted(now) {
-			n.write(data, p.Addr)
-		}
+	v := n.view()
+	data := n.nextDigest(v)
+	if v.large() {
+		n.writeAll(CauseDigest, data, n.remoteHubs(v))
+		n.writeAll(CauseDigest, data, addrsOf(v.near))
+		return
 	}
+	n.writeAll(CauseDigest, data, addrsOf(v.usable))
 }
 
 // recentlyStarted reports whether this daemon started less than aliveTimeout ago. It
-// has seen few heartbeats rise by then, so Announce, targets and ranksWithin treat
-// every known peer as alive.
+// has seen few heartbeats rise by then, so every known peer is usable.
 func (n *Node) recentlyStarted(now time.Time) bool { return now.Sub(n.started) < aliveTimeout }
 
 // ResetLiveness makes all other daemons count as dead until their next heartbeat.
 // It is for use after this process was suspended.
-func (n *Node) ResetLiveness() { n.peers.resetLiveness(n.Timer.Now()) }
+func (n *Node) ResetLiveness() {
+	n.peers.resetLiveness(n.Timer.Now())
+	n.client.Reset()
+}
 
 // Follows reports whether this daemon should follow a kind in the store. The live
 // daemons of lowest rank do so for all others; daemons that are leaving or cannot
@@ -235,10 +221,10 @@
 func (n *Node) Join(registered []RegisteredDaemon) {
 	slices.SortFunc(registered, func(a, b RegisteredDaemon) int { return cmp.Compare(rank(a.Host), rank(b.Host)) })
 	n.registered.Store(&registered)
-	data := n.nextDigest(n.peers.list(n.Timer.Now()))
+	data := n.nextDigest(n.view())
 	for _, d := range registered[:min(len(registered), fanout)] {
 		if d.Host != n.Self.Host {
-			n.write(data, d.Addr)
+			n.write(CauseDigest, data, d.Addr)
 		}
 	}
 }
@@ -261,21 +247,10 @@
 // are not leaving have a lower rank than this one. Until its settle time has passed,
 // it is false unless this daemon is a default follower.
 func (n *Node) ranksWithin(limit int) bool {
-	ownRank := rank(n.Self.Host)
-	now := n.Timer.Now()
-	if now.Sub(n.started) < settleTime(ownRank) && !n.isDefaultFollower() {
+	if n.Timer.Now().Sub(n.started) < settleTime(rank(n.Self.Host)) && !n.isDefaultFollower() {
 		return false
 	}
-	lower := 0
-	for _, p := range n.peers.list(now) {
-		if !p.alive(now) && !n.recentlyStarted(now) {
-			continue
-		}
-		if !p.StoreDown && !p.Leaving && rank(p.Host) < ownRank {
-			lower++
-		}
-	}
-	return lower < limit
+	return n.view().lowerRanks < limit
 }
 
 // settleTime returns how long after its start a daemon of a rank waits before it may
@@ -288,24 +263,8 @@
 // daemon.
 func rank(h bramleytack.HostID) uint64 { return xxhash.Sum64String(string(h)) }
 
-// sendDigest sends a digest to this round's targets.
-func (n *Node) sendDigest() {
-	n.round++
-	peers := n.peers.list(n.Timer.Now())
-	data := n.nextDigest(peers)
-	for _, a := range n.targets(peers) {
-		n.write(data, a)
-	}
-}
-
-// nextDigest returns an encoded digest after it has raised the heartbeat.
-func (n *Node) nextDigest(peers []Peer) []byte {
-	n.heartbeat.Add(1)
-	return n.encode(&Packet{Digest: n.digest(slices.Clone(peers))})
-}
-
 func (n *Node) encode(p *Packet) []byte {
-	p.Host, p.Incarnation, p.Sequence = string(n.Self.Host), n.Self.Incarnation, n.sequence.Add(1)
+	p.Host, p.Incarnation, p.Sequence = string(n.Self.Host), n.incarnation.Load(), n.sequence.Add(1)
 	data, err := proto.Marshal(p)
 	if err != nil {
 		n.Log.Event(btevent.PeerPacketDropped).Err(err).Send()
@@ -313,102 +272,26 @@
 	return data
 }
 
-func (n *Node) write(data []byte, a netip.Addr) {
-	// A datagram may be lost: the next digest makes up for it.
+func (n *Node) write(c Cause, data []byte, a netip.Addr) {
+	n.Traffic.add(c, len(data), n.peers.failureDomain(a) != n.Self.FailureDomain)
+	// A datagram may be lost: the next digest or report makes up for it.
 	_, _ = n.conn.WriteTo(data, net.UDPAddrFromAddrPort(netip.AddrPortFrom(a, n.Self.Port)))
 }
 
-// broadcast sends a datagram to all live daemons.
-func (n *Node) broadcast(data []byte) {
-	for _, p := range n.Alive() {
-		n.write(data, p.Addr)
+// outdated raises this daemon's incarnation above one that others have seen of it. The
+// clock of an earlier process of this daemon may have been ahead; the others would
+// ignore this one.
+func (n *Node) outdated(seen uint64) {
+	if own := n.incarnation.Load(); seen > own && n.incarnation.CompareAndSwap(own, seen+1) {
+		n.TriggerDigest()
 	}
 }
 
-// targets returns the addresses that get the digest of this round: a few live
-// daemons and, every silentRounds rounds or if there are none, a few addresses from
-// which no live daemon is known.
-func (n *Node) targets(peers []Peer) []netip.Addr {
-	now := n.Timer.Now()
-	var sameDomain, otherDomains, silent []netip.Addr
-	seen := map[netip.Addr]bool{n.Self.Addr: true}
-	for _, p := range peers {
-		seen[p.Addr] = true
-		switch {
-		case !p.alive(now) && !n.recentlyStarted(now):
-			silent = append(silent, p.Addr)
-		case p.FailureDomain == n.Self.FailureDomain:
-			sameDomain = append(sameDomain, p.Addr)
-		default:
-			otherDomains = append(otherDomains, p.Addr)
-		}
-	}
-	for _, a := range n.Seeds {
-		if !seen[a] {
-			seen[a] = true
-			silent = append(silent, a)
-		}
-	}
-	for _, d := range n.registeredDaemons() {
-		if !seen[d.Addr] {
-			seen[d.Addr] = true
-			silent = append(silent, d.Addr)
-		}
-	}
-	rand.Shuffle(len(sameDomain), func(i, j int) { sameDomain[i], sameDomain[j] = sameDomain[j], sameDomain[i] })
-	rand.Shuffle(len(otherDomains), func(i, j int) { otherDomains[i], otherDomains[j] = otherDomains[j], otherDomains[i] })
-	crossing := min(len(otherDomains), max(crossDomainFanout, fanout-len(sameDomain)))
-	chosen := append(otherDomains[:crossing], sameDomain[:min(len(sameDomain), fanout-crossing)]...)
-	if len(chosen) == 0 || n.round%silentRounds == 0 {
-		rand.Shuffle(len(silent), func(i, j int) { silent[i], silent[j] = silent[j], silent[i] })
-		chosen = append(chosen, silent[:min(len(silent), fanout)]...)
-	}
-	return chosen
-}
-
-func (n *Node) selfMember() *Member {
-	p := Peer{
-		Host: n.Self.Host, Addr: n.Self.Addr, FailureDomain: n.Self.FailureDomain, Incarnation: n.Self.Incarnation,
+// self returns this daemon's own state.
+func (n *Node) self() Peer {
+	return Peer{
+		Host: n.Self.Host, Addr: n.Self.Addr, FailureDomain: n.Self.FailureDomain, Incarnation: n.incarnation.Load(), Processor: n.Self.Processor,
 		Heartbeat: n.heartbeat.Load(), Ready: n.Ready(), Leaving: n.Leaving(), StoreDown: n.StoreStatus.Down(),
-		StoreRead: n.StoreStatus.ReadsUpstreams(n.Timer.Now()),
-	}
-	return p.encode()
-}
-
-// digest returns this daemon's digest. It reorders peers.
-func (n *Node) digest(peers []Peer) *Digest {
-	d := &Digest{Members: []*Member{n.selfMember()}}
-	now := n.Timer.Now()
-	// The daemons of lowest rank, which follow the store, are always listed first.
-	// The others are shuffled, so that each is listed at times.
-	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(rank(a.Host), rank(b.Host)) })
-	rest := peers[min(followersPerKind, len(peers)):]
-	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	for _, p := range peers {
-		if len(d.Members) >= maxDigestMembers {
-			break
-		}
-		if !p.alive(now) {
-			continue
-		}
-		d.Members = append(d.Members, p.encode())
-	}
-	for _, kind := range bramleytack.ReplicatedKinds {
-		d.Kinds = append(d.Kinds, &KindRevision{Kind: kind, Content: uint64(n.Table.LastChange(kind))})
+		StoreRead: n.StoreStatus.ReadsUpstreams(n.Timer.Now()), rank: rank(n.Self.Host),
 	}
-	d.Loads = n.ownLoads()
-	return d
 }
-
-func (n *Node) ownLoads() []*UpstreamLoad {
-	var loads []*UpstreamLoad
-	for id, l := range n.Accounts.OwnLoads() {
-		loads = append(loads, &UpstreamLoad{
-			Upstream: string(id), Running: nonNegative(l.Running), UnreadTokens: nonNegative(l.Unread),
-			MemoryTokens: nonNegative(l.Memory), CopyTokens: nonNegative(l.Copies), Ejected: l.Ejections > 0,
-		})
-	}
-	return loads
-}
-
-func nonNegative(n int) uint32 { return uint32(max(n, 0)) }
--- a/internal/fleet/btgossip/node_test.go
+++ b/internal/fleet/btgossip/node_test.go
@@ -28,8 +28,8 @@
 
 const port = 7000
 
-// hub carries datagrams between the daemons of a test.
-type hub struct {
+// lan carries datagrams between the daemons of a test.
+type lan struct {
 	mu       sync.Mutex
 	conns    map[netip.Addr]*packetConn
 	isolated map[netip.Addr]bool
@@ -40,6 +40,10 @@
 	// sent those of each daemon.
 	sameDomain, crossDomain int
 	sent                    map[netip.Addr]int
+	// largest is the size of the largest datagram.
+	largest int
+	// deaf holds daemons that receive nothing.
+	deaf map[netip.Addr]bool
 }
 
 // domains is the number of failure domains of a cell.
@@ -47,20 +51,21 @@
 
 func domainOf(a netip.Addr) int { return int(a.As4()[3]-1) % domains }
 
-func (h *hub) deliver(from, to netip.Addr, data []byte) {
+func (h *lan) deliver(from, to netip.Addr, data []byte) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !from.IsValid() || !to.Is4() {
 		return
 	}
 	h.sent[from]++
+	h.largest = max(h.largest, len(data))
 	if domainOf(from) == domainOf(to) {
 		h.sameDomain++
 	} else {
 		h.crossDomain++
 	}
 	c := h.conns[to]
-	if c == nil || h.isolated[from] || h.isolated[to] || h.rng.Float64() < h.loss {
+	if c == nil || h.isolated[from] || h.isolated[to] || h.deaf[to] || h.rng.Float64() < h.loss {
 		return
 	}
 	select {
@@ -70,20 +75,27 @@
 }
 
 // isolate sets whether a daemon's datagrams are dropped in both directions.
-func (h *hub) isolate(a netip.Addr, on bool) {
+func (h *lan) isolate(a netip.Addr, on bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.isolated[a] = on
 }
 
+// deafen sets whether a daemon receives nothing.
+func (h *lan) deafen(a netip.Addr, on bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.deaf[a] = on
+}
+
 type datagram struct {
 	from netip.Addr
 	data []byte
 }
 
-// packetConn connects one daemon to the hub.
+// packetConn connects one daemon to the lan.
 type packetConn struct {
-	hub  *hub
+	lan  *lan
 	addr netip.Addr
 	in   chan datagram
 	done chan struct{}
@@ -100,7 +112,7 @@
 }
 
 func (c *packetConn) WriteTo(b []byte, to net.Addr) (int, error) {
-	c.hub.deliver(c.addr, to.(*net.UDPAddr).AddrPort().Addr(), b)
+	c.lan.deliver(c.addr, to.(*net.UDPAddr).AddrPort().Addr(), b)
 	return len(b), nil
 }
 
@@ -126,27 +138,49 @@
 	return &bramleytack.Upstream{ID: bramleytack.UpstreamID(name)}, nil
 }
 
-// cell is a group of daemons that share a hub.
+// cell is a group of daemons that share a lan.
 type cell struct {
 	t       *testing.T
-	hub     *hub
+	lan     *lan
 	network *btmemnet.Network
 	timer   *bttimer.Service
 	nodes   []*Node
 	leaving []bool
 	stops   []context.CancelFunc
+	// directFleet is Node.DirectFleet, processor a daemon's Self.Processor.
+	directFleet int
+	processor   func(i int) uint32
+	// clockOffset is the difference of the clock that later incarnations start with.
+	clockOffset time.Duration
 }
 
 // runCell calls f with a running cell of n daemons in fake time, once for each of three
 // random seeds. All daemons have the address of the first one as Node.Seeds.
 func runCell(t *testing.T, n int, loss float64, f func(c *cell)) {
+	runFleet(t, &cell{directFleet: n + 1, processor: func(int) uint32 { return 0 }}, n, loss, f)
+}
+
+// runHubs is runCell for a fleet with hubs: daemons 0 to 5, two in each failure domain,
+// have more processor time than the others.
+func runHubs(t *testing.T, n int, loss float64, f func(c *cell)) {
+	processor := func(i int) uint32 {
+		if i < domains*hubsPerDomain {
+			return 800
+		}
+		return 192
+	}
+	runFleet(t, &cell{directFleet: 8, processor: processor}, n, loss, f)
+}
+
+// runFleet calls f with a copy of like for each seed.
+func runFleet(t *testing.T, like *cell, n int, loss float64, f func(c *cell)) {
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				timer := bttimer.New(seed)
 				c := &cell{
-					t: t, timer: timer, network: &btmemnet.Network{}, leaving: make([]bool, n),
-					hub: &hub{conns: map[netip.Addr]*packetConn{}, isolated: map[netip.Addr]bool{}, sent: map[netip.Addr]int{}, rng: rand.New(rand.NewPCG(seed, 1)), loss: loss},
+					t: t, timer: timer, network: &btmemnet.Network{}, leaving: make([]bool, n), directFleet: like.directFleet, processor: like.processor,
+					lan: &lan{conns: map[netip.Addr]*packetConn{}, isolated: map[netip.Addr]bool{}, deaf: map[netip.Addr]bool{}, sent: map[netip.Addr]int{}, rng: rand.New(rand.NewPCG(seed, 1)), loss: loss},
 				}
 				for i := range n {
 					c.nodes = append(c.nodes, nil)
@@ -173,9 +207,10 @@
 	n := New(&Node{
 		Self: Self{
 			Host: bramleytack.HostID(fmt.Sprintf("h%02d", i)), Addr: addrOf(i), FailureDomain: bramleytack.FailureDomainID(fmt.Sprint("d", domainOf(addrOf(i)))), Port: port,
-			Incarnation: uint64(time.Now().UnixMilli()),
+			Incarnation: uint64(time.Now().Add(c.clockOffset).UnixMilli()), Processor: c.processor(i),
 		},
-		Table: table, Accounts: &btaccount.Table{Timer: c.timer}, StoreStatus: &btreplica.StoreStatus{}, Timer: c.timer, Log: log,
+		DirectFleet: c.directFleet,
+		Table:       table, Accounts: &btaccount.Table{Timer: c.timer}, StoreStatus: &btreplica.StoreStatus{}, Timer: c.timer, Log: log,
 		Ready: func() bool { return true }, Leaving: func() bool { return c.leaving[i] }, Seeds: []netip.Addr{addrOf(0)},
 		Dial: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			return btmemnet.Dialer{Network: c.network, From: addrOf(i)}.DialPeer(ctx, netip.MustParseAddrPort(addr))
@@ -183,10 +218,10 @@
 	})
 	n.Accounts.Changed = n.LoadChanged
 	ctx, stop := context.WithCancel(context.Background())
-	conn := &packetConn{hub: c.hub, addr: addrOf(i), in: make(chan datagram, 256), done: make(chan struct{})}
-	c.hub.mu.Lock()
-	c.hub.conns[addrOf(i)] = conn
-	c.hub.mu.Unlock()
+	conn := &packetConn{lan: c.lan, addr: addrOf(i), in: make(chan datagram, 256), done: make(chan struct{})}
+	c.lan.mu.Lock()
+	c.lan.conns[addrOf(i)] = conn
+	c.lan.mu.Unlock()
 	n.Start(ctx, conn, c.network.Listen(netip.AddrPortFrom(addrOf(i), port)))
 	c.nodes[i], c.stops[i] = n, stop
 }
@@ -237,11 +272,11 @@
 func TestIsolatedDaemon(t *testing.T) {
 	runCell(t, 8, 0, func(c *cell) {
 		time.Sleep(3 * time.Second)
-		c.hub.isolate(addrOf(2), true)
+		c.lan.isolate(addrOf(2), true)
 		time.Sleep(aliveTimeout + time.Second)
 		c.checkAlive(0, 2)
 		c.checkAlive(6, 0)
-		c.hub.isolate(addrOf(2), false)
+		c.lan.isolate(addrOf(2), false)
 		time.Sleep(3 * time.Second)
 		c.checkAlive(7, 0, 2)
 	})
@@ -321,13 +356,13 @@
 func TestDigestsStayInTheDomain(t *testing.T) {
 	runCell(t, 24, 0, func(c *cell) {
 		time.Sleep(3 * time.Second)
-		c.hub.mu.Lock()
-		c.hub.sameDomain, c.hub.crossDomain = 0, 0
-		c.hub.mu.Unlock()
+		c.lan.mu.Lock()
+		c.lan.sameDomain, c.lan.crossDomain = 0, 0
+		c.lan.mu.Unlock()
 		time.Sleep(3 * time.Second)
-		c.hub.mu.Lock()
-		same, cross := c.hub.sameDomain, c.hub.crossDomain
-		c.hub.mu.Unlock()
+		c.lan.mu.Lock()
+		same, cross := c.lan.sameDomain, c.lan.crossDomain
+		c.lan.mu.Unlock()
 		assert.Assert(t, cross*fanout <= (same+cross)*(crossDomainFanout+1), "%d of %d datagrams cross domains", cross, same+cross)
 		c.checkAlive(23, 0, 1, 2)
 	})
@@ -433,7 +468,7 @@
 				Table: btreplica.NewTable(codec{}, timer, log), Accounts: &btaccount.Table{Timer: timer}, Timer: timer, Log: log,
 				StoreStatus: &btreplica.StoreStatus{}, Ready: func() bool { return true }, Leaving: func() bool { return false },
 			})
-			n.conn = &packetConn{hub: &hub{}}
+			n.conn = &packetConn{lan: &lan{}}
 			r := &receiver{n: n, newest: map[bramleytack.HostID]packetNumber{}}
 			r.handleDatagram(data, &net.UDPAddr{})
 		})
--- a/internal/fleet/btgossip/peers.go
+++ b/internal/fleet/btgossip/peers.go
@@ -13,6 +13,10 @@
 const (
 	// aliveTimeout is how long a peer counts as alive after its heartbeat rose.
 	aliveTimeout = 1500 * time.Millisecond
+	// remoteAliveTimeout replaces aliveTimeout for peers in other failure domains of a
+	// fleet with hubs. Their heartbeats arrive through a few daemons and each digest
+	// lists only a part of them.
+	remoteAliveTimeout = 3 * time.Second
 	// forgetAfter is how long a peer stays in the table after its heartbeat rose.
 	forgetAfter = time.Minute
 )
@@ -34,12 +38,14 @@
 	// StoreRead is set if the daemon reads the registrations of upstreams from the
 	// store and gets answers.
 	StoreRead bool
+	// Processor is the daemon's processor share in thousandths of a core.
+	Processor uint32
 	// HeartbeatAt is when this daemon received the newest heartbeat, or an earlier time
 	// if the peer must not count as alive before its next one.
 	HeartbeatAt time.Time `json:"RiseAt"`
-}
 
-func (p *Peer) alive(now time.Time) bool { return now.Sub(p.HeartbeatAt) < aliveTimeout }
+	rank uint64
+}
 
 // olderThan reports whether other is a newer state of the same daemon.
 func (p *Peer) olderThan(other *Peer) bool {
@@ -52,15 +58,73 @@
 func (p *Peer) encode() *Member {
 	a := p.Addr.As4()
 	return &Member{
-		Host: string(p.Host), Address: a[:], Incarnation: p.Incarnation, Beat: p.Heartbeat,
+		Host: string(p.Host), Address: a[:], Incarnation: p.Incarnation, Beat: p.Heartbeat, Processor: p.Processor,
 		Ready: p.Ready, Leaving: p.Leaving, StoreDown: p.StoreDown, StoreRead: p.StoreRead, FailureDomain: string(p.FailureDomain),
 	}
 }
 
+// decodeMember returns the peer of a member entry. It reports false if the address is
+// invalid.
+func decodeMember(m *Member) (Peer, bool) {
+	addr, ok := netip.AddrFromSlice(m.Address)
+	if !ok || !addr.Is4() {
+		return Peer{}, false
+	}
+	host := bramleytack.HostID(m.Host)
+	return Peer{
+		Host: host, Addr: addr, FailureDomain: bramleytack.FailureDomainID(m.FailureDomain), Processor: m.Processor, rank: rank(host),
+		Incarnation: m.Incarnation, Heartbeat: m.Beat, Ready: m.Ready, Leaving: m.Leaving, StoreDown: m.StoreDown, StoreRead: m.StoreRead,
+	}, true
+}
+
+// Flags of a daemon in Heartbeats.
+const (
+	flagReady = 1 << iota
+	flagLeaving
+	flagStoreDown
+	flagStoreRead
+)
+
+func (p *Peer) flags() byte {
+	var f byte
+	for _, b := range []struct {
+		set  bool
+		flag byte
+	}{{p.Ready, flagReady}, {p.Leaving, flagLeaving}, {p.StoreDown, flagStoreDown}, {p.StoreRead, flagStoreRead}} {
+		if b.set {
+			f |= b.flag
+		}
+	}
+	return f
+}
+
+func (p *Peer) setFlags(f byte) {
+	p.Ready, p.Leaving = f&flagReady != 0, f&flagLeaving != 0
+	p.StoreDown, p.StoreRead = f&flagStoreDown != 0, f&flagStoreRead != 0
+}
+
 // peerTable holds the state of each peer. It is safe for concurrent use.
 type peerTable struct {
+	// domain is the failure domain of this daemon.
+	domain bramleytack.FailureDomainID
+
 	mu     sync.Mutex
 	byHost map[bramleytack.HostID]*Peer
+	byAddr map[netip.Addr]*Peer
+	// sorted holds all peers, sorted by host.
+	sorted []*Peer
+	// version rises when a peer becomes alive or changes more than its heartbeat.
+	version uint64
+	// hubs is set while the fleet is large enough for hubs.
+	hubs bool
+}
+
+// alive reports whether a peer's heartbeat rose recently. The caller holds the lock.
+func (t *peerTable) alive(p *Peer, now time.Time) bool {
+	if t.hubs && p.FailureDomain != t.domain {
+		return now.Sub(p.HeartbeatAt) < remoteAliveTimeout
+	}
+	return now.Sub(p.HeartbeatAt) < aliveTimeout
 }
 
 // merge adds the state p of a peer unless it is outdated, and reports whether the peer
@@ -71,62 +135,130 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.byHost == nil {
-		t.byHost = map[bramleytack.HostID]*Peer{}
+		t.byHost, t.byAddr = map[bramleytack.HostID]*Peer{}, map[netip.Addr]*Peer{}
 	}
 	old, ok := t.byHost[p.Host]
+	becameAlive := direct
 	switch {
 	case !ok && direct:
 		p.HeartbeatAt = now
 	case !ok:
-		p.HeartbeatAt = now.Add(-aliveTimeout)
+		p.HeartbeatAt = now.Add(-remoteAliveTimeout)
 	case old.olderThan(&p):
-		wasAlive := old.alive(now)
+		becameAlive = !t.alive(old, now)
 		p.HeartbeatAt = now
-		t.byHost[p.Host] = &p
-		return !wasAlive
 	default:
 		return false
 	}
-	t.byHost[p.Host] = &p
-	return direct
+	if !ok || becameAlive || p.flags() != old.flags() || p.Incarnation != old.Incarnation {
+		t.version++
+	}
+	if ok && old.Addr != p.Addr && t.byAddr[old.Addr] == old {
+		delete(t.byAddr, old.Addr)
+	}
+	t.byHost[p.Host], t.byAddr[p.Addr] = &p, &p
+	i, _ := slices.BinarySearchFunc(t.sorted, p.Host, func(o *Peer, h bramleytack.HostID) int { return cmp.Compare(o.Host, h) })
+	if ok {
+		t.sorted[i] = &p
+	} else {
+		t.sorted = slices.Insert(t.sorted, i, &p)
+	}
+	return becameAlive
 }
 
-// list returns all peers, dead ones included, sorted by host. It drops those without a
-// new heartbeat for forgetAfter.
-func (t *peerTable) list(now time.Time) []Peer {
+// newerIncarnation returns the known member entry of a daemon if it is of a later
+// incarnation than p, and nil otherwise.
+func (t *peerTable) newerIncarnation(p Peer) *Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := make([]Peer, 0, len(t.byHost))
-	for h, p := range t.byHost {
-		if now.Sub(p.HeartbeatAt) > forgetAfter {
-			delete(t.byHost, h)
-			continue
+	if known := t.byHost[p.Host]; known != nil && known.Incarnation > p.Incarnation {
+		return known.encode()
+	}
+	return nil
+}
+
+// mergeHeartbeat updates the peer at an address. start is the lower half of its
+// incarnation. It reports whether the peer's member entry is missing or belongs to an
+// earlier incarnation.
+func (t *peerTable) mergeHeartbeat(addr netip.Addr, start uint32, beat uint64, flags byte, now time.Time) (missing bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.byAddr[addr]
+	switch {
+	case p == nil:
+		return true
+	case uint32(p.Incarnation) != start:
+		return int32(start-uint32(p.Incarnation)) > 0
+	case beat <= p.Heartbeat:
+		return false
+	}
+	if !t.alive(p, now) || p.flags() != flags {
+		t.version++
+	}
+	p.Heartbeat, p.HeartbeatAt = beat, now
+	p.setFlags(flags)
+	return false
+}
+
+// members returns the member entries of the peers at some addresses that are alive.
+func (t *peerTable) members(addrs []netip.Addr, now time.Time) []*Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []*Member
+	for _, a := range addrs {
+		if p := t.byAddr[a]; p != nil && t.alive(p, now) {
+			all = append(all, p.encode())
 		}
-		all = append(all, *p)
 	}
-	slices.SortFunc(all, func(a, b Peer) int { return cmp.Compare(a.Host, b.Host) })
 	return all
 }
 
-// countAlive returns the number of peers alive. Requests call it, so it does not copy
-// the table.
-func (t *peerTable) countAlive(now time.Time) int {
+// list returns the peers that are alive and the others, both sorted by host. It drops
+// those without a new heartbeat for forgetAfter.
+func (t *peerTable) list(now time.Time) (alive, silent []Peer, version uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	for _, p := range t.byHost {
-		if p.alive(now) {
-			n++
+	t.sorted = slices.DeleteFunc(t.sorted, func(p *Peer) bool {
+		if now.Sub(p.HeartbeatAt) <= forgetAfter {
+			return false
+		}
+		delete(t.byHost, p.Host)
+		if t.byAddr[p.Addr] == p {
+			delete(t.byAddr, p.Addr)
+		}
+		return true
+	})
+	alive = make([]Peer, 0, len(t.sorted))
+	for _, p := range t.sorted {
+		if t.alive(p, now) {
+			alive = append(alive, *p)
+		} else {
+			silent = append(silent, *p)
 		}
 	}
-	return n
+	return alive, silent, t.version
+}
+
+// current returns the version of the table.
+func (t *peerTable) current() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// setHubs sets whether the fleet has hubs.
+func (t *peerTable) setHubs(on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hubs = on
 }
 
-// failureDomain returns the failure domain of a peer, or "" for an unknown one.
-func (t *peerTable) failureDomain(h bramleytack.HostID) bramleytack.FailureDomainID {
+// failureDomain returns the failure domain of the daemon at an address, or "" if it is
+// unknown.
+func (t *peerTable) failureDomain(a netip.Addr) bramleytack.FailureDomainID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if p, ok := t.byHost[h]; ok {
+	if p := t.byAddr[a]; p != nil {
 		return p.FailureDomain
 	}
 	return ""
@@ -136,7 +268,8 @@
 func (t *peerTable) resetLiveness(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.version++
 	for _, p := range t.byHost {
-		p.HeartbeatAt = now.Add(-aliveTimeout)
+		p.HeartbeatAt = now.Add(-remoteAliveTimeout)
 	}
 }
--- a/internal/fleet/btgossip/pull.go
+++ b/internal/fleet/btgossip/pull.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	pullTimeout = 700 * time.Millisecond
 	// maxReplySize bounds a reply in bytes, both compressed and uncompressed.
 	maxReplySize = 8 << 20
+	// pullGrace is how long a pull waits for changes that are on their way. A digest
+	// that announces a revision may overtake the datagram with the changes.
+	pullGrace = 20 * time.Millisecond
 	// replyCacheTTL bounds the age of a reply that is sent again. An unchanged revision
 	// is not enough, because registrations may lapse without a new one.
 	replyCacheTTL = 300 * time.Millisecond
@@ -37,19 +41,21 @@
 type pull struct {
 	from netip.Addr
 	kind string
+	// upto is the revision that the other daemon has.
+	upto bramleytack.Revision
 }
 
 // pull queues a pull from a daemon that is ahead, unless one of the same kind is
 // queued or running. A later digest asks again if the replica is still behind.
-func (n *Node) pull(from netip.Addr, kind string) {
-	if !from.IsValid() {
+func (n *Node) pull(from netip.Addr, kind string, upto bramleytack.Revision) {
+	if !from.IsValid() || !slices.Contains(bramleytack.ReplicatedKinds, kind) {
 		return
 	}
 	if _, pending := n.pulling.LoadOrStore(kind, true); pending {
 		return
 	}
 	select {
-	case n.pulls <- pull{from: from, kind: kind}:
+	case n.pulls <- pull{from: from, kind: kind, upto: upto}:
 	default:
 		n.pulling.Delete(kind)
 	}
@@ -62,7 +68,13 @@
 	for {
 		select {
 		case r := <-p.n.pulls:
-			batch := p.takeSameSource(r)
+			if p.n.Table.Upto(r.kind) > 0 && p.n.Timer.Sleep(ctx, pullGrace) != nil {
+				return
+			}
+			batch := p.dropDone(p.takeSameSource(r))
+			if len(batch) == 0 {
+				continue
+			}
 			started := p.n.Timer.Now()
 			err := p.fetch(ctx, r.from, batch)
 			for _, r := range batch {
@@ -91,6 +103,17 @@
 	return batch
 }
 
+// dropDone returns the pulls whose changes have not arrived by other means.
+func (p *puller) dropDone(batch []pull) []pull {
+	return slices.DeleteFunc(batch, func(r pull) bool {
+		done := p.n.Table.Upto(r.kind) >= r.upto
+		if done {
+			p.n.pulling.Delete(r.kind)
+		}
+		return done
+	})
+}
+
 // fetch runs pulls from one daemon over one connection and applies the replies.
 func (p *puller) fetch(ctx context.Context, from netip.Addr, batch []pull) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -4,19 +4,19 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"bramleytack"
 	"bramleytack/btevent"
-	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
 )
 
 // receiver reads and handles datagrams.
 type receiver struct {
 	n *Node
-	// newest holds the number of the newest packet with a digest of each sender.
+	// newest holds the number of the newest packet with loads or tables of each sender.
 	newest map[bramleytack.HostID]packetNumber
 }
 
@@ -57,66 +57,83 @@
 }
 
 func (r *receiver) handlePacket(p *Packet, from net.Addr) {
+	n := r.n
+	now := n.Timer.Now()
 	var sender netip.Addr
 	if u, ok := from.(*net.UDPAddr); ok {
 		sender = u.AddrPort().Addr().Unmap()
 	}
 	if d := p.Digest; d != nil {
-		r.handleDigest(p, d, sender)
+		r.handleDigest(p, d, sender, now)
+	}
+	if p.Batch != nil {
+		n.handleBatch(p, sender)
 	}
-	if p.Batch != nil && !r.n.Table.Apply(p.Batch.decode()) {
-		r.n.pull(sender, p.Batch.Kind)
+	if p.Report != nil {
+		n.handleReport(p, p.Report, now)
+	}
+	if len(p.Tables) > 0 && r.inOrder(p) {
+		n.handleTables(p, now)
+	}
+	if len(p.Unknown) > 0 {
+		n.answerMembers(sender, p.Unknown, now)
 	}
 }
 
-func (r *receiver) handleDigest(p *Packet, d *Digest, sender netip.Addr) {
+func (r *receiver) handleDigest(p *Packet, d *Digest, sender netip.Addr, now time.Time) {
 	n := r.n
-	now := n.Timer.Now()
 	for _, m := range d.Members {
-		if bramleytack.HostID(m.Host) == n.Self.Host {
-			continue
-		}
-		addr, ok := netip.AddrFromSlice(m.Address)
-		if !ok {
-			continue
-		}
-		peer := Peer{
-			Host: bramleytack.HostID(m.Host), Addr: addr, FailureDomain: bramleytack.FailureDomainID(m.FailureDomain),
-			Incarnation: m.Incarnation, Heartbeat: m.Beat, Ready: m.Ready, Leaving: m.Leaving, StoreDown: m.StoreDown, StoreRead: m.StoreRead,
-		}
-		direct := m.Host == p.Host
-		if !n.peers.merge(peer, direct, now) {
-			continue
-		}
-		n.Log.Event(btevent.PeerAlive).Str("peer", m.Host).Stringer("addr", addr).Uint64("incarnation", m.Incarnation).Send()
-		if direct {
-			// The peer may have just started: the digest shows it the daemons that follow
-			// the store.
-			n.write(n.encode(&Packet{Digest: n.digest(n.peers.list(now))}), addr)
-		}
+		r.handleMember(p, m, now)
 	}
+	n.queryMembers(sender, n.mergeHeartbeats(d.Heartbeats, now), now)
 	for _, k := range d.Kinds {
-		if bramleytack.Revision(k.Content) > n.Table.Upto(k.Kind) {
-			n.pull(sender, k.Kind)
+		if upto := bramleytack.Revision(k.Content); upto > n.Table.Upto(k.Kind) {
+			n.pull(sender, k.Kind, upto)
 		}
 	}
-	if !r.inOrder(p) {
+	if isMemberReply := len(d.Kinds) == 0 && len(d.Members) > 0; !isMemberReply {
+		r.handleLoads(p, d, sender)
+	}
+}
+
+// handleMember merges the member entry of one daemon.
+func (r *receiver) handleMember(p *Packet, m *Member, now time.Time) {
+	n := r.n
+	peer, ok := decodeMember(m)
+	if !ok {
+		return
+	}
+	if peer.Host == n.Self.Host {
+		n.outdated(peer.Incarnation)
+		return
+	}
+	direct := m.Host == p.Host
+	if newer := n.peers.newerIncarnation(peer); direct && newer != nil {
+		n.write(CauseMember, n.encode(&Packet{Digest: &Digest{Members: []*Member{newer}}}), peer.Addr)
+		return
+	}
+	if !n.peers.merge(peer, direct, now) {
+		return
+	}
+	n.Log.Event(btevent.PeerAlive).Str("peer", m.Host).Stringer("addr", peer.Addr).Uint64("incarnation", m.Incarnation).Send()
+	if direct {
+		// The peer may have just started: the digest shows it the daemons that follow
+		// the store.
+		n.write(CauseDigest, n.encode(&Packet{Digest: n.digest(n.view())}), peer.Addr)
+	}
+}
+
+// handleLoads applies the loads that a daemon sends to all others. A fleet with hubs
+// has their tables instead.
+func (r *receiver) handleLoads(p *Packet, d *Digest, sender netip.Addr) {
+	n := r.n
+	if n.view().large() || !r.inOrder(p) {
 		return
 	}
-	loads := make(map[bramleytack.UpstreamID]btaccount.Load, len(d.Loads))
 	// Ejections by daemons of other failure domains do not count: an upstream may fail
 	// for the callers of one domain alone.
-	sameDomain := n.peers.failureDomain(bramleytack.HostID(p.Host)) == n.Self.FailureDomain
-	for _, l := range d.Loads {
-		load := btaccount.Load{
-			Running: int(l.Running), Unread: int(l.UnreadTokens), Memory: int(l.MemoryTokens), Copies: int(l.CopyTokens),
-		}
-		if l.Ejected && sameDomain {
-			load.Ejections = 1
-		}
-		loads[bramleytack.UpstreamID(l.Upstream)] = load
-	}
-	n.Accounts.SetPeer(bramleytack.HostID(p.Host), loads)
+	sameDomain := n.peers.failureDomain(sender) == n.Self.FailureDomain
+	n.Accounts.SetPeer(btaccount.Source{Host: bramleytack.HostID(p.Host)}, decodeLoads(d.Loads, sameDomain))
 }
 
 // inOrder reports whether a packet is newer than all before it from the same sender,
@@ -130,45 +147,3 @@
 	r.newest[h] = packetNumber{incarnation: p.Incarnation, sequence: p.Sequence}
 	return true
 }
-
-// pushBatch sends changes that this daemon read from the store to all live daemons.
-// Of full lists and of changes beyond maxPacketSize it only announces the revision, by
-// a digest: daemons that are behind pull the objects.
-func (n *Node) pushBatch(b btreplica.Batch) {
-	switch {
-	case b.Full:
-		// Only the targets of this digest pull from this daemon at once. Each announces
-		// the revision in turn, so that no daemon's link carries the list to all others.
-		n.TriggerDigest()
-		return
-	case !b.FromStore, len(b.Objects) == 0:
-		return
-	}
-	data := n.encode(&Packet{Batch: encodeBatch(b)})
-	if len(data) > maxPacketSize {
-		n.TriggerDigest()
-		return
-	}
-	n.broadcast(data)
-}
-
-func encodeBatch(b btreplica.Batch) *ObjectBatch {
-	out := &ObjectBatch{Kind: b.Kind, Full: b.Full, Base: uint64(b.Base), Upto: uint64(b.Upto), AfterOutage: b.AfterOutage}
-	for _, o := range b.Objects {
-		out.Objects = append(out.Objects, &StoredObject{Name: o.Name, Version: uint64(o.Version), Deleted: o.Deleted, Data: o.Data})
-	}
-	return out
-}
-
-func (b *ObjectBatch) decode() btreplica.Batch {
-	out := btreplica.Batch{
-		Kind: b.Kind, Full: b.Full, Base: bramleytack.Revision(b.Base), Upto: bramleytack.Revision(b.Upto), AfterOutage: b.AfterOutage,
-	}
-	for _, o := range b.Objects {
-		out.Objects = append(out.Objects, bramleytack.Object{
-			Key:     bramleytack.Key{Kind: b.Kind, Name: o.Name},
-			Version: bramleytack.Revision(o.Version), Deleted: o.Deleted, Data: o.Data,
-		})
-	}
-	return out
-}
--- a/internal/fleet/btgossip/start_test.go
+++ b/internal/fleet/btgossip/start_test.go
@@ -76,7 +76,7 @@
 // start of a daemon to its first configuration.
 func TestDaemonsJoinWithoutSeeds(t *testing.T) {
 	runCell(t, 24, 0, func(c *cell) {
-		c.hub.isolate(addrOf(0), true)
+		c.lan.isolate(addrOf(0), true)
 		c.nodes = c.nodes[1:]
 		var registered []RegisteredDaemon
 		for _, n := range c.nodes {
@@ -118,15 +118,15 @@
 func TestFullListsSpreadGradually(t *testing.T) {
 	runCell(t, 48, 0, func(c *cell) {
 		time.Sleep(3 * time.Second)
-		c.hub.mu.Lock()
-		clear(c.hub.sent)
-		c.hub.mu.Unlock()
+		c.lan.mu.Lock()
+		clear(c.lan.sent)
+		c.lan.mu.Unlock()
 		o := bramleytack.Object{Key: bramleytack.Key{Kind: bramleytack.KindConfig, Name: "main"}, Version: 1}
 		c.nodes[5].Table.Apply(btreplica.Batch{Kind: o.Kind, Full: true, Upto: 1, Objects: []bramleytack.Object{o}, FromStore: true})
 		time.Sleep(time.Millisecond)
-		c.hub.mu.Lock()
-		sent := c.hub.sent[addrOf(5)]
-		c.hub.mu.Unlock()
+		c.lan.mu.Lock()
+		sent := c.lan.sent[addrOf(5)]
+		c.lan.mu.Unlock()
 		// A periodic digest may be due at the same time.
 		assert.Assert(t, sent >= 1 && sent <= 2*fanout, "%d datagrams sent", sent)
 		time.Sleep(2 * digestPeriod)
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -23,7 +23,7 @@
 	// make to a store that is down.
 	probeInterval = 50 * time.Millisecond
 	// inactiveInterval is the time between two checks of whether to call the store.
-	inactiveInterval = 50 * time.Millisecond
+	inactiveInterval = 100 * time.Millisecond
 	// noConfigInterval replaces inactiveInterval while there is no configuration,
 	// because callers wait for it.
 	noConfigInterval = 10 * time.Millisecond
@@ -49,9 +49,9 @@
 	// one included. With it, their calls are probeInterval apart on average. Nil means
 	// that there are no others.
 	StoreDownCount func() int
-	// Pause is the time between an answer and the next poll. Changes during the pause
-	// come in one answer.
-	Pause time.Duration
+	// Pause returns the time between an answer and the next poll. Changes during the
+	// pause come in one answer. Nil means no pause.
+	Pause func() time.Duration
 	// StoreStatus records answers and failures of the store. It is shared by the
 	// watchers of all kinds.
 	StoreStatus *StoreStatus
@@ -108,8 +108,8 @@
 			relist = false
 			backoff = minBackoff
 			w.StoreStatus.recordSuccess(w.Log, w.Kind, w.Timer.Now())
-			if w.Pause > 0 {
-				w.sleep(ctx, w.Pause)
+			if w.Pause != nil {
+				w.sleep(ctx, w.Pause())
 			}
 		case ctx.Err() != nil:
 			return
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -54,6 +54,10 @@
 	// registrations. Changes that occur together, such as those of upstreams that
 	// leave on one notice, then arrive in one response.
 	upstreamsPollPause = 60 * time.Millisecond
+	// largeUpstreamsPollPause replaces it in a fleet with hubs, in which each answer is
+	// sent to hundreds of daemons. Two daemons poll in turns, and termination notices
+	// are given more than a second ahead.
+	largeUpstreamsPollPause = 200 * time.Millisecond
 	// minDrain is the least time for which a daemon serves callers after it left the
 	// directory. Callers may use a directory response for three times its validity.
 	minDrain = 4 * time.Second
@@ -118,7 +122,7 @@
 	n.gossip = btgossip.New(&btgossip.Node{
 		Self: btgossip.Self{
 			Host: s.Host, Addr: s.Addr, FailureDomain: s.FailureDomain,
-			Port: s.Peer.Port(), Incarnation: uint64(time.Now().UnixMilli()),
+			Port: s.Peer.Port(), Incarnation: uint64(time.Now().UnixMilli()), Processor: s.ProcessorMillis,
 		},
 		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Timer: n.timer, Log: n.log,
 		Ready: n.Ready, Leaving: n.leaving.Load, Seeds: addrsOf(s.Seeds),
@@ -126,6 +130,7 @@
 	n.storeStatus.OnDown = n.gossip.Announce
 	n.accounts.Daemons = n.gossip.Count
 	n.accounts.Changed = n.gossip.LoadChanged
+	n.accounts.RemoteLate = n.gossip.HasHubs
 	n.handler = &btentry.Handler{
 		Table: n.table, Accounts: n.accounts, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.leaving.Load,
@@ -160,6 +165,14 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bramleytack_peers_alive", Help: "Other daemons that are alive."}, func() float64 { return float64(len(n.gossip.Alive())) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bramleytack_requests_active", Help: "Requests being served."}, func() float64 { return float64(n.handler.Active()) }),
 	)
+	for _, c := range btgossip.Causes() {
+		labels := prometheus.Labels{"cause": c.String()}
+		n.registry.MustRegister(
+			prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "bramleytack_peer_datagrams_total", Help: "Datagrams sent to other daemons.", ConstLabels: labels}, func() float64 { return float64(n.gossip.Traffic.Datagrams(c)) }),
+			prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "bramleytack_peer_bytes_total", Help: "Bytes of datagrams sent to other daemons.", ConstLabels: labels}, func() float64 { all, _ := n.gossip.Traffic.Bytes(c); return float64(all) }),
+			prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "bramleytack_peer_remote_bytes_total", Help: "Bytes of datagrams sent to daemons of other failure domains.", ConstLabels: labels}, func() float64 { _, remote := n.gossip.Traffic.Bytes(c); return float64(remote) }),
+		)
+	}
 	n.dump.Add("peers", func() any { return n.gossip.Alive() })
 	n.dump.Add("loads", func() any { return n.accounts.OwnLoads() })
 	n.dump.Add("snapshot", func() any { return n.table.Snapshot() })
@@ -243,7 +256,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.adapter.Dialect.ReadyPath, n.serveReady)
 	mux.Handle("GET "+n.adapter.Dialect.ResolvePath, &btdirectory.Handler{
-		Peers: n.gossip.Alive, Entry: n.settings.Entry, Ready: n.Ready, Encode: n.adapter.EncodeAddrs,
+		Peers: n.gossip.Alive, Entry: n.settings.Entry, Domain: n.settings.FailureDomain, DomainParam: n.adapter.Dialect.CallerDomain,
+		Ready: n.Ready, Encode: n.adapter.EncodeAddrs,
 		MaxValidity: n.settings.Bounds.DirectoryValidity, Log: n.log,
 	})
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
@@ -268,7 +282,7 @@
 			Active: n.gossip.Follows, StoreDownCount: n.gossip.StoreDownCount, StoreStatus: &n.storeStatus, Resync: &n.resync,
 		}
 		if kind == bramleytack.KindUpstreams {
-			w.Pause = upstreamsPollPause
+			w.Pause = n.upstreamsPause
 		}
 		go w.Run(ctx)
 	}
@@ -276,6 +290,14 @@
 	go (&endPoller{node: n}).run(ctx)
 }
 
+// upstreamsPause returns the time between two polls of the upstream registrations.
+func (n *Node) upstreamsPause() time.Duration {
+	if n.gossip.HasHubs() {
+		return largeUpstreamsPollPause
+	}
+	return upstreamsPollPause
+}
+
 // housekeep runs the checks that no event triggers until the context ends.
 func (n *Node) housekeep(ctx context.Context) {
 	tick := n.timer.Every(housekeepingPeriod, 0)
@@ -293,19 +315,11 @@
 		}
 		n.table.Expire()
 		if s := n.table.Snapshot(); s != nil {
-			n.accounts.Retain(s, n.aliveHosts())
+			n.accounts.Retain(s, n.gossip.ValidSource())
 		}
 	}
 }
 
-func (n *Node) aliveHosts() map[bramleytack.HostID]bool {
-	alive := map[bramleytack.HostID]bool{}
-	for _, p := range n.gossip.Alive() {
-		alive[p.Host] = true
-	}
-	return alive
-}
-
 // dropStaleState discards what may be outdated after a suspension: pooled
 // connections, the liveness of other daemons and pending polls of the store.
 func (n *Node) dropStaleState() {
--- a/internal/node/btnode/settings.go
+++ b/internal/node/btnode/settings.go
@@ -29,7 +29,10 @@
 	Store netip.AddrPort
 	// MemoryBytes is the memory limit of the process. Zero means none.
 	MemoryBytes int64
-	Bounds      Bounds
+	// ProcessorMillis is the processor share in thousandths of a core. Zero means
+	// unknown. The daemons with the most do work for others.
+	ProcessorMillis uint32
+	Bounds          Bounds
 }
 
 // Bounds are the operator's limits on the behavior of all daemons.
--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -128,15 +128,22 @@
 	Ejections int
 }
 
-func (l *Load) add(o Load, sign int) {
-	l.Running += sign * o.Running
-	l.Unread += sign * o.Unread
-	l.Memory += sign * o.Memory
-	l.Copies += sign * o.Copies
-	l.Ejections += sign * o.Ejections
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load { return l.plus(o, 1) }
+
+// Minus returns l without o.
+func (l Load) Minus(o Load) Load { return l.plus(o, -1) }
+
+// plus returns l with o added sign times.
+func (l Load) plus(o Load, sign int) Load {
+	return Load{
+		Running: l.Running + sign*o.Running, Unread: l.Unread + sign*o.Unread, Memory: l.Memory + sign*o.Memory,
+		Copies: l.Copies + sign*o.Copies, Ejections: l.Ejections + sign*o.Ejections,
+	}
 }
 
-func (l Load) empty() bool { return l == Load{} }
+// IsZero reports whether l is no load.
+func (l Load) IsZero() bool { return l == Load{} }
 
 // account is the load and health of one upstream.
 type account struct {
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -26,6 +26,11 @@
 	// otherDomainMillis is the penalty of an upstream in another failure domain
 	// than this daemon.
 	otherDomainMillis = 4.0
+	// remoteMillis replaces otherDomainMillis if the loads of other failure domains
+	// arrive late. It exceeds tieMillis by the delay of about four running generations:
+	// by so much the least busy engine of a domain exceeds that of another one before
+	// work goes there.
+	remoteMillis = 100.0
 	// startPeriod is how long an upstream is slow after its start. Its penalty
 	// decreases from startMillis to zero over that time.
 	startPeriod = 3 * time.Second
@@ -52,6 +57,9 @@
 	Timer bramleytack.Timer
 	// Domain is the failure domain of this daemon.
 	Domain bramleytack.FailureDomainID
+	// RemoteLate reports whether the loads of other failure domains arrive later than
+	// those of Domain. Nil means that they do not.
+	RemoteLate func() bool
 	// Daemons returns the number of daemons that share the cold limits. Nil means
 	// one.
 	Daemons func() int
@@ -63,7 +71,8 @@
 
 	mu       sync.Mutex
 	accounts map[bramleytack.UpstreamID]*account
-	peers    map[bramleytack.HostID]map[bramleytack.UpstreamID]Load
+	// peers holds the loads of other daemons by where they were received from.
+	peers map[Source]map[bramleytack.UpstreamID]Load
 	// peerTotals is the sum of the loads in peers.
 	peerTotals map[bramleytack.UpstreamID]Load
 }
@@ -132,36 +141,42 @@
 		if now.Before(a.ejectedUntil) {
 			l.Ejections = 1
 		}
-		if !l.empty() {
+		if !l.IsZero() {
 			own[id] = l
 		}
 	}
 	return own
 }
 
-// SetPeer replaces the loads that another daemon reported. The table keeps the
-// map; the caller must not change it afterwards.
-func (t *Table) SetPeer(h bramleytack.HostID, loads map[bramleytack.UpstreamID]Load) {
+// Source identifies where loads of other daemons come from: one daemon, or all daemons
+// of a failure domain together. Sources must not overlap.
+type Source struct {
+	Host   bramleytack.HostID
+	Domain bramleytack.FailureDomainID
+}
+
+// SetPeer replaces the loads that a source reported. The table keeps the map; the
+// caller must not change it afterwards.
+func (t *Table) SetPeer(from Source, loads map[bramleytack.UpstreamID]Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.peers == nil {
-		t.peers = map[bramleytack.HostID]map[bramleytack.UpstreamID]Load{}
+		t.peers = map[Source]map[bramleytack.UpstreamID]Load{}
 	}
-	t.addPeerLoads(t.peers[h], -1)
-	t.peers[h] = loads
+	t.addPeerLoads(t.peers[from], -1)
+	t.peers[from] = loads
 	t.addPeerLoads(loads, 1)
 }
 
-// addPeerLoads adds a daemon's loads to peerTotals if sign is 1, or subtracts them
+// addPeerLoads adds a source's loads to peerTotals if sign is 1, or subtracts them
 // if it is -1.
 func (t *Table) addPeerLoads(loads map[bramleytack.UpstreamID]Load, sign int) {
 	if t.peerTotals == nil {
 		t.peerTotals = map[bramleytack.UpstreamID]Load{}
 	}
 	for id, l := range loads {
-		sum := t.peerTotals[id]
-		sum.add(l, sign)
-		if sum.empty() {
+		sum := t.peerTotals[id].plus(l, sign)
+		if sum.IsZero() {
 			delete(t.peerTotals, id)
 		} else {
 			t.peerTotals[id] = sum
@@ -169,20 +184,20 @@
 	}
 }
 
-// Retain removes the loads of daemons that are not alive, and the accounts of
+// Retain removes the loads of sources that are not valid, and the accounts of
 // upstreams that are not in the snapshot and have no request or copy of this
-// daemon.
-func (t *Table) Retain(s *bramleytack.Snapshot, alive map[bramleytack.HostID]bool) {
+// daemon. The table is locked while valid is called.
+func (t *Table) Retain(s *bramleytack.Snapshot, valid func(Source) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for h := range t.peers {
-		if !alive[h] {
-			t.addPeerLoads(t.peers[h], -1)
-			delete(t.peers, h)
+	for from, loads := range t.peers {
+		if !valid(from) {
+			t.addPeerLoads(loads, -1)
+			delete(t.peers, from)
 		}
 	}
 	for id, a := range t.accounts {
-		if _, ok := s.Upstreams[id]; !ok && a.own.empty() {
+		if _, ok := s.Upstreams[id]; !ok && a.own.IsZero() {
 			delete(t.accounts, id)
 		}
 	}
@@ -204,6 +219,10 @@
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	scores := make([]float64, len(candidates))
+	remote := otherDomainMillis
+	if t.RemoteLate != nil && t.RemoteLate() {
+		remote = remoteMillis
+	}
 	best, full := math.Inf(1), false
 	for i, u := range candidates {
 		scores[i] = math.Inf(1)
@@ -216,6 +235,9 @@
 			continue
 		}
 		scores[i] = t.score(s, u, n, l, now)
+		if u.FailureDomain != t.Domain {
+			scores[i] += remote
+		}
 		best = min(best, scores[i])
 	}
 	chosen, ties := -1, 0
@@ -249,12 +271,10 @@
 	return share
 }
 
-// score returns the expected delay in milliseconds, penalties included.
+// score returns the expected delay in milliseconds, penalties included except that of
+// another failure domain.
 func (t *Table) score(s *bramleytack.Snapshot, u *bramleytack.Upstream, n Need, l Load, now time.Time) float64 {
 	score := 0.0
-	if u.FailureDomain != t.Domain {
-		score += otherDomainMillis
-	}
 	if age := now.Sub(u.Started); age >= 0 && age < startPeriod {
 		score += startMillis * (1 - age.Seconds()/startPeriod.Seconds())
 	}
@@ -277,8 +297,7 @@
 // number that the upstream itself reported recently.
 func (t *Table) load(id bramleytack.UpstreamID, now time.Time) Load {
 	a := t.account(id)
-	l := a.own
-	l.add(t.peerTotals[id], 1)
+	l := a.own.Plus(t.peerTotals[id])
 	if now.Sub(a.reportedAt) < reportValidity {
 		l.Running = max(l.Running, a.reported)
 	}
--- a/internal/route/btaccount/table_test.go
+++ b/internal/route/btaccount/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -20,6 +21,9 @@
 // longGeneration is the need of a long generation of typical size.
 var longGeneration = Need{Prompt: 3000, Output: 900, MaxOutput: 2000}
 
+// shortGeneration is the need of a generation that ends within a few events.
+var shortGeneration = Need{Prompt: 2200, Output: 8, MaxOutput: 20}
+
 // fleet returns a snapshot of n engines over three failure domains.
 func fleet(n int) *bramleytack.Snapshot {
 	s := &bramleytack.Snapshot{
@@ -91,9 +95,9 @@
 		count := map[bramleytack.UpstreamID]int{}
 		for range 24 {
 			count[pick(t, a, s, longGeneration).ID]++
-			b.SetPeer("a", a.OwnLoads())
+			b.SetPeer(Source{Host: "a"}, a.OwnLoads())
 			count[pick(t, b, s, longGeneration).ID]++
-			a.SetPeer("b", b.OwnLoads())
+			a.SetPeer(Source{Host: "b"}, b.OwnLoads())
 		}
 		for _, u := range s.ByService[service] {
 			assert.Assert(t, count[u.ID] >= 3 && count[u.ID] <= 5, "%s has %d of 48", u.ID, count[u.ID])
@@ -158,7 +162,7 @@
 		const moves = 300
 		for range moves {
 			table := newTable(timer)
-			table.SetPeer("h2", loads)
+			table.SetPeer(Source{Host: "h2"}, loads)
 			u := table.PickTarget(s, primary, longGeneration)
 			assert.Equal(t, u.FailureDomain, primary.FailureDomain)
 			count[u.ID]++
@@ -266,10 +270,10 @@
 		hosts := []bramleytack.HostID{"h1", "h2", "h3"}
 		receive := func(loads map[bramleytack.UpstreamID]Load) {
 			for _, h := range hosts {
-				table.SetPeer(h, loads)
+				table.SetPeer(Source{Host: h}, loads)
 			}
 		}
-		table.SetPeer("h1", peer.OwnLoads())
+		table.SetPeer(Source{Host: "h1"}, peer.OwnLoads())
 		assert.Equal(t, count(), 3, "the ejection of a single daemon counts")
 		receive(peer.OwnLoads())
 		assert.Equal(t, count(), 2)
@@ -379,9 +383,37 @@
 	withFakeTime(t, func(t *testing.T, timer *bttimer.Service) {
 		s := fleet(2)
 		table := newTable(timer)
-		table.SetPeer("h2", map[bramleytack.UpstreamID]Load{"e00": {Running: 20, Unread: 30000}})
+		table.SetPeer(Source{Host: "h2"}, map[bramleytack.UpstreamID]Load{"e00": {Running: 20, Unread: 30000}})
 		assert.Equal(t, pick(t, table, s, longGeneration).ID, bramleytack.UpstreamID("e01"))
-		table.Retain(s, map[bramleytack.HostID]bool{})
+		table.Retain(s, func(Source) bool { return false })
 		assert.Equal(t, pick(t, table, s, longGeneration).ID, bramleytack.UpstreamID("e00"))
 	})
 }
+
+// The loads of other failure domains arrive late. Guards against daemons that send work to
+// other domains while their own has free engines, which costs bytes between domains (large
+// Foldwell site), and against a busy domain that does not use the free engines of others.
+func TestWorkStaysInTheDomainUntilItIsBusy(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(12)
+		table := newTable(timer)
+		table.Domain = s.ByService[service][0].FailureDomain
+		table.RemoteLate = func() bool { return true }
+		loads := map[bramleytack.UpstreamID]Load{}
+		setOwn := func(running int) {
+			for _, u := range s.ByService[service] {
+				if u.FailureDomain == table.Domain {
+					loads[u.ID] = Load{Running: running, Memory: running * 3000}
+				}
+			}
+			table.SetPeer(Source{Domain: table.Domain}, maps.Clone(loads))
+		}
+		for _, running := range []int{3, 9} {
+			setOwn(running)
+			for range 50 {
+				u, _ := table.Pick(s, table.Eligible(s, service, nil), shortGeneration)
+				assert.Equal(t, u.FailureDomain == table.Domain, running == 3, "%d running", running)
+			}
+		}
+	})
+}
