Phases of a daemon's end: nothing that was read is cut off

Cause: a draining daemon kept its listener open until the process ended, 0.4 s before the kill. Generations that could not end in time were accepted and cut.

Change: internal/node/btdrain. Leaving: out of the directory, and requests whose expected duration exceeds the time left are rejected at once as not run, so that their callers go to another daemon. Closing: listeners and idle connections close a second before the end. btforecast.Pace learns the time per token.

--- /dev/null
+++ b/internal/node/btdrain/drain.go
@@ -0,0 +1,122 @@
+package btdrain
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"bramleytack"
+)
+
+const (
+	// minLeaving is the least time for which a daemon serves callers after it left the
+	// directory. Callers may use a directory response for three times its validity.
+	minLeaving = 4 * time.Second
+	// closingTime is the least time between the close of the listeners and the end of a
+	// daemon. Requests that arrived just before are read and answered in it.
+	closingTime = time.Second
+	// killMargin is the least time between the end of a daemon and its kill by the
+	// platform.
+	killMargin = 400 * time.Millisecond
+	// checkPeriod is the time between two checks whether a phase may end early.
+	checkPeriod = 100 * time.Millisecond
+)
+
+// Phase is a step of a daemon's end.
+type Phase int32
+
+// The phases, in order.
+const (
+	Serving Phase = iota
+	Leaving
+	Closing
+	Ended
+)
+
+var phaseNames = [...]string{"serving", "leaving", "closing", "ended"}
+
+// String returns the phase's name.
+func (p Phase) String() string { return phaseNames[p] }
+
+// Server serves callers' connections.
+type Server interface {
+	// Shutdown closes the listeners and idle connections, and returns when no
+	// connection is active or the context ends.
+	Shutdown(ctx context.Context) error
+}
+
+// Drain is the state of a daemon's end. Its fields are set before the first use. The
+// methods are safe for concurrent use, but Run may be called once.
+type Drain struct {
+	Timer bramleytack.Timer
+	// Grace is the time from the termination signal to the kill by the platform.
+	Grace time.Duration
+	// Active returns the number of requests that are being served.
+	Active func() int
+	// Changed is called at the start of each phase after Serving. It may be nil.
+	Changed func(p Phase)
+
+	phase atomic.Int32
+	// end is the time by which the daemon ends, once it is not Serving.
+	end atomic.Pointer[time.Time]
+}
+
+// Phase returns the current phase.
+func (d *Drain) Phase() Phase { return Phase(d.phase.Load()) }
+
+// Accepts reports whether a request that is expected to take some time ends before the
+// daemon does.
+func (d *Drain) Accepts(expected time.Duration) bool {
+	end := d.end.Load()
+	return end == nil || d.Timer.Now().Add(expected).Before(*end)
+}
+
+// Run passes through the phases and returns when the daemon may end. The servers close
+// their listeners in the phase Closing.
+func (d *Drain) Run(servers ...Server) {
+	started := d.Timer.Now()
+	end := started.Add(max(d.Grace-killMargin, 0))
+	d.end.Store(&end)
+	d.enter(Leaving)
+	closeAt := end.Add(-closingTime)
+	d.wait(closeAt, func() bool { return d.Timer.Now().Sub(started) >= minLeaving && d.Active() == 0 })
+	d.enter(Closing)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var open atomic.Int32
+	for _, s := range servers {
+		open.Add(1)
+		go (&shutdown{server: s, open: &open}).run(ctx)
+	}
+	d.wait(end, func() bool { return open.Load() == 0 && d.Active() == 0 })
+	d.enter(Ended)
+}
+
+func (d *Drain) enter(p Phase) {
+	d.phase.Store(int32(p))
+	if d.Changed != nil {
+		d.Changed(p)
+	}
+}
+
+// wait returns at a time, or earlier once done returns true.
+func (d *Drain) wait(until time.Time, done func() bool) {
+	for !done() {
+		left := until.Sub(d.Timer.Now())
+		if left <= 0 || d.Timer.Sleep(context.Background(), min(checkPeriod, left)) != nil {
+			return
+		}
+	}
+}
+
+// shutdown is the shutdown of one server.
+type shutdown struct {
+	server Server
+	open   *atomic.Int32
+}
+
+func (s *shutdown) run(ctx context.Context) {
+	// An error means that connections are still active, which Run waits for itself.
+	_ = s.server.Shutdown(ctx)
+	s.open.Add(-1)
+}
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -25,6 +25,7 @@
 	"bramleytack/internal/fleet/btdirectory"
 	"bramleytack/internal/fleet/btgossip"
 	"bramleytack/internal/fleet/btreplica"
+	"bramleytack/internal/node/btdrain"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/serve/btentry"
@@ -58,12 +59,6 @@
 	// sent to hundreds of daemons. Two daemons poll in turns, and termination notices
 	// are given more than a second ahead.
 	largeUpstreamsPollPause = 200 * time.Millisecond
-	// minDrain is the least time for which a daemon serves callers after it left the
-	// directory. Callers may use a directory response for three times its validity.
-	minDrain = 4 * time.Second
-	// killMargin is the least time between the end of draining and the kill by the
-	// platform.
-	killMargin = 400 * time.Millisecond
 )
 
 // Adapter holds the implementations that depend on the platform. New needs Engines,
@@ -104,8 +99,10 @@
 	handler     *btentry.Handler
 	dump        btdump.Registry
 	registry    *prometheus.Registry
-	leaving     atomic.Bool
+	leaving     btdrain.Drain
 	resync      btreplica.Resync
+	// entry serves callers. It is set by start.
+	entry *http.Server
 }
 
 // New returns a daemon that writes its log to logs. It opens no connection.
@@ -125,7 +122,7 @@
 			Port: s.Peer.Port(), Incarnation: uint64(time.Now().UnixMilli()), Processor: s.ProcessorMillis,
 		},
 		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Timer: n.timer, Log: n.log,
-		Ready: n.Ready, Leaving: n.leaving.Load, Seeds: addrsOf(s.Seeds),
+		Ready: n.Ready, Leaving: n.isLeaving, Seeds: addrsOf(s.Seeds),
 	})
 	n.storeStatus.OnDown = n.gossip.Announce
 	n.accounts.Daemons = n.gossip.Count
@@ -133,7 +130,7 @@
 	n.accounts.RemoteLate = n.gossip.HasHubs
 	n.handler = &btentry.Handler{
 		Table: n.table, Accounts: n.accounts, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
-		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.leaving.Load,
+		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.isLeaving, Accepts: n.leaving.Accepts,
 		Lengths: btforecast.New(n.timer),
 		Budget: &btretry.Budget{
 			Timer: n.timer, Ratio: retryBudgetShare * s.Bounds.RetryRatio,
@@ -142,10 +139,13 @@
 			Processes: n.gossip.Count,
 		},
 	}
+	n.leaving = btdrain.Drain{Timer: n.timer, Grace: s.Bounds.Grace, Active: n.handler.Active, Changed: n.phaseChanged}
 	n.registerMetrics()
 	return n
 }
 
+func (n *Node) isLeaving() bool { return n.leaving.Phase() != btdrain.Serving }
+
 func addrsOf(list []netip.AddrPort) []netip.Addr {
 	out := make([]netip.Addr, len(list))
 	for i, a := range list {
@@ -182,7 +182,7 @@
 // configuration, knows at least one upstream and is not leaving.
 func (n *Node) Ready() bool {
 	s := n.table.Snapshot()
-	return s != nil && len(s.Upstreams) > 0 && !n.leaving.Load()
+	return s != nil && len(s.Upstreams) > 0 && !n.isLeaving()
 }
 
 // Run serves until the context ends, then drains. It returns an error only if the
@@ -204,7 +204,7 @@
 	}
 	go n.housekeep(serving)
 	<-ctx.Done()
-	n.drain()
+	n.leaving.Run(n.entry)
 	n.log.Event(btevent.ProcessStopped).Int("active", n.handler.Active()).Int64("logLinesDropped", n.dropped.Load()).Send()
 	return nil
 }
@@ -234,6 +234,9 @@
 			return errors.Wrapf(err, "btnode: listen on %s", s.addr)
 		}
 		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+		if s.addr == n.settings.Entry {
+			n.entry = server
+		}
 		go (&listener{node: n, server: server, l: l}).run()
 	}
 	return nil
@@ -248,6 +251,9 @@
 
 func (l *listener) run() {
 	err := l.server.Serve(l.l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return
+	}
 	l.node.log.Event(btevent.ProcessFailed).Stringer("addr", l.l.Addr()).Err(err).Send()
 }
 
@@ -328,21 +334,10 @@
 	n.resync.All(nil)
 }
 
-// drain leaves the directory and keeps serving until callers have had minDrain to
-// notice and no request is active, at most until killMargin before the kill.
-func (n *Node) drain() {
-	n.leaving.Store(true)
-	n.gossip.TriggerDigest()
-	n.log.Event(btevent.ProcessDraining).Int("active", n.handler.Active()).Send()
-	started := n.timer.Now()
-	limit := max(n.settings.Bounds.Grace-killMargin, 0)
-	for {
-		elapsed := n.timer.Now().Sub(started)
-		if elapsed >= limit || elapsed >= minDrain && n.handler.Active() == 0 {
-			return
-		}
-		if n.timer.Sleep(context.Background(), min(housekeepingPeriod, limit-elapsed)) != nil {
-			return
-		}
+// phaseChanged announces that this daemon leaves, and logs each phase of its end.
+func (n *Node) phaseChanged(p btdrain.Phase) {
+	if p == btdrain.Leaving {
+		n.gossip.TriggerDigest()
 	}
+	n.log.Event(btevent.ProcessDraining).Stringer("phase", p).Int("active", n.handler.Active()).Send()
 }
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -163,5 +163,11 @@
 // all at once.
 func (req *activeRequest) retryAfter() time.Duration {
 	d := time.Duration((0.5 + rand.Float64()) * float64(meanRetryAfter))
-	return max(min(d, time.Duration(maxRetryAfterShare*float64(req.remaining()))), 0)
+	return max(min(d, req.maxRetryAfter()), 0)
+}
+
+// maxRetryAfter returns the longest Retry-After that leaves the caller time for another
+// attempt.
+func (req *activeRequest) maxRetryAfter() time.Duration {
+	return time.Duration(maxRetryAfterShare * float64(req.remaining()))
 }
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -32,10 +32,17 @@
 	// daemonRetryAfter is the Retry-After value if the daemon has no configuration
 	// yet or keeps too many request bodies in memory.
 	daemonRetryAfter = 400 * time.Millisecond
+	// leavingRetryAfter is the Retry-After value of a daemon that is leaving. Other
+	// daemons can take the request at once.
+	leavingRetryAfter = 20 * time.Millisecond
+	// durationMargin is the factor from the expected length of a generation to one that
+	// few generations exceed.
+	durationMargin = 1.5
 )
 
 // Handler serves callers over HTTP. Its fields are set before the first request.
-// Mover, Log, Metrics and Leaving may be nil.
+// Mover, Log, Metrics, Leaving and Accepts
+// may be nil.
 type Handler struct {
 	Table    *btreplica.Table
 	Accounts *btaccount.Table
@@ -50,7 +57,12 @@
 	// Leaving reports whether the daemon is shutting down. Responses then close
 	// their connection.
 	Leaving func() bool
+	// Accepts reports whether a request that is expected to take some time ends
+	// before the daemon does. Nil means that all do.
+	Accepts func(expected time.Duration) bool
 
+	// pace is learned from the streams of this daemon.
+	pace     btforecast.Pace
 	active   atomic.Int64
 	buffered atomic.Int64
 }
@@ -135,7 +147,25 @@
 	req.setDeadline(r)
 	req.setHeader(r)
 	req.need = req.readNeed(r.Header)
-	return req.readBody(r)
+	return req.readBody(r) && req.endsInTime()
+}
+
+// endsInTime rejects a request that would probably outlast this daemon.
+func (req *activeRequest) endsInTime() bool {
+	if accepts := req.h.Accepts; accepts == nil || accepts(req.expectedDuration()) {
+		return true
+	}
+	req.reject(http.StatusServiceUnavailable, min(leavingRetryAfter, req.maxRetryAfter()), "daemon ends before the request")
+	return false
+}
+
+// expectedDuration returns a time that most requests of this kind and size stay below.
+func (req *activeRequest) expectedDuration() time.Duration {
+	if !req.route.Streaming {
+		return min(req.lateThreshold(), req.remaining())
+	}
+	generation := time.Duration(durationMargin * float64(req.h.pace.Duration(req.need.Output)))
+	return min(req.route.TargetLatency+generation, req.remaining())
 }
 
 // authenticate sets the workspace that the request's API key belongs to. It
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -279,10 +279,11 @@
 	s.req.h.Metrics.responded(s.req, s.head.status)
 }
 
-// learnLength adds the length of a complete generation to the forecast.
+// learnLength adds the length and the pace of a complete generation to the forecasts.
 func (s *relay) learnLength() {
 	if s.req.need.MaxOutput > 0 && s.tokensSent() > 0 {
 		s.req.h.Lengths.Learn(s.req.route.Name, s.tokensSent())
+		s.req.h.pace.Learn(s.tokensSent(), s.lastEventAt.Sub(s.req.received.Add(s.firstEventLatency)))
 	}
 }
 
