Limits on heads, bodies, events and stalls of upstreams

A segment ends when no event with data has arrived for the longest of 2 s, four target latencies and eight maximum pauses, the time after which callers leave; a slow stream with an event each 1.9 s lives. On a reused connection a response needs the id. Each limit is logged (BT514) and counted.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -72,6 +72,7 @@
 	HandoverStarted         = Event{511, zerolog.InfoLevel, "another upstream was asked to continue a stream"}
 	MoveStarted             = Event{512, zerolog.InfoLevel, "move of a generation has started"}
 	MoveEnded               = Event{513, zerolog.InfoLevel, "move of a generation has ended"}
+	ResponseLimitExceeded   = Event{514, zerolog.WarnLevel, "response of an upstream exceeded a limit"}
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
 	RequestSuspected        = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
 	RequestQuarantined      = Event{603, zerolog.ErrorLevel, "request is quarantined"}
@@ -136,6 +137,7 @@
 		HandoverStarted,
 		MoveStarted,
 		MoveEnded,
+		ResponseLimitExceeded,
 		ClaimNotStored,
 		RequestSuspected,
 		RequestQuarantined,
--- a/internal/node/btdrain/drain_test.go
+++ b/internal/node/btdrain/drain_test.go
@@ -62,7 +62,7 @@
 // runDaemon calls f with a running daemon in fake time, and cuts all connections after
 // it, as the end of the process does.
 func runDaemon(t *testing.T, f func(d *daemon)) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		timer := bttimer.New(1)
 		d := &daemon{net: &btmemnet.Network{}}
 		d.drain = &Drain{Timer: timer, Grace: grace, Active: func() int { return int(d.active.Load()) }}
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -163,6 +163,7 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "bramleytack_upstream_connections_total", Help: "Connections opened to upstreams."}, func() float64 { return float64(n.pool.Opened.Load()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "bramleytack_log_lines_dropped_total", Help: "Log lines dropped because of a slow reader."}, func() float64 { return float64(n.dropped.Load()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bramleytack_peers_alive", Help: "Other daemons that are alive."}, func() float64 { return float64(len(n.gossip.Alive())) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bramleytack_body_bytes", Help: "Size of the bodies that are kept in memory."}, func() float64 { return float64(n.handler.Buffered()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bramleytack_requests_active", Help: "Requests being served."}, func() float64 { return float64(n.handler.Active()) }),
 	)
 	for _, c := range btgossip.Causes() {
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,15 +14,25 @@
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/serve/btstream"
 	"bramleytack/internal/upstream/btconn"
 )
 
-// maxResponseBytes bounds a response that is buffered until it is complete.
-const maxResponseBytes = 16 << 20
+const (
+	// maxResponseBytes bounds a response that is buffered until it is complete.
+	maxResponseBytes = 16 << 20
+	// bodyChunk is the size in bytes in which a response body grows and is counted.
+	bodyChunk = 32 << 10
+)
 
-// errOtherRequest is returned if a response carries the id of another request.
+// errOtherRequest is returned if a response carries the id of another request, or none
+// on a connection on which a late response to an earlier request may arrive.
 var errOtherRequest = errors.New("btentry: response belongs to another request")
 
+// errTooLarge is returned for a response body that exceeds maxResponseBytes, or the
+// memory that is left for all bodies.
+var errTooLarge = errors.New("btentry: response body is too large")
+
 // attemptResult is how an attempt ended.
 type attemptResult struct {
 	upstream *bramleytack.Upstream
@@ -64,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if id := x.Header.Get(req.h.Dialect.RequestID); id != req.id && id != "" {
+	if id := x.Header.Get(req.h.Dialect.RequestID); id != req.id && (id != "" || c.Reused()) {
 		x.Response.Close = true
 		x.Close()
 		return nil, errOtherRequest
@@ -125,7 +136,7 @@
 		return r.fail(err)
 	}
 	defer x.Close()
-	return r.read(x, req.h.Dialect)
+	return req.readResult(r, x)
 }
 
 // fail records an error that came before a response.
@@ -137,12 +148,13 @@
 	return r
 }
 
-// read reads the response body and sets the outcome.
-func (r *attemptResult) read(x *btconn.Exchange, d bramleytack.FleetDialect) *attemptResult {
+// readResult reads the response body and sets the outcome of r.
+func (req *activeRequest) readResult(r *attemptResult, x *btconn.Exchange) *attemptResult {
+	d := req.h.Dialect
 	r.status, r.header = x.StatusCode, x.Header
-	r.body, r.err = io.ReadAll(io.LimitReader(x.Body, maxResponseBytes))
+	r.body, r.err = req.h.readBody(x.Body)
 	if r.err == nil && !x.Complete() {
-		r.err = errors.Newf("btentry: response is larger than %d bytes", maxResponseBytes)
+		r.err = errTooLarge
 	}
 	switch {
 	case r.status == http.StatusMisdirectedRequest:
@@ -155,6 +167,31 @@
 	return r
 }
 
+// readBody reads a response body. While it is read it counts against the memory for all
+// bodies: a body without end would otherwise use up the memory of the daemon.
+func (h *Handler) readBody(r io.Reader) ([]byte, error) {
+	var body []byte
+	counted := 0
+	defer func() { h.buffered.Add(-int64(counted)) }()
+	for {
+		if len(body) == counted {
+			if counted+bodyChunk > maxResponseBytes || h.buffered.Add(bodyChunk) > maxBufferedBytes {
+				return nil, errTooLarge
+			}
+			counted += bodyChunk
+			body = slices.Grow(body, bodyChunk)
+		}
+		n, err := r.Read(body[len(body):counted])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // health returns the outcome that counts for the upstream's health.
 func (req *activeRequest) health(r *attemptResult) btaccount.Outcome {
 	switch {
@@ -171,7 +208,24 @@
 }
 
 func (req *activeRequest) logAttempt(r *attemptResult, started time.Time) {
+	req.noteLimit(r.upstream, r.err)
 	req.log(btevent.AttemptEnded).Str("upstream", string(r.upstream.ID)).Str("service", req.service).
 		Int("send", req.attempts).Int("status", r.status).Stringer("outcome", r.outcome).
 		Uint64("version", req.snapshot.Version).Dur("took", req.h.Timer.Now().Sub(started)).AnErr("cause", r.err).Send()
 }
+
+// responseLimits are the limits on responses of upstreams, by their names in logs and
+// metrics.
+var responseLimits = map[string]error{
+	"head": btconn.ErrHeadTooLarge, "body": errTooLarge, "event": btstream.ErrEventTooLong, "stall": errStalled,
+}
+
+// noteLimit logs and counts an error that is due to a limit on responses.
+func (req *activeRequest) noteLimit(u *bramleytack.Upstream, err error) {
+	for name, limit := range responseLimits {
+		if errors.Is(err, limit) {
+			req.h.Metrics.limitExceeded(name)
+			req.log(btevent.ResponseLimitExceeded).Str("upstream", string(u.ID)).Str("limit", name).Send()
+		}
+	}
+}
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -71,6 +71,10 @@
 // concurrent use.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
+// Buffered returns the size in bytes of the bodies that are kept in memory. It is safe
+// for concurrent use.
+func (h *Handler) Buffered() int64 { return h.buffered.Load() }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btaccount"
@@ -19,6 +21,9 @@
 	probeTimeout = 50 * time.Millisecond
 )
 
+// errStalled ends a segment whose engine sent no event for too long.
+var errStalled = errors.New("btentry: engine sends no events")
+
 // moveResult is how a move ended.
 type moveResult struct {
 	source *segment
@@ -60,6 +65,10 @@
 		return
 	}
 	silent := now.Sub(s.cur.lastEventAt)
+	if silent >= s.stallLimit() && s.cur.cancel != nil {
+		s.segmentBroken(s.cur, errStalled)
+		return
+	}
 	if s.headSent {
 		if silent >= s.silenceLimit() {
 			s.probe(s.cur.upstream)
--- a/internal/serve/btentry/metrics.go
+++ b/internal/serve/btentry/metrics.go
@@ -23,6 +23,7 @@
 	answers           *prometheus.CounterVec
 	rejections        *prometheus.CounterVec
 	brokenStreams     prometheus.Counter
+	limits            *prometheus.CounterVec
 	latency           *prometheus.HistogramVec
 	firstEventLatency prometheus.Histogram
 	eventGaps         prometheus.Histogram
@@ -36,13 +37,14 @@
 		answers:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_answers_total", Help: "Responses of upstreams that were passed on."}, []string{"status"}),
 		rejections:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_rejections_total", Help: "Responses of the daemon itself."}, []string{"status", "reason"}),
 		brokenStreams:     prometheus.NewCounter(prometheus.CounterOpts{Name: "bramleytack_streams_broken_total", Help: "Streams that ended before their end."}),
+		limits:            prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_response_limits_total", Help: "Responses of upstreams that exceeded a limit."}, []string{"limit"}),
 		latency:           prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "bramleytack_answer_seconds", Help: "Time to the whole response.", Buckets: latencyBuckets}, []string{"kind"}),
 		firstEventLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_first_event_seconds", Help: "Time to the first event.", Buckets: latencyBuckets}),
 		eventGaps:         prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_event_gap_seconds", Help: "Time between events.", Buckets: gapBuckets}),
 		handoverPauses:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_handover_pause_seconds", Help: "Pause of a stream that went on at another engine.", Buckets: gapBuckets}),
 		memoryWaits:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_room_wait_seconds", Help: "Time until an engine had room for a generation.", Buckets: latencyBuckets}),
 	}
-	r.MustRegister(m.answers, m.rejections, m.brokenStreams, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
+	r.MustRegister(m.answers, m.rejections, m.brokenStreams, m.limits, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
 	return m
 }
 
@@ -73,6 +75,12 @@
 	}
 }
 
+func (m *Metrics) limitExceeded(name string) {
+	if m != nil {
+		m.limits.WithLabelValues(name).Inc()
+	}
+}
+
 func (m *Metrics) firstEvent(d time.Duration) {
 	if m != nil {
 		m.firstEventLatency.Observe(d.Seconds())
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -96,7 +96,7 @@
 	}
 	defer x.Close()
 	if x.StatusCode != http.StatusOK {
-		seg.send(ctx, item{head: r.read(x, seg.req.h.Dialect), ended: true})
+		seg.send(ctx, item{head: seg.req.readResult(r, x), ended: true})
 		return
 	}
 	r.status, r.header, r.outcome = x.StatusCode, x.Header, bramleytack.Ran
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -11,6 +11,7 @@
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/serve/btstream"
 )
 
 const (
@@ -32,6 +33,12 @@
 	// minSilence keeps engines with long intervals between events from being
 	// probed.
 	minSilence = 80 * time.Millisecond
+	// A stream whose engine sends no event ends after the longest of minStall, and
+	// stallTargets and stallPauses times the route's target latency and maximum pause.
+	// Callers abandon a stream then. Bytes that are no event do not count.
+	minStall     = 2 * time.Second
+	stallTargets = 4
+	stallPauses  = 8
 	// maxOverlap bounds the time in which two engines run the same generation.
 	maxOverlap = 300 * time.Millisecond
 	// A resumable stream without any event is sent to another engine after this
@@ -211,6 +218,13 @@
 // event of the next segment ends the current one.
 func (s *relay) deliver(seg *segment, i item) {
 	now := s.req.h.Timer.Now()
+	if !i.event.HasData {
+		// A comment is no progress of the generation.
+		if seg == s.cur && s.headSent {
+			s.forwardEvent(i.event)
+		}
+		return
+	}
 	seg.lastEventAt = now
 	seg.eventCount++
 	if seg.eventCount == 1 {
@@ -230,18 +244,26 @@
 		seg.lease.Grow(s.tokensSent())
 	}
 	s.sendHead()
-	if _, err := s.req.w.Write(i.event.Raw); err != nil {
-		s.req.log(btevent.CallerDisconnected).Err(err).Uint64("lastEvent", s.lastEventID).Send()
-		s.done = true
+	if !s.forwardEvent(i.event) {
 		return
 	}
-	s.flusher.Flush()
 	pause := now.Sub(s.lastEventAt)
 	s.longestPause = max(s.longestPause, pause)
 	s.req.h.Metrics.event(pause, seg.origin != fromStart && seg.eventCount == 1)
 	s.lastEventAt = now
 }
 
+// forwardEvent sends an event to the caller. It reports false if the caller is gone.
+func (s *relay) forwardEvent(e btstream.Event) bool {
+	if _, err := s.req.w.Write(e.Raw); err != nil {
+		s.req.log(btevent.CallerDisconnected).Err(err).Uint64("lastEvent", s.lastEventID).Send()
+		s.done = true
+		return false
+	}
+	s.flusher.Flush()
+	return true
+}
+
 // sendHead sends the response header if it has not been sent.
 func (s *relay) sendHead() {
 	if s.headSent {
@@ -324,6 +346,7 @@
 
 // segmentBroken handles a segment that ended before its stream was complete.
 func (s *relay) segmentBroken(seg *segment, err error) {
+	s.req.noteLimit(seg.upstream, err)
 	if seg == s.next {
 		seg.close(btaccount.Failed)
 		s.next = nil
@@ -364,3 +387,9 @@
 func (s *relay) silenceLimit() time.Duration {
 	return max(time.Duration(silenceShare*float64(s.req.route.MaxPause)), minSilence)
 }
+
+// stallLimit returns the time without events after which a segment ends.
+func (s *relay) stallLimit() time.Duration {
+	r := s.req.route
+	return max(minStall, stallTargets*r.TargetLatency, stallPauses*r.MaxPause)
+}
--- a/internal/serve/btstream/reader.go
+++ b/internal/serve/btstream/reader.go
@@ -12,12 +12,11 @@
 const (
 	// readBufferSize holds a few events of usual size.
 	readBufferSize = 4 << 10
-	// maxEventBytes bounds an event with a line longer than the read buffer.
+	// maxEventBytes bounds an event, and the bytes of a line that never ends.
 	maxEventBytes = 1 << 20
 )
 
-// ErrEventTooLong is returned for an event of more than 1 MiB. The size is checked
-// only while a line longer than the read buffer of 4 KiB is read.
+// ErrEventTooLong is returned for an event of more than 1 MiB.
 var ErrEventTooLong = errors.New("btstream: event is longer than 1 MiB")
 
 // Event is one event of an event stream.
@@ -25,6 +24,9 @@
 	// ID is the event's id. HasID reports whether the event has a numeric one.
 	ID    uint64
 	HasID bool
+	// HasData reports whether the event has a data field. Without one it is a comment,
+	// which upstreams may send while a generation makes no progress.
+	HasData bool
 	// Raw holds the event's bytes, including the closing empty line. It is not
 	// reused by later calls of Next.
 	Raw []byte
@@ -56,7 +58,7 @@
 		if len(text) == 0 && start > 0 {
 			return e, nil
 		}
-		e.parseID(text)
+		e.parseField(text)
 	}
 }
 
@@ -67,18 +69,22 @@
 		part, err := r.r.ReadSlice('\n')
 		e.Raw = append(e.Raw, part...)
 		switch {
+		case len(e.Raw) > maxEventBytes:
+			return nil, ErrEventTooLong
 		case err == nil:
 			return e.Raw[start:], nil
 		case !errors.Is(err, bufio.ErrBufferFull):
 			return nil, err
-		case len(e.Raw) > maxEventBytes:
-			return nil, ErrEventTooLong
 		}
 	}
 }
 
-// parseID sets the event's id if the line is an id field.
-func (e *Event) parseID(line []byte) {
+// parseField evaluates a line that is an id or data field.
+func (e *Event) parseField(line []byte) {
+	if bytes.HasPrefix(line, []byte("data")) {
+		e.HasData = true
+		return
+	}
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
 		return
--- a/internal/serve/btstream/reader_test.go
+++ b/internal/serve/btstream/reader_test.go
@@ -55,6 +55,43 @@
 	}
 }
 
+// endless repeats a text without end.
+type endless struct {
+	text string
+	at   int
+	read int
+}
+
+func (e *endless) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = e.text[e.at]
+		e.at = (e.at + 1) % len(e.text)
+	}
+	e.read += len(b)
+	return len(b), nil
+}
+
+// Guards against events without end that exhaust the memory: one long line, and short
+// lines without an empty one (3.2 MB passed before).
+func TestEndlessEvent(t *testing.T) {
+	for _, text := range []string{"x", "data: x\n", "id: 1\n"} {
+		t.Run(text, func(t *testing.T) {
+			r := &endless{text: text}
+			_, err := readAll(r)
+			assert.ErrorIs(t, err, ErrEventTooLong)
+			assert.Assert(t, r.read <= maxEventBytes+2*readBufferSize, "%d bytes read", r.read)
+		})
+	}
+}
+
+// Guards against comments that count as progress of a generation.
+func TestCommentsHaveNoData(t *testing.T) {
+	events, err := readAll(strings.NewReader(": ping\n\nid: 1\ndata: a\n\n"))
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, len(events), 2)
+	assert.Assert(t, !events[0].HasData && events[1].HasData)
+}
+
 // Guards against a reader that drops or adds bytes.
 func FuzzReader(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n")
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -21,6 +21,8 @@
 const (
 	// readBufferBytes is enough for a response head and a few events.
 	readBufferBytes = 8 << 10
+	// maxHeadBytes bounds the head of a response, interim responses included.
+	maxHeadBytes = 64 << 10
 	// maxInlineBody is the largest request body in bytes that is written before the
 	// response is read. Larger ones are written concurrently.
 	maxInlineBody = 16 << 10
@@ -35,6 +37,8 @@
 	ErrUnsent = errors.New("btconn: request was not sent")
 	// ErrMalformed means that the received bytes are not an HTTP response.
 	ErrMalformed = errors.New("btconn: response is malformed")
+	// ErrHeadTooLarge means that the head of a response exceeds 64 KiB.
+	ErrHeadTooLarge = errors.New("btconn: response head exceeds 64 KiB")
 )
 
 // UserTimeoutControl returns a function for net.Dialer.Control. It makes the kernel
@@ -69,11 +73,38 @@
 	addr   netip.AddrPort
 	conn   net.Conn
 	r      *bufio.Reader
+	limit  *headLimit
 	reused bool
 	// idleUntil is the time until which the connection may be reused.
 	idleUntil time.Time
 }
 
+// headLimit passes reads through while the head of a response may go on.
+type headLimit struct {
+	r io.Reader
+	// left is the number of bytes that the head may still have. It is negative while
+	// no head is read.
+	left int
+}
+
+func (l *headLimit) Read(p []byte) (int, error) {
+	if l.left < 0 {
+		return l.r.Read(p)
+	}
+	if l.left == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// newConn returns a connection of the pool.
+func newConn(p *Pool, addr netip.AddrPort, nc net.Conn) *Conn {
+	l := &headLimit{r: nc, left: -1}
+	return &Conn{pool: p, addr: addr, conn: nc, limit: l, r: bufio.NewReaderSize(l, readBufferBytes)}
+}
+
 // Reused reports whether the connection carried a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
@@ -164,12 +195,17 @@
 
 // readHead reads the head of the final response and skips interim responses.
 func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.limit.left = maxHeadBytes
+	defer func() { c.limit.left = -1 }()
 	for {
 		if _, err := c.r.Peek(1); err != nil {
 			return nil, errors.Wrap(err, "btconn: no response")
 		}
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-		if err != nil {
+		switch {
+		case c.limit.left == 0 && err != nil:
+			return nil, ErrHeadTooLarge
+		case err != nil:
 			return nil, errors.Wrapf(ErrMalformed, "%v", err)
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
--- a/internal/upstream/btconn/pool.go
+++ b/internal/upstream/btconn/pool.go
@@ -1,7 +1,6 @@
 package btconn
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -69,7 +68,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnsent, "dial %s: %v", addr, err)
 	}
-	return &Conn{pool: p, addr: addr, conn: nc, r: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	return newConn(p, addr, nc), nil
 }
 
 // Check opens a connection to addr and puts it into the pool. An error means that
