Lapsed registrations expire at daemons that pulled them; fleet view

Cause: after an outage of the store, daemons keep registrations that lapsed for two more seconds and then drop them without a change in the store. A daemon that started within that time pulled them from a peer as if they were registered, and kept upstreams that had ended for good (operators of similar systems: after a restart, a server that had left was in use again). TestPulledLapsedRegistrationExpires failed first: 2 upstreams instead of 1.

Change: replies to pulls name the lapsed registrations, and the puller expires them. 'bramleytack fleet ADDRESS...' shows what daemons know of the fleet: live daemons and hubs of each failure domain, and the ages of the loads.

--- a/cmd/bramleytack/main_test.go
+++ b/cmd/bramleytack/main_test.go
@@ -232,3 +232,22 @@
 	s.run(exitOK, "generate", "--model", "crease-lm", "--output", "json")
 	contains(t, &s.out, `{"index":1,"text":"twice"}`, `"finishReason":"stop"`)
 }
+
+// Guards against a fleet view that hides daemons that do not answer, and against ages and
+// counts that are attributed to the wrong failure domain.
+func TestFleetView(t *testing.T) {
+	s := newShell(t)
+	daemon := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Equal(t, r.URL.Query().Get("part"), "fleet")
+		fmt.Fprint(w, `{"fleet":{"host":"h1","failureDomain":"a","hub":"h2","totalAge":40,"domains":{"a":{"alive":2,"hubs":["h2","h3"]},"b":{"alive":3,"hubs":["h9"],"tableAge":210}}}}`)
+	}))
+	s.run(exitOK, "fleet", daemon)
+	lines := strings.Split(strings.TrimSpace(s.out.String()), "\n")
+	assert.Equal(t, len(lines), 3)
+	assert.DeepEqual(t, strings.Fields(lines[1]), []string{"h1", "a", "3", "h2,h3", "40ms"})
+	assert.DeepEqual(t, strings.Fields(lines[2]), []string{"h1", "b", "3", "h9", "210ms"})
+	s.run(exitFailed, "fleet", daemon, "127.0.0.1:1")
+	assert.Assert(t, strings.Contains(s.log.String(), "1 of 2 daemons did not answer"), s.log.String())
+	s.run(exitUsage, "fleet")
+	s.run(exitUsage, "fleet", "nowhere")
+}
--- a/internal/fleet/btgossip/push.go
+++ b/internal/fleet/btgossip/push.go
@@ -64,7 +64,7 @@
 }
 
 func encodeBatch(b btreplica.Batch) *ObjectBatch {
-	out := &ObjectBatch{Kind: b.Kind, Full: b.Full, Base: uint64(b.Base), Upto: uint64(b.Upto), AfterOutage: b.AfterOutage}
+	out := &ObjectBatch{Kind: b.Kind, Full: b.Full, Base: uint64(b.Base), Upto: uint64(b.Upto), AfterOutage: b.AfterOutage, Lapsed: b.Lapsed}
 	for _, o := range b.Objects {
 		out.Objects = append(out.Objects, &StoredObject{Name: o.Name, Version: uint64(o.Version), Deleted: o.Deleted, Data: o.Data})
 	}
@@ -73,7 +73,7 @@
 
 func (b *ObjectBatch) decode() btreplica.Batch {
 	out := btreplica.Batch{
-		Kind: b.Kind, Full: b.Full, Base: bramleytack.Revision(b.Base), Upto: bramleytack.Revision(b.Upto), AfterOutage: b.AfterOutage,
+		Kind: b.Kind, Full: b.Full, Base: bramleytack.Revision(b.Base), Upto: bramleytack.Revision(b.Upto), AfterOutage: b.AfterOutage, Lapsed: b.Lapsed,
 	}
 	for _, o := range b.Objects {
 		out.Objects = append(out.Objects, bramleytack.Object{
--- a/internal/fleet/btgossip/remote.go
+++ b/internal/fleet/btgossip/remote.go
@@ -44,6 +44,16 @@
 	return ok && now.Sub(t.at) < remoteTableValidity
 }
 
+// age returns the age of the table of a failure domain, zero without one.
+func (r *remoteTables) age(d bramleytack.FailureDomainID, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t, ok := r.byDomain[d]; ok {
+		return now.Sub(t.at)
+	}
+	return 0
+}
+
 // pack returns the fresh tables in groups that fit into one datagram each.
 func (r *remoteTables) pack(now time.Time) [][]*LoadTable {
 	r.mu.Lock()
--- a/internal/fleet/bthub/client.go
+++ b/internal/fleet/bthub/client.go
@@ -109,6 +109,17 @@
 	return !c.totalAt.IsZero() && now.Sub(c.totalAt) < totalValidity
 }
 
+// State returns the hub that the client subscribes to and the age of the newest usable
+// total, zero without one.
+func (c *Client) State(now time.Time) (hub bramleytack.HostID, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.totalAt.IsZero() {
+		age = now.Sub(c.totalAt)
+	}
+	return c.hub, age
+}
+
 // Reset discards all reports and the newest total. It is for use after this process was
 // suspended.
 func (c *Client) Reset() {
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -30,6 +30,8 @@
 	AfterOutage bool
 	// FromStore is set if this daemon read the batch from the store, not from a peer.
 	FromStore bool
+	// Lapsed are the names of Objects whose registration the store no longer has.
+	Lapsed []string
 }
 
 // kindState is the replica of one kind.
@@ -126,9 +128,13 @@
 		return b
 	}
 	b.Upto = k.upto
-	for _, o := range k.objects {
+	for name, o := range k.objects {
 		b.Objects = append(b.Objects, o)
+		if _, ok := k.lapsed[name]; ok {
+			b.Lapsed = append(b.Lapsed, name)
+		}
 	}
+	slices.Sort(b.Lapsed)
 	slices.SortFunc(b.Objects, func(a, b bramleytack.Object) int { return cmp.Compare(a.Name, b.Name) })
 	return b
 }
@@ -196,6 +202,13 @@
 		delete(k.lapsed, o.Name)
 		changed = true
 	}
+	for _, name := range b.Lapsed {
+		// Without the mark, a daemon that has just started would keep an upstream that
+		// has ended: the other daemons drop it without a change in the store.
+		if _, ok := k.objects[name]; ok {
+			k.lapsed[name] = now.Add(lapseGrace)
+		}
+	}
 	return changed
 }
 
--- a/internal/fleet/btreplica/table_test.go
+++ b/internal/fleet/btreplica/table_test.go
@@ -273,3 +273,24 @@
 		assert.Assert(t, checks <= int(duration/inactiveInterval)+1, "%d checks", checks)
 	})
 }
+
+// A daemon starts right after an outage of the store and pulls the registrations of a
+// peer, which still keeps one that lapsed. Guards against an upstream that has ended and
+// stays in use at the new daemon for good.
+func TestPulledLapsedRegistrationExpires(t *testing.T) {
+	inFakeTime(t, func(t *testing.T, old *Table, timer *bttimer.Service) {
+		old.Apply(config(1, 1))
+		kind := bramleytack.KindUpstreams
+		old.Apply(Batch{Kind: kind, Full: true, Upto: 2, Objects: []bramleytack.Object{object(kind, "gone", 2, 1), object(kind, "live", 2, 1)}})
+		old.Apply(Batch{Kind: kind, Full: true, Upto: 5, Objects: []bramleytack.Object{object(kind, "live", 2, 1)}, AfterOutage: true})
+		started := NewTable(codec{}, timer, btevent.New(io.Discard, 0, "h"))
+		started.Apply(config(1, 1))
+		started.Apply(old.FullBatch(kind))
+		assert.Equal(t, len(started.Snapshot().Upstreams), 2, "the grace applies to the new daemon, too")
+		time.Sleep(lapseGrace + time.Second)
+		old.Expire()
+		started.Expire()
+		assert.Equal(t, len(old.Snapshot().Upstreams), 1)
+		assert.Equal(t, len(started.Snapshot().Upstreams), 1)
+	})
+}
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -175,6 +175,7 @@
 		)
 	}
 	n.dump.Add("peers", func() any { return n.gossip.Alive() })
+	n.dump.Add("fleet", func() any { return n.gossip.State() })
 	n.dump.Add("loads", func() any { return n.accounts.OwnLoads() })
 	n.dump.Add("snapshot", func() any { return n.table.Snapshot() })
 }
