Many changes at once are pushed compressed; choices consider a sample

A choice among 3,000 upstreams took 0.9 ms.

Change: changes of up to 8 KiB compressed are pushed. Of a service with more than 256 upstreams a choice considers those of its own domain and 64 others. TestManyNoticesArriveAtOnce fails without it (revision 4 instead of 9).

--- a/internal/fleet/btgossip/hubs_test.go
+++ b/internal/fleet/btgossip/hubs_test.go
@@ -228,6 +228,39 @@
 	}
 }
 
+// Twenty-two engines get their notice at once, a sixth of those of the large Foldwell site.
+// Guards against changes that are too large for one frame and reach the daemons only by a
+// digest and a pull of all registrations.
+func TestManyNoticesArriveAtOnce(t *testing.T) {
+	kind := bramleytack.KindUpstreams
+	notices := func(state string, v bramleytack.Revision) []bramleytack.Object {
+		var all []bramleytack.Object
+		for i := range 22 {
+			data := fmt.Sprintf(`{"service":"vovo96a","address":"10.%d.64.%d:8645","zone":"qld-%d","version":1,"slots":24,"state":%q,"cold_left_ms":0,"sequence":%d,"born":1785890080015,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}]}`, i%5, 40+i, i%5, state, 31+i)
+			all = append(all, bramleytack.Object{Key: bramleytack.Key{Kind: kind, Name: fmt.Sprintf("i-%010x", 7919*i*i+i)}, Version: v, Data: []byte(data)})
+		}
+		return all
+	}
+	runHubs(t, 48, 0, func(c *cell) {
+		time.Sleep(4 * time.Second)
+		for _, n := range c.nodes {
+			n.Table.Apply(btreplica.Batch{Kind: kind, Full: true, Upto: 4, Objects: notices("ready", 4)})
+		}
+		time.Sleep(time.Second)
+		c.lan.mu.Lock()
+		c.lan.largest = 0
+		c.lan.mu.Unlock()
+		c.nodes[10].Table.Apply(btreplica.Batch{Kind: kind, Base: 4, Upto: 9, Objects: notices("draining", 9), FromStore: true})
+		time.Sleep(time.Millisecond)
+		for i, n := range c.nodes {
+			assert.Equal(t, n.Table.Upto(kind), bramleytack.Revision(9), "daemon %d", i)
+		}
+		c.lan.mu.Lock()
+		defer c.lan.mu.Unlock()
+		assert.Assert(t, c.lan.largest <= 2*maxPacketSize, "largest datagram has %d bytes", c.lan.largest)
+	})
+}
+
 // A process restarts with a clock that is behind. Guards against peers that ignore it
 // until its clock has caught up with its earlier incarnation.
 func TestRestartWithClockBehind(t *testing.T) {
--- a/internal/fleet/btgossip/pull.go
+++ b/internal/fleet/btgossip/pull.go
@@ -148,6 +148,26 @@
 // encodeReply returns an encoded batch, compressed and with its length in front. It is
 // compressed because many daemons pull over one host's link when all daemons start.
 func encodeReply(b *ObjectBatch) ([]byte, error) {
+	compressed, err := compressBatch(b)
+	if err != nil {
+		return nil, err
+	}
+	var framed bytes.Buffer
+	_, err = protodelim.MarshalTo(&framed, wrapperspb.Bytes(compressed))
+	return framed.Bytes(), err
+}
+
+// readReply reads a batch that encodeReply encoded.
+func readReply(br *bufio.Reader) (*ObjectBatch, error) {
+	var compressed wrapperspb.BytesValue
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxReplySize}).UnmarshalFrom(br, &compressed); err != nil {
+		return nil, err
+	}
+	return expandBatch(compressed.Value)
+}
+
+// compressBatch returns an encoded batch, compressed by DEFLATE.
+func compressBatch(b *ObjectBatch) ([]byte, error) {
 	plain, err := proto.Marshal(b)
 	if err != nil {
 		return nil, err
@@ -163,18 +183,12 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	var framed bytes.Buffer
-	_, err = protodelim.MarshalTo(&framed, wrapperspb.Bytes(compressed.Bytes()))
-	return framed.Bytes(), err
+	return compressed.Bytes(), nil
 }
 
-// readReply reads a batch that encodeReply encoded.
-func readReply(br *bufio.Reader) (*ObjectBatch, error) {
-	var compressed wrapperspb.BytesValue
-	if err := (protodelim.UnmarshalOptions{MaxSize: maxReplySize}).UnmarshalFrom(br, &compressed); err != nil {
-		return nil, err
-	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed.Value)), maxReplySize+1))
+// expandBatch returns the batch that compressBatch compressed.
+func expandBatch(compressed []byte) (*ObjectBatch, error) {
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxReplySize+1))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/btgossip/push.go
+++ b/internal/fleet/btgossip/push.go
@@ -3,18 +3,28 @@
 import (
 	"net/netip"
 
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
 	"bramleytack"
+	"bramleytack/btevent"
 	"bramleytack/internal/fleet/btreplica"
 )
 
-// maxPacketSize is the size in bytes up to which changes are pushed. Such a datagram
-// fits into one Ethernet frame.
-const maxPacketSize = 1400
+const (
+	// maxPacketSize is the size in bytes up to which changes are pushed as they are. Such
+	// a datagram fits into one Ethernet frame.
+	maxPacketSize = 1400
+	// maxCompressedSize is the size in bytes up to which larger changes are pushed
+	// compressed. It holds the notices of about two hundred upstreams; a few frames
+	// arrive sooner than a pull of all objects.
+	maxCompressedSize = 8 << 10
+)
 
 // pushBatch sends changes that this daemon read from the store to all live daemons,
 // through the hubs of their failure domains if there are any. Of full lists and of
-// changes beyond maxPacketSize it only announces the revision, by a digest: daemons that
-// are behind pull the objects.
+// changes beyond maxCompressedSize it only announces the revision, by a digest: daemons
+// that are behind pull the objects.
 func (n *Node) pushBatch(b btreplica.Batch) {
 	switch {
 	case b.Full:
@@ -25,23 +35,45 @@
 	case !b.FromStore, len(b.Objects) == 0:
 		return
 	}
-	v := n.view()
-	data := n.encode(&Packet{Batch: encodeBatch(b), Forward: true})
-	if len(data) > maxPacketSize {
+	p, err := packChanges(encodeBatch(b))
+	if err != nil {
+		n.Log.Event(btevent.PeerPacketDropped).Err(err).Send()
 		n.TriggerDigest()
 		return
 	}
+	v := n.view()
 	if !v.large() {
-		n.writeAll(CauseChange, n.encode(&Packet{Batch: encodeBatch(b)}), addrsOf(v.alive))
+		n.writeAll(CauseChange, n.encode(p), addrsOf(v.alive))
 		return
 	}
-	n.writeAll(CauseChange, data, n.remoteHubs(v))
-	n.forwardBatch(v, encodeBatch(b))
+	n.writeAll(CauseChange, n.encode(p), addrsOf(v.near))
+	p.Forward = true
+	n.writeAll(CauseChange, n.encode(p), n.remoteHubs(v))
 }
 
-// forwardBatch sends changes to the other daemons of this failure domain.
-func (n *Node) forwardBatch(v *view, b *ObjectBatch) {
-	n.writeAll(CauseChange, n.encode(&Packet{Batch: b}), addrsOf(v.near))
+// errChangesTooLarge is returned for changes that exceed maxCompressedSize.
+var errChangesTooLarge = errors.New("btgossip: changes are too large for a datagram")
+
+// packChanges returns a packet with changes, compressed if they exceed maxPacketSize.
+func packChanges(b *ObjectBatch) (*Packet, error) {
+	if proto.Size(b) <= maxPacketSize {
+		return &Packet{Batch: b}, nil
+	}
+	compressed, err := compressBatch(b)
+	if err == nil && len(compressed) > maxCompressedSize {
+		err = errChangesTooLarge
+	}
+	return &Packet{Compressed: compressed}, err
+}
+
+// handleCompressed applies compressed changes from another daemon.
+func (n *Node) handleCompressed(p *Packet, sender netip.Addr) {
+	b, err := expandBatch(p.Compressed)
+	if err != nil {
+		n.Log.Event(btevent.PeerPacketDropped).Stringer("from", sender).Err(err).Send()
+		return
+	}
+	n.handleBatch(p, b, sender)
 }
 
 func (n *Node) writeAll(c Cause, data []byte, addrs []netip.Addr) {
@@ -50,16 +82,16 @@
 	}
 }
 
-// handleBatch applies changes from another daemon, and sends them on if that was asked
-// for and they are news.
-func (n *Node) handleBatch(p *Packet, sender netip.Addr) {
-	before := n.Table.Upto(p.Batch.Kind)
-	if !n.Table.Apply(p.Batch.decode()) {
-		n.pull(sender, p.Batch.Kind, bramleytack.Revision(p.Batch.Upto))
+// handleBatch applies the changes b of a packet, and sends them on if that was asked for
+// and they are news.
+func (n *Node) handleBatch(p *Packet, b *ObjectBatch, sender netip.Addr) {
+	before := n.Table.Upto(b.Kind)
+	if !n.Table.Apply(b.decode()) {
+		n.pull(sender, b.Kind, bramleytack.Revision(b.Upto))
 		return
 	}
-	if p.Forward && bramleytack.Revision(p.Batch.Upto) > before {
-		n.forwardBatch(n.view(), p.Batch)
+	if p.Forward && bramleytack.Revision(b.Upto) > before {
+		n.writeAll(CauseChange, n.encode(&Packet{Batch: p.Batch, Compressed: p.Compressed}), addrsOf(n.view().near))
 	}
 }
 
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -67,7 +67,10 @@
 		r.handleDigest(p, d, sender, now)
 	}
 	if p.Batch != nil {
-		n.handleBatch(p, sender)
+		n.handleBatch(p, p.Batch, sender)
+	}
+	if len(p.Compressed) > 0 {
+		n.handleCompressed(p, sender)
 	}
 	if p.Report != nil {
 		n.handleReport(p, p.Report, now)
--- a/internal/route/btaccount/health.go
+++ b/internal/route/btaccount/health.go
@@ -1,6 +1,8 @@
 package btaccount
 
 import (
+	"math/rand/v2"
+
 	"bramleytack"
 	"bramleytack/btevent"
 )
@@ -8,14 +10,45 @@
 // Eligible returns the upstreams of a service that may get new work and are not
 // in tried. It leaves out those that this daemon avoids, unless no others remain,
 // and those that at least ejectQuorum other daemons have ejected, unless they are
-// more than half of the service or no others remain.
+// more than half of the service or no others remain. Of a service with more than
+// maxCandidates upstreams it considers those of this failure domain and a sample of the
+// others, as long as one of them may get work.
 func (t *Table) Eligible(s *bramleytack.Snapshot, service string, tried map[bramleytack.UpstreamID]bool) []*bramleytack.Upstream {
+	all := s.ByService[service]
+	if len(all) > maxCandidates && t.RemoteLate != nil && t.RemoteLate() {
+		if list := t.eligible(s, service, t.sampleCandidates(all), tried); len(list) > 0 {
+			return list
+		}
+	}
+	return t.eligible(s, service, all, tried)
+}
+
+// sampleCandidates returns the upstreams of this daemon's failure domain and, starting at
+// a random one, remoteSample of the others.
+func (t *Table) sampleCandidates(all []*bramleytack.Upstream) []*bramleytack.Upstream {
+	var list []*bramleytack.Upstream
+	remote := 0
+	start := rand.IntN(len(all))
+	for i := range all {
+		u := all[(start+i)%len(all)]
+		if u.FailureDomain != t.Domain {
+			if remote++; remote > remoteSample {
+				continue
+			}
+		}
+		list = append(list, u)
+	}
+	return list
+}
+
+// eligible is Eligible for some of the service's upstreams.
+func (t *Table) eligible(s *bramleytack.Snapshot, service string, from []*bramleytack.Upstream, tried map[bramleytack.UpstreamID]bool) []*bramleytack.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	var healthy, peerEjected, avoided []*bramleytack.Upstream
 	accepted := 0
-	for _, u := range s.ByService[service] {
+	for _, u := range from {
 		if !s.Accepts(u.ID) {
 			continue
 		}
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -43,6 +43,12 @@
 	// same best upstream until they receive each other's loads; drawing among ties
 	// spreads the burst.
 	tieMillis = 50.0
+	// maxCandidates is the number of a service's upstreams up to which a choice considers
+	// all of them, in a fleet whose loads of other failure domains arrive late.
+	// remoteSample is the number of upstreams of other domains beyond that. A choice
+	// among 3,000 upstreams takes a millisecond.
+	maxCandidates = 256
+	remoteSample  = 64
 	// fullBatchUse is the use of an engine whose batch is full. It lies above every
 	// memory limit that callers of PickWithMemoryLimit set.
 	fullBatchUse = 2.0
--- a/internal/route/btaccount/table_test.go
+++ b/internal/route/btaccount/table_test.go
@@ -417,3 +417,23 @@
 		}
 	})
 }
+
+// Guards against choices whose cost grows with the upstreams of other failure domains, and
+// against a sample that hides the only upstreams that accept work.
+func TestLargeServiceIsSampled(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := fleet(3 * maxCandidates)
+		table := newTable(timer)
+		table.RemoteLate = func() bool { return true }
+		list := table.Eligible(s, service, nil)
+		assert.Equal(t, len(list), maxCandidates+remoteSample)
+		for i, u := range s.ByService[service] {
+			if i != 7 {
+				u.State = bramleytack.UpstreamLeaving
+			}
+		}
+		list = table.Eligible(s, service, nil)
+		assert.Equal(t, len(list), 1)
+		assert.Equal(t, list[0].ID, s.ByService[service][7].ID)
+	})
+}
