--- a/internal/fleet/btgossip/start_test.go
+++ b/internal/fleet/btgossip/start_test.go
@@ -135,3 +135,44 @@
 		}
 	})
 }
+
+// All daemons of a fleet with hubs lose power and start again, with nothing but the
+// addresses in the store. Guards against daemons that wait for hubs, which nobody knows
+// yet, and against more readers of the store than after a first start.
+func TestRestartOfAllWithHubs(t *testing.T) {
+	runHubs(t, 48, 0, func(c *cell) {
+		time.Sleep(4 * time.Second)
+		for _, stop := range c.stops {
+			stop()
+		}
+		time.Sleep(1300 * time.Millisecond)
+		var registered []RegisteredDaemon
+		for i := range c.nodes {
+			c.start(i)
+			registered = append(registered, RegisteredDaemon{Host: c.nodes[i].Self.Host, Addr: c.nodes[i].Self.Addr})
+		}
+		slices.SortFunc(registered, func(a, b RegisteredDaemon) int { return cmp.Compare(rank(a.Host), rank(b.Host)) })
+		stop := c.startWatchers()
+		for _, n := range c.nodes {
+			n.Join(slices.Clone(registered[:maxRegistered]))
+		}
+		followed := map[int]bool{}
+		for range 10 {
+			time.Sleep(50 * time.Millisecond)
+			for i, n := range c.nodes {
+				if n.Follows(bramleytack.KindUpstreams) {
+					followed[i] = true
+				}
+			}
+		}
+		c.checkObjects()
+		assert.Assert(t, len(followed) <= 3*upstreamFollowers, "%d daemons followed", len(followed))
+		// Loads spread again once each daemon knows the others.
+		time.Sleep(2 * time.Second)
+		c.nodes[9].Accounts.Begin("a", longNeed)
+		time.Sleep(minLoadInterval + tablePeriod + time.Millisecond)
+		c.checkAvoidsA(c.inDomain(0, 0))
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+}
