--- a/internal/fleet/btreplica/table_test.go
+++ b/internal/fleet/btreplica/table_test.go
@@ -324,3 +324,34 @@
 		time.Sleep(pollTimeout)
 	})
 }
+
+// slowFeed is a store whose lists take some time.
+type slowFeed struct {
+	fakeFeed
+	takes time.Duration
+}
+
+func (f *slowFeed) List(ctx context.Context, kind string) ([]bramleytack.Object, bramleytack.Revision, error) {
+	select {
+	case <-time.After(f.takes):
+		return f.fakeFeed.List(ctx, kind)
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// A configuration is so large, or the link so slow, that a list takes longer than
+// firstListTimeout. Guards against a daemon that ends each list too early and never has a
+// configuration.
+func TestSlowFirstListSucceeds(t *testing.T) {
+	inFakeTime(t, func(t *testing.T, table *Table, timer *bttimer.Service) {
+		f := &slowFeed{fakeFeed: fakeFeed{version: 3, historyGone: map[string]bool{}, hanging: map[string]bool{}}, takes: 1800 * time.Millisecond}
+		var status StoreStatus
+		ctx, stop := context.WithCancel(t.Context())
+		go (&Watcher{Feed: f, Table: table, Timer: timer, Log: btevent.New(io.Discard, 0, "h"), Kind: bramleytack.KindConfig, StoreStatus: &status, Resync: &Resync{}}).Run(ctx)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, table.Snapshot() != nil)
+		stop()
+		time.Sleep(pollTimeout)
+	})
+}
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -15,10 +15,14 @@
 	// pollTimeout is the length of a long poll. A poll that gets no answer fails within
 	// a second after it.
 	pollTimeout = 2 * time.Second
-	// firstListTimeout bounds a list while there is no configuration. Callers wait for
-	// it, and a connection on which the store went silent stays silent after the store is
-	// back. It exceeds the answers of a store that is 60 times slower than usual.
+	// firstListTimeout bounds the first list while there is no configuration. Callers wait
+	// for it, and a connection on which the store went silent stays silent after the store
+	// is back. It exceeds the answers of a store that is 60 times slower than usual. After
+	// shortLists failures it doubles with each one, up to maxListDoublings times, since a
+	// large configuration takes longer over a slow link.
 	firstListTimeout = 600 * time.Millisecond
+	shortLists       = 4
+	maxListDoublings = 4
 	// minBackoff and maxBackoff bound the pause after a failed call. Rejected calls
 	// count against the store's rate limit, too.
 	minBackoff = 100 * time.Millisecond
@@ -63,6 +67,8 @@
 	Resync *Resync
 
 	following bool
+	// firstLists counts the lists that were begun without a configuration.
+	firstLists int
 	// activeAt is when Active last returned true.
 	activeAt time.Time
 }
@@ -140,8 +146,9 @@
 	if relist || base == 0 {
 		if w.Table.Snapshot() == nil {
 			var cancel context.CancelFunc
-			ctx, cancel = context.WithTimeout(ctx, firstListTimeout)
+			ctx, cancel = context.WithTimeout(ctx, firstListTimeout<<min(max(w.firstLists-shortLists+1, 0), maxListDoublings))
 			defer cancel()
+			w.firstLists++
 		}
 		objects, upto, err := w.Feed.List(ctx, w.Kind)
 		if err != nil {
