Bodies: give back the memory of the chunk that exceeds the budget

Cause: readBody added a chunk to the memory of all bodies and, if that exceeded 24 MiB, returned without counting the chunk as its own. Change: the chunk is counted before the check. TestManyBodiesWithoutEnd now also checks that nothing is counted once all requests have ended; it failed first.

--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -175,10 +175,10 @@
 	defer func() { h.buffered.Add(-int64(counted)) }()
 	for {
 		if len(body) == counted {
-			if counted+bodyChunk > maxResponseBytes || h.buffered.Add(bodyChunk) > maxBufferedBytes {
+			counted += bodyChunk
+			if h.buffered.Add(bodyChunk) > maxBufferedBytes || counted > maxResponseBytes {
 				return nil, errTooLarge
 			}
-			counted += bodyChunk
 			body = slices.Grow(body, bodyChunk)
 		}
 		n, err := r.Read(body[len(body):counted])
--- a/internal/serve/btentry/fault_test.go
+++ b/internal/serve/btentry/fault_test.go
@@ -164,6 +164,8 @@
 			}
 		}
 		assert.Assert(t, peak > 20<<20 && peak <= 25<<20, "%d bytes were kept", peak)
+		time.Sleep(time.Second)
+		assert.Equal(t, h.handler.Buffered(), int64(0), "memory of ended requests is still counted")
 		u.l.Close()
 	})
 }
