btgossip: no shadowed constant, no name of the users' wire in a test

Cause: targets hid the constant fanout by a variable, a comment said 'news', and sample registrations of a test carried a field name of the users' wire. Change: names and wording only, the same length of sample data within a byte. Conclusion: behaviour unchanged; TestManyNoticesArriveAtOnce, TestDaemonsFindEachOther, TestDigestsStayInTheDomain and TestMessagesGrowWithDaemons pass.

--- a/internal/fleet/btgossip/digest.go
+++ b/internal/fleet/btgossip/digest.go
@@ -221,17 +221,17 @@
 			silent = append(silent, a)
 		}
 	}
-	fanout := fanout
+	count := fanout
 	if v.large() {
-		fanout = largeFanout
+		count = largeFanout
 	}
-	crossing := min(len(remote), max(crossDomainFanout, fanout-len(near)))
-	if v.large() && len(near) >= fanout && rand.IntN(len(near)+1) >= crossDomainSenders {
+	crossing := min(len(remote), max(crossDomainFanout, count-len(near)))
+	if v.large() && len(near) >= count && rand.IntN(len(near)+1) >= crossDomainSenders {
 		crossing = 0
 	}
-	chosen := append(sample(remote, crossing), sample(near, fanout-crossing)...)
+	chosen := append(sample(remote, crossing), sample(near, count-crossing)...)
 	if len(chosen) == 0 || n.round%silentRounds == 0 {
-		chosen = append(chosen, sample(silent, fanout)...)
+		chosen = append(chosen, sample(silent, count)...)
 	}
 	return chosen
 }
--- a/internal/fleet/btgossip/hubs_test.go
+++ b/internal/fleet/btgossip/hubs_test.go
@@ -236,7 +236,7 @@
 	notices := func(state string, v bramleytack.Revision) []bramleytack.Object {
 		var all []bramleytack.Object
 		for i := range 22 {
-			data := fmt.Sprintf(`{"service":"vovo96a","address":"10.%d.64.%d:8645","zone":"qld-%d","version":1,"slots":24,"state":%q,"cold_left_ms":0,"sequence":%d,"born":1785890080015,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}]}`, i%5, 40+i, i%5, state, 31+i)
+			data := fmt.Sprintf(`{"service":"vovo96a","address":"10.%d.64.%d:8645","zone":"qld-%d","version":1,"slots":24,"state":%q,"coldLeft":"0s","sequence":%d,"born":1785890080015,"stage":"both","models":[{"name":"m","version":1,"adapters":[]}]}`, i%5, 40+i, i%5, state, 31+i)
 			all = append(all, bramleytack.Object{Key: bramleytack.Key{Kind: kind, Name: fmt.Sprintf("i-%010x", 7919*i*i+i)}, Version: v, Data: []byte(data)})
 		}
 		return all
--- a/internal/fleet/btgossip/push.go
+++ b/internal/fleet/btgossip/push.go
@@ -83,7 +83,7 @@
 }
 
 // handleBatch applies the changes b of a packet, and sends them on if that was asked for
-// and they are news.
+// and the replica lacked them.
 func (n *Node) handleBatch(p *Packet, b *ObjectBatch, sender netip.Addr) {
 	before := n.Table.Upto(b.Kind)
 	if !n.Table.Apply(b.decode()) {
