Logs and a metric tell a crash of an upstream from a broken connection

Cause of the gap: a segment's end was logged as failed, without a word on whether the upstream itself had ended, which instance it was and what else ran there. Change: after a break the upstream is dialed once for all requests of an instance; BT409 and bramleytack_upstream_breaks_total give the verdict, BT602 each request with fingerprint, shared parts of its prompt and events so far. Requests whose caller has got nothing wait for the check, at most 60 ms.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -58,6 +58,7 @@
 	UpstreamLeavingReported = Event{406, zerolog.InfoLevel, "upstream has reported that it is leaving"}
 	UpstreamRemoved         = Event{407, zerolog.InfoLevel, "registration of an upstream was removed"}
 	UpstreamEjected         = Event{408, zerolog.WarnLevel, "upstream was ejected because of failures"}
+	UpstreamInspected       = Event{409, zerolog.InfoLevel, "connection broke and its upstream was checked"}
 	RequestFailed           = Event{500, zerolog.WarnLevel, "request failed"}
 	RequestNotRun           = Event{501, zerolog.DebugLevel, "request was rejected before it ran"}
 	RequestRejected         = Event{502, zerolog.InfoLevel, "request was rejected"}
@@ -123,6 +124,7 @@
 		UpstreamLeavingReported,
 		UpstreamRemoved,
 		UpstreamEjected,
+		UpstreamInspected,
 		RequestFailed,
 		RequestNotRun,
 		RequestRejected,
--- a/fleet.go
+++ b/fleet.go
@@ -102,6 +102,9 @@
 	// output tokens, LengthHint the caller's estimate of the output tokens.
 	TokenCounts string
 	LengthHint  string
+	// PromptParts lists the parts of the prompt in order, as entries id:tokens
+	// separated by commas. Requests share all parts but the last.
+	PromptParts string
 	// LastEvent carries the id of the event after which a stream continues.
 	LastEvent string
 	// Backup names the engine that keeps a copy of the growing generation, From
--- a/internal/btmemnet/network.go
+++ b/internal/btmemnet/network.go
@@ -5,13 +5,15 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// ErrRefused is returned by a dial to an address that nobody listens on.
-var ErrRefused = errors.New("btmemnet: connection refused")
+// ErrRefused is returned by a dial to an address that nobody listens on. It wraps
+// syscall.ECONNREFUSED.
+var ErrRefused = errors.Wrap(syscall.ECONNREFUSED, "btmemnet")
 
 // path is one direction between two hosts.
 type path struct{ from, to netip.Addr }
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -126,6 +126,9 @@
 	}
 	lease.End(health)
 	req.logAttempt(r, started)
+	if r.err != nil && !r.unsent && limited.Err() == nil {
+		(&breakCheck{req: req, upstream: u, sends: req.attempts, cause: r.err}).run(ctx)
+	}
 	return r
 }
 
--- /dev/null
+++ b/internal/serve/btentry/crash.go
@@ -0,0 +1,165 @@
+package btentry
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/singleflight"
+
+	"bramleytack"
+	"bramleytack/btevent"
+)
+
+const (
+	// inspectTimeout bounds the check of an upstream whose connection broke. It is
+	// several round trips between failure domains.
+	inspectTimeout = 60 * time.Millisecond
+	// crashRetention is how long an instance is known to have crashed. All of its
+	// connections have broken by then.
+	crashRetention = 30 * time.Second
+	// maxParts bounds the parts of a prompt that are considered.
+	maxParts = 64
+)
+
+// verdict is what the check of an upstream showed after a connection to it broke.
+type verdict uint8
+
+const (
+	// verdictCrashed upstreams refuse connections: their process has ended.
+	verdictCrashed verdict = iota
+	// verdictListening upstreams accept connections.
+	verdictListening
+	// verdictSilent upstreams do not answer in time. They may be cut off.
+	verdictSilent
+	// verdictLeaving upstreams were leaving or no longer registered.
+	verdictLeaving
+)
+
+var verdictNames = [...]string{"crashed", "listening", "silent", "leaving"}
+
+// String returns the verdict's name in logs and metrics.
+func (v verdict) String() string { return verdictNames[v] }
+
+// instance is one start-up of an upstream. It crashes at most once.
+type instance struct {
+	id      bramleytack.UpstreamID
+	started int64
+}
+
+func instanceOf(u *bramleytack.Upstream) instance {
+	return instance{id: u.ID, started: u.Started.UnixMilli()}
+}
+
+// crashDetector checks upstreams whose connections broke, once for all requests that ran
+// at the same instance. The zero value is ready to use.
+type crashDetector struct {
+	checks singleflight.Group
+
+	mu      sync.Mutex
+	crashed map[instance]time.Time
+}
+
+// known reports whether an instance is known to have crashed.
+func (d *crashDetector) known(i instance, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok := d.crashed[i]
+	return ok && now.Sub(at) < crashRetention
+}
+
+// record adds a crash and drops those that are older than crashRetention.
+func (d *crashDetector) record(i instance, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for other, at := range d.crashed {
+		if now.Sub(at) >= crashRetention {
+			delete(d.crashed, other)
+		}
+	}
+	if d.crashed == nil {
+		d.crashed = map[instance]time.Time{}
+	}
+	d.crashed[i] = now
+}
+
+// inspect returns what became of an upstream after a connection to it broke. Only a
+// refused connection proves a crash: a break alone may be due to the network, and a
+// response may break off although its upstream runs on.
+func (h *Handler) inspect(ctx context.Context, u *bramleytack.Upstream, cause error) verdict {
+	i := instanceOf(u)
+	if h.crashes.known(i, h.Timer.Now()) {
+		return verdictCrashed
+	}
+	v, _, _ := h.crashes.checks.Do(string(i.id), func() (any, error) { return h.check(ctx, u, cause), nil })
+	return v.(verdict)
+}
+
+func (h *Handler) check(ctx context.Context, u *bramleytack.Upstream, cause error) verdict {
+	v := verdictLeaving
+	if s := h.Table.Snapshot(); s != nil && !isLeaving(s, u) {
+		// The other requests of the upstream need the result even if this one's caller
+		// disconnects.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), inspectTimeout)
+		defer cancel()
+		switch err := h.Pool.Check(ctx, u.Addr); {
+		case err == nil:
+			v = verdictListening
+		case errors.Is(err, syscall.ECONNREFUSED):
+			v = verdictCrashed
+			h.crashes.record(instanceOf(u), h.Timer.Now())
+		default:
+			v = verdictSilent
+		}
+	}
+	h.Metrics.inspected(v)
+	h.Log.Event(btevent.UpstreamInspected).Str("upstream", string(u.ID)).Time("started", u.Started).Stringer("verdict", v).AnErr("cause", cause).Send()
+	return v
+}
+
+// breakCheck is the check of an upstream at which a request broke off. It uses no field
+// of the request that changes after admission.
+type breakCheck struct {
+	req      *activeRequest
+	upstream *bramleytack.Upstream
+	// events is the number of events that the upstream had sent.
+	events int
+	sends  int
+	cause  error
+}
+
+// run checks the upstream, and logs the request if the upstream has crashed.
+func (b *breakCheck) run(ctx context.Context) {
+	req, u := b.req, b.upstream
+	if req.h.inspect(ctx, u, b.cause) != verdictCrashed {
+		return
+	}
+	req.log(btevent.RequestSuspected).Str("upstream", string(u.ID)).Time("started", u.Started).
+		Str("fingerprint", req.fingerprint().String()).Strs("parts", req.parts).Int("events", b.events).Int("sends", b.sends).Send()
+}
+
+// fingerprint returns the hash by which repeats of the request are recognized, at any
+// daemon.
+func (req *activeRequest) fingerprint() bramleytack.Fingerprint {
+	req.fingerprintOnce.Do(func() {
+		req.ownFingerprint = bramleytack.FingerprintOf(string(req.workspace), req.method, req.host, req.target, string(req.body))
+	})
+	return req.ownFingerprint
+}
+
+// readParts returns the ids of the prompt's parts that requests share, which are all but
+// the last, at most maxParts of them.
+func readParts(list string) []string {
+	entries := strings.Split(list, ",")
+	var parts []string
+	for _, e := range entries[:min(len(entries)-1, maxParts)] {
+		id, _, _ := strings.Cut(strings.TrimSpace(e), ":")
+		if id != "" {
+			parts = append(parts, id)
+		}
+	}
+	return parts
+}
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -8,6 +8,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +74,7 @@
 	// unconfiguredSince is the Unix time in nanoseconds of the first request that came
 	// before the configuration, zero without one.
 	unconfiguredSince atomic.Int64
+	crashes           crashDetector
 }
 
 // Active returns the number of requests that are being served. It is safe for
@@ -127,6 +129,10 @@
 	header    http.Header
 	body      []byte
 	need      btaccount.Need
+	// parts are the ids of the shared parts of the prompt.
+	parts           []string
+	fingerprintOnce sync.Once
+	ownFingerprint  bramleytack.Fingerprint
 	// expectedDelay is the delay that was expected of the last chosen upstream.
 	expectedDelay time.Duration
 	// attempts counts the attempts that have ended or were replaced by another one,
@@ -159,6 +165,7 @@
 	req.setDeadline(r)
 	req.setHeader(r)
 	req.need = req.readNeed(r.Header)
+	req.parts = readParts(r.Header.Get(h.Dialect.PromptParts))
 	return req.readBody(r) && req.endsInTime()
 }
 
--- a/internal/serve/btentry/metrics.go
+++ b/internal/serve/btentry/metrics.go
@@ -24,6 +24,7 @@
 	rejections        *prometheus.CounterVec
 	brokenStreams     prometheus.Counter
 	limits            *prometheus.CounterVec
+	breaks            *prometheus.CounterVec
 	latency           *prometheus.HistogramVec
 	firstEventLatency prometheus.Histogram
 	eventGaps         prometheus.Histogram
@@ -38,13 +39,14 @@
 		rejections:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_rejections_total", Help: "Responses of the daemon itself."}, []string{"status", "reason"}),
 		brokenStreams:     prometheus.NewCounter(prometheus.CounterOpts{Name: "bramleytack_streams_broken_total", Help: "Streams that ended before their end."}),
 		limits:            prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_response_limits_total", Help: "Responses of upstreams that exceeded a limit."}, []string{"limit"}),
+		breaks:            prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_upstream_breaks_total", Help: "Checks of upstreams after a connection broke."}, []string{"verdict"}),
 		latency:           prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "bramleytack_answer_seconds", Help: "Time to the whole response.", Buckets: latencyBuckets}, []string{"kind"}),
 		firstEventLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_first_event_seconds", Help: "Time to the first event.", Buckets: latencyBuckets}),
 		eventGaps:         prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_event_gap_seconds", Help: "Time between events.", Buckets: gapBuckets}),
 		handoverPauses:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_handover_pause_seconds", Help: "Pause of a stream that went on at another engine.", Buckets: gapBuckets}),
 		memoryWaits:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_room_wait_seconds", Help: "Time until an engine had room for a generation.", Buckets: latencyBuckets}),
 	}
-	r.MustRegister(m.answers, m.rejections, m.brokenStreams, m.limits, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
+	r.MustRegister(m.answers, m.rejections, m.brokenStreams, m.limits, m.breaks, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
 	return m
 }
 
@@ -81,6 +83,12 @@
 	}
 }
 
+func (m *Metrics) inspected(v verdict) {
+	if m != nil {
+		m.breaks.WithLabelValues(v.String()).Inc()
+	}
+}
+
 func (m *Metrics) firstEvent(d time.Duration) {
 	if m != nil {
 		m.firstEventLatency.Observe(d.Seconds())
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -313,6 +313,9 @@
 func (s *relay) headFailed(seg *segment, r *attemptResult) {
 	s.req.logAttempt(r, seg.started)
 	seg.close(s.req.health(r))
+	if r.err != nil && !r.unsent {
+		s.inspectBreak(seg, r.err)
+	}
 	if seg == s.next {
 		s.next = nil
 		if !s.retryCopy(seg, r) {
@@ -347,16 +350,27 @@
 // segmentBroken handles a segment that ended before its stream was complete.
 func (s *relay) segmentBroken(seg *segment, err error) {
 	s.req.noteLimit(seg.upstream, err)
+	seg.close(btaccount.Failed)
+	s.inspectBreak(seg, err)
 	if seg == s.next {
-		seg.close(btaccount.Failed)
 		s.next = nil
 		s.nextFailed()
 		return
 	}
-	seg.close(btaccount.Failed)
 	s.recoverStream(seg, err)
 }
 
+// inspectBreak checks the upstream of a segment that broke off. A stream whose caller has
+// got events does not wait for the check.
+func (s *relay) inspectBreak(seg *segment, err error) {
+	b := &breakCheck{req: s.req, upstream: seg.upstream, events: seg.eventCount, sends: s.req.attempts, cause: err}
+	if s.headSent {
+		go b.run(s.ctx)
+		return
+	}
+	b.run(s.ctx)
+}
+
 // fail ends the request without a complete stream. If the caller has got an event
 // and is still connected, it panics with http.ErrAbortHandler.
 func (s *relay) fail() {
--- a/internal/upstream/btconn/pool.go
+++ b/internal/upstream/btconn/pool.go
@@ -66,13 +66,14 @@
 	p.Opened.Add(1)
 	nc, err := dial(ctx, "tcp", addr.String())
 	if err != nil {
-		return nil, errors.Wrapf(ErrUnsent, "dial %s: %v", addr, err)
+		return nil, errors.Mark(errors.Wrapf(err, "dial %s", addr), ErrUnsent)
 	}
 	return newConn(p, addr, nc), nil
 }
 
 // Check opens a connection to addr and puts it into the pool. An error means that
-// addr accepts no connections.
+// addr accepts no connections; it wraps syscall.ECONNREFUSED if the host refused this
+// one.
 func (p *Pool) Check(ctx context.Context, addr netip.AddrPort) error {
 	c, err := p.Open(ctx, addr)
 	if err != nil {
--- a/request.go
+++ b/request.go
@@ -93,11 +93,16 @@
 // Fingerprint returns the hash of everything that an upstream would see of the
 // request, together with its workspace.
 func (r *Request) Fingerprint() Fingerprint {
-	h := sha256.New()
-	for _, part := range []string{
+	return FingerprintOf(
 		string(r.Workspace), r.Kind.String(), r.Model, r.Prompt,
 		r.Service, r.Method, r.Path, r.Query, string(r.Body),
-	} {
+	)
+}
+
+// FingerprintOf returns the hash of a list of parts.
+func FingerprintOf(parts ...string) Fingerprint {
+	h := sha256.New()
+	for _, part := range parts {
 		// The length prefix separates parts: without it, "ab", "c" and "a", "bc"
 		// would have the same hash.
 		var n [8]byte
