A failing test of a request that crashes one upstream after the other

Cause: no daemon connects a request with the end of the upstream that ran it. Change: stand-in upstreams end under chosen requests and start again; the harness of btentry holds several daemons.

--- /dev/null
+++ b/internal/serve/btentry/crash_test.go
@@ -0,0 +1,145 @@
+package btentry_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bramleytack/internal/standin/btworker"
+)
+
+const (
+	// stableWindow is the time from a crash on after which sends of a fatal request
+	// count, and maxLateSends the number of those that may still reach upstreams.
+	stableWindow = 3 * time.Second
+	maxLateSends = 3
+	// restartTime is how long an upstream is away after a crash.
+	restartTime = 3 * time.Second
+)
+
+// fatalFleet is a fleet whose upstreams crash under some requests.
+type fatalFleet struct {
+	h *harness
+
+	mu sync.Mutex
+	// sends are the times at which fatal requests reached upstreams.
+	sends []time.Time
+	// sound are the responses to sound requests, in the order of their end.
+	sound []response
+}
+
+// newFatalFleet starts two more daemons, and engines and shops that crash under each
+// request that is fatal.
+func newFatalFleet(h *harness, fatal func(*http.Request) bool) *fatalFleet {
+	f := &fatalFleet{h: h}
+	for i := range 2 {
+		h.startDaemon(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 2)}), 80))
+	}
+	for i := range 8 {
+		f.start(fmt.Sprintf("e%d", i+1), engineService, btworker.Config{Events: streamEvents, Read: 100 * time.Millisecond, Gap: eventGap}, fatal)
+	}
+	for i := range 4 {
+		f.start(fmt.Sprintf("s%d", i+1), callService, btworker.Config{Work: 20 * time.Millisecond}, fatal)
+	}
+	return f
+}
+
+func (f *fatalFleet) start(name, service string, cfg btworker.Config, fatal func(*http.Request) bool) {
+	cfg.Fatal = func(r *http.Request, _ string) bool {
+		if !fatal(r) {
+			return false
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.sends = append(f.sends, time.Now())
+		return true
+	}
+	cfg.Restart = restartTime
+	cfg.Restarted = func(w *btworker.Worker) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.h.workers[name] = w
+		f.h.upstreams[name].Started = time.Now()
+		f.h.publish()
+	}
+	f.h.start(name, service, cfg)
+}
+
+// repeat sends a request count times, one each gap, to the daemons in turn. Sound
+// requests of the same route are sent beside it.
+func (f *fatalFleet) repeat(count int, gap time.Duration, target func(i int) string, header func(i int) map[string]string) []response {
+	got := make([]response, count)
+	var all sync.WaitGroup
+	for i := range count {
+		addr := f.h.daemons[i%len(f.h.daemons)].addr
+		all.Go(func() {
+			got[i] = f.h.sendTo(addr, fmt.Sprintf("fatal-%d", i), http.MethodPost, target(i), header(i), 10*time.Second)
+		})
+		all.Go(func() {
+			route := target(i)[:strings.LastIndex(target(i), "/")]
+			r := f.h.sendTo(addr, fmt.Sprintf("sound-%d", i), http.MethodPost, fmt.Sprintf("%s/sound-%d", route, i), soundHeader(i), 10*time.Second)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.sound = append(f.sound, r)
+		})
+		time.Sleep(gap)
+	}
+	all.Wait()
+	// The last upstream that has crashed starts again before the test ends.
+	time.Sleep(2 * restartTime)
+	return got
+}
+
+// soundHeader returns the header of a sound request, whose prompt shares its first part
+// with all others.
+func soundHeader(i int) map[string]string {
+	return map[string]string{dialect.TokenCounts: "3000,900", dialect.PromptParts: fmt.Sprintf("aa:80,%x:400,%x:90", i%5, 0x1000+i)}
+}
+
+// checkContained fails the test unless upstreams got at most maxLateSends fatal requests
+// later than stableWindow after the given crash, and sound requests were served once the
+// last upstream had returned.
+func (f *fatalFleet) checkContained(crashes int) {
+	f.h.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	late := 0
+	if len(f.sends) > crashes {
+		after := f.sends[crashes-1].Add(stableWindow)
+		for _, at := range f.sends {
+			if at.After(after) {
+				late++
+			}
+		}
+	}
+	assert.Check(f.h.t, late <= maxLateSends, "%d sends %v after crash %d; %d in all", late, stableWindow, crashes, len(f.sends))
+	served := 0
+	last := f.sound[len(f.sound)/2:]
+	for _, r := range last {
+		if r.err == nil && r.status == http.StatusOK {
+			served++
+		}
+	}
+	assert.Check(f.h.t, served == len(last), "%d of %d sound requests served in the end", served, len(last))
+}
+
+// Guards against a request that ends one upstream after the other because its caller
+// repeats it at daemons that do not know of the crashes.
+func TestFatalRequestIsContained(t *testing.T) {
+	for _, route := range []string{"guide", "tag", "check", "order"} {
+		t.Run(route, func(t *testing.T) {
+			run(t, func(h *harness) {
+				f := newFatalFleet(h, func(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, "/fatal") })
+				f.repeat(40, 400*time.Millisecond, func(int) string { return "/" + route + "/fatal" }, soundHeader)
+				f.checkContained(3)
+			})
+		})
+	}
+}
+
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -82,6 +82,7 @@
 	revision  bramleytack.Revision
 	entryAddr netip.AddrPort
 	requests  int
+	daemons   []*daemon
 	// memory is the capacity of an engine in tokens.
 	memory int
 }
@@ -103,27 +104,53 @@
 		}
 		defer h.timer.Close()
 		h.pool.Listen = func(addr netip.AddrPort) (net.Listener, error) { return h.net.Listen(addr), nil }
-		log := btevent.New(io.Discard, 0, "h1")
-		h.table = btreplica.NewTable(codec{h}, h.timer, log)
-		h.accounts = &btaccount.Table{Timer: h.timer}
-		h.handler = &btentry.Handler{
-			Table: h.table, Accounts: h.accounts, Dialect: dialect, Mover: h.pool, Timer: h.timer, Log: log,
-			Pool: &btconn.Pool{Dial: h.dial}, Metrics: btentry.NewMetrics(prometheus.NewRegistry()),
-			Budget: &btretry.Budget{Timer: h.timer}, Lengths: btforecast.New(h.timer),
-		}
-		server := &http.Server{Handler: h.handler}
-		go (&entryServer{server, h.net.Listen(h.entryAddr)}).run()
+		h.startDaemon(h.entryAddr)
+		d := h.daemons[0]
+		h.table, h.accounts, h.handler = d.handler.Table, d.handler.Accounts, d.handler
 		f(h)
-		_ = server.Close()
+		for _, d := range h.daemons {
+			d.stop()
+		}
 		for _, w := range h.workers {
 			w.Crash()
 		}
-		h.handler.Pool.DropAll()
 		// Goroutines of closed connections must end before the synctest bubble does.
 		time.Sleep(time.Minute)
 	})
 }
 
+// daemon is one daemon of the harness, without the exchange between daemons.
+type daemon struct {
+	addr    netip.AddrPort
+	handler *btentry.Handler
+	server  *http.Server
+}
+
+// startDaemon starts a daemon that serves callers at an address.
+func (h *harness) startDaemon(addr netip.AddrPort) *daemon {
+	log := btevent.New(io.Discard, 0, bramleytack.HostID(addr.String()))
+	table := btreplica.NewTable(codec{h}, h.timer, log)
+	d := &daemon{addr: addr}
+	d.handler = &btentry.Handler{
+		Table: table, Accounts: &btaccount.Table{Timer: h.timer}, Dialect: dialect, Mover: h.pool, Timer: h.timer, Log: log,
+		Pool: &btconn.Pool{Dial: h.dial}, Metrics: btentry.NewMetrics(prometheus.NewRegistry()),
+		Budget: &btretry.Budget{Timer: h.timer}, Lengths: btforecast.New(h.timer),
+	}
+	d.server = &http.Server{Handler: d.handler}
+	h.daemons = append(h.daemons, d)
+	if h.revision > 0 {
+		h.publishTo(d)
+	}
+	go (&entryServer{d.server, h.net.Listen(addr)}).run()
+	return d
+}
+
+// stop ends the daemon at once.
+func (d *daemon) stop() {
+	_ = d.server.Close()
+	d.handler.Pool.DropAll()
+}
+
 // entryServer serves callers' connections.
 type entryServer struct {
 	server *http.Server
@@ -168,16 +195,22 @@
 	h.publish()
 }
 
-// publish applies the configuration and the current upstreams to the table.
+// publish applies the configuration and the current upstreams to all daemons.
 func (h *harness) publish() {
 	h.revision++
+	for _, d := range h.daemons {
+		h.publishTo(d)
+	}
+}
+
+func (h *harness) publishTo(d *daemon) {
 	config := bramleytack.Object{Key: bramleytack.Key{Kind: bramleytack.KindConfig, Name: "main"}, Version: 1}
-	h.table.Apply(btreplica.Batch{Kind: bramleytack.KindConfig, Full: true, Upto: 1, Objects: []bramleytack.Object{config}})
+	d.handler.Table.Apply(btreplica.Batch{Kind: bramleytack.KindConfig, Full: true, Upto: 1, Objects: []bramleytack.Object{config}})
 	b := btreplica.Batch{Kind: bramleytack.KindUpstreams, Full: true, Upto: h.revision}
 	for name := range h.upstreams {
 		b.Objects = append(b.Objects, bramleytack.Object{Key: bramleytack.Key{Kind: bramleytack.KindUpstreams, Name: name}, Version: h.revision})
 	}
-	h.table.Apply(b)
+	d.handler.Table.Apply(b)
 }
 
 // response is what a caller got.
@@ -200,10 +233,15 @@
 	return h.send(fmt.Sprintf("req-%d", h.requests), method, target, header, timeout)
 }
 
-// send sends a request with the given id.
+// send sends a request with the given id to the first daemon.
 func (h *harness) send(id, method, target string, header map[string]string, timeout time.Duration) response {
+	return h.sendTo(h.entryAddr, id, method, target, header, timeout)
+}
+
+// sendTo sends a request with the given id to a daemon.
+func (h *harness) sendTo(entry netip.AddrPort, id, method, target string, header map[string]string, timeout time.Duration) response {
 	got := response{id: id}
-	c, err := btmemnet.Dialer{Network: h.net, From: netip.MustParseAddr("10.9.0.1")}.DialPeer(context.Background(), h.entryAddr)
+	c, err := btmemnet.Dialer{Network: h.net, From: netip.MustParseAddr("10.9.0.1")}.DialPeer(context.Background(), entry)
 	assert.NilError(h.t, err)
 	defer c.Close()
 	assert.NilError(h.t, c.SetDeadline(time.Now().Add(timeout)))
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -25,6 +25,11 @@
 	Gap  time.Duration
 	// Work is the time of a plain call.
 	Work time.Duration
+	// Fatal reports whether a request crashes the upstream as it begins to run it. Nil
+	// means that none does. The upstream starts again after Restart and calls Restarted.
+	Fatal     func(r *http.Request, body string) bool
+	Restart   time.Duration
+	Restarted func(*Worker)
 }
 
 // Fault makes an upstream misbehave.
@@ -178,13 +183,34 @@
 		w.mu.Unlock()
 	}()
 	rw.Header().Set(d.Seal, "seal-"+w.cfg.ID)
+	fatal := w.cfg.Fatal != nil && w.cfg.Fatal(r, string(body))
 	if w.cfg.Events > 0 {
-		w.stream(ctx, rw, r, id)
+		w.stream(ctx, rw, r, id, fatal)
 		return
 	}
+	if fatal {
+		w.crashByRequest()
+	}
 	w.answer(ctx, rw, id)
 }
 
+// crashByRequest ends the upstream during a request, which gets no answer, and starts it
+// again later.
+func (w *Worker) crashByRequest() {
+	if w.crashed.CompareAndSwap(false, true) {
+		_ = w.server.Close()
+		time.AfterFunc(w.cfg.Restart, w.restart)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (w *Worker) restart() {
+	next := w.pool.Start(w.cfg)
+	if w.cfg.Restarted != nil {
+		w.cfg.Restarted(next)
+	}
+}
+
 func (w *Worker) answer(ctx context.Context, rw http.ResponseWriter, id string) {
 	if !pause(ctx, w.cfg.Work) {
 		return
@@ -222,7 +248,7 @@
 }
 
 // stream sends events until the end, or until the connection closes.
-func (w *Worker) stream(ctx context.Context, rw http.ResponseWriter, r *http.Request, id string) {
+func (w *Worker) stream(ctx context.Context, rw http.ResponseWriter, r *http.Request, id string, fatal bool) {
 	d := w.pool.Dialect
 	if backup := r.Header.Get(d.Backup); backup != "" {
 		if addr, err := netip.ParseAddrPort(strings.TrimSpace(backup)); err == nil && w.pool.at(addr) != nil {
@@ -236,6 +262,9 @@
 	if !pause(ctx, w.cfg.Read) || Fault(w.fault.Load()) == Lost {
 		panic(http.ErrAbortHandler)
 	}
+	if fatal {
+		w.crashByRequest()
+	}
 	for n := last + 1; n <= w.cfg.Events; n++ {
 		for w.stalled.Load() {
 			if !pause(ctx, w.cfg.Gap) {
