Requests that crash upstreams are quarantined at all daemons

Cause: no daemon connected a request with the end of the upstream that ran it, and none told the others. Class: evidence about a request that is kept (if at all) where the request was, while repeats arrive anywhere. Change: after a break that a refused connection proves to be a crash, the request's fingerprint (workspace, method, host, target, body) becomes a suspect (package btsuspect). Records are sets of crashes and cleared crashes, merged by union, so that they may come late, twice or in any order; they travel at once, in a datagram each second, and to a daemon that has just started. Three crashes without an execution between them quarantine the fingerprint: 400, after which callers do not repeat. After two, daemons no longer repeat it themselves, also not from a copy. One elected daemon tries it again 30 s later, then in doubling times. A restarted daemon whose death was not noticed now gets a digest at once. After: it passes, also beside restarts, cuts, late records and other crashes (TestFatalRequestIsContainedBesideFaults); without suspects it fails (TestFatalRequestWithoutSuspects). Conclusion: mended for requests that come again as a whole.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -77,6 +77,9 @@
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
 	RequestSuspected        = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
 	RequestQuarantined      = Event{603, zerolog.ErrorLevel, "request is quarantined"}
+	KeyQuarantined          = Event{604, zerolog.ErrorLevel, "requests with a key are quarantined"}
+	KeyTried                = Event{605, zerolog.InfoLevel, "request with a quarantined key runs on trial"}
+	KeyCleared              = Event{606, zerolog.InfoLevel, "quarantine of a key has ended"}
 	CommandSent             = Event{700, zerolog.InfoLevel, "command was sent to an engine"}
 	CommandFailed           = Event{701, zerolog.WarnLevel, "command to an engine failed"}
 	CommandFenced           = Event{702, zerolog.WarnLevel, "engine rejected a command with an old fencing token"}
@@ -143,6 +146,9 @@
 		ClaimNotStored,
 		RequestSuspected,
 		RequestQuarantined,
+		KeyQuarantined,
+		KeyTried,
+		KeyCleared,
 		CommandSent,
 		CommandFailed,
 		CommandFenced,
--- a/internal/fleet/btgossip/digest.go
+++ b/internal/fleet/btgossip/digest.go
@@ -50,8 +50,10 @@
 	n.round++
 	v := n.view()
 	data := n.nextDigest(v)
-	for _, a := range n.targets(v) {
-		n.write(CauseDigest, data, a)
+	targets := n.targets(v)
+	n.writeAll(CauseDigest, data, targets)
+	if n.round%suspicionRounds == 0 {
+		n.sendSuspicions(targets)
 	}
 }
 
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -19,6 +19,7 @@
 	"bramleytack/internal/fleet/bthub"
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btsuspect"
 )
 
 const (
@@ -62,8 +63,10 @@
 	Table       *btreplica.Table
 	Accounts    *btaccount.Table
 	StoreStatus *btreplica.StoreStatus
-	Timer       bramleytack.Timer
-	Log         *btevent.Logger
+	// Suspects may be nil.
+	Suspects *btsuspect.Table
+	Timer    bramleytack.Timer
+	Log      *btevent.Logger
 	// Ready and Leaving return the state that digests announce to the other daemons.
 	Ready   func() bool
 	Leaving func() bool
--- a/internal/fleet/btgossip/node_test.go
+++ b/internal/fleet/btgossip/node_test.go
@@ -24,6 +24,7 @@
 	"bramleytack/internal/btmemnet"
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btsuspect"
 )
 
 const port = 7000
@@ -217,11 +218,13 @@
 		},
 	})
 	n.Accounts.Changed = n.LoadChanged
+	n.Suspects = btsuspect.New(&btsuspect.Table{Timer: c.timer, Log: log, Share: n.ShareSuspicions, Elected: n.Elected})
 	ctx, stop := context.WithCancel(context.Background())
 	conn := &packetConn{lan: c.lan, addr: addrOf(i), in: make(chan datagram, 256), done: make(chan struct{})}
 	c.lan.mu.Lock()
 	c.lan.conns[addrOf(i)] = conn
 	c.lan.mu.Unlock()
+	go n.Suspects.Run(ctx)
 	n.Start(ctx, conn, c.network.Listen(netip.AddrPortFrom(addrOf(i), port)))
 	c.nodes[i], c.stops[i] = n, stop
 }
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -78,6 +78,9 @@
 	if len(p.Tables) > 0 && r.inOrder(p) {
 		n.handleTables(p, now)
 	}
+	if len(p.Suspicions) > 0 {
+		n.handleSuspicions(p)
+	}
 	if len(p.Unknown) > 0 {
 		n.answerMembers(sender, p.Unknown, now)
 	}
@@ -121,8 +124,9 @@
 	n.Log.Event(btevent.PeerAlive).Str("peer", m.Host).Stringer("addr", peer.Addr).Uint64("incarnation", m.Incarnation).Send()
 	if direct {
 		// The peer may have just started: the digest shows it the daemons that follow
-		// the store.
+		// the store, and it has lost the suspicions.
 		n.write(CauseDigest, n.encode(&Packet{Digest: n.digest(n.view())}), peer.Addr)
+		n.sendSuspicions([]netip.Addr{peer.Addr})
 	}
 }
 
--- a/internal/fleet/btgossip/traffic.go
+++ b/internal/fleet/btgossip/traffic.go
@@ -12,16 +12,19 @@
 	CauseTable
 	CauseChange
 	CauseMember
+	CauseSuspicion
 	causeCount
 )
 
-var causeNames = [causeCount]string{"digest", "load", "table", "change", "member"}
+var causeNames = [causeCount]string{"digest", "load", "table", "change", "member", "suspicion"}
 
 // String returns the name of the cause in metrics.
 func (c Cause) String() string { return causeNames[c] }
 
 // Causes returns all causes.
-func Causes() []Cause { return []Cause{CauseDigest, CauseLoad, CauseTable, CauseChange, CauseMember} }
+func Causes() []Cause {
+	return []Cause{CauseDigest, CauseLoad, CauseTable, CauseChange, CauseMember, CauseSuspicion}
+}
 
 // Traffic counts the datagrams that a daemon has sent. It is safe for concurrent use.
 type Traffic struct{ byCause [causeCount]counters }
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -28,6 +28,7 @@
 	"bramleytack/internal/node/btdrain"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
+	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/serve/btentry"
 	"bramleytack/internal/upstream/btconn"
 )
@@ -93,6 +94,7 @@
 	table       *btreplica.Table
 	storeStatus btreplica.StoreStatus
 	accounts    *btaccount.Table
+	suspects    *btsuspect.Table
 	gossip      *btgossip.Node
 	pool        *btconn.Pool
 	engines     Engines
@@ -116,20 +118,22 @@
 	n.engines = a.Engines(n.pool)
 	n.registry = prometheus.NewRegistry()
 	n.accounts = &btaccount.Table{Timer: n.timer, Domain: s.FailureDomain, Log: n.log}
+	n.suspects = btsuspect.New(&btsuspect.Table{Timer: n.timer, Log: n.log})
 	n.gossip = btgossip.New(&btgossip.Node{
 		Self: btgossip.Self{
 			Host: s.Host, Addr: s.Addr, FailureDomain: s.FailureDomain,
 			Port: s.Peer.Port(), Incarnation: uint64(time.Now().UnixMilli()), Processor: s.ProcessorMillis,
 		},
-		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Timer: n.timer, Log: n.log,
+		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Suspects: n.suspects, Timer: n.timer, Log: n.log,
 		Ready: n.Ready, Leaving: n.isLeaving, Seeds: addrsOf(s.Seeds),
 	})
+	n.suspects.Share, n.suspects.Elected = n.gossip.ShareSuspicions, n.gossip.Elected
 	n.storeStatus.OnDown = n.gossip.Announce
 	n.accounts.Daemons = n.gossip.Count
 	n.accounts.Changed = n.gossip.LoadChanged
 	n.accounts.RemoteLate = n.gossip.HasHubs
 	n.handler = &btentry.Handler{
-		Table: n.table, Accounts: n.accounts, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
+		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.isLeaving, Accepts: n.leaving.Accepts,
 		Lengths: btforecast.New(n.timer),
 		Budget: &btretry.Budget{
@@ -177,6 +181,7 @@
 	n.dump.Add("peers", func() any { return n.gossip.Alive() })
 	n.dump.Add("fleet", func() any { return n.gossip.State() })
 	n.dump.Add("loads", func() any { return n.accounts.OwnLoads() })
+	n.dump.Add("suspects", func() any { return n.suspects.State() })
 	n.dump.Add("snapshot", func() any { return n.table.Snapshot() })
 }
 
@@ -222,6 +227,7 @@
 		return errors.Wrap(err, "btnode: listen on peer address")
 	}
 	n.gossip.Start(ctx, packets, pulls)
+	go n.suspects.Run(ctx)
 	n.startStoreTasks(ctx)
 	mux := n.infoMux()
 	for _, s := range []struct {
--- /dev/null
+++ b/internal/route/btsuspect/suspect.go
@@ -0,0 +1,99 @@
+package btsuspect
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bramleytack"
+)
+
+// maxCrashes bounds the crashes of one suspect, counted and cleared ones each. The oldest
+// are dropped.
+const maxCrashes = 12
+
+// Crash identifies the crash of one instance of an upstream, equally at every daemon.
+type Crash uint64
+
+// CrashOf returns the crash of an upstream's present instance.
+func CrashOf(u *bramleytack.Upstream) Crash {
+	return Crash(xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(u.ID), uint64(u.Started.UnixMilli()))))
+}
+
+// Record is the state of one suspect as daemons send it to each other.
+type Record struct {
+	Key bramleytack.Fingerprint
+	// Crashes count against the key, Cleared do not.
+	Crashes []Crash
+	Cleared []Crash
+	// Age is the time since the newest crash.
+	Age time.Duration
+}
+
+// suspect is the state of one key.
+type suspect struct {
+	crashes []countedCrash
+	cleared []Crash
+	// newest is the time of the newest crash.
+	newest time.Time
+	// trial is the request that may run although the key is quarantined.
+	trial   bramleytack.RequestID
+	trialAt time.Time
+	// logged is set once the quarantine has been logged.
+	logged bool
+}
+
+// countedCrash is a crash with the time from which on it counts.
+type countedCrash struct {
+	crash Crash
+	from  time.Time
+}
+
+// add adds a crash, and reports false if it is known.
+func (s *suspect) add(c Crash, from time.Time) bool {
+	if slices.Contains(s.cleared, c) || slices.ContainsFunc(s.crashes, func(k countedCrash) bool { return k.crash == c }) {
+		return false
+	}
+	s.crashes = append(s.crashes, countedCrash{c, from})
+	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
+	return true
+}
+
+// clear clears one crash, and reports false if that is known.
+func (s *suspect) clear(c Crash) bool {
+	if slices.Contains(s.cleared, c) {
+		return false
+	}
+	s.cleared = append(s.cleared, c)
+	s.cleared = s.cleared[max(0, len(s.cleared)-maxCrashes):]
+	s.crashes = slices.DeleteFunc(s.crashes, func(k countedCrash) bool { return k.crash == c })
+	return true
+}
+
+// clearAll clears all crashes that count.
+func (s *suspect) clearAll() {
+	for _, k := range slices.Clone(s.crashes) {
+		s.clear(k.crash)
+	}
+}
+
+// count returns the number of crashes that count now.
+func (s *suspect) count(now time.Time) int {
+	n := 0
+	for _, k := range s.crashes {
+		if !now.Before(k.from) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *suspect) record(key bramleytack.Fingerprint, now time.Time) Record {
+	r := Record{Key: key, Cleared: slices.Clone(s.cleared), Age: now.Sub(s.newest)}
+	for _, k := range s.crashes {
+		r.Crashes = append(r.Crashes, k.crash)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/route/btsuspect/table.go
@@ -0,0 +1,358 @@
+package btsuspect
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleytack"
+	"bramleytack/btevent"
+)
+
+const (
+	// quarantineCrashes is the number of crashes in common from which on a key is
+	// quarantined. Two can meet by chance when several upstreams crash.
+	quarantineCrashes = 3
+	// settleTime is the time from a crash until it counts. It exceeds
+	// shareJitter by the time that a record takes to reach all daemons.
+	settleTime = 200 * time.Millisecond
+	// shareJitter spreads the clearings of daemons that execute the same key, so that
+	// the first one spares the others theirs.
+	shareJitter = 50 * time.Millisecond
+	// executedWindow is how long an execution clears later crashes. A key that becomes
+	// fatal is suspected only after it.
+	executedWindow = 2 * time.Second
+	// trialAfter is the time from the last crash of a quarantined key to its first trial.
+	trialAfter = 30 * time.Second
+	// trialTimeout is the time after which a trial that ended neither way is repeated.
+	trialTimeout = 15 * time.Second
+	// expiry is how long a suspicion lasts after the newest crash.
+	expiry = 15 * time.Minute
+	// maxSuspects bounds the table. The suspects with the fewest crashes go first.
+	maxSuspects = 2048
+	// commonCrashes is the number of crashes from which on a key has them in common, and
+	// its record concerns daemons that saw none of them.
+	commonCrashes = 2
+)
+
+// Table holds the suspects that this daemon knows. It is safe for concurrent use. A nil
+// *Table suspects nothing.
+type Table struct {
+	Timer bramleytack.Timer
+	// Log may be nil.
+	Log *btevent.Logger
+	// Share sends records to all other daemons. It must not block and may be nil.
+	Share func([]Record)
+	// Elected reports whether this daemon is the one that runs the trial of a key. Nil
+	// means that it is.
+	Elected func(bramleytack.Fingerprint) bool
+
+	// size is the number of suspects.
+	size atomic.Int64
+
+	mu       sync.Mutex
+	suspects map[bramleytack.Fingerprint]*suspect
+	executed executed
+	// unshared holds the suspects whose clearing the other daemons must learn.
+	unshared map[bramleytack.Fingerprint]bool
+	wake     chan struct{}
+}
+
+// New prepares t and returns it.
+func New(t *Table) *Table {
+	t.suspects, t.unshared = map[bramleytack.Fingerprint]*suspect{}, map[bramleytack.Fingerprint]bool{}
+	t.wake = make(chan struct{}, 1)
+	return t
+}
+
+// Len returns the number of suspects.
+func (t *Table) Len() int {
+	if t == nil {
+		return 0
+	}
+	return int(t.size.Load())
+}
+
+// Quarantined reports whether a request must not be sent to an upstream because one of
+// its keys is quarantined. It is true for all requests but the one that is on trial.
+func (t *Table) Quarantined(request bramleytack.RequestID, keys []bramleytack.Fingerprint) bool {
+	if t.Len() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	for _, key := range keys {
+		if s := t.suspects[key]; s != nil && t.quarantined(key, s, now) && !t.try(key, s, request, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Suspected reports whether a key has crashes in common that no execution has cleared,
+// even if they do not count yet.
+func (t *Table) Suspected(key bramleytack.Fingerprint) bool {
+	if t.Len() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.suspects[key]
+	return s != nil && len(s.crashes) >= commonCrashes
+}
+
+func (t *Table) quarantined(key bramleytack.Fingerprint, s *suspect, now time.Time) bool {
+	n := s.count(now)
+	if n < quarantineCrashes {
+		return false
+	}
+	if !s.logged {
+		s.logged = true
+		t.Log.Event(btevent.KeyQuarantined).Stringer("key", key).Int("crashes", n).Dur("age", now.Sub(s.newest)).Send()
+	}
+	return true
+}
+
+// try reports whether a request may run a quarantined key as its trial.
+func (t *Table) try(key bramleytack.Fingerprint, s *suspect, request bramleytack.RequestID, now time.Time) bool {
+	if s.trial == request && now.Sub(s.trialAt) < trialTimeout && s.newest.Before(s.trialAt) {
+		return true
+	}
+	due := s.newest.Add(trialAfter << (s.count(now) - quarantineCrashes))
+	if now.Before(due) || now.Sub(s.trialAt) < trialTimeout || t.Elected != nil && !t.Elected(key) {
+		return false
+	}
+	s.trial, s.trialAt = request, now
+	t.Log.Event(btevent.KeyTried).Stringer("key", key).Str("request", string(request)).Int("crashes", s.count(now)).Send()
+	return true
+}
+
+// ReportCrash makes the keys of a request that an upstream may have begun to run before
+// its crash suspects, and sends them to the other daemons.
+func (t *Table) ReportCrash(c Crash, keys []bramleytack.Fingerprint) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	now := t.Timer.Now()
+	var changed []Record
+	for _, key := range keys {
+		if t.executed.recent(key, now) {
+			continue
+		}
+		if s := t.suspect(key, now); s.add(c, now.Add(settleTime)) {
+			s.newest = now
+			changed = append(changed, s.record(key, now))
+		}
+	}
+	t.mu.Unlock()
+	if len(changed) > 0 && t.Share != nil {
+		t.Share(changed)
+	}
+}
+
+// ReportExecuted clears the keys that a request has run with.
+func (t *Table) ReportExecuted(keys ...bramleytack.Fingerprint) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	for _, key := range keys {
+		t.executed.add(key, now)
+		if s := t.suspects[key]; s != nil {
+			t.clear(key, s)
+		}
+	}
+}
+
+// clear clears a suspect. The other daemons learn of it if it concerns them.
+func (t *Table) clear(key bramleytack.Fingerprint, s *suspect) {
+	n := len(s.crashes)
+	if n == 0 {
+		return
+	}
+	s.clearAll()
+	t.logCleared(key, s, n)
+	if n < commonCrashes {
+		return
+	}
+	t.unshared[key] = true
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// logCleared ends the trial of a suspect without crashes, and logs the end of its
+// quarantine.
+func (t *Table) logCleared(key bramleytack.Fingerprint, s *suspect, crashes int) {
+	if s.logged {
+		t.Log.Event(btevent.KeyCleared).Stringer("key", key).Int("crashes", crashes).Send()
+	}
+	s.trial, s.logged = "", false
+}
+
+// Merge adds the records of another daemon and reports whether any of them was news.
+func (t *Table) Merge(records []Record) bool {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	news := false
+	for _, r := range records {
+		if r.Age >= 0 && r.Age < expiry {
+			news = t.merge(r, now) || news
+		}
+	}
+	return news
+}
+
+func (t *Table) merge(r Record, now time.Time) bool {
+	at := now.Add(-r.Age)
+	s := t.suspect(r.Key, at)
+	news, crashed := false, false
+	for _, c := range r.Cleared {
+		news = s.clear(c) || news
+	}
+	for _, c := range r.Crashes {
+		crashed = s.add(c, at.Add(settleTime)) || crashed
+	}
+	if len(s.crashes) == 0 {
+		delete(t.unshared, r.Key)
+		t.logCleared(r.Key, s, len(r.Cleared))
+	}
+	if crashed && at.After(s.newest) {
+		s.newest = at
+	}
+	if crashed && t.executed.recent(r.Key, now) {
+		t.clear(r.Key, s)
+	}
+	return news || crashed
+}
+
+// Records returns the records that concern daemons which have seen none of the crashes,
+// at most limit of them, in random order.
+func (t *Table) Records(limit int) []Record {
+	if t.Len() == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	t.expire(now)
+	var records []Record
+	for key, s := range t.suspects {
+		if len(s.crashes) >= commonCrashes {
+			records = append(records, s.record(key, now))
+		}
+	}
+	rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	return records[:min(len(records), limit)]
+}
+
+// Run sends the clearings of this daemon to the others until ctx ends.
+func (t *Table) Run(ctx context.Context) {
+	for {
+		select {
+		case <-t.wake:
+		case <-ctx.Done():
+			return
+		}
+		if t.Timer.Sleep(ctx, rand.N(shareJitter)) != nil {
+			return
+		}
+		if records := t.takeUnshared(); len(records) > 0 && t.Share != nil {
+			t.Share(records)
+		}
+	}
+}
+
+func (t *Table) takeUnshared() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	var records []Record
+	for key := range t.unshared {
+		if s := t.suspects[key]; s != nil {
+			records = append(records, s.record(key, now))
+		}
+	}
+	clear(t.unshared)
+	return records
+}
+
+// State is one suspect for operators. Times are in milliseconds.
+type State struct {
+	Key         string `json:"key"`
+	Crashes     int    `json:"crashes"`
+	Cleared     int    `json:"cleared"`
+	Age         int64  `json:"age"`
+	Quarantined bool   `json:"quarantined"`
+}
+
+// State returns the suspects, sorted by their keys.
+func (t *Table) State() []State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	t.expire(now)
+	all := make([]State, 0, len(t.suspects))
+	for key, s := range t.suspects {
+		all = append(all, State{
+			Key: key.String(), Crashes: len(s.crashes), Cleared: len(s.cleared), Age: now.Sub(s.newest).Milliseconds(),
+			Quarantined: s.count(now) >= quarantineCrashes,
+		})
+	}
+	slices.SortFunc(all, func(a, b State) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// suspect returns the suspect of a key. If there is none it adds one whose newest crash
+// was at a given time. The caller holds the lock.
+func (t *Table) suspect(key bramleytack.Fingerprint, newest time.Time) *suspect {
+	if s := t.suspects[key]; s != nil {
+		return s
+	}
+	if len(t.suspects) >= maxSuspects {
+		t.expire(t.Timer.Now())
+	}
+	if len(t.suspects) >= maxSuspects {
+		t.evict()
+	}
+	s := &suspect{newest: newest}
+	t.suspects[key] = s
+	t.size.Store(int64(len(t.suspects)))
+	return s
+}
+
+// expire drops the suspects without a crash for expiry.
+func (t *Table) expire(now time.Time) {
+	maps.DeleteFunc(t.suspects, func(_ bramleytack.Fingerprint, s *suspect) bool { return now.Sub(s.newest) >= expiry })
+	t.size.Store(int64(len(t.suspects)))
+}
+
+// evict drops the suspect with the fewest crashes, the oldest of these.
+func (t *Table) evict() {
+	var worst bramleytack.Fingerprint
+	var found *suspect
+	for key, s := range t.suspects {
+		if found == nil || len(s.crashes) < len(found.crashes) || len(s.crashes) == len(found.crashes) && s.newest.Before(found.newest) {
+			worst, found = key, s
+		}
+	}
+	delete(t.suspects, worst)
+}
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -47,6 +47,9 @@
 			break
 		}
 		tried[u.ID] = true
+		if sent > 0 && !req.mayRepeat() {
+			break
+		}
 		if sent > 0 && !req.h.Budget.Retry(req.service) {
 			req.log(btevent.RetryBudgetExhausted).Str("service", req.service).Send()
 			break
@@ -134,10 +137,12 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		req.log(btevent.CallerDisconnected).Int("sends", req.attempts).Send()
+	case r != nil && r.usable():
+		req.forward(r)
+	case req.quarantined():
+		req.rejectQuarantined()
 	case r == nil:
 		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "no upstream available")
-	case r.usable():
-		req.forward(r)
 	case r.outcome == bramleytack.NotRun:
 		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "upstreams are full")
 	case ctx.Err() != nil || req.remaining() <= 0:
@@ -149,6 +154,7 @@
 
 // forward sends an upstream's response to the caller unchanged.
 func (req *activeRequest) forward(r *attemptResult) {
+	req.h.Suspects.ReportExecuted(req.fingerprint())
 	copyHeader(req.w.Header(), r.header)
 	if req.method != http.MethodHead {
 		req.w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
--- a/internal/serve/btentry/crash.go
+++ b/internal/serve/btentry/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -12,6 +13,7 @@
 
 	"bramleytack"
 	"bramleytack/btevent"
+	"bramleytack/internal/route/btsuspect"
 )
 
 const (
@@ -131,16 +133,37 @@
 	cause  error
 }
 
-// run checks the upstream, and logs the request if the upstream has crashed.
+// run checks the upstream. If it has crashed, run makes the request a suspect and logs it.
 func (b *breakCheck) run(ctx context.Context) {
 	req, u := b.req, b.upstream
 	if req.h.inspect(ctx, u, b.cause) != verdictCrashed {
 		return
 	}
+	req.h.Suspects.ReportCrash(btsuspect.CrashOf(u), []bramleytack.Fingerprint{req.fingerprint()})
 	req.log(btevent.RequestSuspected).Str("upstream", string(u.ID)).Time("started", u.Started).
 		Str("fingerprint", req.fingerprint().String()).Strs("parts", req.parts).Int("events", b.events).Int("sends", b.sends).Send()
 }
 
+// quarantined reports whether the request must not be sent to an upstream.
+func (req *activeRequest) quarantined() bool {
+	if req.h.Suspects.Len() == 0 {
+		return false
+	}
+	return req.h.Suspects.Quarantined(bramleytack.RequestID(req.id), []bramleytack.Fingerprint{req.fingerprint()})
+}
+
+// mayRepeat reports whether the daemon itself may send the request to one more upstream,
+// as far as crashes are concerned.
+func (req *activeRequest) mayRepeat() bool {
+	return req.h.Suspects.Len() == 0 || !req.h.Suspects.Suspected(req.fingerprint())
+}
+
+// rejectQuarantined answers a quarantined request with a status after which callers do
+// not repeat it. The request may have run before.
+func (req *activeRequest) rejectQuarantined() {
+	req.reject(http.StatusBadRequest, 0, "upstreams crashed when they ran such requests")
+}
+
 // fingerprint returns the hash by which repeats of the request are recognized, at any
 // daemon.
 func (req *activeRequest) fingerprint() bramleytack.Fingerprint {
--- a/internal/serve/btentry/crash_test.go
+++ b/internal/serve/btentry/crash_test.go
@@ -32,6 +32,8 @@
 	sends []time.Time
 	// sound are the responses to sound requests, in the order of their end.
 	sound []response
+	// each is called after each of the requests that repeat sends.
+	each func(i int)
 }
 
 // newFatalFleet starts two more daemons, and engines and shops that crash under each
@@ -89,6 +91,12 @@
 			f.sound = append(f.sound, r)
 		})
 		time.Sleep(gap)
+		if i%3 == 0 {
+			f.h.shareAll()
+		}
+		if f.each != nil {
+			f.each(i)
+		}
 	}
 	all.Wait()
 	// The last upstream that has crashed starts again before the test ends.
@@ -102,22 +110,42 @@
 	return map[string]string{dialect.TokenCounts: "3000,900", dialect.PromptParts: fmt.Sprintf("aa:80,%x:400,%x:90", i%5, 0x1000+i)}
 }
 
+// crash ends upstreams, which start again.
+func (f *fatalFleet) crash(names ...string) {
+	for _, name := range names {
+		f.mu.Lock()
+		w := f.h.workers[name]
+		f.mu.Unlock()
+		w.CrashAndRestart()
+	}
+}
+
+// lateSends returns the number of fatal requests that reached upstreams later than
+// stableWindow after the given crash.
+func (f *fatalFleet) lateSends(crashes int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.sends) <= crashes {
+		return 0
+	}
+	late := 0
+	after := f.sends[crashes-1].Add(stableWindow)
+	for _, at := range f.sends {
+		if at.After(after) {
+			late++
+		}
+	}
+	return late
+}
+
 // checkContained fails the test unless upstreams got at most maxLateSends fatal requests
 // later than stableWindow after the given crash, and sound requests were served once the
 // last upstream had returned.
 func (f *fatalFleet) checkContained(crashes int) {
 	f.h.t.Helper()
+	late := f.lateSends(crashes)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	late := 0
-	if len(f.sends) > crashes {
-		after := f.sends[crashes-1].Add(stableWindow)
-		for _, at := range f.sends {
-			if at.After(after) {
-				late++
-			}
-		}
-	}
 	assert.Check(f.h.t, late <= maxLateSends, "%d sends %v after crash %d; %d in all", late, stableWindow, crashes, len(f.sends))
 	served := 0
 	last := f.sound[len(f.sound)/2:]
@@ -143,3 +171,51 @@
 	}
 }
 
+// Guards against a containment that fails beside other faults: a daemon that restarts and
+// has forgotten all, one that is cut off from the others, records that arrive late, and
+// engines that crash for other reasons.
+func TestFatalRequestIsContainedBesideFaults(t *testing.T) {
+	for name, prepare := range map[string]func(f *fatalFleet){
+		"restart": func(f *fatalFleet) {
+			f.each = func(i int) {
+				// A restart breaks the sound requests at its daemon.
+				if i == 7 || i == 15 {
+					f.h.restart(f.h.daemons[2])
+				}
+			}
+		},
+		"cut": func(f *fatalFleet) {
+			f.h.daemons[2].isolated.Store(true)
+			f.each = func(i int) { f.h.daemons[2].isolated.Store(i < 20) }
+		},
+		"late records": func(f *fatalFleet) { f.h.recordDelay = 2 * time.Second },
+		"other crashes": func(f *fatalFleet) {
+			f.each = func(i int) {
+				if i%10 == 4 {
+					f.crash("e1", "e2")
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(h *harness) {
+				f := newFatalFleet(h, func(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, "/fatal") })
+				prepare(f)
+				f.repeat(40, 400*time.Millisecond, func(int) string { return "/tag/fatal" }, soundHeader)
+				f.checkContained(3)
+			})
+		})
+	}
+}
+
+// Guards against a test above that passes although nothing is contained.
+func TestFatalRequestWithoutSuspects(t *testing.T) {
+	run(t, func(h *harness) {
+		f := newFatalFleet(h, func(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, "/fatal") })
+		for _, d := range h.daemons {
+			d.handler.Suspects = nil
+		}
+		f.repeat(40, 400*time.Millisecond, func(int) string { return "/tag/fatal" }, soundHeader)
+		assert.Assert(t, f.lateSends(3) > maxLateSends)
+	})
+}
--- a/internal/serve/btentry/doc.go
+++ b/internal/serve/btentry/doc.go
@@ -12,10 +12,14 @@
 // the status is 502 or 504. Once a response has begun, a failure closes the
 // connection.
 //
+// A request that crashes the upstreams that run it becomes a suspect at all daemons. It is
+// rejected with status 400, after which callers do not repeat it, once several upstreams
+// have crashed under it (package btsuspect).
+//
 // # Usage
 //
 //	h := &btentry.Handler{
-//		Table: table, Accounts: accounts, Pool: pool, Dialect: dialect,
+//		Table: table, Accounts: accounts, Suspects: suspects, Pool: pool, Dialect: dialect,
 //		Timer: timers, Log: log, Budget: budget, Lengths: lengths,
 //	}
 //	server := &http.Server{Handler: h}
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -21,6 +21,7 @@
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
+	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/upstream/btconn"
 )
 
@@ -47,11 +48,11 @@
 )
 
 // Handler serves callers over HTTP. Its fields are set before the first request.
-// Mover, Log, Metrics, Leaving and Accepts
-// may be nil.
+// Suspects, Mover, Log, Metrics, Leaving and Accepts may be nil.
 type Handler struct {
 	Table    *btreplica.Table
 	Accounts *btaccount.Table
+	Suspects *btsuspect.Table
 	Pool     *btconn.Pool
 	Dialect  bramleytack.FleetDialect
 	Mover    bramleytack.EngineMover
@@ -166,7 +167,15 @@
 	req.setHeader(r)
 	req.need = req.readNeed(r.Header)
 	req.parts = readParts(r.Header.Get(h.Dialect.PromptParts))
-	return req.readBody(r) && req.endsInTime()
+	if !req.readBody(r) || !req.endsInTime() {
+		return false
+	}
+	if req.quarantined() {
+		req.h.buffered.Add(-int64(len(req.body)))
+		req.rejectQuarantined()
+		return false
+	}
+	return true
 }
 
 // endsInTime rejects a request that would probably outlast this daemon.
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -218,7 +218,7 @@
 	if err != nil {
 		reason = err.Error()
 	}
-	if s.continueFromBackup(reason) || s.resume(reason) {
+	if s.req.mayRepeat() && (s.continueFromBackup(reason) || s.resume(reason)) {
 		return
 	}
 	s.fail()
@@ -231,7 +231,7 @@
 	if s.cur.cancel != nil {
 		return
 	}
-	if s.continueFromBackup("handover failed, using backup copy") || s.resume("handover failed") {
+	if s.req.mayRepeat() && (s.continueFromBackup("handover failed, using backup copy") || s.resume("handover failed")) {
 		return
 	}
 	s.fail()
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -5,10 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +29,7 @@
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
+	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/serve/btentry"
 	"bramleytack/internal/standin/btworker"
 	"bramleytack/internal/upstream/btconn"
@@ -82,7 +87,11 @@
 	revision  bramleytack.Revision
 	entryAddr netip.AddrPort
 	requests  int
-	daemons   []*daemon
+	// mu guards daemons.
+	mu      sync.Mutex
+	daemons []*daemon
+	// recordDelay is the mean time that a record of a suspect takes to another daemon.
+	recordDelay time.Duration
 	// memory is the capacity of an engine in tokens.
 	memory int
 }
@@ -94,7 +103,7 @@
 			t: t, upstreams: map[string]*bramleytack.Upstream{}, workers: map[string]*btworker.Worker{},
 			net:   &btmemnet.Network{},
 			pool:  &btworker.Pool{Dialect: dialect, CopyDelay: 300 * time.Millisecond, MoveTime: 200 * time.Millisecond},
-			timer: bttimer.New(1), entryAddr: netip.MustParseAddrPort("10.0.0.1:80"), memory: 1 << 20,
+			timer: bttimer.New(1), entryAddr: netip.MustParseAddrPort("10.0.0.1:80"), memory: 1 << 20, recordDelay: 5 * time.Millisecond,
 			routes: []*bramleytack.Route{
 				{Name: "guide", Host: "h", PathPrefix: "/guide/", Streaming: true, Timeout: 39 * time.Second, TargetLatency: 1800 * time.Millisecond, MaxPause: 180 * time.Millisecond, MaxAttempts: 1, Services: singleService(engineService)},
 				{Name: "tag", Host: "h", PathPrefix: "/tag/", Streaming: true, Resumable: true, Timeout: 6 * time.Second, TargetLatency: 1500 * time.Millisecond, MaxPause: 180 * time.Millisecond, MaxAttempts: 2, Services: singleService(engineService)},
@@ -108,7 +117,7 @@
 		d := h.daemons[0]
 		h.table, h.accounts, h.handler = d.handler.Table, d.handler.Accounts, d.handler
 		f(h)
-		for _, d := range h.daemons {
+		for _, d := range h.running() {
 			d.stop()
 		}
 		for _, w := range h.workers {
@@ -119,11 +128,53 @@
 	})
 }
 
-// daemon is one daemon of the harness, without the exchange between daemons.
+// daemon is one daemon of the harness. Daemons exchange nothing but suspects.
 type daemon struct {
 	addr    netip.AddrPort
 	handler *btentry.Handler
 	server  *http.Server
+	stopRun context.CancelFunc
+	// isolated daemons neither send records of suspects nor get any.
+	isolated atomic.Bool
+}
+
+// share sends records of suspects to the other daemons, twice and in any order.
+func (h *harness) share(from *daemon, records []btsuspect.Record) {
+	for _, d := range h.running() {
+		if d == from || d.isolated.Load() || from.isolated.Load() {
+			continue
+		}
+		for range 2 {
+			time.AfterFunc(h.recordDelay/2+rand.N(h.recordDelay), func() { d.handler.Suspects.Merge(records) })
+		}
+	}
+}
+
+// running returns the daemons that run.
+func (h *harness) running() []*daemon {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.daemons)
+}
+
+// restart ends a daemon and starts it again. As in a fleet, the others send the new
+// process their records at once.
+func (h *harness) restart(d *daemon) {
+	d.stop()
+	h.mu.Lock()
+	h.daemons = slices.DeleteFunc(h.daemons, func(o *daemon) bool { return o == d })
+	h.mu.Unlock()
+	h.startDaemon(d.addr)
+	h.shareAll()
+}
+
+// shareAll sends the records that daemons send periodically.
+func (h *harness) shareAll() {
+	for _, d := range h.running() {
+		if records := d.handler.Suspects.Records(64); len(records) > 0 {
+			h.share(d, records)
+		}
+	}
 }
 
 // startDaemon starts a daemon that serves callers at an address.
@@ -131,13 +182,20 @@
 	log := btevent.New(io.Discard, 0, bramleytack.HostID(addr.String()))
 	table := btreplica.NewTable(codec{h}, h.timer, log)
 	d := &daemon{addr: addr}
+	suspects := btsuspect.New(&btsuspect.Table{Timer: h.timer, Log: log})
+	suspects.Share = func(records []btsuspect.Record) { h.share(d, records) }
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stopRun = cancel
+	go suspects.Run(ctx)
 	d.handler = &btentry.Handler{
-		Table: table, Accounts: &btaccount.Table{Timer: h.timer}, Dialect: dialect, Mover: h.pool, Timer: h.timer, Log: log,
+		Table: table, Accounts: &btaccount.Table{Timer: h.timer}, Suspects: suspects, Dialect: dialect, Mover: h.pool, Timer: h.timer, Log: log,
 		Pool: &btconn.Pool{Dial: h.dial}, Metrics: btentry.NewMetrics(prometheus.NewRegistry()),
 		Budget: &btretry.Budget{Timer: h.timer}, Lengths: btforecast.New(h.timer),
 	}
 	d.server = &http.Server{Handler: d.handler}
+	h.mu.Lock()
 	h.daemons = append(h.daemons, d)
+	h.mu.Unlock()
 	if h.revision > 0 {
 		h.publishTo(d)
 	}
@@ -148,6 +206,7 @@
 // stop ends the daemon at once.
 func (d *daemon) stop() {
 	_ = d.server.Close()
+	d.stopRun()
 	d.handler.Pool.DropAll()
 }
 
@@ -198,7 +257,7 @@
 // publish applies the configuration and the current upstreams to all daemons.
 func (h *harness) publish() {
 	h.revision++
-	for _, d := range h.daemons {
+	for _, d := range h.running() {
 		h.publishTo(d)
 	}
 }
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -135,7 +135,7 @@
 func (s *relay) startFirst() bool {
 	started := s.req.h.Timer.Now()
 	u := s.req.awaitEngine(s.ctx, s.tried)
-	if u == nil {
+	if u == nil || s.req.quarantined() {
 		return false
 	}
 	waited := s.req.h.Timer.Now().Sub(started)
@@ -296,6 +296,7 @@
 	s.done = true
 	seg.close(btaccount.Served)
 	s.learnLength()
+	s.req.h.Suspects.ReportExecuted(s.req.fingerprint())
 	s.req.log(btevent.RequestAnswered).Str("upstream", string(seg.upstream.ID)).Int("status", s.head.status).
 		Uint64("lastEvent", s.lastEventID).Dur("first", s.firstEventLatency).Dur("longestPause", s.longestPause).Send()
 	s.req.h.Metrics.responded(s.req, s.head.status)
@@ -337,6 +338,10 @@
 		s.req.attempts++
 		s.finalResult = betterResult(s.finalResult, r)
 	}
+	if !s.req.mayRepeat() {
+		s.fail()
+		return
+	}
 	retry := r.unsent && s.req.maySkip(len(s.tried))
 	if !r.unsent && len(s.tried) < maxSkipped && (r.misdirected || s.req.mayRetry(r)) {
 		retry = s.req.h.Budget.Retry(s.req.service)
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -194,14 +194,19 @@
 	w.answer(ctx, rw, id)
 }
 
-// crashByRequest ends the upstream during a request, which gets no answer, and starts it
-// again later.
+// crashByRequest ends the upstream during a request, which gets no answer.
 func (w *Worker) crashByRequest() {
+	w.CrashAndRestart()
+	panic(http.ErrAbortHandler)
+}
+
+// CrashAndRestart ends the upstream, cuts its connections, and starts it again after
+// Restart.
+func (w *Worker) CrashAndRestart() {
 	if w.crashed.CompareAndSwap(false, true) {
 		_ = w.server.Close()
 		time.AfterFunc(w.cfg.Restart, w.restart)
 	}
-	panic(http.ErrAbortHandler)
 }
 
 func (w *Worker) restart() {
