Parts of prompts that crash engines are quarantined, sound parts are not

Cause: the unit of suspicion was the whole request. Class: evidence about one key where several keys may carry the fault. Change: a request is suspected by its fingerprint and by each shared part of its prompt, if no engine had begun to write. A first event clears the parts. Keys that occur only together are rejected only together, until a request with some of them has run; a key whose crashes a narrower key has too is not rejected for them. Requests that wait at an engine when a key is quarantined are taken back. Evidence before: TestFatalPartIsContained failed with 33 to 39 late sends and no sound request served.

--- a/internal/fleet/btgossip/suspicion.go
+++ b/internal/fleet/btgossip/suspicion.go
@@ -1,6 +1,7 @@
 package btgossip
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -57,8 +58,8 @@
 
 // Elected reports whether this daemon is the one of all live daemons that a key selects.
 // Daemons that know of different ones may both be selected.
-func (n *Node) Elected(key bramleytack.Fingerprint) bool {
-	weight := func(h bramleytack.HostID) uint64 { return xxhash.Sum64String(string(key[:]) + string(h)) }
+func (n *Node) Elected(key btsuspect.Key) bool {
+	weight := func(h bramleytack.HostID) uint64 { return xxhash.Sum64String(key.String() + string(h)) }
 	own := weight(n.Self.Host)
 	for _, p := range n.view().alive {
 		if !p.Leaving && weight(p.Host) > own {
@@ -72,38 +73,29 @@
 	out := make([]*Suspicion, len(records))
 	for i, r := range records {
 		out[i] = &Suspicion{
-			Key: r.Key[:], Crashes: encodeCrashes(r.Crashes), Cleared: encodeCrashes(r.Cleared),
+			Key: uint64(r.Key), Crashes: convert[uint64](r.Crashes), Cleared: convert[uint64](r.Cleared), Companions: convert[uint64](r.Companions),
 			AgeMillis: uint64(max(r.Age.Milliseconds(), 0)),
 		}
 	}
 	return out
 }
 
-// decodeSuspicions leaves out records whose key has another size.
 func decodeSuspicions(list []*Suspicion) []btsuspect.Record {
-	records := make([]btsuspect.Record, 0, len(list))
-	for _, s := range list {
-		r := btsuspect.Record{Crashes: decodeCrashes(s.Crashes), Cleared: decodeCrashes(s.Cleared), Age: time.Duration(s.AgeMillis) * time.Millisecond}
-		if len(s.Key) == len(r.Key) {
-			copy(r.Key[:], s.Key)
-			records = append(records, r)
+	records := make([]btsuspect.Record, len(list))
+	for i, s := range list {
+		records[i] = btsuspect.Record{
+			Key: btsuspect.Key(s.Key), Crashes: convert[btsuspect.Crash](s.Crashes), Cleared: convert[btsuspect.Crash](s.Cleared),
+			Companions: convert[btsuspect.Key](s.Companions), Age: time.Duration(min(s.AgeMillis, math.MaxInt32)) * time.Millisecond,
 		}
 	}
 	return records
 }
 
-func encodeCrashes(list []btsuspect.Crash) []uint64 {
-	out := make([]uint64, len(list))
-	for i, c := range list {
-		out[i] = uint64(c)
-	}
-	return out
-}
-
-func decodeCrashes(list []uint64) []btsuspect.Crash {
-	out := make([]btsuspect.Crash, len(list))
-	for i, c := range list {
-		out[i] = btsuspect.Crash(c)
+// convert returns a list with its elements converted.
+func convert[T, F ~uint64](list []F) []T {
+	out := make([]T, len(list))
+	for i, v := range list {
+		out[i] = T(v)
 	}
 	return out
 }
--- a/internal/fleet/btgossip/suspicion_test.go
+++ b/internal/fleet/btgossip/suspicion_test.go
@@ -7,15 +7,14 @@
 
 	"gotest.tools/v3/assert"
 
-	"bramleytack"
 	"bramleytack/internal/route/btsuspect"
 )
 
-var fatalKey = bramleytack.FingerprintOf("fatal")
+var fatalKey = btsuspect.KeyOf("fatal")
 
 // crash reports a crash under the fatal key at a daemon.
 func (c *cell) crash(daemon int, id btsuspect.Crash) {
-	c.nodes[daemon].Suspects.ReportCrash(id, []bramleytack.Fingerprint{fatalKey})
+	c.nodes[daemon].Suspects.ReportCrash(id, []btsuspect.Key{fatalKey})
 }
 
 // checkQuarantined fails unless each daemon but the excepted one answers as wanted for a
@@ -24,7 +23,7 @@
 	c.t.Helper()
 	for i, n := range c.nodes {
 		if i != except {
-			got := n.Suspects.Quarantined("r", []bramleytack.Fingerprint{fatalKey})
+			_, got := n.Suspects.Quarantined("r", []btsuspect.Key{fatalKey})
 			assert.Equal(c.t, got, want, "daemon %d, %v", i, n.Suspects.State())
 		}
 	}
--- a/internal/route/btsuspect/doc.go
+++ b/internal/route/btsuspect/doc.go
@@ -24,7 +24,7 @@
 //
 //	t := btsuspect.New(&btsuspect.Table{Timer: timers, Log: log, Share: send, Elected: elected})
 //	go t.Run(ctx)
-//	if t.Quarantined(requestID, keys) { reject() }
+//	if key, yes := t.Quarantined(requestID, keys); yes { reject(key) }
 //	t.ReportCrash(btsuspect.CrashOf(upstream), keys)
 //	t.ReportExecuted(keys)
 package btsuspect
--- a/internal/route/btsuspect/executed.go
+++ b/internal/route/btsuspect/executed.go
@@ -1,10 +1,6 @@
 package btsuspect
 
-import (
-	"time"
-
-	"bramleytack"
-)
+import "time"
 
 // maxExecuted bounds the keys of one generation of executed.
 const maxExecuted = 8192
@@ -12,13 +8,13 @@
 // executed holds the keys of recent executions in two generations, each as long as
 // executedWindow. Keys beyond maxExecuted are not added.
 type executed struct {
-	young, old map[bramleytack.Fingerprint]time.Time
+	young, old map[Key]time.Time
 	since      time.Time
 }
 
-func (e *executed) add(key bramleytack.Fingerprint, now time.Time) {
+func (e *executed) add(key Key, now time.Time) {
 	if e.young == nil || now.Sub(e.since) >= executedWindow {
-		e.young, e.old, e.since = map[bramleytack.Fingerprint]time.Time{}, e.young, now
+		e.young, e.old, e.since = map[Key]time.Time{}, e.young, now
 	}
 	if len(e.young) < maxExecuted {
 		e.young[key] = now
@@ -26,7 +22,7 @@
 }
 
 // recent reports whether a key was added within executedWindow.
-func (e *executed) recent(key bramleytack.Fingerprint, now time.Time) bool {
+func (e *executed) recent(key Key, now time.Time) bool {
 	at, ok := e.young[key]
 	if !ok {
 		at, ok = e.old[key]
--- a/internal/route/btsuspect/suspect.go
+++ b/internal/route/btsuspect/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"time"
 
@@ -10,9 +11,26 @@
 	"bramleytack"
 )
 
-// maxCrashes bounds the crashes of one suspect, counted and cleared ones each. The oldest
-// are dropped.
-const maxCrashes = 12
+const (
+	// maxCrashes bounds the crashes of one suspect, counted and cleared ones each. The
+	// oldest are dropped.
+	maxCrashes = 12
+	// maxCompanions bounds the companions of one suspect.
+	maxCompanions = 8
+)
+
+// Key is the hash of what requests may have in common. Forging a request for a given key
+// takes 2^64 attempts.
+type Key uint64
+
+// KeyOf returns the key of a list of parts.
+func KeyOf(parts ...string) Key {
+	f := bramleytack.FingerprintOf(parts...)
+	return Key(binary.BigEndian.Uint64(f[:]))
+}
+
+// String returns the key in hexadecimal.
+func (k Key) String() string { return fmt.Sprintf("%016x", uint64(k)) }
 
 // Crash identifies the crash of one instance of an upstream, equally at every daemon.
 type Crash uint64
@@ -24,10 +42,12 @@
 
 // Record is the state of one suspect as daemons send it to each other.
 type Record struct {
-	Key bramleytack.Fingerprint
+	Key Key
 	// Crashes count against the key, Cleared do not.
 	Crashes []Crash
 	Cleared []Crash
+	// Companions are the keys that the requests of all crashes had besides.
+	Companions []Key
 	// Age is the time since the newest crash.
 	Age time.Duration
 }
@@ -36,6 +56,9 @@
 type suspect struct {
 	crashes []countedCrash
 	cleared []Crash
+	// companions are the keys that the requests of all crashes had besides this one, at
+	// most maxCompanions of them.
+	companions []Key
 	// newest is the time of the newest crash.
 	newest time.Time
 	// trial is the request that may run although the key is quarantined.
@@ -61,6 +84,16 @@
 	return true
 }
 
+// hasAll reports whether all of some crashes count against s too.
+func (s *suspect) hasAll(crashes []countedCrash) bool {
+	for _, c := range crashes {
+		if !slices.ContainsFunc(s.crashes, func(k countedCrash) bool { return k.crash == c.crash }) {
+			return false
+		}
+	}
+	return true
+}
+
 // clear clears one crash, and reports false if that is known.
 func (s *suspect) clear(c Crash) bool {
 	if slices.Contains(s.cleared, c) {
@@ -90,8 +123,17 @@
 	return n
 }
 
-func (s *suspect) record(key bramleytack.Fingerprint, now time.Time) Record {
-	r := Record{Key: key, Cleared: slices.Clone(s.cleared), Age: now.Sub(s.newest)}
+// accompany keeps the companions that are among the other keys of one more request.
+func (s *suspect) accompany(others []Key, first bool) {
+	if first {
+		s.companions = slices.Clone(others[:min(len(others), maxCompanions)])
+		return
+	}
+	s.companions = slices.DeleteFunc(s.companions, func(k Key) bool { return !slices.Contains(others, k) })
+}
+
+func (s *suspect) record(key Key, now time.Time) Record {
+	r := Record{Key: key, Cleared: slices.Clone(s.cleared), Companions: slices.Clone(s.companions), Age: now.Sub(s.newest)}
 	for _, k := range s.crashes {
 		r.Crashes = append(r.Crashes, k.crash)
 	}
--- a/internal/route/btsuspect/table.go
+++ b/internal/route/btsuspect/table.go
@@ -1,6 +1,7 @@
 package btsuspect
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -49,22 +50,22 @@
 	Share func([]Record)
 	// Elected reports whether this daemon is the one that runs the trial of a key. Nil
 	// means that it is.
-	Elected func(bramleytack.Fingerprint) bool
+	Elected func(Key) bool
 
 	// size is the number of suspects.
 	size atomic.Int64
 
 	mu       sync.Mutex
-	suspects map[bramleytack.Fingerprint]*suspect
+	suspects map[Key]*suspect
 	executed executed
 	// unshared holds the suspects whose clearing the other daemons must learn.
-	unshared map[bramleytack.Fingerprint]bool
+	unshared map[Key]bool
 	wake     chan struct{}
 }
 
 // New prepares t and returns it.
 func New(t *Table) *Table {
-	t.suspects, t.unshared = map[bramleytack.Fingerprint]*suspect{}, map[bramleytack.Fingerprint]bool{}
+	t.suspects, t.unshared = map[Key]*suspect{}, map[Key]bool{}
 	t.wake = make(chan struct{}, 1)
 	return t
 }
@@ -78,25 +79,27 @@
 }
 
 // Quarantined reports whether a request must not be sent to an upstream because one of
-// its keys is quarantined. It is true for all requests but the one that is on trial.
-func (t *Table) Quarantined(request bramleytack.RequestID, keys []bramleytack.Fingerprint) bool {
+// its keys is quarantined, and returns that key. It is true for all requests but the one
+// that is on trial.
+func (t *Table) Quarantined(request bramleytack.RequestID, keys []Key) (Key, bool) {
 	if t.Len() == 0 {
-		return false
+		return 0, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	for _, key := range keys {
-		if s := t.suspects[key]; s != nil && t.quarantined(key, s, now) && !t.try(key, s, request, now) {
-			return true
+		s := t.suspects[key]
+		if s != nil && t.quarantined(key, s, now) && t.accompanied(s, keys, now) && !t.explained(key, s, now) && !t.try(key, s, request, now) {
+			return key, true
 		}
 	}
-	return false
+	return 0, false
 }
 
 // Suspected reports whether a key has crashes in common that no execution has cleared,
 // even if they do not count yet.
-func (t *Table) Suspected(key bramleytack.Fingerprint) bool {
+func (t *Table) Suspected(key Key) bool {
 	if t.Len() == 0 {
 		return false
 	}
@@ -106,7 +109,7 @@
 	return s != nil && len(s.crashes) >= commonCrashes
 }
 
-func (t *Table) quarantined(key bramleytack.Fingerprint, s *suspect, now time.Time) bool {
+func (t *Table) quarantined(key Key, s *suspect, now time.Time) bool {
 	n := s.count(now)
 	if n < quarantineCrashes {
 		return false
@@ -118,8 +121,34 @@
 	return true
 }
 
+// accompanied reports whether a request with some keys has all companions of a suspect
+// that are quarantined too. As long as keys occur together only, any one of them may be
+// the fatal one; a request with some of them runs, and clears these if it is sound.
+func (t *Table) accompanied(s *suspect, keys []Key, now time.Time) bool {
+	for _, c := range s.companions {
+		other := t.suspects[c]
+		if other != nil && other.count(now) >= quarantineCrashes && !slices.Contains(keys, c) {
+			return false
+		}
+	}
+	return true
+}
+
+// explained reports whether all crashes of a suspect are also those of a narrower one: a
+// quarantined key that only occurs together with it. Requests that were beside the fatal
+// ones may then have given it its crashes.
+func (t *Table) explained(key Key, s *suspect, now time.Time) bool {
+	for other, n := range t.suspects {
+		narrower := slices.Contains(n.companions, key) && !slices.Contains(s.companions, other)
+		if narrower && n.count(now) >= quarantineCrashes && n.hasAll(s.crashes) {
+			return true
+		}
+	}
+	return false
+}
+
 // try reports whether a request may run a quarantined key as its trial.
-func (t *Table) try(key bramleytack.Fingerprint, s *suspect, request bramleytack.RequestID, now time.Time) bool {
+func (t *Table) try(key Key, s *suspect, request bramleytack.RequestID, now time.Time) bool {
 	if s.trial == request && now.Sub(s.trialAt) < trialTimeout && s.newest.Before(s.trialAt) {
 		return true
 	}
@@ -134,18 +163,18 @@
 
 // ReportCrash makes the keys of a request that an upstream may have begun to run before
 // its crash suspects, and sends them to the other daemons.
-func (t *Table) ReportCrash(c Crash, keys []bramleytack.Fingerprint) {
+func (t *Table) ReportCrash(c Crash, keys []Key) {
 	if t == nil {
 		return
 	}
 	t.mu.Lock()
 	now := t.Timer.Now()
 	var changed []Record
-	for _, key := range keys {
-		if t.executed.recent(key, now) {
-			continue
-		}
-		if s := t.suspect(key, now); s.add(c, now.Add(settleTime)) {
+	candidates := slices.DeleteFunc(slices.Clone(keys), func(key Key) bool { return t.executed.recent(key, now) })
+	for i, key := range candidates {
+		s, found := t.suspect(key, now)
+		s.accompany(slices.Concat(candidates[:i], candidates[i+1:]), !found)
+		if s.add(c, now.Add(settleTime)) {
 			s.newest = now
 			changed = append(changed, s.record(key, now))
 		}
@@ -157,7 +186,7 @@
 }
 
 // ReportExecuted clears the keys that a request has run with.
-func (t *Table) ReportExecuted(keys ...bramleytack.Fingerprint) {
+func (t *Table) ReportExecuted(keys ...Key) {
 	if t == nil {
 		return
 	}
@@ -173,7 +202,7 @@
 }
 
 // clear clears a suspect. The other daemons learn of it if it concerns them.
-func (t *Table) clear(key bramleytack.Fingerprint, s *suspect) {
+func (t *Table) clear(key Key, s *suspect) {
 	n := len(s.crashes)
 	if n == 0 {
 		return
@@ -192,7 +221,7 @@
 
 // logCleared ends the trial of a suspect without crashes, and logs the end of its
 // quarantine.
-func (t *Table) logCleared(key bramleytack.Fingerprint, s *suspect, crashes int) {
+func (t *Table) logCleared(key Key, s *suspect, crashes int) {
 	if s.logged {
 		t.Log.Event(btevent.KeyCleared).Stringer("key", key).Int("crashes", crashes).Send()
 	}
@@ -218,7 +247,8 @@
 
 func (t *Table) merge(r Record, now time.Time) bool {
 	at := now.Add(-r.Age)
-	s := t.suspect(r.Key, at)
+	s, found := t.suspect(r.Key, at)
+	s.accompany(r.Companions, !found)
 	news, crashed := false, false
 	for _, c := range r.Cleared {
 		news = s.clear(c) || news
@@ -292,11 +322,12 @@
 
 // State is one suspect for operators. Times are in milliseconds.
 type State struct {
-	Key         string `json:"key"`
-	Crashes     int    `json:"crashes"`
-	Cleared     int    `json:"cleared"`
-	Age         int64  `json:"age"`
-	Quarantined bool   `json:"quarantined"`
+	Key         string   `json:"key"`
+	Crashes     int      `json:"crashes"`
+	Cleared     int      `json:"cleared"`
+	Age         int64    `json:"age"`
+	Quarantined bool     `json:"quarantined"`
+	Companions  []string `json:"companions"`
 }
 
 // State returns the suspects, sorted by their keys.
@@ -309,23 +340,18 @@
 	for key, s := range t.suspects {
 		all = append(all, State{
 			Key: key.String(), Crashes: len(s.crashes), Cleared: len(s.cleared), Age: now.Sub(s.newest).Milliseconds(),
-			Quarantined: s.count(now) >= quarantineCrashes,
+			Companions: keyNames(s.companions), Quarantined: s.count(now) >= quarantineCrashes,
 		})
 	}
-	slices.SortFunc(all, func(a, b State) int {
-		if a.Key < b.Key {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b State) int { return cmp.Compare(a.Key, b.Key) })
 	return all
 }
 
 // suspect returns the suspect of a key. If there is none it adds one whose newest crash
-// was at a given time. The caller holds the lock.
-func (t *Table) suspect(key bramleytack.Fingerprint, newest time.Time) *suspect {
+// was at a given time, and reports false. The caller holds the lock.
+func (t *Table) suspect(key Key, newest time.Time) (s *suspect, found bool) {
 	if s := t.suspects[key]; s != nil {
-		return s
+		return s, true
 	}
 	if len(t.suspects) >= maxSuspects {
 		t.expire(t.Timer.Now())
@@ -333,21 +359,21 @@
 	if len(t.suspects) >= maxSuspects {
 		t.evict()
 	}
-	s := &suspect{newest: newest}
+	s = &suspect{newest: newest}
 	t.suspects[key] = s
 	t.size.Store(int64(len(t.suspects)))
-	return s
+	return s, false
 }
 
 // expire drops the suspects without a crash for expiry.
 func (t *Table) expire(now time.Time) {
-	maps.DeleteFunc(t.suspects, func(_ bramleytack.Fingerprint, s *suspect) bool { return now.Sub(s.newest) >= expiry })
+	maps.DeleteFunc(t.suspects, func(_ Key, s *suspect) bool { return now.Sub(s.newest) >= expiry })
 	t.size.Store(int64(len(t.suspects)))
 }
 
 // evict drops the suspect with the fewest crashes, the oldest of these.
 func (t *Table) evict() {
-	var worst bramleytack.Fingerprint
+	var worst Key
 	var found *suspect
 	for key, s := range t.suspects {
 		if found == nil || len(s.crashes) < len(found.crashes) || len(s.crashes) == len(found.crashes) && s.newest.Before(found.newest) {
@@ -356,3 +382,11 @@
 	}
 	delete(t.suspects, worst)
 }
+
+func keyNames(keys []Key) []string {
+	names := make([]string, len(keys))
+	for i, k := range keys {
+		names[i] = k.String()
+	}
+	return names
+}
--- a/internal/route/btsuspect/table_test.go
+++ b/internal/route/btsuspect/table_test.go
@@ -16,7 +16,7 @@
 	"bramleytack/bttimer"
 )
 
-var fatal = bramleytack.FingerprintOf("fatal")
+var fatal = KeyOf("fatal")
 
 // recorder keeps the records that a table shares.
 type recorder struct {
@@ -56,12 +56,13 @@
 // crash reports crashes of the fatal key.
 func crash(table *Table, crashes ...Crash) {
 	for _, c := range crashes {
-		table.ReportCrash(c, []bramleytack.Fingerprint{fatal})
+		table.ReportCrash(c, []Key{fatal})
 	}
 }
 
 func quarantined(table *Table, request string) bool {
-	return table.Quarantined(bramleytack.RequestID(request), []bramleytack.Fingerprint{fatal})
+	_, yes := table.Quarantined(bramleytack.RequestID(request), []Key{fatal})
+	return yes
 }
 
 // Guards against a quarantine that comes too early, counts one crash twice, or never comes.
@@ -151,7 +152,7 @@
 func TestTrial(t *testing.T) {
 	run(t, func(table *Table, _ *recorder) {
 		elected := false
-		table.Elected = func(bramleytack.Fingerprint) bool { return elected }
+		table.Elected = func(Key) bool { return elected }
 		crash(table, 1, 2, 3)
 		time.Sleep(trialAfter)
 		assert.Assert(t, quarantined(table, "r1"), "another daemon is elected")
@@ -177,7 +178,7 @@
 	run(t, func(table *Table, _ *recorder) {
 		crash(table, 1, 2, 3)
 		for i := range 2 * maxSuspects {
-			table.ReportCrash(9, []bramleytack.Fingerprint{bramleytack.FingerprintOf(fmt.Sprint(i))})
+			table.ReportCrash(9, []Key{KeyOf(fmt.Sprint(i))})
 		}
 		for c := range Crash(100) {
 			crash(table, c+10)
@@ -188,7 +189,7 @@
 		assert.Assert(t, quarantined(table, "r"))
 		assert.Assert(t, len(table.suspects[fatal].crashes) <= maxCrashes && len(table.suspects[fatal].cleared) <= maxCrashes)
 		for i := range 2 * maxExecuted {
-			table.ReportExecuted(bramleytack.FingerprintOf("executed", fmt.Sprint(i)))
+			table.ReportExecuted(KeyOf("executed", fmt.Sprint(i)))
 		}
 		assert.Assert(t, len(table.executed.young) <= maxExecuted)
 		time.Sleep(expiry)
@@ -196,3 +197,45 @@
 		assert.Equal(t, table.Len(), 0)
 	})
 }
+
+// Guards against a sound key that is quarantined because it only occurs together with a
+// fatal one, and that no request can clear any more.
+func TestCompanionsRunAlone(t *testing.T) {
+	run(t, func(table *Table, _ *recorder) {
+		subject := KeyOf("subject")
+		for c := range Crash(4) {
+			table.ReportCrash(c, []Key{KeyOf(fmt.Sprint(c)), subject, fatal})
+		}
+		time.Sleep(settleTime)
+		rejected := func(keys ...Key) bool {
+			_, yes := table.Quarantined("r", keys)
+			return yes
+		}
+		assert.Assert(t, rejected(subject, fatal))
+		assert.Assert(t, !rejected(subject), "a request with the subject alone shows whether it is sound")
+		table.ReportExecuted(subject)
+		assert.Assert(t, rejected(fatal), "the only one left of those that occurred together")
+		assert.Assert(t, rejected(subject, fatal))
+	})
+}
+
+// Guards against a sound key of many requests that is quarantined for good because its
+// requests waited at upstreams that a request with a narrower key crashed.
+func TestNarrowerKeyExplainsCrashes(t *testing.T) {
+	run(t, func(table *Table, _ *recorder) {
+		shared := KeyOf("shared")
+		for c := range Crash(3) {
+			table.ReportCrash(c, []Key{fatal, shared})
+			table.ReportCrash(c, []Key{KeyOf("sound", fmt.Sprint(c)), shared})
+		}
+		time.Sleep(settleTime)
+		_, yes := table.Quarantined("r", []Key{fatal, shared})
+		assert.Assert(t, yes)
+		_, yes = table.Quarantined("r", []Key{KeyOf("sound", "3"), shared})
+		assert.Assert(t, !yes)
+		table.ReportCrash(3, []Key{KeyOf("sound", "3"), shared})
+		time.Sleep(settleTime)
+		_, yes = table.Quarantined("r", []Key{KeyOf("sound", "4"), shared})
+		assert.Assert(t, yes, "crashes that the narrower key does not have")
+	})
+}
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -154,7 +154,7 @@
 
 // forward sends an upstream's response to the caller unchanged.
 func (req *activeRequest) forward(r *attemptResult) {
-	req.h.Suspects.ReportExecuted(req.fingerprint())
+	req.h.Suspects.ReportExecuted(req.keys()...)
 	copyHeader(req.w.Header(), r.header)
 	if req.method != http.MethodHead {
 		req.w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
--- a/internal/serve/btentry/crash.go
+++ b/internal/serve/btentry/crash.go
@@ -127,7 +127,8 @@
 type breakCheck struct {
 	req      *activeRequest
 	upstream *bramleytack.Upstream
-	// events is the number of events that the upstream had sent.
+	// begun is set if an upstream had sent an event. events counts those of the upstream.
+	begun  bool
 	events int
 	sends  int
 	cause  error
@@ -139,7 +140,12 @@
 	if req.h.inspect(ctx, u, b.cause) != verdictCrashed {
 		return
 	}
-	req.h.Suspects.ReportCrash(btsuspect.CrashOf(u), []bramleytack.Fingerprint{req.fingerprint()})
+	keys := req.keys()
+	if b.begun {
+		// An engine that has begun to write has survived the parts of the prompt.
+		keys = keys[:1]
+	}
+	req.h.Suspects.ReportCrash(btsuspect.CrashOf(u), keys)
 	req.log(btevent.RequestSuspected).Str("upstream", string(u.ID)).Time("started", u.Started).
 		Str("fingerprint", req.fingerprint().String()).Strs("parts", req.parts).Int("events", b.events).Int("sends", b.sends).Send()
 }
@@ -149,7 +155,11 @@
 	if req.h.Suspects.Len() == 0 {
 		return false
 	}
-	return req.h.Suspects.Quarantined(bramleytack.RequestID(req.id), []bramleytack.Fingerprint{req.fingerprint()})
+	key, yes := req.h.Suspects.Quarantined(bramleytack.RequestID(req.id), req.keys())
+	if yes {
+		req.quarantinedKey = key.String()
+	}
+	return yes
 }
 
 // mayRepeat reports whether the daemon itself may send the request to one more upstream,
@@ -166,13 +176,28 @@
 
 // fingerprint returns the hash by which repeats of the request are recognized, at any
 // daemon.
-func (req *activeRequest) fingerprint() bramleytack.Fingerprint {
+func (req *activeRequest) fingerprint() btsuspect.Key {
 	req.fingerprintOnce.Do(func() {
-		req.ownFingerprint = bramleytack.FingerprintOf(string(req.workspace), req.method, req.host, req.target, string(req.body))
+		req.ownFingerprint = btsuspect.KeyOf(string(req.workspace), req.method, req.host, req.target, string(req.body))
 	})
 	return req.ownFingerprint
 }
 
+// keys returns what may crash upstreams: the request itself and the shared parts of its
+// prompt.
+func (req *activeRequest) keys() []btsuspect.Key {
+	return append([]btsuspect.Key{req.fingerprint()}, req.partKeys()...)
+}
+
+// partKeys returns the keys of the shared parts of the prompt.
+func (req *activeRequest) partKeys() []btsuspect.Key {
+	keys := make([]btsuspect.Key, len(req.parts))
+	for i, id := range req.parts {
+		keys[i] = btsuspect.KeyOf("part", id)
+	}
+	return keys
+}
+
 // readParts returns the ids of the prompt's parts that requests share, which are all but
 // the last, at most maxParts of them.
 func readParts(list string) []string {
--- a/internal/serve/btentry/crash_test.go
+++ b/internal/serve/btentry/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -32,6 +33,8 @@
 	sends []time.Time
 	// sound are the responses to sound requests, in the order of their end.
 	sound []response
+	// rarePart is a part of every tenth sound prompt, empty for none.
+	rarePart string
 	// each is called after each of the requests that repeat sends.
 	each func(i int)
 }
@@ -85,7 +88,7 @@
 		})
 		all.Go(func() {
 			route := target(i)[:strings.LastIndex(target(i), "/")]
-			r := f.h.sendTo(addr, fmt.Sprintf("sound-%d", i), http.MethodPost, fmt.Sprintf("%s/sound-%d", route, i), soundHeader(i), 10*time.Second)
+			r := f.h.sendTo(addr, fmt.Sprintf("sound-%d", i), http.MethodPost, fmt.Sprintf("%s/sound-%d", route, i), f.soundHeader(i), 10*time.Second)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.sound = append(f.sound, r)
@@ -104,6 +107,14 @@
 	return got
 }
 
+func (f *fatalFleet) soundHeader(i int) map[string]string {
+	header := soundHeader(i)
+	if f.rarePart != "" && i%10 == 9 {
+		header[dialect.PromptParts] = fmt.Sprintf("aa:80,%s:400,%x:90", f.rarePart, 0x1000+i)
+	}
+	return header
+}
+
 // soundHeader returns the header of a sound request, whose prompt shares its first part
 // with all others.
 func soundHeader(i int) map[string]string {
@@ -138,6 +149,19 @@
 	return late
 }
 
+// rejectedSound returns the number of sound requests that were rejected as quarantined.
+func (f *fatalFleet) rejectedSound() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, r := range f.sound {
+		if r.status == http.StatusBadRequest {
+			n++
+		}
+	}
+	return n
+}
+
 // checkContained fails the test unless upstreams got at most maxLateSends fatal requests
 // later than stableWindow after the given crash, and sound requests were served once the
 // last upstream had returned.
@@ -219,3 +243,89 @@
 		assert.Assert(t, f.lateSends(3) > maxLateSends)
 	})
 }
+
+// hasPart returns a function that reports whether a request's prompt has one of the parts,
+// its last part aside.
+func hasPart(ids ...string) func(*http.Request) bool {
+	return func(r *http.Request) bool {
+		parts := strings.Split(r.Header.Get(dialect.PromptParts), ",")
+		return slices.ContainsFunc(parts[:len(parts)-1], func(p string) bool {
+			id, _, _ := strings.Cut(p, ":")
+			return slices.Contains(ids, id)
+		})
+	}
+}
+
+// partHeader returns a function for the headers of requests whose prompts have one of some
+// parts in turn, each written as in the header, and share their other parts with sound requests.
+func partHeader(ids ...string) func(i int) map[string]string {
+	return func(i int) map[string]string {
+		return map[string]string{dialect.TokenCounts: "3000,900", dialect.PromptParts: fmt.Sprintf("aa:80,%s:300,%x:400,%x:90", ids[i%len(ids)], i%5, 0x2000+i)}
+	}
+}
+
+// Guards against requests that have nothing in common but a part of their prompts and end
+// one engine after the other, and against sound requests that are rejected for the parts
+// they share with them.
+func TestFatalPartIsContained(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		route   string
+		ids     []string
+		prepare func(f *fatalFleet)
+	}{
+		{"guide", "guide", []string{"dead"}, nil},
+		{"tag", "tag", []string{"dead"}, nil},
+		{"two parts", "tag", []string{"dead", "bad"}, nil},
+		{"rare subject", "guide", []string{"77:100,dead"}, func(f *fatalFleet) { f.rarePart = "77" }},
+		{"other crashes", "tag", []string{"dead"}, func(f *fatalFleet) {
+			f.each = func(i int) {
+				if i%10 == 4 && i < 30 {
+					f.crash("e1", "e2", "e3", "e4")
+				}
+			}
+		}},
+		{"restart", "guide", []string{"dead"}, func(f *fatalFleet) {
+			f.each = func(i int) {
+				if i == 7 || i == 15 {
+					f.h.restart(f.h.daemons[2])
+				}
+			}
+		}},
+		{"late records", "guide", []string{"dead"}, func(f *fatalFleet) { f.h.recordDelay = 2 * time.Second }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(h *harness) {
+				f := newFatalFleet(h, hasPart("dead", "bad"))
+				if c.prepare != nil {
+					c.prepare(f)
+				}
+				f.repeat(50, 400*time.Millisecond, func(i int) string { return fmt.Sprintf("/%s/fatal-%d", c.route, i) }, partHeader(c.ids...))
+				f.checkContained(5 * len(c.ids))
+				assert.Check(t, f.rejectedSound() == 0, "sound requests rejected as quarantined")
+			})
+		})
+	}
+}
+
+// Guards against a quarantine of what sound requests share when engines crash for other
+// reasons, all at once and one after the other.
+func TestSoundRequestsPassAfterCrashes(t *testing.T) {
+	for name, each := range map[string]func(f *fatalFleet, i int){
+		"all at once": func(f *fatalFleet, i int) {
+			if i%12 == 5 {
+				f.crash("e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8")
+			}
+		},
+		"in turn": func(f *fatalFleet, i int) { f.crash(fmt.Sprintf("e%d", i%8+1)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(h *harness) {
+				f := newFatalFleet(h, func(*http.Request) bool { return false })
+				f.each = func(i int) { each(f, i) }
+				f.repeat(50, 150*time.Millisecond, func(i int) string { return fmt.Sprintf("/tag/more-%d", i) }, soundHeader)
+				assert.Check(t, f.rejectedSound() == 0, "sound requests rejected as quarantined")
+			})
+		})
+	}
+}
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -133,7 +133,9 @@
 	// parts are the ids of the shared parts of the prompt.
 	parts           []string
 	fingerprintOnce sync.Once
-	ownFingerprint  bramleytack.Fingerprint
+	ownFingerprint  btsuspect.Key
+	// quarantinedKey is the key for which the request is rejected, empty unless it is.
+	quarantinedKey string
 	// expectedDelay is the delay that was expected of the last chosen upstream.
 	expectedDelay time.Duration
 	// attempts counts the attempts that have ended or were replaced by another one,
@@ -332,7 +334,7 @@
 // reject answers the request with an error of the daemon. The reason becomes the
 // response body and a metric label.
 func (req *activeRequest) reject(status int, retryAfter time.Duration, reason string) {
-	req.log(btevent.RequestRejected).Int("status", status).Int("sends", req.attempts).Str("reason", reason).Send()
+	req.log(btevent.RequestRejected).Int("status", status).Int("sends", req.attempts).Str("reason", reason).Str("key", req.quarantinedKey).Send()
 	req.h.Metrics.rejected(status, reason)
 	header := req.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -116,6 +116,7 @@
 		case <-timer.C():
 			s.checkLeaving()
 			s.checkSilence()
+			s.checkQuarantine()
 			timer = s.req.h.Timer.After(s.silenceLimit())
 		case <-s.ctx.Done():
 			s.fail()
@@ -270,6 +271,7 @@
 		return
 	}
 	s.headSent = true
+	s.req.h.Suspects.ReportExecuted(s.req.partKeys()...)
 	s.lastEventAt = s.req.h.Timer.Now()
 	copyHeader(s.req.w.Header(), s.head.header)
 	s.req.w.WriteHeader(s.head.status)
@@ -365,10 +367,21 @@
 	s.recoverStream(seg, err)
 }
 
+// checkQuarantine ends a request without any event if it has become quarantined since it
+// was sent.
+func (s *relay) checkQuarantine() {
+	if s.done || s.headSent || !s.req.quarantined() {
+		return
+	}
+	s.close()
+	s.done = true
+	s.req.rejectQuarantined()
+}
+
 // inspectBreak checks the upstream of a segment that broke off. A stream whose caller has
 // got events does not wait for the check.
 func (s *relay) inspectBreak(seg *segment, err error) {
-	b := &breakCheck{req: s.req, upstream: seg.upstream, events: seg.eventCount, sends: s.req.attempts, cause: err}
+	b := &breakCheck{req: s.req, upstream: seg.upstream, begun: s.headSent || seg.eventCount > 0, events: seg.eventCount, sends: s.req.attempts, cause: err}
 	if s.headSent {
 		go b.run(s.ctx)
 		return
