An upstream's own word that it is leaving counts from its response on

Cause: no code read the header; a daemon went by the store alone, which is late while it is away, and by reports that it asks for then. Class: a signal of an upstream that arrives by a path that nobody reads. Change: each response but 421 marks the instance as leaving in the replica, which excludes it from all choices and hands its generations over. The mark belongs to the instance (name and start) and outlasts a lapsed registration. A move whose target has stopped accepting work meanwhile no longer hands over to it. Evidence before: TestLeavingUpstreamGetsNothing failed, 26 and 39 requests reached the engine and the plain upstream later than 2 s. After: it passes. Open, by reading: a request that was chosen before the response and sent after it.

--- a/fleet.go
+++ b/fleet.go
@@ -96,6 +96,8 @@
 	// Load carries the numbers of running and waiting requests and of slots,
 	// separated by commas.
 	Load string
+	// Leaving marks a response of an upstream that is leaving, with any value but 0.
+	Leaving string
 	// Seal is the upstream's signature of a response.
 	Seal string
 	// TokenCounts carries the number of prompt tokens and the maximum number of
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -62,13 +62,23 @@
 	kinds map[string]*kindState
 	// decoded caches the decoded registrations by name.
 	decoded map[string]decodedUpstream
-	// leaving holds the upstreams that MarkLeaving marked.
-	leaving   map[string]bool
+	// leaving holds the instances that MarkLeaving marked.
+	leaving   map[string]leavingMark
 	listeners []func(Batch)
 
 	current atomic.Pointer[currentSnapshot]
 }
 
+// leavingMark is the word of one instance of an upstream that it is leaving.
+type leavingMark struct {
+	started time.Time
+	at      time.Time
+}
+
+// leavingRetention is how long a mark outlasts its registration, which may lapse and come
+// back during an outage of the store.
+const leavingRetention = 5 * time.Minute
+
 // decodedUpstream is a decoded version of a registration. upstream is nil if it could
 // not be decoded.
 type decodedUpstream struct {
@@ -78,7 +88,7 @@
 
 // NewTable returns an empty replica.
 func NewTable(codec bramleytack.CatalogCodec, timer bramleytack.Timer, log *btevent.Logger) *Table {
-	t := &Table{codec: codec, timer: timer, log: log, kinds: map[string]*kindState{}, decoded: map[string]decodedUpstream{}, leaving: map[string]bool{}}
+	t := &Table{codec: codec, timer: timer, log: log, kinds: map[string]*kindState{}, decoded: map[string]decodedUpstream{}, leaving: map[string]leavingMark{}}
 	t.current.Store(&currentSnapshot{changed: make(chan struct{})})
 	return t
 }
@@ -238,17 +248,17 @@
 	delete(k.lapsed, name)
 }
 
-// MarkLeaving records that an upstream itself reported that it is leaving. The mark
-// stays until the registration is removed: an instance that is leaving does not return
-// to service.
-func (t *Table) MarkLeaving(id bramleytack.UpstreamID) {
+// MarkLeaving records that an instance of an upstream itself said that it is leaving. An
+// instance that is leaving does not return: the mark stays, whatever the store says.
+func (t *Table) MarkLeaving(u *bramleytack.Upstream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.leaving[string(id)] {
+	name := string(u.ID)
+	if m, ok := t.leaving[name]; ok && !m.started.Before(u.Started) {
 		return
 	}
-	t.leaving[string(id)] = true
-	t.log.Event(btevent.UpstreamLeavingReported).Str("upstream", string(id)).Send()
+	t.leaving[name] = leavingMark{started: u.Started, at: t.timer.Now()}
+	t.log.Event(btevent.UpstreamLeavingReported).Str("upstream", name).Time("started", u.Started).Send()
 	t.rebuild()
 }
 
@@ -344,7 +354,7 @@
 		if u == nil {
 			continue
 		}
-		if t.leaving[name] {
+		if m, ok := t.leaving[name]; ok && m.started.Equal(u.Started) {
 			leaving := *u
 			leaving.State = bramleytack.UpstreamLeaving
 			u = &leaving
@@ -362,6 +372,11 @@
 		if _, ok := k.objects[name]; !ok {
 			t.log.Event(btevent.UpstreamRemoved).Str("upstream", name).Uint64("upto", uint64(k.upto)).Send()
 			delete(t.decoded, name)
+		}
+	}
+	for name, m := range t.leaving {
+		// Without a start time, a later instance of the same name looks the same.
+		if _, ok := k.objects[name]; !ok && (m.started.IsZero() || t.timer.Now().Sub(m.at) > leavingRetention) {
 			delete(t.leaving, name)
 		}
 	}
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -80,7 +80,10 @@
 		x.Close()
 		return nil, errOtherRequest
 	}
-	req.observeLoad(u, x.Header)
+	if x.StatusCode != http.StatusMisdirectedRequest {
+		req.observeLoad(u, x.Header)
+		req.observeLeaving(u, x.Header)
+	}
 	return x, nil
 }
 
@@ -94,6 +97,14 @@
 	return req.h.Pool.Get(ctx, u.Addr)
 }
 
+// observeLeaving takes an upstream's word that it is leaving. It gets no new work then,
+// and its generations are handed over.
+func (req *activeRequest) observeLeaving(u *bramleytack.Upstream, header http.Header) {
+	if v := strings.TrimSpace(header.Get(req.h.Dialect.Leaving)); v != "" && v != "0" {
+		req.h.Table.MarkLeaving(u)
+	}
+}
+
 // observeLoad records the load that an upstream reports in its response header.
 func (req *activeRequest) observeLoad(u *bramleytack.Upstream, header http.Header) {
 	parts := strings.Split(header.Get(req.h.Dialect.Load), ",")
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -24,6 +24,10 @@
 // errStalled ends a segment whose engine sent no event for too long.
 var errStalled = errors.New("btentry: engine sends no events")
 
+// errTargetLeft ends a move whose target no longer accepts work. The generation goes on
+// at its source.
+var errTargetLeft = errors.New("btentry: target of the move accepts no work")
+
 // moveResult is how a move ended.
 type moveResult struct {
 	source *segment
@@ -282,6 +286,9 @@
 	if s.done || m.source != s.cur {
 		return
 	}
+	if m.err == nil && !s.req.h.Table.Snapshot().Accepts(m.target.ID) {
+		m.err = errTargetLeft
+	}
 	if m.err == nil {
 		s.cur.close(btaccount.Abandoned)
 		s.startNext(m.target, fromCopy, m.copy.String(), "moved")
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -38,7 +38,7 @@
 // dialect is used by these tests only.
 var dialect = bramleytack.FleetDialect{
 	RequestID: "X-Request", DeadlineMillis: "X-Deadline", Workspace: "X-Workspace", ExpectInstance: "X-Instance",
-	NotRun: "X-Not-Run", Load: "X-Load", Seal: "X-Seal", TokenCounts: "X-Tokens", LengthHint: "X-Hint", PromptParts: "X-Parts",
+	NotRun: "X-Not-Run", Load: "X-Load", Leaving: "X-Leaving", Seal: "X-Seal", TokenCounts: "X-Tokens", LengthHint: "X-Hint", PromptParts: "X-Parts",
 	LastEvent: "X-Last-Event", Backup: "X-Backup", From: "X-From",
 	Reserved: []string{"X-Workspace", "X-Instance", "X-Backup", "X-From", "Authorization"},
 }
--- /dev/null
+++ b/internal/serve/btentry/signal_test.go
@@ -0,0 +1,66 @@
+package btentry_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// drainTime is the time after an upstream's word that it leaves, from which on no request
+// may reach it.
+const drainTime = 2 * time.Second
+
+// traffic sends a call and a short generation each 50 ms until d has passed, and returns
+// the responses.
+func (h *harness) traffic(d time.Duration) []response {
+	var mu sync.Mutex
+	var got []response
+	var all sync.WaitGroup
+	send := func(target string) {
+		r := h.send("t"+time.Now().String()+target, http.MethodPost, target, map[string]string{dialect.TokenCounts: "300,40"}, 10*time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		got = append(got, r)
+	}
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		all.Go(func() { send("/check/a") })
+		all.Go(func() { send("/tag/a") })
+	}
+	all.Wait()
+	return got
+}
+
+// Guards against requests that reach an upstream that has said in a response that it is
+// leaving, although the store calls it active.
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	run(t, func(h *harness) {
+		for _, name := range []string{"e1", "e2", "e3"} {
+			h.startEngine(name)
+		}
+		for _, name := range []string{"s1", "s2", "s3"} {
+			h.startShop(name)
+		}
+		h.traffic(time.Second)
+		h.workers["e1"].SetLeaving(true)
+		h.workers["s1"].SetLeaving(true)
+		told := time.Now()
+		after(time.Second, h.publish)
+		for _, r := range h.traffic(6 * time.Second) {
+			assert.Check(t, r.err == nil && r.status == http.StatusOK, "%v %v", r.status, r.err)
+		}
+		for _, name := range []string{"e1", "s1"} {
+			assert.Check(t, h.workers[name].ArrivedAfter(told.Add(-1)) > 0, "%s has said nothing", name)
+			assert.Check(t, h.workers[name].ArrivedAfter(told.Add(drainTime)) == 0, "%d requests reached %s", h.workers[name].ArrivedAfter(told.Add(drainTime)), name)
+		}
+		// Another instance under the same name is a new upstream.
+		h.workers["s1"].SetLeaving(false)
+		h.upstreams["s1"].Started = time.Now()
+		h.publish()
+		again := time.Now()
+		h.traffic(time.Second)
+		assert.Check(t, h.workers["s1"].ArrivedAfter(again) > 0, "the new instance gets nothing")
+	})
+}
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -69,6 +69,8 @@
 	// stalled holds streams back, as a preemption does.
 	stalled atomic.Bool
 	crashed atomic.Bool
+	// leaving upstreams say so in all their responses.
+	leaving atomic.Bool
 	// misdirected counts requests for another instance.
 	misdirected atomic.Int64
 
@@ -77,6 +79,8 @@
 	active map[string]context.CancelFunc
 	last   *http.Request
 	body   string
+	// arrivals are the times at which requests arrived.
+	arrivals []time.Time
 }
 
 func (w *Worker) serve() {
@@ -103,6 +107,22 @@
 // Stall holds streams back, or lets them go on.
 func (w *Worker) Stall(on bool) { w.stalled.Store(on) }
 
+// SetLeaving makes the upstream say that it is leaving, or end that.
+func (w *Worker) SetLeaving(on bool) { w.leaving.Store(on) }
+
+// ArrivedAfter returns the number of requests that arrived later than a time.
+func (w *Worker) ArrivedAfter(at time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, a := range w.arrivals {
+		if a.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
 // Last returns the last request and its body.
 func (w *Worker) Last() (*http.Request, string) {
 	w.mu.Lock()
@@ -156,8 +176,12 @@
 	id := r.Header.Get(d.RequestID)
 	w.mu.Lock()
 	w.last, w.body = r, string(body)
+	w.arrivals = append(w.arrivals, time.Now())
 	w.mu.Unlock()
 	rw.Header().Set(d.RequestID, id)
+	if w.leaving.Load() {
+		rw.Header().Set(d.Leaving, "1")
+	}
 	if want := r.Header.Get(d.ExpectInstance); want != "" && want != w.cfg.ID {
 		w.misdirected.Add(1)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
