A 503 with Retry-After stops this daemon's sends to the upstream until then

Cause: no code read an upstream's Retry-After; a refusal only excluded the upstream from the same request. Class: a signal of an upstream that nobody reads. A paused upstream is no candidate, no target of copies or moves, and takes no handover. Daemons return up to a tenth later, at random. If all upstreams of a service are paused, the request is rejected at once, with a Retry-After from the end of the first pause.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -59,6 +59,7 @@
 	UpstreamRemoved         = Event{407, zerolog.InfoLevel, "registration of an upstream was removed"}
 	UpstreamEjected         = Event{408, zerolog.WarnLevel, "upstream was ejected because of failures"}
 	UpstreamInspected       = Event{409, zerolog.InfoLevel, "connection broke and its upstream was checked"}
+	UpstreamPaused          = Event{410, zerolog.InfoLevel, "upstream has asked for a pause"}
 	RequestFailed           = Event{500, zerolog.WarnLevel, "request failed"}
 	RequestNotRun           = Event{501, zerolog.DebugLevel, "request was rejected before it ran"}
 	RequestRejected         = Event{502, zerolog.InfoLevel, "request was rejected"}
@@ -128,6 +129,7 @@
 		UpstreamRemoved,
 		UpstreamEjected,
 		UpstreamInspected,
+		UpstreamPaused,
 		RequestFailed,
 		RequestNotRun,
 		RequestRejected,
--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -38,6 +38,10 @@
 	// maxDoublings keeps the shift of both pauses from overflowing. maxEjection
 	// and maxUnreachablePause are reached earlier.
 	maxDoublings = 5
+	// maxPause bounds the pause that an upstream can ask for.
+	maxPause = time.Minute
+	// pauseSpread is the share of a pause by which daemons return at different times.
+	pauseSpread = 0.1
 	// reportValidity is how long a load header of an upstream's response is used.
 	reportValidity = 300 * time.Millisecond
 )
@@ -163,6 +167,10 @@
 	avoidUntil   time.Time
 	// refusals counts consecutive failed connection attempts.
 	refusals int
+	// pausedUntil is the end of a pause that the instance that started at pausedStart
+	// asked for.
+	pausedUntil time.Time
+	pausedStart time.Time
 	// cold limits the rate of requests while the upstream is cold.
 	cold bucket
 }
@@ -172,6 +180,11 @@
 	return now.Before(a.ejectedUntil) || now.Before(a.avoidUntil)
 }
 
+// paused reports whether an upstream has asked this daemon for a pause that has not ended.
+func (a *account) paused(u *bramleytack.Upstream, now time.Time) bool {
+	return now.Before(a.pausedUntil) && a.pausedStart.Equal(u.Started)
+}
+
 // Lease counts one request in the load of an upstream until End is called. It
 // does not expire. It is safe for concurrent use.
 type Lease struct {
--- a/internal/route/btaccount/health.go
+++ b/internal/route/btaccount/health.go
@@ -2,13 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"bramleytack"
 	"bramleytack/btevent"
 )
 
-// Eligible returns the upstreams of a service that may get new work and are not
-// in tried. It leaves out those that this daemon avoids, unless no others remain,
+// Eligible returns the upstreams of a service that may get new work, have not asked for a
+// pause and are not in tried. It leaves out those that this daemon avoids, unless no others remain,
 // and those that at least ejectQuorum other daemons have ejected, unless they are
 // more than half of the service or no others remain. Of a service with more than
 // maxCandidates upstreams it considers those of this failure domain and a sample of the
@@ -56,7 +57,7 @@
 		a := t.account(u.ID)
 		a.service = service
 		switch {
-		case tried[u.ID]:
+		case tried[u.ID], a.paused(u, now):
 		case a.avoided(now):
 			avoided = append(avoided, u)
 		case t.peerTotals[u.ID].Ejections >= ejectQuorum:
@@ -74,6 +75,51 @@
 	return healthy
 }
 
+// Pause stops this daemon's sends to an upstream that asked for a pause, for at most a
+// minute. A pause never shortens an earlier one of the same instance.
+func (t *Table) Pause(u *bramleytack.Upstream, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d = min(d, maxPause)
+	d += time.Duration(pauseSpread * rand.Float64() * float64(d))
+	a := t.account(u.ID)
+	until := t.Timer.Now().Add(d)
+	if a.pausedStart.Equal(u.Started) && !until.After(a.pausedUntil) {
+		return
+	}
+	a.pausedUntil, a.pausedStart = until, u.Started
+	t.Log.Event(btevent.UpstreamPaused).Str("upstream", string(u.ID)).Str("service", u.Service).Dur("pause", d).Send()
+}
+
+// Paused reports whether an upstream has asked this daemon for a pause.
+func (t *Table) Paused(u *bramleytack.Upstream) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.account(u.ID).paused(u, t.Timer.Now())
+}
+
+// PauseLeft returns the time until the first upstream of a service ends its pause, zero if
+// any of those that accept work is not paused, or there is none.
+func (t *Table) PauseLeft(s *bramleytack.Snapshot, service string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	var left time.Duration
+	for _, u := range s.ByService[service] {
+		if !s.Accepts(u.ID) {
+			continue
+		}
+		a := t.account(u.ID)
+		if !a.paused(u, now) {
+			return 0
+		}
+		if d := a.pausedUntil.Sub(now); left == 0 || d < left {
+			left = d
+		}
+	}
+	return left
+}
+
 // RecordFailure counts a failure of an upstream whose attempt ended as Abandoned
 // because the failure could not yet be attributed to the upstream.
 func (t *Table) RecordFailure(id bramleytack.UpstreamID) {
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -84,6 +84,9 @@
 		req.observeLoad(u, x.Header)
 		req.observeLeaving(u, x.Header)
 	}
+	if d := retryAfter(x.Header, req.h.Timer.Now()); x.StatusCode == http.StatusServiceUnavailable && d > 0 {
+		req.h.Accounts.Pause(u, d)
+	}
 	return x, nil
 }
 
@@ -105,6 +108,26 @@
 	}
 }
 
+// maxRetryAfterSeconds keeps the Retry-After value of an upstream from overflowing.
+const maxRetryAfterSeconds = 1e6
+
+// retryAfter returns the Retry-After value of an upstream's response: seconds, perhaps
+// with a fraction, or a date. Of several values the longest counts. It returns zero without
+// a valid one.
+func retryAfter(header http.Header, now time.Time) time.Duration {
+	var longest time.Duration
+	for _, v := range header.Values("Retry-After") {
+		if s, err := strconv.ParseFloat(strings.TrimSpace(v), 64); err == nil {
+			if s > 0 {
+				longest = max(longest, time.Duration(min(s, maxRetryAfterSeconds)*float64(time.Second)))
+			}
+		} else if at, err := http.ParseTime(v); err == nil {
+			longest = max(longest, at.Sub(now))
+		}
+	}
+	return longest
+}
+
 // observeLoad records the load that an upstream reports in its response header.
 func (req *activeRequest) observeLoad(u *bramleytack.Upstream, header http.Header) {
 	parts := strings.Split(header.Get(req.h.Dialect.Load), ",")
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -166,9 +166,10 @@
 }
 
 // retryAfter returns a random Retry-After, so that rejected callers do not return
-// all at once.
+// all at once. It is not less than the time for which all upstreams are paused.
 func (req *activeRequest) retryAfter() time.Duration {
 	d := time.Duration((0.5 + rand.Float64()) * float64(meanRetryAfter))
+	d += req.h.Accounts.PauseLeft(req.h.Table.Snapshot(), req.service)
 	return max(min(d, req.maxRetryAfter()), 0)
 }
 
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -167,7 +167,7 @@
 	}
 	s.req.snapshot = s.req.h.Table.Snapshot()
 	u := s.req.snapshot.Upstreams[seg.backup.ID]
-	if !s.req.snapshot.Accepts(seg.backup.ID) {
+	if !s.req.snapshot.Accepts(seg.backup.ID) || s.req.h.Accounts.Paused(u) {
 		return false
 	}
 	// A copy can be used once, and only after its generation has stopped.
@@ -286,7 +286,7 @@
 	if s.done || m.source != s.cur {
 		return
 	}
-	if m.err == nil && !s.req.h.Table.Snapshot().Accepts(m.target.ID) {
+	if m.err == nil && (!s.req.h.Table.Snapshot().Accepts(m.target.ID) || s.req.h.Accounts.Paused(m.target)) {
 		m.err = errTargetLeft
 	}
 	if m.err == nil {
@@ -303,7 +303,7 @@
 // be used only after the previous engine has noticed the end of the generation. It
 // reports whether the handover was repeated.
 func (s *relay) retryCopy(seg *segment, r *attemptResult) bool {
-	if seg.origin != fromCopy || r.outcome != bramleytack.NotRun || r.unsent || seg.retries >= copyRetries {
+	if seg.origin != fromCopy || r.outcome != bramleytack.NotRun || r.unsent || seg.retries >= copyRetries || s.req.h.Accounts.Paused(seg.upstream) {
 		return false
 	}
 	if s.req.h.Timer.Sleep(s.ctx, copyRetryPause) != nil {
--- a/internal/serve/btentry/signal_test.go
+++ b/internal/serve/btentry/signal_test.go
@@ -1,12 +1,15 @@
 package btentry_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"bramleytack/internal/standin/btworker"
 )
 
 // drainTime is the time after an upstream's word that it leaves, from which on no request
@@ -64,3 +67,49 @@
 		assert.Check(t, h.workers["s1"].ArrivedAfter(again) > 0, "the new instance gets nothing")
 	})
 }
+
+// Guards against requests that reach an upstream during the pause that it has asked for,
+// and against rejections that call callers back before its end.
+func TestPausedUpstreamGetsNothing(t *testing.T) {
+	const pause = 3 * time.Second
+	for _, paused := range []int{1, 3} {
+		t.Run(fmt.Sprint(paused), func(t *testing.T) {
+			run(t, func(h *harness) {
+				var names []string
+				for i := range 3 {
+					h.startEngine(fmt.Sprint("e", i))
+					h.startShop(fmt.Sprint("s", i))
+					if i < paused {
+						names = append(names, fmt.Sprint("e", i), fmt.Sprint("s", i))
+					}
+				}
+				h.traffic(time.Second)
+				for _, name := range names {
+					h.workers[name].SetPause(pause)
+					h.workers[name].Set(btworker.Full)
+				}
+				start := time.Now()
+				after(pause-100*time.Millisecond, func() {
+					for _, name := range names {
+						h.workers[name].Set(btworker.Healthy)
+						first := h.workers[name].FirstAfter(start)
+						assert.Check(t, h.workers[name].ArrivedAfter(first.Add(500*time.Millisecond)) <= 2, "%d requests reached %s", h.workers[name].ArrivedAfter(first.Add(500*time.Millisecond)), name)
+					}
+				})
+				for _, r := range h.traffic(2500 * time.Millisecond) {
+					if paused < 3 {
+						assert.Check(t, r.err == nil && r.status == http.StatusOK, "%v %v", r.status, r.err)
+						continue
+					}
+					assert.Check(t, r.status == http.StatusServiceUnavailable && r.header.Get("Retry-After") != "", "%v %v", r.status, r.err)
+				}
+				time.Sleep(2 * time.Second)
+				again := time.Now()
+				h.traffic(2 * time.Second)
+				for _, name := range names {
+					assert.Check(t, h.workers[name].ArrivedAfter(again) > 0, "%s gets nothing after its pause", name)
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -69,6 +69,8 @@
 	// stalled holds streams back, as a preemption does.
 	stalled atomic.Bool
 	crashed atomic.Bool
+	// pause is the time in nanoseconds for which a full upstream asks for no requests.
+	pause atomic.Int64
 	// leaving upstreams say so in all their responses.
 	leaving atomic.Bool
 	// misdirected counts requests for another instance.
@@ -107,6 +109,9 @@
 // Stall holds streams back, or lets them go on.
 func (w *Worker) Stall(on bool) { w.stalled.Store(on) }
 
+// SetPause makes a full upstream ask for a pause in its rejections.
+func (w *Worker) SetPause(d time.Duration) { w.pause.Store(int64(d)) }
+
 // SetLeaving makes the upstream say that it is leaving, or end that.
 func (w *Worker) SetLeaving(on bool) { w.leaving.Store(on) }
 
@@ -123,6 +128,19 @@
 	return n
 }
 
+// FirstAfter returns the time of the first request that arrived at a time or later, or the
+// zero time.
+func (w *Worker) FirstAfter(at time.Time) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.arrivals {
+		if !a.Before(at) {
+			return a
+		}
+	}
+	return time.Time{}
+}
+
 // Last returns the last request and its body.
 func (w *Worker) Last() (*http.Request, string) {
 	w.mu.Lock()
@@ -190,6 +208,9 @@
 	from := r.Header.Get(d.From)
 	if Fault(w.fault.Load()) == Full || from != "" && !w.use(from) {
 		rw.Header().Set(d.NotRun, "1")
+		if p := time.Duration(w.pause.Load()); p > 0 {
+			rw.Header().Set("Retry-After", strconv.FormatFloat(p.Seconds(), 'f', -1, 64))
+		}
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
