An answer that ends with its connection is not whole if its upstream crashed

Here: a stream without length or chunks whose engine closed the connection before the first event was passed on as 200 without events; an answer without length whose upstream crashed in the middle of it was passed on as whole. Cause: the end of the connection was taken for the end of the body. Class: an end that looks alike for a whole and a cut answer. Change: without length and chunks, a stream needs an event, and the upstream must not refuse connections after the end of the answer; otherwise it counts as broken off. Evidence before: TestAnswerCutShort (stream, before events) and TestUnframedAnswerOfCrashedUpstream failed.

--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -173,7 +173,12 @@
 		return r.fail(err)
 	}
 	defer x.Close()
-	return req.readResult(r, x)
+	req.readResult(r, x)
+	if r.usable() && !x.Framed() && req.h.inspect(ctx, u, io.EOF) == verdictCrashed {
+		// The body may have been cut short.
+		r.err, r.outcome = io.ErrUnexpectedEOF, bramleytack.Unknown
+	}
+	return r
 }
 
 // fail records an error that came before a response.
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -104,11 +104,11 @@
 		return
 	}
 	events := btstream.NewReader(x.Body)
-	for {
+	for n := 0; ; n++ {
 		e, err := events.Next()
 		switch {
 		case errors.Is(err, io.EOF):
-			seg.send(ctx, item{ended: true})
+			seg.send(ctx, item{ended: true, err: seg.checkEnd(ctx, x, n)})
 			return
 		case err != nil:
 			seg.send(ctx, item{ended: true, err: err})
@@ -120,6 +120,15 @@
 	}
 }
 
+// checkEnd returns io.ErrUnexpectedEOF if a stream that ended after some events was broken
+// off although its end looks like that of a whole one.
+func (seg *segment) checkEnd(ctx context.Context, x *btconn.Exchange, events int) error {
+	if !x.Framed() && (events == 0 || seg.req.h.inspect(ctx, seg.upstream, io.EOF) == verdictCrashed) {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // send passes an item to the relay. It reports false if the segment was closed.
 func (seg *segment) send(ctx context.Context, i item) bool {
 	select {
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -256,12 +256,12 @@
 	default:
 		return false
 	}
-	return !x.writeErr.Load() && !x.Response.Close && x.conn.r.Buffered() == 0 && x.hasFraming()
+	return !x.writeErr.Load() && !x.Response.Close && x.conn.r.Buffered() == 0 && x.Framed()
 }
 
-// hasFraming reports whether the response body ends without a close of the
-// connection.
-func (x *Exchange) hasFraming() bool {
+// Framed reports whether the response body has a length or chunks. If it has not, it ends
+// with the connection, and a body that was cut short may look whole.
+func (x *Exchange) Framed() bool {
 	return x.ContentLength >= 0 || len(x.TransferEncoding) > 0
 }
 
