A failing test of a load report that is lost once, the cause of TestHubsAreReplaced

Cause: a changed load is reported to the hubs once and repeated after 200 ms; the test allows 150 ms.

--- a/internal/fleet/btgossip/hubs_test.go
+++ b/internal/fleet/btgossip/hubs_test.go
@@ -278,3 +278,17 @@
 		})
 	}
 }
+
+// Guards against a load that the daemons of a failure domain do not know of because one
+// report to its hubs was lost: it must arrive within the time that a replaced hub takes.
+func TestLostReportReachesHubs(t *testing.T) {
+	runHubs(t, 36, 0, func(c *cell) {
+		time.Sleep(4 * time.Second)
+		c.lan.isolate(addrOf(9), true)
+		c.nodes[9].Accounts.Begin("a", longNeed)
+		time.Sleep(minLoadInterval)
+		c.lan.isolate(addrOf(9), false)
+		time.Sleep(3*tablePeriod - minLoadInterval)
+		c.checkAvoidsA(c.inDomain(0, domains*hubsPerDomain))
+	})
+}
