A quarantine is tried again after five seconds, and later only for failed trials

Cause: the time to the next trial doubled with each crash, those of the first loop included (8 crashes: 16 minutes); keys of one request elected different daemons, so that none of them was ever tried. Class: a penalty that grows with events of which it is not the cause. Change: first trial after 5 s; each trial that ends with a crash makes it four times as long, counted over all daemons; a request with several quarantined keys is tried at the daemon elected for the first. Evidence before: TestSoundRequestsPassAfterCrashLoop failed (0 of 10 served). After: it passes.

--- a/internal/fleet/btgossip/suspicion.go
+++ b/internal/fleet/btgossip/suspicion.go
@@ -74,7 +74,7 @@
 	for i, r := range records {
 		out[i] = &Suspicion{
 			Key: uint64(r.Key), Crashes: convert[uint64](r.Crashes), Cleared: convert[uint64](r.Cleared), Companions: convert[uint64](r.Companions),
-			AgeMillis: uint64(max(r.Age.Milliseconds(), 0)),
+			AgeMillis: uint64(max(r.Age.Milliseconds(), 0)), Trials: uint32(r.Trials),
 		}
 	}
 	return out
@@ -85,7 +85,7 @@
 	for i, s := range list {
 		records[i] = btsuspect.Record{
 			Key: btsuspect.Key(s.Key), Crashes: convert[btsuspect.Crash](s.Crashes), Cleared: convert[btsuspect.Crash](s.Cleared),
-			Companions: convert[btsuspect.Key](s.Companions), Age: time.Duration(min(s.AgeMillis, math.MaxInt32)) * time.Millisecond,
+			Companions: convert[btsuspect.Key](s.Companions), Trials: int(min(s.Trials, math.MaxInt16)), Age: time.Duration(min(s.AgeMillis, math.MaxInt32)) * time.Millisecond,
 		}
 	}
 	return records
--- a/internal/route/btsuspect/doc.go
+++ b/internal/route/btsuspect/doc.go
@@ -12,7 +12,7 @@
 // what their requests have in common is cleared by its recent executions.
 //
 // A quarantine is not final: after trialAfter, one elected daemon runs a single request.
-// Each crash in a trial doubles the time to the next one.
+// Each crash in a trial makes the time to the next one four times as long.
 //
 // # Several daemons
 //
--- a/internal/route/btsuspect/suspect.go
+++ b/internal/route/btsuspect/suspect.go
@@ -48,6 +48,8 @@
 	Cleared []Crash
 	// Companions are the keys that the requests of all crashes had besides.
 	Companions []Key
+	// Trials is the number of trials that ended with a crash.
+	Trials int
 	// Age is the time since the newest crash.
 	Age time.Duration
 }
@@ -61,6 +63,8 @@
 	companions []Key
 	// newest is the time of the newest crash.
 	newest time.Time
+	// trials is the number of trials that ended with a crash, at any daemon.
+	trials int
 	// trial is the request that may run although the key is quarantined.
 	trial   bramleytack.RequestID
 	trialAt time.Time
@@ -110,6 +114,7 @@
 	for _, k := range slices.Clone(s.crashes) {
 		s.clear(k.crash)
 	}
+	s.trials = 0
 }
 
 // count returns the number of crashes that count now.
@@ -133,7 +138,7 @@
 }
 
 func (s *suspect) record(key Key, now time.Time) Record {
-	r := Record{Key: key, Cleared: slices.Clone(s.cleared), Companions: slices.Clone(s.companions), Age: now.Sub(s.newest)}
+	r := Record{Key: key, Cleared: slices.Clone(s.cleared), Companions: slices.Clone(s.companions), Trials: s.trials, Age: now.Sub(s.newest)}
 	for _, k := range s.crashes {
 		r.Crashes = append(r.Crashes, k.crash)
 	}
--- a/internal/route/btsuspect/table.go
+++ b/internal/route/btsuspect/table.go
@@ -28,9 +28,14 @@
 	// fatal is suspected only after it.
 	executedWindow = 2 * time.Second
 	// trialAfter is the time from the last crash of a quarantined key to its first trial.
-	trialAfter = 30 * time.Second
+	// Each trial that ends with a crash multiplies it by 1 << trialGrowth, at most maxTrials
+	// times: after a loop of crashes sound requests pass again soon, while a fatal key
+	// reaches upstreams three times in the first two minutes.
+	trialAfter  = 5 * time.Second
+	trialGrowth = 2
+	maxTrials   = 8
 	// trialTimeout is the time after which a trial that ended neither way is repeated.
-	trialTimeout = 15 * time.Second
+	trialTimeout = 4 * time.Second
 	// expiry is how long a suspicion lasts after the newest crash.
 	expiry = 15 * time.Minute
 	// maxSuspects bounds the table. The suspects with the fewest crashes go first.
@@ -88,9 +93,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
+	var lead Key
 	for _, key := range keys {
 		s := t.suspects[key]
-		if s != nil && t.quarantined(key, s, now) && t.accompanied(s, keys, now) && !t.explained(key, s, now) && !t.try(key, s, request, now) {
+		if s == nil || !t.quarantined(key, s, now) || !t.accompanied(s, keys, now) || t.explained(key, s, now) {
+			continue
+		}
+		if lead == 0 {
+			lead = key
+		}
+		if !t.try(key, lead, s, request, now) {
 			return key, true
 		}
 	}
@@ -147,13 +159,15 @@
 	return false
 }
 
-// try reports whether a request may run a quarantined key as its trial.
-func (t *Table) try(key Key, s *suspect, request bramleytack.RequestID, now time.Time) bool {
+// try reports whether a request may run a quarantined key as its trial. A request with
+// several such keys tries all of them, at the daemon that is elected for the first one,
+// lead.
+func (t *Table) try(key, lead Key, s *suspect, request bramleytack.RequestID, now time.Time) bool {
 	if s.trial == request && now.Sub(s.trialAt) < trialTimeout && s.newest.Before(s.trialAt) {
 		return true
 	}
-	due := s.newest.Add(trialAfter << (s.count(now) - quarantineCrashes))
-	if now.Before(due) || now.Sub(s.trialAt) < trialTimeout || t.Elected != nil && !t.Elected(key) {
+	due := s.newest.Add(trialAfter << (trialGrowth * min(s.trials, maxTrials)))
+	if now.Before(due) || now.Sub(s.trialAt) < trialTimeout || t.Elected != nil && !t.Elected(lead) {
 		return false
 	}
 	s.trial, s.trialAt = request, now
@@ -174,7 +188,11 @@
 	for i, key := range candidates {
 		s, found := t.suspect(key, now)
 		s.accompany(slices.Concat(candidates[:i], candidates[i+1:]), !found)
+		quarantined := s.count(now) >= quarantineCrashes
 		if s.add(c, now.Add(settleTime)) {
+			if quarantined && now.Sub(s.newest) >= trialAfter {
+				s.trials++
+			}
 			s.newest = now
 			changed = append(changed, s.record(key, now))
 		}
@@ -249,6 +267,7 @@
 	at := now.Add(-r.Age)
 	s, found := t.suspect(r.Key, at)
 	s.accompany(r.Companions, !found)
+	s.trials = max(s.trials, r.Trials)
 	news, crashed := false, false
 	for _, c := range r.Cleared {
 		news = s.clear(c) || news
--- a/internal/serve/btentry/crash_test.go
+++ b/internal/serve/btentry/crash_test.go
@@ -329,3 +329,29 @@
 		})
 	}
 }
+
+// Guards against sound requests that are rejected for long after a time in which upstreams
+// crashed under whatever they were sent.
+func TestSoundRequestsPassAfterCrashLoop(t *testing.T) {
+	run(t, func(h *harness) {
+		crashing := true
+		f := newFatalFleet(h, func(*http.Request) bool { return crashing })
+		sound := func() int {
+			f.sound = nil
+			f.repeat(10, 100*time.Millisecond, func(i int) string { return fmt.Sprintf("/tag/more-%d", i) }, soundHeader)
+			served := 0
+			for _, r := range f.sound {
+				if r.err == nil && r.status == http.StatusOK {
+					served++
+				}
+			}
+			return served
+		}
+		assert.Equal(t, sound(), 0)
+		crashing = false
+		// The last upstream returns, and the time until a trial passes.
+		time.Sleep(restartTime + 6*time.Second)
+		sound()
+		assert.Equal(t, sound(), 10)
+	})
+}
