One piece of code for news to a fleet, for keys, for instances and for handovers

Found by reading the change again; behaviour is meant to stay. What stood twice: sends of news, directly or through hubs (push.go, suspicion.go: now spread); an instance of an upstream (crash.go had its own type: now btsuspect.Crash); the test of a target of a copy or a move (now mayHandOver); the number of crashes that quarantines (now suspect.quarantined); names of keys (now Key.MarshalText). What was done more than once: the keys of a request were hashed at each question, now once; Retry-After was read in every response, now in a 503 only. One difference: a check of an upstream is shared by the requests of its instance, as its comment says, and no longer by those of its id.

--- a/internal/fleet/btgossip/peers.go
+++ b/internal/fleet/btgossip/peers.go
@@ -128,9 +128,9 @@
 }
 
 // merge adds the state p of a peer unless it is outdated, and reports whether the peer
-// has become alive by it, or has itself told of its restart. direct means that the peer itself sent p. An unknown peer
-// that is reported by another one counts as alive only once its heartbeat rises again,
-// because the report may be of a dead daemon.
+// has become alive by it, or has itself told of its restart. direct means that the peer
+// itself sent p. An unknown peer that is reported by another one counts as alive only once
+// its heartbeat rises again, because the report may be of a dead daemon.
 func (t *peerTable) merge(p Peer, direct bool, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/fleet/btgossip/push.go
+++ b/internal/fleet/btgossip/push.go
@@ -42,13 +42,19 @@
 		return
 	}
 	v := n.view()
+	n.spread(CauseChange, p, v, addrsOf(v.alive))
+}
+
+// spread sends news to the given daemons or, in a fleet with hubs, to this failure domain
+// and through the hubs of the others to theirs.
+func (n *Node) spread(c Cause, p *Packet, v *view, direct []netip.Addr) {
 	if !v.large() {
-		n.writeAll(CauseChange, n.encode(p), addrsOf(v.alive))
+		n.writeAll(c, n.encode(p), direct)
 		return
 	}
-	n.writeAll(CauseChange, n.encode(p), addrsOf(v.near))
+	n.writeAll(c, n.encode(p), addrsOf(v.near))
 	p.Forward = true
-	n.writeAll(CauseChange, n.encode(p), n.remoteHubs(v))
+	n.writeAll(c, n.encode(p), n.remoteHubs(v))
 }
 
 // errChangesTooLarge is returned for changes that exceed maxCompressedSize.
--- a/internal/fleet/btgossip/suspicion.go
+++ b/internal/fleet/btgossip/suspicion.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,17 +26,8 @@
 // or with the periodic records.
 func (n *Node) ShareSuspicions(records []btsuspect.Record) {
 	v := n.view()
-	for len(records) > 0 {
-		part := records[:min(len(records), maxSuspicions)]
-		records = records[len(part):]
-		p := &Packet{Suspicions: encodeSuspicions(part)}
-		if !v.large() {
-			n.writeAll(CauseSuspicion, n.encode(p), addrsOf(v.usable))
-			continue
-		}
-		n.writeAll(CauseSuspicion, n.encode(p), addrsOf(v.near))
-		p.Forward = true
-		n.writeAll(CauseSuspicion, n.encode(p), n.remoteHubs(v))
+	for part := range slices.Chunk(records, maxSuspicions) {
+		n.spread(CauseSuspicion, &Packet{Suspicions: encodeSuspicions(part)}, v, addrsOf(v.usable))
 	}
 }
 
--- a/internal/route/btaccount/health.go
+++ b/internal/route/btaccount/health.go
@@ -9,8 +9,8 @@
 )
 
 // Eligible returns the upstreams of a service that may get new work, have not asked for a
-// pause and are not in tried. It leaves out those that this daemon avoids, unless no others remain,
-// and those that at least ejectQuorum other daemons have ejected, unless they are
+// pause and are not in tried. It leaves out those that this daemon avoids, unless no
+// others remain, and those that at least ejectQuorum other daemons have ejected, unless they are
 // more than half of the service or no others remain. Of a service with more than
 // maxCandidates upstreams it considers those of this failure domain and a sample of the
 // others, as long as one of them may get work.
--- a/internal/route/btaccount/target.go
+++ b/internal/route/btaccount/target.go
@@ -97,7 +97,10 @@
 	var targets []target
 	sum := 0.0
 	for _, u := range s.ByService[primary.Service] {
-		if u.ID == primary.ID || !s.Accepts(u.ID) || t.account(u.ID).avoided(now) || t.account(u.ID).paused(u, now) {
+		if u.ID == primary.ID || !s.Accepts(u.ID) {
+			continue
+		}
+		if a := t.account(u.ID); a.avoided(now) || a.paused(u, now) {
 			continue
 		}
 		l := t.load(u.ID, now)
--- a/internal/route/btsuspect/suspect.go
+++ b/internal/route/btsuspect/suspect.go
@@ -32,6 +32,9 @@
 // String returns the key in hexadecimal.
 func (k Key) String() string { return fmt.Sprintf("%016x", uint64(k)) }
 
+// MarshalText implements encoding.TextMarshaler.
+func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
 // Crash identifies the crash of one instance of an upstream, equally at every daemon.
 type Crash uint64
 
@@ -128,6 +131,9 @@
 	return n
 }
 
+// quarantined reports whether enough crashes count now.
+func (s *suspect) quarantined(now time.Time) bool { return s.count(now) >= quarantineCrashes }
+
 // accompany keeps the companions that are among the other keys of one more request.
 func (s *suspect) accompany(others []Key, first bool) {
 	if first {
--- a/internal/route/btsuspect/table.go
+++ b/internal/route/btsuspect/table.go
@@ -96,7 +96,11 @@
 	var lead Key
 	for _, key := range keys {
 		s := t.suspects[key]
-		if s == nil || !t.quarantined(key, s, now) || !t.accompanied(s, keys, now) || t.explained(key, s, now) {
+		if s == nil || !s.quarantined(now) {
+			continue
+		}
+		t.logQuarantined(key, s, now)
+		if !t.accompanied(s, keys, now) || t.explained(key, s, now) {
 			continue
 		}
 		if lead == 0 {
@@ -121,16 +125,13 @@
 	return s != nil && len(s.crashes) >= commonCrashes
 }
 
-func (t *Table) quarantined(key Key, s *suspect, now time.Time) bool {
-	n := s.count(now)
-	if n < quarantineCrashes {
-		return false
-	}
-	if !s.logged {
-		s.logged = true
-		t.Log.Event(btevent.KeyQuarantined).Stringer("key", key).Int("crashes", n).Dur("age", now.Sub(s.newest)).Send()
+// logQuarantined logs that a suspect is quarantined, once.
+func (t *Table) logQuarantined(key Key, s *suspect, now time.Time) {
+	if s.logged {
+		return
 	}
-	return true
+	s.logged = true
+	t.Log.Event(btevent.KeyQuarantined).Stringer("key", key).Int("crashes", s.count(now)).Dur("age", now.Sub(s.newest)).Send()
 }
 
 // accompanied reports whether a request with some keys has all companions of a suspect
@@ -139,7 +140,7 @@
 func (t *Table) accompanied(s *suspect, keys []Key, now time.Time) bool {
 	for _, c := range s.companions {
 		other := t.suspects[c]
-		if other != nil && other.count(now) >= quarantineCrashes && !slices.Contains(keys, c) {
+		if other != nil && other.quarantined(now) && !slices.Contains(keys, c) {
 			return false
 		}
 	}
@@ -152,7 +153,7 @@
 func (t *Table) explained(key Key, s *suspect, now time.Time) bool {
 	for other, n := range t.suspects {
 		narrower := slices.Contains(n.companions, key) && !slices.Contains(s.companions, other)
-		if narrower && n.count(now) >= quarantineCrashes && n.hasAll(s.crashes) {
+		if narrower && n.quarantined(now) && n.hasAll(s.crashes) {
 			return true
 		}
 	}
@@ -188,7 +189,7 @@
 	for i, key := range candidates {
 		s, found := t.suspect(key, now)
 		s.accompany(slices.Concat(candidates[:i], candidates[i+1:]), !found)
-		quarantined := s.count(now) >= quarantineCrashes
+		quarantined := s.quarantined(now)
 		if s.add(c, now.Add(settleTime)) {
 			if quarantined && now.Sub(s.newest) >= trialAfter {
 				s.trials++
@@ -341,12 +342,12 @@
 
 // State is one suspect for operators. Times are in milliseconds.
 type State struct {
-	Key         string   `json:"key"`
-	Crashes     int      `json:"crashes"`
-	Cleared     int      `json:"cleared"`
-	Age         int64    `json:"age"`
-	Quarantined bool     `json:"quarantined"`
-	Companions  []string `json:"companions"`
+	Key         Key   `json:"key"`
+	Crashes     int   `json:"crashes"`
+	Cleared     int   `json:"cleared"`
+	Age         int64 `json:"age"`
+	Quarantined bool  `json:"quarantined"`
+	Companions  []Key `json:"companions"`
 }
 
 // State returns the suspects, sorted by their keys.
@@ -358,8 +359,8 @@
 	all := make([]State, 0, len(t.suspects))
 	for key, s := range t.suspects {
 		all = append(all, State{
-			Key: key.String(), Crashes: len(s.crashes), Cleared: len(s.cleared), Age: now.Sub(s.newest).Milliseconds(),
-			Companions: keyNames(s.companions), Quarantined: s.count(now) >= quarantineCrashes,
+			Key: key, Crashes: len(s.crashes), Cleared: len(s.cleared), Age: now.Sub(s.newest).Milliseconds(),
+			Companions: append([]Key{}, s.companions...), Quarantined: s.quarantined(now),
 		})
 	}
 	slices.SortFunc(all, func(a, b State) int { return cmp.Compare(a.Key, b.Key) })
@@ -401,11 +402,3 @@
 	}
 	delete(t.suspects, worst)
 }
-
-func keyNames(keys []Key) []string {
-	names := make([]string, len(keys))
-	for i, k := range keys {
-		names[i] = k.String()
-	}
-	return names
-}
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -84,8 +84,8 @@
 		req.observeLoad(u, x.Header)
 		req.observeLeaving(u, x.Header)
 	}
-	if d := retryAfter(x.Header, req.h.Timer.Now()); x.StatusCode == http.StatusServiceUnavailable && d > 0 {
-		req.h.Accounts.Pause(u, d)
+	if x.StatusCode == http.StatusServiceUnavailable {
+		req.observePause(u, x.Header)
 	}
 	return x, nil
 }
@@ -108,6 +108,13 @@
 	}
 }
 
+// observePause stops this daemon's sends to an upstream that asks for a pause.
+func (req *activeRequest) observePause(u *bramleytack.Upstream, header http.Header) {
+	if d := retryAfter(header, req.h.Timer.Now()); d > 0 {
+		req.h.Accounts.Pause(u, d)
+	}
+}
+
 // maxRetryAfterSeconds keeps the Retry-After value of an upstream from overflowing.
 const maxRetryAfterSeconds = 1e6
 
--- a/internal/serve/btentry/crash.go
+++ b/internal/serve/btentry/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -46,35 +47,25 @@
 // String returns the verdict's name in logs and metrics.
 func (v verdict) String() string { return verdictNames[v] }
 
-// instance is one start-up of an upstream. It crashes at most once.
-type instance struct {
-	id      bramleytack.UpstreamID
-	started int64
-}
-
-func instanceOf(u *bramleytack.Upstream) instance {
-	return instance{id: u.ID, started: u.Started.UnixMilli()}
-}
-
 // crashDetector checks upstreams whose connections broke, once for all requests that ran
 // at the same instance. The zero value is ready to use.
 type crashDetector struct {
 	checks singleflight.Group
 
 	mu      sync.Mutex
-	crashed map[instance]time.Time
+	crashed map[btsuspect.Crash]time.Time
 }
 
-// known reports whether an instance is known to have crashed.
-func (d *crashDetector) known(i instance, now time.Time) bool {
+// known reports whether a crash is known to have happened.
+func (d *crashDetector) known(c btsuspect.Crash, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	at, ok := d.crashed[i]
+	at, ok := d.crashed[c]
 	return ok && now.Sub(at) < crashRetention
 }
 
 // record adds a crash and drops those that are older than crashRetention.
-func (d *crashDetector) record(i instance, now time.Time) {
+func (d *crashDetector) record(c btsuspect.Crash, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for other, at := range d.crashed {
@@ -83,20 +74,20 @@
 		}
 	}
 	if d.crashed == nil {
-		d.crashed = map[instance]time.Time{}
+		d.crashed = map[btsuspect.Crash]time.Time{}
 	}
-	d.crashed[i] = now
+	d.crashed[c] = now
 }
 
 // inspect returns what became of an upstream after a connection to it broke. Only a
 // refused connection proves a crash: a break alone may be due to the network, and a
 // response may break off although its upstream runs on.
 func (h *Handler) inspect(ctx context.Context, u *bramleytack.Upstream, cause error) verdict {
-	i := instanceOf(u)
-	if h.crashes.known(i, h.Timer.Now()) {
+	crash := btsuspect.CrashOf(u)
+	if h.crashes.known(crash, h.Timer.Now()) {
 		return verdictCrashed
 	}
-	v, _, _ := h.crashes.checks.Do(string(i.id), func() (any, error) { return h.check(ctx, u, cause), nil })
+	v, _, _ := h.crashes.checks.Do(strconv.FormatUint(uint64(crash), 10), func() (any, error) { return h.check(ctx, u, cause), nil })
 	return v.(verdict)
 }
 
@@ -112,7 +103,7 @@
 			v = verdictListening
 		case errors.Is(err, syscall.ECONNREFUSED):
 			v = verdictCrashed
-			h.crashes.record(instanceOf(u), h.Timer.Now())
+			h.crashes.record(btsuspect.CrashOf(u), h.Timer.Now())
 		default:
 			v = verdictSilent
 		}
@@ -153,6 +144,7 @@
 // quarantined reports whether the request must not be sent to an upstream.
 func (req *activeRequest) quarantined() bool {
 	if req.h.Suspects.Len() == 0 {
+		// The keys of a large body need not be computed before it is sent.
 		return false
 	}
 	key, yes := req.h.Suspects.Quarantined(bramleytack.RequestID(req.id), req.keys())
@@ -165,7 +157,7 @@
 // mayRepeat reports whether the daemon itself may send the request to one more upstream,
 // as far as crashes are concerned.
 func (req *activeRequest) mayRepeat() bool {
-	return req.h.Suspects.Len() == 0 || !req.h.Suspects.Suspected(req.fingerprint())
+	return !req.h.Suspects.Suspected(req.fingerprint())
 }
 
 // rejectQuarantined answers a quarantined request with a status after which callers do
@@ -174,29 +166,22 @@
 	req.reject(http.StatusBadRequest, 0, "upstreams crashed when they ran such requests")
 }
 
-// fingerprint returns the hash by which repeats of the request are recognized, at any
-// daemon.
-func (req *activeRequest) fingerprint() btsuspect.Key {
-	req.fingerprintOnce.Do(func() {
-		req.ownFingerprint = btsuspect.KeyOf(string(req.workspace), req.method, req.host, req.target, string(req.body))
+// keys returns what may crash upstreams: first the request's fingerprint, by which any
+// daemon recognizes repeats, then the shared parts of its prompt. The caller must not
+// change the slice.
+func (req *activeRequest) keys() []btsuspect.Key {
+	req.keysOnce.Do(func() {
+		req.ownKeys = append(req.ownKeys, btsuspect.KeyOf(string(req.workspace), req.method, req.host, req.target, string(req.body)))
+		for _, id := range req.parts {
+			req.ownKeys = append(req.ownKeys, btsuspect.KeyOf("part", id))
+		}
 	})
-	return req.ownFingerprint
+	return req.ownKeys
 }
 
-// keys returns what may crash upstreams: the request itself and the shared parts of its
-// prompt.
-func (req *activeRequest) keys() []btsuspect.Key {
-	return append([]btsuspect.Key{req.fingerprint()}, req.partKeys()...)
-}
+func (req *activeRequest) fingerprint() btsuspect.Key { return req.keys()[0] }
 
-// partKeys returns the keys of the shared parts of the prompt.
-func (req *activeRequest) partKeys() []btsuspect.Key {
-	keys := make([]btsuspect.Key, len(req.parts))
-	for i, id := range req.parts {
-		keys[i] = btsuspect.KeyOf("part", id)
-	}
-	return keys
-}
+func (req *activeRequest) partKeys() []btsuspect.Key { return req.keys()[1:] }
 
 // readParts returns the ids of the prompt's parts that requests share, which are all but
 // the last, at most maxParts of them.
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -132,9 +132,10 @@
 	body      []byte
 	need      btaccount.Need
 	// parts are the ids of the shared parts of the prompt.
-	parts           []string
-	fingerprintOnce sync.Once
-	ownFingerprint  btsuspect.Key
+	parts []string
+	// ownKeys is set by keys.
+	keysOnce sync.Once
+	ownKeys  []btsuspect.Key
 	// quarantinedKey is the key for which the request is rejected, empty unless it is.
 	quarantinedKey string
 	// expectedDelay is the delay that was expected of the last chosen upstream.
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -167,7 +167,7 @@
 	}
 	s.req.snapshot = s.req.h.Table.Snapshot()
 	u := s.req.snapshot.Upstreams[seg.backup.ID]
-	if !s.req.snapshot.Accepts(seg.backup.ID) || s.req.h.Accounts.Paused(u) {
+	if u == nil || !s.req.mayHandOver(u) {
 		return false
 	}
 	// A copy can be used once, and only after its generation has stopped.
@@ -178,6 +178,11 @@
 	return true
 }
 
+// mayHandOver reports whether an upstream now takes a generation from another one.
+func (req *activeRequest) mayHandOver(u *bramleytack.Upstream) bool {
+	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u)
+}
+
 // startNext starts the next segment.
 func (s *relay) startNext(u *bramleytack.Upstream, from origin, copyName, reason string) {
 	s.next = s.newSegment(u, from, copyName)
@@ -286,7 +291,7 @@
 	if s.done || m.source != s.cur {
 		return
 	}
-	if m.err == nil && (!s.req.h.Table.Snapshot().Accepts(m.target.ID) || s.req.h.Accounts.Paused(m.target)) {
+	if m.err == nil && !s.req.mayHandOver(m.target) {
 		m.err = errTargetLeft
 	}
 	if m.err == nil {
