Quarantined keys outlive a restart of all daemons, by one object in the store

Cause: records of suspects exist as copies in daemons only; a restart of all ends the last copy. The crashes that find the key again come on top of those of its trials. Change: btsuspect.Archive. One daemon writes the records of quarantined keys to the store when they change, those that follow the store read them once after their start and pass them on. No other daemon calls the store for it. Conclusion: mended for restarts of all daemons.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -81,6 +81,8 @@
 	KeyQuarantined          = Event{604, zerolog.ErrorLevel, "requests with a key are quarantined"}
 	KeyTried                = Event{605, zerolog.InfoLevel, "request with a quarantined key runs on trial"}
 	KeyCleared              = Event{606, zerolog.InfoLevel, "quarantine of a key has ended"}
+	QuarantineStored        = Event{607, zerolog.InfoLevel, "quarantined keys were written to the store"}
+	QuarantineLoaded        = Event{608, zerolog.InfoLevel, "quarantined keys were read from the store"}
 	CommandSent             = Event{700, zerolog.InfoLevel, "command was sent to an engine"}
 	CommandFailed           = Event{701, zerolog.WarnLevel, "command to an engine failed"}
 	CommandFenced           = Event{702, zerolog.WarnLevel, "engine rejected a command with an old fencing token"}
@@ -151,6 +153,8 @@
 		KeyQuarantined,
 		KeyTried,
 		KeyCleared,
+		QuarantineStored,
+		QuarantineLoaded,
 		CommandSent,
 		CommandFailed,
 		CommandFenced,
--- a/fleet.go
+++ b/fleet.go
@@ -18,6 +18,8 @@
 	KindEvacuations = "outages"
 	// KindDaemons holds the address of each daemon.
 	KindDaemons = "daemons"
+	// KindQuarantine holds what daemons know of requests that crash upstreams.
+	KindQuarantine = "quarantine"
 )
 
 // ReplicatedKinds are the kinds of which every daemon keeps a replica.
@@ -26,10 +28,15 @@
 // ErrHistoryGone means that the store no longer has the requested changes.
 var ErrHistoryGone = errors.New("bramleytack: history of the store is gone")
 
-// Feed reads the objects of a kind and their changes.
-type Feed interface {
+// Lister reads the objects of a kind.
+type Lister interface {
 	// List returns all objects of a kind and the revision of the list.
 	List(ctx context.Context, kind string) ([]Object, Revision, error)
+}
+
+// Feed reads the objects of a kind and their changes.
+type Feed interface {
+	Lister
 	// Changes returns the objects that changed after a revision and the revision
 	// up to which the changes are complete. It waits at most for wait until there
 	// is a change. After ErrHistoryGone the objects have to be listed again.
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -217,6 +217,14 @@
 // store.
 func (n *Node) ShouldRegister() bool { return n.ranksWithin(maxRegistered) }
 
+// ReadsArchive reports whether this daemon should read what daemons keep in the store
+// for a restart of all.
+func (n *Node) ReadsArchive() bool { return n.ranksWithin(followersPerKind) }
+
+// WritesArchive reports whether this daemon should write it. Daemons that know of
+// different ones may both write.
+func (n *Node) WritesArchive() bool { return !n.Leaving() && !n.StoreStatus.Down() && n.ranksWithin(1) }
+
 // Join sends a digest to the first daemons registered in the store, and keeps all of
 // them as addresses for later digests. When all daemons start at once, seeds may
 // start last, while all daemons find the same registered ones. Join keeps the slice
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -228,6 +228,10 @@
 	}
 	n.gossip.Start(ctx, packets, pulls)
 	go n.suspects.Run(ctx)
+	go (&btsuspect.Archive{
+		Table: n.suspects, Feed: n.adapter.Feed, Registry: n.adapter.Registry, Timer: n.timer, Log: n.log,
+		Reads: n.gossip.ReadsArchive, Writes: n.gossip.WritesArchive,
+	}).Run(ctx)
 	n.startStoreTasks(ctx)
 	mux := n.infoMux()
 	for _, s := range []struct {
--- a/internal/route/btsuspect/doc.go
+++ b/internal/route/btsuspect/doc.go
@@ -20,6 +20,12 @@
 // They may arrive late, repeatedly or in any order. After a lost record a daemon
 // counts fewer crashes until it receives one of the records that are sent periodically.
 //
+// # Restarts
+//
+// A daemon that starts gets the records from the others. If all restart together, the
+// Archive gives quarantined keys back from the store, where one daemon keeps them. A
+// restart within archivePeriod of the last crash loses that crash.
+//
 // # Usage
 //
 //	t := btsuspect.New(&btsuspect.Table{Timer: timers, Log: log, Share: send, Elected: elected})
--- a/internal/route/btsuspect/suspect.go
+++ b/internal/route/btsuspect/suspect.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,9 +36,24 @@
 // MarshalText implements encoding.TextMarshaler.
 func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *Key) UnmarshalText(text []byte) error { return parseHex(k, text) }
+
+func parseHex[T ~uint64](v *T, text []byte) error {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	*v = T(n)
+	return err
+}
+
 // Crash identifies the crash of one instance of an upstream, equally at every daemon.
 type Crash uint64
 
+// MarshalText implements encoding.TextMarshaler.
+func (c Crash) MarshalText() ([]byte, error) { return Key(c).MarshalText() }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (c *Crash) UnmarshalText(text []byte) error { return parseHex(c, text) }
+
 // CrashOf returns the crash of an upstream's present instance.
 func CrashOf(u *bramleytack.Upstream) Crash {
 	return Crash(xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(u.ID), uint64(u.Started.UnixMilli()))))
--- a/internal/serve/btentry/crash_test.go
+++ b/internal/serve/btentry/crash_test.go
@@ -355,3 +355,21 @@
 		assert.Equal(t, sound(), 10)
 	})
 }
+
+// Guards against a fatal request that ends three more upstreams after all daemons have
+// restarted at once, beside those that its trials have ended.
+func TestFatalRequestIsContainedAfterRestartOfAll(t *testing.T) {
+	run(t, func(h *harness) {
+		f := newFatalFleet(h, func(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, "/fatal") })
+		f.each = func(i int) {
+			if i == 30 {
+				h.restartAll()
+				// Sends of a daemon count once it has run for stableWindow.
+				time.Sleep(stableWindow)
+				h.shareAll()
+			}
+		}
+		f.repeat(80, 400*time.Millisecond, func(int) string { return "/tag/fatal" }, soundHeader)
+		f.checkContained(3)
+	})
+}
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -87,6 +87,7 @@
 	revision  bramleytack.Revision
 	entryAddr netip.AddrPort
 	requests  int
+	store     *memoryStore
 	// mu guards daemons.
 	mu      sync.Mutex
 	daemons []*daemon
@@ -102,6 +103,7 @@
 		h := &harness{
 			t: t, upstreams: map[string]*bramleytack.Upstream{}, workers: map[string]*btworker.Worker{},
 			net:   &btmemnet.Network{},
+			store: &memoryStore{},
 			pool:  &btworker.Pool{Dialect: dialect, CopyDelay: 300 * time.Millisecond, MoveTime: 200 * time.Millisecond},
 			timer: bttimer.New(1), entryAddr: netip.MustParseAddrPort("10.0.0.1:80"), memory: 1 << 20, recordDelay: 5 * time.Millisecond,
 			routes: []*bramleytack.Route{
@@ -168,6 +170,20 @@
 	h.shareAll()
 }
 
+// restartAll ends all daemons before it starts them again.
+func (h *harness) restartAll() {
+	all := h.running()
+	for _, d := range all {
+		d.stop()
+	}
+	h.mu.Lock()
+	h.daemons = nil
+	h.mu.Unlock()
+	for _, d := range all {
+		h.startDaemon(d.addr)
+	}
+}
+
 // shareAll sends the records that daemons send periodically.
 func (h *harness) shareAll() {
 	for _, d := range h.running() {
@@ -182,20 +198,22 @@
 	log := btevent.New(io.Discard, 0, bramleytack.HostID(addr.String()))
 	table := btreplica.NewTable(codec{h}, h.timer, log)
 	d := &daemon{addr: addr}
+	h.mu.Lock()
+	h.daemons = append(h.daemons, d)
+	h.mu.Unlock()
 	suspects := btsuspect.New(&btsuspect.Table{Timer: h.timer, Log: log})
 	suspects.Share = func(records []btsuspect.Record) { h.share(d, records) }
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stopRun = cancel
 	go suspects.Run(ctx)
+	isFirst := func() bool { return d == h.running()[0] }
+	go (&btsuspect.Archive{Table: suspects, Feed: h.store, Registry: h.store, Timer: h.timer, Reads: isFirst, Writes: isFirst}).Run(ctx)
 	d.handler = &btentry.Handler{
 		Table: table, Accounts: &btaccount.Table{Timer: h.timer}, Suspects: suspects, Dialect: dialect, Mover: h.pool, Timer: h.timer, Log: log,
 		Pool: &btconn.Pool{Dial: h.dial}, Metrics: btentry.NewMetrics(prometheus.NewRegistry()),
 		Budget: &btretry.Budget{Timer: h.timer}, Lengths: btforecast.New(h.timer),
 	}
 	d.server = &http.Server{Handler: d.handler}
-	h.mu.Lock()
-	h.daemons = append(h.daemons, d)
-	h.mu.Unlock()
 	if h.revision > 0 {
 		h.publishTo(d)
 	}
