Limits that upstreams name are kept by all daemons together

Cause: nothing read an upstream's word about its limit, and no rate was kept by all daemons together; the cold limit's equal shares lose capacity where callers are uneven, and their bursts add up. Change: btgrant. The newest answer of an instance counts, daemons tell each other, one daemon for each limited upstream grants whole tokens, and each request needs one when it is sent. A request that gets none goes elsewhere, waits within half of its target latency, or is rejected at once with a Retry-After from the limits. BT411, BT515.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -60,6 +60,7 @@
 	UpstreamEjected         = Event{408, zerolog.WarnLevel, "upstream was ejected because of failures"}
 	UpstreamInspected       = Event{409, zerolog.InfoLevel, "connection broke and its upstream was checked"}
 	UpstreamPaused          = Event{410, zerolog.InfoLevel, "upstream has asked for a pause"}
+	UpstreamLimited         = Event{411, zerolog.InfoLevel, "limit that an upstream names has changed"}
 	RequestFailed           = Event{500, zerolog.WarnLevel, "request failed"}
 	RequestNotRun           = Event{501, zerolog.DebugLevel, "request was rejected before it ran"}
 	RequestRejected         = Event{502, zerolog.InfoLevel, "request was rejected"}
@@ -75,6 +76,7 @@
 	MoveStarted             = Event{512, zerolog.InfoLevel, "move of a generation has started"}
 	MoveEnded               = Event{513, zerolog.InfoLevel, "move of a generation has ended"}
 	ResponseLimitExceeded   = Event{514, zerolog.WarnLevel, "response of an upstream exceeded a limit"}
+	SendLimited             = Event{515, zerolog.InfoLevel, "request waited for a limited upstream or was not sent to it"}
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
 	RequestSuspected        = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
 	RequestQuarantined      = Event{603, zerolog.ErrorLevel, "request is quarantined"}
@@ -132,6 +134,7 @@
 		UpstreamEjected,
 		UpstreamInspected,
 		UpstreamPaused,
+		UpstreamLimited,
 		RequestFailed,
 		RequestNotRun,
 		RequestRejected,
@@ -147,6 +150,7 @@
 		MoveStarted,
 		MoveEnded,
 		ResponseLimitExceeded,
+		SendLimited,
 		ClaimNotStored,
 		RequestSuspected,
 		RequestQuarantined,
--- a/fleet.go
+++ b/fleet.go
@@ -105,6 +105,9 @@
 	Load string
 	// Leaving marks a response of an upstream that is leaving, with any value but 0.
 	Leaving string
+	// Limit names the requests a second that an upstream takes from all daemons together,
+	// in its responses.
+	Limit string
 	// Seal is the upstream's signature of a response.
 	Seal string
 	// TokenCounts carries the number of prompt tokens and the maximum number of
--- a/internal/fleet/btgossip/digest.go
+++ b/internal/fleet/btgossip/digest.go
@@ -54,6 +54,7 @@
 	n.writeAll(CauseDigest, data, targets)
 	if n.round%suspicionRounds == 0 {
 		n.sendSuspicions(targets)
+		n.sendWords(targets)
 	}
 }
 
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -19,6 +19,7 @@
 	"bramleytack/internal/fleet/bthub"
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btsuspect"
 )
 
@@ -63,8 +64,9 @@
 	Table       *btreplica.Table
 	Accounts    *btaccount.Table
 	StoreStatus *btreplica.StoreStatus
-	// Suspects may be nil.
+	// Suspects and Grants may be nil.
 	Suspects *btsuspect.Table
+	Grants   *btgrant.Table
 	Timer    bramleytack.Timer
 	Log      *btevent.Logger
 	// Ready and Leaving return the state that digests announce to the other daemons.
@@ -91,6 +93,12 @@
 	// incarnation is Self.Incarnation, or a higher one after outdated.
 	incarnation atomic.Uint64
 	started     time.Time
+	// resumed is the Unix time in nanoseconds of the last ResetLiveness.
+	resumed atomic.Int64
+	// grantReplies holds a channel for each grant request that waits for its reply, by
+	// number.
+	grantReplies sync.Map
+	grantNumber  atomic.Uint64
 	// registered holds the daemons registered in the store, sorted by rank.
 	registered atomic.Pointer[[]RegisteredDaemon]
 	conn       net.PacketConn
@@ -199,10 +207,19 @@
 // ResetLiveness makes all other daemons count as dead until their next heartbeat.
 // It is for use after this process was suspended.
 func (n *Node) ResetLiveness() {
-	n.peers.resetLiveness(n.Timer.Now())
+	now := n.Timer.Now()
+	n.resumed.Store(now.UnixNano())
+	n.peers.resetLiveness(now)
 	n.client.Reset()
 }
 
+// recentlyResumed reports whether this process was suspended until less than aliveTimeout
+// ago.
+func (n *Node) recentlyResumed(now time.Time) bool {
+	d := time.Duration(now.UnixNano() - n.resumed.Load())
+	return d >= 0 && d < aliveTimeout
+}
+
 // Follows reports whether this daemon should follow a kind in the store. The live
 // daemons of lowest rank do so for all others; daemons that are leaving or cannot
 // reach the store are passed over.
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -81,6 +81,15 @@
 	if len(p.Suspicions) > 0 {
 		n.handleSuspicions(p)
 	}
+	if len(p.Words) > 0 {
+		n.handleWords(p, now)
+	}
+	if p.GrantRequest != nil && n.Grants != nil {
+		n.handleGrantRequest(p.GrantRequest, sender, now)
+	}
+	if p.GrantReply != nil {
+		n.handleGrantReply(p.GrantReply)
+	}
 	if len(p.Unknown) > 0 {
 		n.answerMembers(sender, p.Unknown, now)
 	}
@@ -124,9 +133,10 @@
 	n.Log.Event(btevent.PeerAlive).Str("peer", m.Host).Stringer("addr", peer.Addr).Uint64("incarnation", m.Incarnation).Send()
 	if direct {
 		// The peer may have just started: the digest shows it the daemons that follow
-		// the store, and it has lost the suspicions.
+		// the store, and it has lost the suspicions and the words of upstreams.
 		n.write(CauseDigest, n.encode(&Packet{Digest: n.digest(n.view())}), peer.Addr)
 		n.sendSuspicions([]netip.Addr{peer.Addr})
+		n.sendWords([]netip.Addr{peer.Addr})
 	}
 }
 
--- a/internal/fleet/btgossip/traffic.go
+++ b/internal/fleet/btgossip/traffic.go
@@ -13,17 +13,19 @@
 	CauseChange
 	CauseMember
 	CauseSuspicion
+	CauseWord
+	CauseGrant
 	causeCount
 )
 
-var causeNames = [causeCount]string{"digest", "load", "table", "change", "member", "suspicion"}
+var causeNames = [causeCount]string{"digest", "load", "table", "change", "member", "suspicion", "word", "grant"}
 
 // String returns the name of the cause in metrics.
 func (c Cause) String() string { return causeNames[c] }
 
 // Causes returns all causes.
 func Causes() []Cause {
-	return []Cause{CauseDigest, CauseLoad, CauseTable, CauseChange, CauseMember, CauseSuspicion}
+	return []Cause{CauseDigest, CauseLoad, CauseTable, CauseChange, CauseMember, CauseSuspicion, CauseWord, CauseGrant}
 }
 
 // Traffic counts the datagrams that a daemon has sent. It is safe for concurrent use.
--- a/internal/fleet/btgossip/view.go
+++ b/internal/fleet/btgossip/view.go
@@ -35,8 +35,11 @@
 	// lowerRanks is the number of usable daemons of a lower rank that reach the store
 	// and are not leaving.
 	lowerRanks int
-	storeDown  int
-	storeRead  bool
+	// missing is the number of daemons that fell silent less than missingRetention ago and
+	// had not announced that they leave.
+	missing   int
+	storeDown int
+	storeRead bool
 	// near holds the other usable daemons of this failure domain.
 	near []Peer
 	// hubs holds the hubs of each failure domain, this daemon included, if the fleet
@@ -72,6 +75,11 @@
 func (n *Node) buildView(now time.Time) *view {
 	v := &view{builtAt: now}
 	v.alive, v.silent, v.version = n.peers.list(now)
+	for i := range v.silent {
+		if p := &v.silent[i]; !p.Leaving && now.Sub(p.HeartbeatAt) < missingRetention {
+			v.missing++
+		}
+	}
 	v.usable = v.alive
 	if n.recentlyStarted(now) {
 		v.usable = slices.Concat(v.alive, v.silent)
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -28,6 +28,7 @@
 	"bramleytack/internal/node/btdrain"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
+	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/serve/btentry"
 	"bramleytack/internal/upstream/btconn"
@@ -95,6 +96,7 @@
 	storeStatus btreplica.StoreStatus
 	accounts    *btaccount.Table
 	suspects    *btsuspect.Table
+	grants      *btgrant.Table
 	gossip      *btgossip.Node
 	pool        *btconn.Pool
 	engines     Engines
@@ -119,21 +121,24 @@
 	n.registry = prometheus.NewRegistry()
 	n.accounts = &btaccount.Table{Timer: n.timer, Domain: s.FailureDomain, Log: n.log}
 	n.suspects = btsuspect.New(&btsuspect.Table{Timer: n.timer, Log: n.log})
+	n.grants = &btgrant.Table{Timer: n.timer, Log: n.log}
 	n.gossip = btgossip.New(&btgossip.Node{
 		Self: btgossip.Self{
 			Host: s.Host, Addr: s.Addr, FailureDomain: s.FailureDomain,
 			Port: s.Peer.Port(), Incarnation: uint64(time.Now().UnixMilli()), Processor: s.ProcessorMillis,
 		},
-		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Suspects: n.suspects, Timer: n.timer, Log: n.log,
+		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Suspects: n.suspects, Grants: n.grants, Timer: n.timer, Log: n.log,
 		Ready: n.Ready, Leaving: n.isLeaving, Seeds: addrsOf(s.Seeds),
 	})
 	n.suspects.Share, n.suspects.Elected = n.gossip.ShareSuspicions, n.gossip.Elected
+	n.grants.Ask, n.grants.Share, n.grants.Part, n.grants.Daemons = n.gossip.AskGrant, n.gossip.ShareWords, n.gossip.GrantPart, n.gossip.Count
+	n.accounts.HeldUntil = n.grants.HeldUntil
 	n.storeStatus.OnDown = n.gossip.Announce
 	n.accounts.Daemons = n.gossip.Count
 	n.accounts.Changed = n.gossip.LoadChanged
 	n.accounts.RemoteLate = n.gossip.HasHubs
 	n.handler = &btentry.Handler{
-		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
+		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Grants: n.grants, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.isLeaving, Accepts: n.leaving.Accepts,
 		Lengths: btforecast.New(n.timer),
 		Budget: &btretry.Budget{
@@ -182,6 +187,7 @@
 	n.dump.Add("fleet", func() any { return n.gossip.State() })
 	n.dump.Add("loads", func() any { return n.accounts.OwnLoads() })
 	n.dump.Add("suspects", func() any { return n.suspects.State() })
+	n.dump.Add("limits", func() any { return n.grants.State() })
 	n.dump.Add("snapshot", func() any { return n.table.Snapshot() })
 }
 
@@ -334,6 +340,7 @@
 		n.table.Expire()
 		if s := n.table.Snapshot(); s != nil {
 			n.accounts.Retain(s, n.gossip.ValidSource())
+			n.grants.Retain(s)
 		}
 	}
 }
--- a/internal/route/btaccount/health.go
+++ b/internal/route/btaccount/health.go
@@ -9,7 +9,7 @@
 )
 
 // Eligible returns the upstreams of a service that may get new work, have not asked for a
-// pause and are not in tried. It leaves out those that this daemon avoids, unless no
+// pause, are not held and are not in tried. It leaves out those that this daemon avoids, unless no
 // others remain, and those that at least ejectQuorum other daemons have ejected, unless they are
 // more than half of the service or no others remain. Of a service with more than
 // maxCandidates upstreams it considers those of this failure domain and a sample of the
@@ -57,7 +57,7 @@
 		a := t.account(u.ID)
 		a.service = service
 		switch {
-		case tried[u.ID], a.paused(u, now):
+		case tried[u.ID], a.paused(u, now), t.held(u, now):
 		case a.avoided(now):
 			avoided = append(avoided, u)
 		case t.peerTotals[u.ID].Ejections >= ejectQuorum:
@@ -98,6 +98,32 @@
 	return t.account(u.ID).paused(u, t.Timer.Now())
 }
 
+// held reports whether this daemon gets no permission to send to an upstream now.
+func (t *Table) held(u *bramleytack.Upstream, now time.Time) bool {
+	return t.HeldUntil != nil && now.Before(t.HeldUntil(u))
+}
+
+// NextHeld returns the upstream of a service for which this daemon may ask for permission
+// first, of those that accept work and are held, and the time until then. It leaves out
+// those in tried. It returns nil if there is none.
+func (t *Table) NextHeld(s *bramleytack.Snapshot, service string, tried map[bramleytack.UpstreamID]bool) (next *bramleytack.Upstream, left time.Duration) {
+	if t.HeldUntil == nil {
+		return nil, 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	for _, u := range s.ByService[service] {
+		if tried[u.ID] || !s.Accepts(u.ID) || t.account(u.ID).paused(u, now) || t.account(u.ID).avoided(now) {
+			continue
+		}
+		if d := t.HeldUntil(u).Sub(now); d > 0 && (next == nil || d < left) {
+			next, left = u, d
+		}
+	}
+	return next, left
+}
+
 // PauseLeft returns the time until the first upstream of a service ends its pause, zero if
 // any of those that accept work is not paused, or there is none.
 func (t *Table) PauseLeft(s *bramleytack.Snapshot, service string) time.Duration {
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -69,6 +69,9 @@
 	// Daemons returns the number of daemons that share the cold limits. Nil means
 	// one.
 	Daemons func() int
+	// HeldUntil returns the time until which this daemon gets no permission to send to an
+	// upstream that limits its requests. Nil means that there is no such upstream.
+	HeldUntil func(u *bramleytack.Upstream) time.Time
 	// Changed is called when this daemon's load at a model engine changes, or when
 	// it ejects an upstream. The table is locked during the call, so Changed must
 	// not block or use the table.
--- a/internal/route/btaccount/target.go
+++ b/internal/route/btaccount/target.go
@@ -100,7 +100,7 @@
 		if u.ID == primary.ID || !s.Accepts(u.ID) {
 			continue
 		}
-		if a := t.account(u.ID); a.avoided(now) || a.paused(u, now) {
+		if a := t.account(u.ID); a.avoided(now) || a.paused(u, now) || t.held(u, now) {
 			continue
 		}
 		l := t.load(u.ID, now)
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -14,6 +14,7 @@
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/serve/btstream"
 	"bramleytack/internal/upstream/btconn"
 )
@@ -44,8 +45,10 @@
 	outcome bramleytack.Outcome
 	// misdirected is set if another instance answered at the upstream's address.
 	misdirected bool
-	// unsent is set if no byte of the request was sent.
-	unsent bool
+	// unsent is set if no byte of the request was sent, limited besides if the upstream's
+	// limit did not allow it.
+	unsent  bool
+	limited bool
 	// unattributed is set if the upstream or the request itself may have caused the
 	// failure. It does not count against the upstream's health yet.
 	unattributed bool
@@ -65,12 +68,21 @@
 	return &btconn.Request{Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body}
 }
 
-// open sends a request to u and reads the response header.
-func (req *activeRequest) open(ctx context.Context, u *bramleytack.Upstream, r *btconn.Request) (*btconn.Exchange, error) {
+// open sends a request to u, if its limit allows that, and reads the response header.
+func (req *activeRequest) open(ctx context.Context, u *bramleytack.Upstream, r *btconn.Request, terms btgrant.Terms) (*btconn.Exchange, error) {
+	limited := req.h.Grants.Limited(u)
+	if limited && !req.permitted(ctx, u, terms) {
+		return nil, errNotPermitted
+	}
 	c, err := req.connect(ctx, u)
 	if err != nil {
 		return nil, err
 	}
+	if !limited && !req.permitted(ctx, u, terms) {
+		// The upstream has named its limit since.
+		c.Release()
+		return nil, errNotPermitted
+	}
 	x, err := c.Do(ctx, r)
 	if err != nil {
 		return nil, err
@@ -83,6 +95,7 @@
 	if x.StatusCode != http.StatusMisdirectedRequest {
 		req.observeLoad(u, x.Header)
 		req.observeLeaving(u, x.Header)
+		req.observeLimit(u, x.Header)
 	}
 	if x.StatusCode == http.StatusServiceUnavailable {
 		req.observePause(u, x.Header)
@@ -150,12 +163,12 @@
 
 // attempt sends the request to an upstream and reads the whole response. ctx is
 // canceled when the caller disconnects.
-func (req *activeRequest) attempt(ctx context.Context, u *bramleytack.Upstream, timeout time.Duration) *attemptResult {
+func (req *activeRequest) attempt(ctx context.Context, u *bramleytack.Upstream, terms btgrant.Terms, timeout time.Duration) *attemptResult {
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	lease := req.h.Accounts.Begin(u.ID, req.need)
 	started := req.h.Timer.Now()
-	r := req.exchange(limited, u)
+	r := req.exchange(limited, u, terms)
 	health := req.health(r)
 	if health == btaccount.Failed && r.usable() && req.route.Repeatable() {
 		// The request may fail at every upstream; a retry elsewhere shows it.
@@ -173,9 +186,9 @@
 	return r
 }
 
-func (req *activeRequest) exchange(ctx context.Context, u *bramleytack.Upstream) *attemptResult {
+func (req *activeRequest) exchange(ctx context.Context, u *bramleytack.Upstream, terms btgrant.Terms) *attemptResult {
 	r := &attemptResult{upstream: u, outcome: bramleytack.Unknown}
-	x, err := req.open(ctx, u, req.upstreamRequest(u))
+	x, err := req.open(ctx, u, req.upstreamRequest(u), terms)
 	if err != nil {
 		return r.fail(err)
 	}
@@ -192,7 +205,7 @@
 func (r *attemptResult) fail(err error) *attemptResult {
 	r.err = err
 	if errors.Is(err, btconn.ErrUnsent) {
-		r.outcome, r.unsent = bramleytack.NotRun, true
+		r.outcome, r.unsent, r.limited = bramleytack.NotRun, true, errors.Is(err, errLimited)
 	}
 	return r
 }
@@ -244,6 +257,8 @@
 // health returns the outcome that counts for the upstream's health.
 func (req *activeRequest) health(r *attemptResult) btaccount.Outcome {
 	switch {
+	case r.limited:
+		return btaccount.Abandoned
 	case r.unsent:
 		return btaccount.Unreachable
 	case r.misdirected:
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -11,6 +11,7 @@
 
 	"bramleytack"
 	"bramleytack/btevent"
+	"bramleytack/internal/route/btgrant"
 )
 
 const (
@@ -42,7 +43,10 @@
 	var unattributed []*bramleytack.Upstream
 	skipped, sent := 0, 0
 	for ctx.Err() == nil {
-		u := req.pickUpstream(tried)
+		u, terms := req.pickUpstream(tried), btgrant.Terms{}
+		if u == nil {
+			u, terms = req.pickHeld(tried)
+		}
 		if u == nil {
 			break
 		}
@@ -54,7 +58,8 @@
 			req.log(btevent.RetryBudgetExhausted).Str("service", req.service).Send()
 			break
 		}
-		r := req.attempt(ctx, u, req.attemptTimeout())
+		r := req.attempt(ctx, u, terms, req.attemptTimeout())
+		req.noteLimited(r, terms, tried)
 		if !r.unsent {
 			sent++
 		}
@@ -141,6 +146,8 @@
 		req.forward(r)
 	case req.quarantined():
 		req.rejectQuarantined()
+	case r == nil && req.limitedSends > 0:
+		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "upstreams limit their requests")
 	case r == nil:
 		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "no upstream available")
 	case r.outcome == bramleytack.NotRun:
@@ -166,10 +173,12 @@
 }
 
 // retryAfter returns a random Retry-After, so that rejected callers do not return
-// all at once. It is not less than the time for which all upstreams are paused.
+// all at once. It is not less than the time for which all upstreams are paused, or until
+// their limits allow the request.
 func (req *activeRequest) retryAfter() time.Duration {
 	d := time.Duration((0.5 + rand.Float64()) * float64(meanRetryAfter))
-	d += req.h.Accounts.PauseLeft(req.h.Table.Snapshot(), req.service)
+	s := req.h.Table.Snapshot()
+	d += max(req.h.Accounts.PauseLeft(s, req.service), req.h.Grants.ReturnAfter(req.service, s.ByService[req.service]))
 	return max(min(d, req.maxRetryAfter()), 0)
 }
 
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -21,6 +21,7 @@
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
+	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/upstream/btconn"
 )
@@ -48,11 +49,12 @@
 )
 
 // Handler serves callers over HTTP. Its fields are set before the first request.
-// Suspects, Mover, Log, Metrics, Leaving and Accepts may be nil.
+// Suspects, Grants, Mover, Log, Metrics, Leaving and Accepts may be nil.
 type Handler struct {
 	Table    *btreplica.Table
 	Accounts *btaccount.Table
 	Suspects *btsuspect.Table
+	Grants   *btgrant.Table
 	Pool     *btconn.Pool
 	Dialect  bramleytack.FleetDialect
 	Mover    bramleytack.EngineMover
@@ -140,6 +142,8 @@
 	quarantinedKey string
 	// expectedDelay is the delay that was expected of the last chosen upstream.
 	expectedDelay time.Duration
+	// limitedSends counts the sends that an upstream's limit did not allow.
+	limitedSends int
 	// attempts counts the attempts that have ended or were replaced by another one,
 	// without those that reached no upstream or another instance.
 	attempts int
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -9,6 +9,7 @@
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btgrant"
 )
 
 const (
@@ -19,6 +20,9 @@
 	// counts as unreachable and not just busy. It is several round trips between
 	// failure domains.
 	probeTimeout = 50 * time.Millisecond
+	// handoverWait is how long a generation waits for permission of a limited engine to go
+	// on there.
+	handoverWait = 100 * time.Millisecond
 )
 
 // errStalled ends a segment whose engine sent no event for too long.
@@ -186,6 +190,7 @@
 // startNext starts the next segment.
 func (s *relay) startNext(u *bramleytack.Upstream, from origin, copyName, reason string) {
 	s.next = s.newSegment(u, from, copyName)
+	s.next.terms = btgrant.Terms{Wait: handoverWait, Urgent: s.headSent}
 	s.next.start(s.ctx)
 	s.req.log(btevent.HandoverStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(u.ID)).Stringer("origin", from).
 		Str("reason", reason).Uint64("lastEvent", s.lastEventID).Str("backup", s.next.backupName()).Send()
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -29,6 +29,7 @@
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
+	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/serve/btentry"
 	"bramleytack/internal/standin/btworker"
@@ -38,7 +39,7 @@
 // dialect is used by these tests only.
 var dialect = bramleytack.FleetDialect{
 	RequestID: "X-Request", DeadlineMillis: "X-Deadline", Workspace: "X-Workspace", ExpectInstance: "X-Instance",
-	NotRun: "X-Not-Run", Load: "X-Load", Leaving: "X-Leaving", Seal: "X-Seal", TokenCounts: "X-Tokens", LengthHint: "X-Hint", PromptParts: "X-Parts",
+	NotRun: "X-Not-Run", Load: "X-Load", Leaving: "X-Leaving", Limit: "X-Limit", Seal: "X-Seal", TokenCounts: "X-Tokens", LengthHint: "X-Hint", PromptParts: "X-Parts",
 	LastEvent: "X-Last-Event", Backup: "X-Backup", From: "X-From",
 	Reserved: []string{"X-Workspace", "X-Instance", "X-Backup", "X-From", "Authorization"},
 }
@@ -138,6 +139,7 @@
 	stopRun context.CancelFunc
 	// isolated daemons neither send records of suspects nor get any.
 	isolated atomic.Bool
+	started  time.Time
 }
 
 // share sends records of suspects to the other daemons, twice and in any order.
@@ -197,7 +199,7 @@
 func (h *harness) startDaemon(addr netip.AddrPort) *daemon {
 	log := btevent.New(io.Discard, 0, bramleytack.HostID(addr.String()))
 	table := btreplica.NewTable(codec{h}, h.timer, log)
-	d := &daemon{addr: addr}
+	d := &daemon{addr: addr, started: time.Now()}
 	h.mu.Lock()
 	h.daemons = append(h.daemons, d)
 	h.mu.Unlock()
@@ -210,9 +212,10 @@
 	go (&btsuspect.Archive{Table: suspects, Feed: h.store, Registry: h.store, Timer: h.timer, Reads: isFirst, Writes: isFirst}).Run(ctx)
 	d.handler = &btentry.Handler{
 		Table: table, Accounts: &btaccount.Table{Timer: h.timer}, Suspects: suspects, Dialect: dialect, Mover: h.pool, Timer: h.timer, Log: log,
-		Pool: &btconn.Pool{Dial: h.dial}, Metrics: btentry.NewMetrics(prometheus.NewRegistry()),
+		Grants: h.grants(d), Pool: &btconn.Pool{Dial: d.dial(h.net)}, Metrics: btentry.NewMetrics(prometheus.NewRegistry()),
 		Budget: &btretry.Budget{Timer: h.timer}, Lengths: btforecast.New(h.timer),
 	}
+	d.handler.Accounts.HeldUntil = d.handler.Grants.HeldUntil
 	d.server = &http.Server{Handler: d.handler}
 	if h.revision > 0 {
 		h.publishTo(d)
@@ -241,9 +244,56 @@
 	return []bramleytack.ServiceShare{{Service: service, Weight: 1}}
 }
 
-// dial connects from the entry daemon's host.
-func (h *harness) dial(ctx context.Context, _, addr string) (net.Conn, error) {
-	return btmemnet.Dialer{Network: h.net, From: h.entryAddr.Addr()}.DialPeer(ctx, netip.MustParseAddrPort(addr))
+// dial returns a function that connects from the daemon's host.
+func (d *daemon) dial(n *btmemnet.Network) func(ctx context.Context, _, addr string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		return btmemnet.Dialer{Network: n, From: d.addr.Addr()}.DialPeer(ctx, netip.MustParseAddrPort(addr))
+	}
+}
+
+const (
+	// grantDelay is the time that a message between daemons takes.
+	grantDelay = time.Millisecond
+	// settleTime is how long a daemon that has just started grants nothing.
+	settleTime = 1500 * time.Millisecond
+)
+
+// grants returns the limits of a daemon. The daemon with the lowest address grants for all
+// upstreams that it is not isolated from.
+func (h *harness) grants(d *daemon) *btgrant.Table {
+	t := &btgrant.Table{Timer: h.timer, Daemons: func() int { return len(h.running()) }}
+	t.Part = func() float64 {
+		if time.Since(d.started) < settleTime {
+			return 0
+		}
+		reached := 0
+		for _, o := range h.running() {
+			if o == d || !o.isolated.Load() && !d.isolated.Load() {
+				reached++
+			}
+		}
+		return float64(reached) / float64(len(h.running()))
+	}
+	t.Ask = func(ctx context.Context, r btgrant.Request) (btgrant.Reply, bool) {
+		to := d
+		for _, o := range h.running() {
+			if !o.isolated.Load() && !d.isolated.Load() && o.addr.Addr().Less(to.addr.Addr()) {
+				to = o
+			}
+		}
+		if to != d && h.timer.Sleep(ctx, 2*grantDelay) != nil {
+			return btgrant.Reply{}, false
+		}
+		return to.handler.Grants.Grant(r), true
+	}
+	t.Share = func(words []btgrant.Word) {
+		for _, o := range h.running() {
+			if o != d && !o.isolated.Load() && !d.isolated.Load() {
+				time.AfterFunc(grantDelay, func() { o.handler.Grants.Merge(words) })
+			}
+		}
+	}
+	return t
 }
 
 // startEngine starts an upstream that is a model engine.
--- a/internal/serve/btentry/metrics.go
+++ b/internal/serve/btentry/metrics.go
@@ -7,6 +7,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+
+	"bramleytack/internal/route/btgrant"
 )
 
 type logEvent = zerolog.Event
@@ -30,6 +32,7 @@
 	eventGaps         prometheus.Histogram
 	handoverPauses    prometheus.Histogram
 	memoryWaits       prometheus.Histogram
+	limitedSends      *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics with r. It panics if r has them already.
@@ -45,8 +48,9 @@
 		eventGaps:         prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_event_gap_seconds", Help: "Time between events.", Buckets: gapBuckets}),
 		handoverPauses:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_handover_pause_seconds", Help: "Pause of a stream that went on at another engine.", Buckets: gapBuckets}),
 		memoryWaits:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_room_wait_seconds", Help: "Time until an engine had room for a generation.", Buckets: latencyBuckets}),
+		limitedSends:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_limited_sends_total", Help: "Requests for permission to send to a limited upstream."}, []string{"result"}),
 	}
-	r.MustRegister(m.answers, m.rejections, m.brokenStreams, m.limits, m.breaks, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
+	r.MustRegister(m.limitedSends, m.answers, m.rejections, m.brokenStreams, m.limits, m.breaks, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
 	return m
 }
 
@@ -71,6 +75,18 @@
 	m.latency.WithLabelValues(kind).Observe(req.h.Timer.Now().Sub(req.received).Seconds())
 }
 
+// limitedSend counts a decision of a limited upstream's rate.
+func (m *Metrics) limitedSend(d btgrant.Decision) {
+	if m == nil {
+		return
+	}
+	result := "granted"
+	if !d.Granted {
+		result = "denied"
+	}
+	m.limitedSends.WithLabelValues(result).Inc()
+}
+
 func (m *Metrics) streamBroken() {
 	if m != nil {
 		m.brokenStreams.Inc()
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -11,6 +11,7 @@
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/serve/btstream"
 	"bramleytack/internal/upstream/btconn"
 )
@@ -40,6 +41,8 @@
 	backup *bramleytack.Upstream
 	origin origin
 	need   btaccount.Need
+	// terms are those on which the segment asks for permission of a limited upstream.
+	terms  btgrant.Terms
 	items  chan item
 	cancel context.CancelFunc
 	// started is when the segment began to send its request. lastEventAt equals it
@@ -89,7 +92,7 @@
 // run sends the request and reads the response to its end.
 func (seg *segment) run(ctx context.Context) {
 	r := &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown}
-	x, err := seg.req.open(ctx, seg.upstream, seg.request)
+	x, err := seg.req.open(ctx, seg.upstream, seg.request, seg.terms)
 	if err != nil {
 		seg.send(ctx, item{head: r.fail(err), ended: true, err: err})
 		return
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -11,6 +11,7 @@
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/serve/btstream"
 )
 
@@ -135,7 +136,10 @@
 // it.
 func (s *relay) startFirst() bool {
 	started := s.req.h.Timer.Now()
-	u := s.req.awaitEngine(s.ctx, s.tried)
+	u, terms := s.req.awaitEngine(s.ctx, s.tried), btgrant.Terms{}
+	if u == nil {
+		u, terms = s.req.pickHeld(s.tried)
+	}
 	if u == nil || s.req.quarantined() {
 		return false
 	}
@@ -143,6 +147,7 @@
 	s.req.h.Metrics.memoryWait(waited)
 	s.tried[u.ID] = true
 	s.cur = s.newSegment(u, fromStart, "")
+	s.cur.terms = terms
 	s.cur.start(s.ctx)
 	s.req.log(btevent.AttemptStarted).Str("upstream", string(u.ID)).Int("prompt", s.req.need.Prompt).
 		Int("output", s.req.need.Output).Str("backup", s.cur.backupName()).Dur("expected", s.req.expectedDelay).Dur("waited", waited).Uint64("version", s.req.snapshot.Version).Send()
@@ -336,6 +341,7 @@
 // firstFailed tries another engine after the first segment opened no stream, and
 // ends the request if it may not.
 func (s *relay) firstFailed(r *attemptResult) {
+	s.req.noteLimited(r, s.cur.terms, s.tried)
 	if !r.unsent && !r.misdirected {
 		s.req.attempts++
 		s.finalResult = betterResult(s.finalResult, r)
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -73,6 +73,8 @@
 	pause atomic.Int64
 	// leaving upstreams say so in all their responses.
 	leaving atomic.Bool
+	// limit is the value of the limit header, empty for none.
+	limit atomic.Pointer[string]
 	// misdirected counts requests for another instance.
 	misdirected atomic.Int64
 
@@ -81,8 +83,18 @@
 	active map[string]context.CancelFunc
 	last   *http.Request
 	body   string
-	// arrivals are the times at which requests arrived.
-	arrivals []time.Time
+	// arrivals are the requests that arrived, in order.
+	arrivals []Arrival
+	// limitedAt is when the first answer with a limit was sent, told when the first one
+	// was sent to each host.
+	limitedAt time.Time
+	told      map[netip.Addr]time.Time
+}
+
+// Arrival is a request that reached an upstream.
+type Arrival struct {
+	At   time.Time
+	From netip.Addr
 }
 
 func (w *Worker) serve() {
@@ -115,13 +127,59 @@
 // SetLeaving makes the upstream say that it is leaving, or end that.
 func (w *Worker) SetLeaving(on bool) { w.leaving.Store(on) }
 
+// SetLimit makes the upstream name a limit in all its responses. An empty one ends it.
+func (w *Worker) SetLimit(value string) { w.limit.Store(&value) }
+
+// nameLimit adds the limit to a response to a host.
+func (w *Worker) nameLimit(header http.Header, to netip.Addr) {
+	v := w.limit.Load()
+	if v == nil || *v == "" {
+		return
+	}
+	header.Set(w.pool.Dialect.Limit, *v)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if w.limitedAt.IsZero() {
+		w.limitedAt, w.told = now, map[netip.Addr]time.Time{}
+	}
+	if _, ok := w.told[to]; !ok {
+		w.told[to] = now
+	}
+}
+
+// MostWithin returns the largest number of requests that arrived within a window, from
+// stable after the first response with a limit on. Requests of hosts that were told of it
+// less than notice before do not count.
+func (w *Worker) MostWithin(window, stable, notice time.Duration) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.limitedAt.IsZero() {
+		return 0
+	}
+	var counted []time.Time
+	most := 0
+	for _, a := range w.arrivals {
+		told, ok := w.told[a.From]
+		if !ok || a.At.Sub(told) < notice || a.At.Sub(w.limitedAt) < stable {
+			continue
+		}
+		counted = append(counted, a.At)
+		for a.At.Sub(counted[0]) >= window {
+			counted = counted[1:]
+		}
+		most = max(most, len(counted))
+	}
+	return most
+}
+
 // ArrivedAfter returns the number of requests that arrived later than a time.
 func (w *Worker) ArrivedAfter(at time.Time) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := 0
 	for _, a := range w.arrivals {
-		if a.After(at) {
+		if a.At.After(at) {
 			n++
 		}
 	}
@@ -134,8 +192,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, a := range w.arrivals {
-		if !a.Before(at) {
-			return a
+		if !a.At.Before(at) {
+			return a.At
 		}
 	}
 	return time.Time{}
@@ -192,11 +250,16 @@
 		return
 	}
 	id := r.Header.Get(d.RequestID)
+	var from netip.Addr
+	if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+		from = a.Addr()
+	}
 	w.mu.Lock()
 	w.last, w.body = r, string(body)
-	w.arrivals = append(w.arrivals, time.Now())
+	w.arrivals = append(w.arrivals, Arrival{At: time.Now(), From: from})
 	w.mu.Unlock()
 	rw.Header().Set(d.RequestID, id)
+	w.nameLimit(rw.Header(), from)
 	if w.leaving.Load() {
 		rw.Header().Set(d.Leaving, "1")
 	}
@@ -205,8 +268,8 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	from := r.Header.Get(d.From)
-	if Fault(w.fault.Load()) == Full || from != "" && !w.use(from) {
+	handle := r.Header.Get(d.From)
+	if Fault(w.fault.Load()) == Full || handle != "" && !w.use(handle) {
 		rw.Header().Set(d.NotRun, "1")
 		if p := time.Duration(w.pause.Load()); p > 0 {
 			rw.Header().Set("Retry-After", strconv.FormatFloat(p.Seconds(), 'f', -1, 64))
@@ -214,7 +277,7 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if from == "" {
+	if handle == "" {
 		w.pool.ran(id)
 	}
 	ctx, done := context.WithCancel(r.Context())
@@ -341,6 +404,9 @@
 	}
 }
 
+// ID returns the upstream's id.
+func (w *Worker) ID() string { return w.cfg.ID }
+
 // Addr returns the upstream's address.
 func (w *Worker) Addr() netip.AddrPort { return w.cfg.Addr }
 
--- a/internal/upstream/btconn/pool.go
+++ b/internal/upstream/btconn/pool.go
@@ -79,10 +79,13 @@
 	if err != nil {
 		return err
 	}
-	c.release(nil)
+	c.Release()
 	return nil
 }
 
+// Release puts a connection on which nothing was sent back into its pool.
+func (c *Conn) Release() { c.release(nil) }
+
 // takeIdle removes an idle connection to addr from the pool, or returns nil.
 func (p *Pool) takeIdle(addr netip.AddrPort) *Conn {
 	p.mu.Lock()
