One odd entry of the store is rejected alone

Cause: a response of the store was decoded as one document; what one entry holds decided about all of them. An entry that cannot be read names no upstream, BT213 logs it, at most eight of a response.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -43,6 +43,7 @@
 	ReplicaPulled           = Event{210, zerolog.InfoLevel, "objects were pulled from a peer"}
 	WatchStarted            = Event{211, zerolog.InfoLevel, "daemon has started to watch a kind in the store"}
 	WatchEnded              = Event{212, zerolog.InfoLevel, "daemon has stopped watching a kind in the store"}
+	EntryRejected           = Event{213, zerolog.WarnLevel, "entry of the store cannot be read, the others hold"}
 	LeaseAcquired           = Event{300, zerolog.InfoLevel, "cell lease was acquired"}
 	LeaseLost               = Event{301, zerolog.WarnLevel, "cell lease was lost"}
 	ViewChanged             = Event{302, zerolog.InfoLevel, "view has changed"}
@@ -117,6 +118,7 @@
 		ReplicaPulled,
 		WatchStarted,
 		WatchEnded,
+		EntryRejected,
 		LeaseAcquired,
 		LeaseLost,
 		ViewChanged,
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -16,6 +16,10 @@
 // outage return within about two seconds.
 const lapseGrace = 2 * time.Second
 
+// maxRejectedEntries is the number of entries that cannot be read which are logged of one
+// batch.
+const maxRejectedEntries = 8
+
 // Batch holds objects of one kind. With Full set, Objects are all objects of the kind;
 // otherwise they are what changed after Base.
 type Batch struct {
@@ -153,6 +157,7 @@
 // whether the replica is now complete up to the batch's revision; if not, the caller
 // needs a full batch.
 func (t *Table) Apply(b Batch) bool {
+	b.Objects = t.named(b)
 	t.mu.Lock()
 	k := t.kinds[b.Kind]
 	if k == nil {
@@ -179,6 +184,27 @@
 	return true
 }
 
+// named returns the objects of a batch that have a name. It logs those that could not be
+// read, at most maxRejectedEntries of them.
+func (t *Table) named(b Batch) []bramleytack.Object {
+	rejected := 0
+	objects := make([]bramleytack.Object, 0, len(b.Objects))
+	for _, o := range b.Objects {
+		if o.Err != nil {
+			if rejected++; rejected <= maxRejectedEntries {
+				t.log.Event(btevent.EntryRejected).Str("kind", b.Kind).Str("name", o.Name).Uint64("revision", uint64(o.Version)).Err(o.Err).Send()
+			}
+		}
+		if o.Name != "" {
+			objects = append(objects, o)
+		}
+	}
+	if rejected > maxRejectedEntries {
+		t.log.Event(btevent.EntryRejected).Str("kind", b.Kind).Int("more", rejected-maxRejectedEntries).Send()
+	}
+	return objects
+}
+
 // apply adds a batch to the replica and reports whether any object changed. The first
 // list counts as a change.
 func (k *kindState) apply(b Batch, now time.Time) bool {
--- a/internal/fleet/btreplica/table_test.go
+++ b/internal/fleet/btreplica/table_test.go
@@ -355,3 +355,22 @@
 		time.Sleep(pollTimeout)
 	})
 }
+
+// Guards against an entry without a name that is kept, and against one that cannot be read
+// and takes the place of the others, or leaves its last readable version in force.
+func TestUnreadableEntries(t *testing.T) {
+	inFakeTime(t, func(t *testing.T, table *Table, _ *bttimer.Service) {
+		table.Apply(config(1, 1))
+		kind := bramleytack.KindUpstreams
+		unreadable := func(name string, v bramleytack.Revision) bramleytack.Object {
+			o := object(kind, name, v)
+			o.Err = errors.New("unreadable")
+			return o
+		}
+		table.Apply(Batch{Kind: kind, Full: true, Upto: 5, Objects: []bramleytack.Object{object(kind, "a", 3, 1), unreadable("", 4), object(kind, "b", 5, 1)}})
+		assert.Equal(t, len(table.Snapshot().Upstreams), 2)
+		assert.Equal(t, len(table.FullBatch(kind).Objects), 2)
+		table.Apply(Batch{Kind: kind, Base: 5, Upto: 6, Objects: []bramleytack.Object{unreadable("b", 6)}})
+		assert.Equal(t, len(table.Snapshot().Upstreams), 1)
+	})
+}
--- a/internal/node/btnode/registration.go
+++ b/internal/node/btnode/registration.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/fleet/btgossip"
@@ -22,6 +24,9 @@
 // down, or start later than they do, find their peers by these addresses.
 type registration struct{ node *Node }
 
+// errDaemonAddr is logged for a record of a daemon that cannot be reached.
+var errDaemonAddr = errors.New("btnode: address of the daemon is not IPv4")
+
 // registerInterval is the time between two checks whether to register. The first
 // check waits as long, so that daemons can find each other by seeds before.
 const registerInterval = 1500 * time.Millisecond
@@ -58,7 +63,14 @@
 	var registered []btgossip.RegisteredDaemon
 	for _, o := range objects {
 		var d daemonRecord
-		if err := json.Unmarshal(o.Data, &d); err != nil {
+		err := o.Err
+		if err == nil {
+			err = json.Unmarshal(o.Data, &d)
+		}
+		if err == nil && !d.Addr.Is4() {
+			err = errDaemonAddr
+		}
+		if err != nil {
 			n.log.Event(btevent.RecordUndecodable).Str("daemon", o.Name).Err(err).Send()
 			continue
 		}
--- a/store.go
+++ b/store.go
@@ -38,6 +38,9 @@
 	// Deleted is set in the change that reports the object's deletion.
 	Deleted bool
 	Data    []byte
+	// Err is set if the store's entry cannot be read. Data is then empty, and Name too if
+	// it is unknown.
+	Err error
 }
 
 // HostState is the state of a host in the platform's host list.
