Late in the grace of a stop only requests are taken that must end in time

Cause: a request was accepted if the time that it is expected to take fitted into the rest of the grace; calls were expected to end within three target latencies, generations by the forecast of their length. Change: from 2.5 s after the signal on the longest time decides, which is the deadline or, for a generation of limited length, that length at an ordinary pace. The others are rejected at once as not run. Conclusion: mended for requests that come late; streams that began before the signal are still cut at the end.

--- a/internal/node/btdrain/drain.go
+++ b/internal/node/btdrain/drain.go
@@ -15,6 +15,8 @@
 	// closingTime is the least time between the close of the listeners and the end of a
 	// daemon. Requests that arrived just before are read and answered in it.
 	closingTime = time.Second
+	// earlyTime is the time after the signal in which callers are assumed not to know of it.
+	earlyTime = 2500 * time.Millisecond
 	// killMargin is the least time between the end of a daemon and its kill by the
 	// platform.
 	killMargin = 400 * time.Millisecond
@@ -64,11 +66,20 @@
 // Phase returns the current phase.
 func (d *Drain) Phase() Phase { return Phase(d.phase.Load()) }
 
-// Accepts reports whether a request that is expected to take some time ends before the
-// daemon does.
-func (d *Drain) Accepts(expected time.Duration) bool {
+// Accepts reports whether a request should end before the daemon does. Soon after the
+// signal, when few callers know that the daemon is leaving and others may be leaving too, the
+// time that the request is expected to take decides. Later it must end in the longest time
+// that it may take.
+func (d *Drain) Accepts(expected, longest time.Duration) bool {
 	end := d.end.Load()
-	return end == nil || d.Timer.Now().Add(expected).Before(*end)
+	if end == nil {
+		return true
+	}
+	now := d.Timer.Now()
+	if now.Before(end.Add(killMargin - d.Grace + earlyTime)) {
+		return now.Add(expected).Before(*end)
+	}
+	return now.Add(longest).Before(*end)
 }
 
 // Run passes through the phases and returns when the daemon may end. The servers close
--- a/internal/node/btdrain/drain_test.go
+++ b/internal/node/btdrain/drain_test.go
@@ -48,7 +48,7 @@
 		return
 	}
 	takes := time.Duration(ms) * time.Millisecond
-	if !d.drain.Accepts(takes + 50*time.Millisecond) {
+	if longest := takes + 50*time.Millisecond; !d.drain.Accepts(longest, longest) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -231,12 +231,16 @@
 // against a daemon that rejects what it can still serve.
 func TestOnlyRequestsThatEndInTimeAreAccepted(t *testing.T) {
 	runDaemon(t, func(d *daemon) {
-		assert.Assert(t, d.drain.Accepts(time.Hour))
+		assert.Assert(t, d.drain.Accepts(time.Hour, time.Hour))
 		go d.end()
 		time.Sleep(time.Second)
 		assert.Equal(t, d.drain.Phase(), Leaving)
-		assert.Assert(t, d.drain.Accepts(6*time.Second))
-		assert.Assert(t, !d.drain.Accepts(7*time.Second))
+		assert.Assert(t, d.drain.Accepts(6*time.Second, 6*time.Second))
+		assert.Assert(t, d.drain.Accepts(6*time.Second, time.Hour), "few callers know of it")
+		assert.Assert(t, !d.drain.Accepts(7*time.Second, 7*time.Second))
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, d.drain.Accepts(0, 4*time.Second))
+		assert.Assert(t, !d.drain.Accepts(0, 5*time.Second), "it may be cut")
 	})
 }
 
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -66,9 +66,10 @@
 	// Leaving reports whether the daemon is shutting down. Responses then close
 	// their connection.
 	Leaving func() bool
-	// Accepts reports whether a request that is expected to take some time ends
-	// before the daemon does. Nil means that all do.
-	Accepts func(expected time.Duration) bool
+	// Accepts reports whether a request is accepted that should take some time, and takes
+	// another one at most, as far as the end of the daemon is concerned. Nil means that
+	// all are.
+	Accepts func(expected, longest time.Duration) bool
 
 	// pace is learned from the streams of this daemon.
 	pace     btforecast.Pace
@@ -185,22 +186,31 @@
 	return true
 }
 
-// endsInTime rejects a request that would probably outlast this daemon.
+// endsInTime rejects a request that may outlast this daemon. Another daemon can take it at
+// once, while nobody knows what became of one that is cut.
 func (req *activeRequest) endsInTime() bool {
-	if accepts := req.h.Accepts; accepts == nil || accepts(req.expectedDuration()) {
+	if accepts := req.h.Accepts; accepts == nil || accepts(req.durations()) {
 		return true
 	}
 	req.reject(http.StatusServiceUnavailable, min(leavingRetryAfter, req.maxRetryAfter()), "daemon ends before the request")
 	return false
 }
 
-// expectedDuration returns a time that most requests of this kind and size stay below.
-func (req *activeRequest) expectedDuration() time.Duration {
+// durations returns a time that few requests of this kind and size exceed, and the longest
+// time that this one may take: until its deadline or, for a generation of a limited length,
+// until it has reached that length at an ordinary pace.
+func (req *activeRequest) durations() (expected, longest time.Duration) {
+	left := req.remaining()
 	if !req.route.Streaming {
-		return min(req.lateThreshold(), req.remaining())
+		return min(req.lateThreshold(), left), left
 	}
-	generation := time.Duration(durationMargin * float64(req.h.pace.Duration(req.need.Output)))
-	return min(req.route.TargetLatency+generation, req.remaining())
+	if req.need.MaxOutput == 0 {
+		return left, left
+	}
+	generation := func(tokens int) time.Duration {
+		return min(req.route.TargetLatency+time.Duration(durationMargin*float64(req.h.pace.Duration(tokens))), left)
+	}
+	return generation(req.need.Output), generation(req.need.MaxOutput)
 }
 
 // configRetryAfter returns the Retry-After value while there is no configuration. A
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -87,7 +87,7 @@
 	workers   map[string]*btworker.Worker
 	revision  bramleytack.Revision
 	entryAddr netip.AddrPort
-	requests  int
+	requests  atomic.Int64
 	store     *memoryStore
 	// mu guards daemons.
 	mu      sync.Mutex
@@ -356,8 +356,8 @@
 // request sends a request with a new id, as a caller does. The caller closes the
 // connection after timeout.
 func (h *harness) request(method, target string, header map[string]string, timeout time.Duration) response {
-	h.requests++
-	return h.send(fmt.Sprintf("req-%d", h.requests), method, target, header, timeout)
+	n := h.requests.Add(1)
+	return h.send(fmt.Sprintf("req-%d", n), method, target, header, timeout)
 }
 
 // send sends a request with the given id to the first daemon.
@@ -367,16 +367,26 @@
 
 // sendTo sends a request with the given id to a daemon.
 func (h *harness) sendTo(entry netip.AddrPort, id, method, target string, header map[string]string, timeout time.Duration) response {
-	got := response{id: id}
-	c, err := btmemnet.Dialer{Network: h.net, From: netip.MustParseAddr("10.9.0.1")}.DialPeer(context.Background(), entry)
+	c, err := h.dialEntry(entry)
 	assert.NilError(h.t, err)
+	return h.exchange(c, id, method, target, header, timeout)
+}
+
+// dialEntry connects to a daemon as a caller does.
+func (h *harness) dialEntry(entry netip.AddrPort) (net.Conn, error) {
+	return btmemnet.Dialer{Network: h.net, From: netip.MustParseAddr("10.9.0.1")}.DialPeer(context.Background(), entry)
+}
+
+// exchange sends a request on a connection, reads the response and closes the connection.
+func (h *harness) exchange(c net.Conn, id, method, target string, header map[string]string, timeout time.Duration) response {
+	got := response{id: id}
 	defer c.Close()
 	assert.NilError(h.t, c.SetDeadline(time.Now().Add(timeout)))
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\n", method, target, dialect.RequestID, got.id, apiKey)
 	for k, v := range header {
 		text += k + ": " + v + "\r\n"
 	}
-	_, err = io.WriteString(c, text+"\r\nbody")
+	_, err := io.WriteString(c, text+"\r\nbody")
 	assert.NilError(h.t, err)
 	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
 	if err != nil {
