What an upstream says of its leaving reaches all daemons, and is checked at the send

An upstream's own word that it is leaving counted at the daemon that had heard it; the others went on until the store, the registration or their own answer told them, and a request that was chosen before the word was sent after it. Change: the word goes to all daemons at once, each second to some, and to a daemon that starts, like limits. Before the first byte of any request the upstream must still accept work and have asked for no pause.

--- a/internal/fleet/btgossip/grant.go
+++ b/internal/fleet/btgossip/grant.go
@@ -146,24 +146,45 @@
 	}
 }
 
+// ShareLeaving tells all live daemons that an upstream has said that it is leaving.
+func (n *Node) ShareLeaving(u *bramleytack.Upstream) {
+	v := n.view()
+	n.spread(CauseWord, &Packet{Words: []*Word{leavingWord(u)}}, v, addrsOf(v.usable))
+}
+
+func leavingWord(u *bramleytack.Upstream) *Word {
+	return &Word{Upstream: string(u.ID), Started: u.Started.UnixMilli(), Leaving: true}
+}
+
 // sendWords sends the words in force to some daemons, for those that lack them after a
 // start, a cut or a lost datagram.
 func (n *Node) sendWords(to []netip.Addr) {
-	if words := n.Grants.Words(maxWords); len(words) > 0 {
-		n.writeAll(CauseWord, n.encode(&Packet{Words: n.encodeWords(words)}), to)
+	words := n.encodeWords(n.Grants.Words(maxWords / 2))
+	for _, u := range n.Table.Leaving(maxWords / 2) {
+		words = append(words, leavingWord(u))
+	}
+	if len(words) > 0 {
+		n.writeAll(CauseWord, n.encode(&Packet{Words: words}), to)
 	}
 }
 
 // handleWords merges the words of another daemon, and passes news on if that was asked
 // for.
 func (n *Node) handleWords(p *Packet, now time.Time) {
-	var words []btgrant.Word
+	var limits []btgrant.Word
+	news := false
 	for _, e := range p.Words {
-		if w, ok := decodeWord(e, now); ok {
-			words = append(words, w)
+		w, ok := decodeWord(e, now)
+		switch {
+		case !ok:
+		case e.Leaving:
+			news = n.Table.MarkLeaving(&bramleytack.Upstream{ID: w.Upstream, Started: w.Started}) || news
+		default:
+			limits = append(limits, w)
 		}
 	}
-	if n.Grants.Merge(words) && p.Forward {
+	news = n.Grants.Merge(limits) || news
+	if news && p.Forward {
 		n.writeAll(CauseWord, n.encode(&Packet{Words: p.Words}), addrsOf(n.view().near))
 	}
 }
--- a/internal/fleet/btgossip/grant_test.go
+++ b/internal/fleet/btgossip/grant_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"bramleytack"
+	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btgrant"
 )
 
@@ -137,3 +138,41 @@
 		}
 	})
 }
+
+// register registers the limited upstream at all daemons.
+func (c *cell) register(revision bramleytack.Revision) {
+	for _, n := range c.nodes {
+		config := bramleytack.Object{Key: bramleytack.Key{Kind: bramleytack.KindConfig, Name: "main"}, Version: 1}
+		n.Table.Apply(btreplica.Batch{Kind: bramleytack.KindConfig, Full: true, Upto: 1, Objects: []bramleytack.Object{config}})
+		o := bramleytack.Object{Key: bramleytack.Key{Kind: bramleytack.KindUpstreams, Name: string(limitedUpstream.ID)}, Version: revision}
+		n.Table.Apply(btreplica.Batch{Kind: bramleytack.KindUpstreams, Full: true, Upto: revision, Objects: []bramleytack.Object{o}})
+	}
+}
+
+// Guards against daemons that go on to use an upstream which has told another daemon that
+// it is leaving, and against one that forgets it by a restart or while it is cut off.
+func TestLeavingReachesEveryDaemon(t *testing.T) {
+	u := &bramleytack.Upstream{ID: limitedUpstream.ID}
+	check := func(c *cell) {
+		time.Sleep(3 * time.Second)
+		c.register(2)
+		c.lan.isolate(addrOf(6), true)
+		assert.Assert(c.t, c.nodes[1].Table.MarkLeaving(u))
+		assert.Assert(c.t, !c.nodes[1].Table.MarkLeaving(u), "no news")
+		c.nodes[1].ShareLeaving(u)
+		time.Sleep(100 * time.Millisecond)
+		for i, n := range c.nodes {
+			assert.Check(c.t, n.Table.Snapshot().Accepts(u.ID) == (i == 6), "daemon %d", i)
+		}
+		c.lan.isolate(addrOf(6), false)
+		c.stops[4]()
+		c.start(4)
+		c.register(3)
+		time.Sleep(4 * time.Second)
+		for i, n := range c.nodes {
+			assert.Check(c.t, !n.Table.Snapshot().Accepts(u.ID), "daemon %d", i)
+		}
+	}
+	t.Run("direct", func(t *testing.T) { runCell(t, 8, 0, check) })
+	t.Run("hubs", func(t *testing.T) { runHubs(t, 20, 0, check) })
+}
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -274,18 +274,33 @@
 	delete(k.lapsed, name)
 }
 
-// MarkLeaving records that an instance of an upstream itself said that it is leaving. An
-// instance that is leaving does not return: the mark stays, whatever the store says.
-func (t *Table) MarkLeaving(u *bramleytack.Upstream) {
+// MarkLeaving records that an instance of an upstream itself said that it is leaving, and
+// reports whether that is news. An instance that is leaving does not return: the mark
+// stays, whatever the store says.
+func (t *Table) MarkLeaving(u *bramleytack.Upstream) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	name := string(u.ID)
 	if m, ok := t.leaving[name]; ok && !m.started.Before(u.Started) {
-		return
+		return false
 	}
 	t.leaving[name] = leavingMark{started: u.Started, at: t.timer.Now()}
 	t.log.Event(btevent.UpstreamLeavingReported).Str("upstream", name).Time("started", u.Started).Send()
 	t.rebuild()
+	return true
+}
+
+// Leaving returns registered instances that MarkLeaving marked, at most limit of them.
+func (t *Table) Leaving(limit int) []*bramleytack.Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var marked []*bramleytack.Upstream
+	for name, m := range t.leaving {
+		if u := t.decoded[name].upstream; u != nil && u.Started.Equal(m.started) && len(marked) < limit {
+			marked = append(marked, u)
+		}
+	}
+	return marked
 }
 
 // Expire drops the lapsed registrations whose lapseGrace has ended. It must be called
--- a/internal/node/btnode/endpoll.go
+++ b/internal/node/btnode/endpoll.go
@@ -88,6 +88,8 @@
 	// An engine that reports no end keeps serving until the store has recorded that
 	// it leaves, which an outage delays.
 	if r.EndsIn > 0 {
-		q.node.table.MarkLeaving(q.upstream)
+		if q.node.table.MarkLeaving(q.upstream) {
+			q.node.gossip.ShareLeaving(q.upstream)
+		}
 	}
 }
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -148,6 +148,7 @@
 			Processes: n.gossip.Count,
 		},
 	}
+	n.handler.ShareLeaving = n.gossip.ShareLeaving
 	n.leaving = btdrain.Drain{Timer: n.timer, Grace: s.Bounds.Grace, Active: n.handler.Active, Changed: n.phaseChanged}
 	n.registerMetrics()
 	return n
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -83,6 +83,10 @@
 		c.Release()
 		return nil, errNotPermitted
 	}
+	if !req.stillAccepts(u) {
+		c.Release()
+		return nil, errLeft
+	}
 	x, err := c.Do(ctx, r)
 	if err != nil {
 		return nil, err
@@ -103,6 +107,15 @@
 	return x, nil
 }
 
+// errLeft is returned for a request whose upstream has asked for no more requests since it
+// was chosen.
+var errLeft = errors.Mark(errors.New("btentry: upstream accepts no work any more"), btconn.ErrUnsent)
+
+// stillAccepts reports whether an upstream that was chosen before accepts work now.
+func (req *activeRequest) stillAccepts(u *bramleytack.Upstream) bool {
+	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u)
+}
+
 // connect returns a connection to an upstream. A stream that may not be repeated
 // gets a new connection: the upstream may have closed a pooled one unnoticed, and
 // it would then be unknown whether it executed a request sent on it.
@@ -117,7 +130,9 @@
 // and its generations are handed over.
 func (req *activeRequest) observeLeaving(u *bramleytack.Upstream, header http.Header) {
 	if v := strings.TrimSpace(header.Get(req.h.Dialect.Leaving)); v != "" && v != "0" {
-		req.h.Table.MarkLeaving(u)
+		if req.h.Table.MarkLeaving(u) && req.h.ShareLeaving != nil {
+			req.h.ShareLeaving(u)
+		}
 	}
 }
 
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -63,6 +63,9 @@
 	Metrics  *Metrics
 	Budget   *btretry.Budget
 	Lengths  *btforecast.Lengths
+	// ShareLeaving tells other daemons that an upstream has said that it is leaving. Nil
+	// tells none.
+	ShareLeaving func(u *bramleytack.Upstream)
 	// Leaving reports whether the daemon is shutting down. Responses then close
 	// their connection.
 	Leaving func() bool
--- a/internal/serve/btentry/signal_test.go
+++ b/internal/serve/btentry/signal_test.go
@@ -1,7 +1,9 @@
 package btentry_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -113,3 +115,30 @@
 		})
 	}
 }
+
+// Guards against a request that was chosen for an upstream before the upstream said that it
+// is leaving, or asked for a pause, and that is sent after it.
+func TestChoiceIsCheckedAtTheSend(t *testing.T) {
+	for name, end := range map[string]func(h *harness){
+		"leaving": func(h *harness) { h.table.MarkLeaving(h.upstreams["s1"]) },
+		"paused":  func(h *harness) { h.accounts.Pause(h.upstreams["s1"], 10*time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.startShop("s1")
+				dial := h.handler.Pool.Dial
+				h.handler.Pool.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+					time.Sleep(200 * time.Millisecond)
+					return dial(ctx, network, addr)
+				}
+				after(100*time.Millisecond, func() {
+					end(h)
+					h.startShop("s2")
+				})
+				r := h.request(http.MethodPost, "/order/1", nil, 2*time.Second)
+				assert.Equal(t, r.status, http.StatusOK)
+				assert.Equal(t, h.workers["s1"].ArrivedAfter(time.Time{}), 0)
+			})
+		})
+	}
+}
