Pauses are hints for other daemons, and the return from them is limited for all together

An upstream that asks one daemon for a pause was used by the others as before, and at the end of the pause all daemons that had been asked sent at once. Change: a pause counts as an ejection in the load that daemons send each other, which costs the upstream 60 ms in each choice and, from three daemons of a failure domain on, its place. After the pause the daemons that were asked for it share a rate by the grants of limits, a quarter of the warm limit a second that doubles each 0.5 s for 2 s.

--- a/internal/fleet/btgossip/grant.go
+++ b/internal/fleet/btgossip/grant.go
@@ -59,7 +59,7 @@
 	n.grantReplies.Store(number, arrived)
 	defer n.grantReplies.Delete(number)
 	n.write(CauseGrant, n.encode(&Packet{GrantRequest: &GrantRequest{
-		Number: number, Word: encodeWord(r.Word, n.Timer.Now()), WaitMillis: uint32(min(max(r.Terms.Wait.Milliseconds(), 0), math.MaxInt32)), Urgent: r.Terms.Urgent,
+		Number: number, Word: encodeWord(r.Word, n.Timer.Now()), WaitMillis: uint32(min(max(r.Terms.Wait.Milliseconds(), 0), math.MaxInt32)), Urgent: r.Terms.Urgent, MostPerSecond: r.Most,
 	}}), to)
 	timeout := n.Timer.After(grantTimeout)
 	defer timeout.Stop()
@@ -83,7 +83,7 @@
 	if to := n.granter(w.Upstream); to != n.Self.Addr && to != sender {
 		reply.Granter = encodeAddr(to)
 	} else {
-		g := n.Grants.Grant(btgrant.Request{Word: w, Terms: btgrant.Terms{Wait: time.Duration(r.WaitMillis) * time.Millisecond, Urgent: r.Urgent}})
+		g := n.Grants.Grant(btgrant.Request{Word: w, Terms: btgrant.Terms{Wait: time.Duration(r.WaitMillis) * time.Millisecond, Urgent: r.Urgent}, Most: r.MostPerSecond})
 		reply.Granted, reply.Word = g.Granted, encodeWord(g.Word, now)
 		reply.DelayMicros = uint32(min(g.Delay.Microseconds(), math.MaxInt32))
 		reply.AfterMillis = uint32(min(math.Ceil(g.After.Seconds()*1000), math.MaxInt32))
--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -128,7 +128,8 @@
 	// the copies that are stored at the upstream.
 	Memory int
 	Copies int
-	// Ejections is the number of daemons that eject the upstream.
+	// Ejections is the number of daemons that eject the upstream, or that it asked for a
+	// pause.
 	Ejections int
 }
 
--- a/internal/route/btaccount/health.go
+++ b/internal/route/btaccount/health.go
@@ -76,8 +76,9 @@
 }
 
 // Pause stops this daemon's sends to an upstream that asked for a pause, for at most a
-// minute. A pause never shortens an earlier one of the same instance.
-func (t *Table) Pause(u *bramleytack.Upstream, d time.Duration) {
+// minute, and returns its end. A pause never shortens an earlier one of the same instance.
+// Other daemons learn of it as of an ejection.
+func (t *Table) Pause(u *bramleytack.Upstream, d time.Duration) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d = min(d, maxPause)
@@ -85,10 +86,14 @@
 	a := t.account(u.ID)
 	until := t.Timer.Now().Add(d)
 	if a.pausedStart.Equal(u.Started) && !until.After(a.pausedUntil) {
-		return
+		return a.pausedUntil
 	}
 	a.pausedUntil, a.pausedStart = until, u.Started
+	if t.Changed != nil {
+		t.Changed()
+	}
 	t.Log.Event(btevent.UpstreamPaused).Str("upstream", string(u.ID)).Str("service", u.Service).Dur("pause", d).Send()
+	return until
 }
 
 // Paused reports whether an upstream has asked this daemon for a pause.
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -35,6 +35,8 @@
 	// decreases from startMillis to zero over that time.
 	startPeriod = 3 * time.Second
 	startMillis = 60.0
+	// ejectionMillis is the penalty of an upstream for each other daemon that ejects it.
+	ejectionMillis = 60.0
 	// plainMillis is the penalty of an upstream of a plain service that runs as
 	// many requests as its warm limit.
 	plainMillis = 60.0
@@ -138,8 +140,8 @@
 	a.reported, a.reportedAt = running+waiting, t.Timer.Now()
 }
 
-// OwnLoads returns the loads and ejections of this daemon, without upstreams where
-// it has neither. The caller owns the map.
+// OwnLoads returns the loads and ejections of this daemon, pauses that upstreams asked
+// for included, without upstreams where it has neither. The caller owns the map.
 func (t *Table) OwnLoads() map[bramleytack.UpstreamID]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -147,7 +149,7 @@
 	now := t.Timer.Now()
 	for id, a := range t.accounts {
 		l := a.own
-		if now.Before(a.ejectedUntil) {
+		if now.Before(a.ejectedUntil) || now.Before(a.pausedUntil) {
 			l.Ejections = 1
 		}
 		if !l.IsZero() {
@@ -287,6 +289,7 @@
 	if age := now.Sub(u.Started); age >= 0 && age < startPeriod {
 		score += startMillis * (1 - age.Seconds()/startPeriod.Seconds())
 	}
+	score += ejectionMillis * float64(l.Ejections)
 	profile := s.Engine(u.Service)
 	if profile == nil {
 		return score + plainMillis*float64(l.Running)/float64(max(u.WarmLimit, 1))
--- a/internal/route/btgrant/doc.go
+++ b/internal/route/btgrant/doc.go
@@ -12,6 +12,9 @@
 // uses other upstreams meanwhile. Nothing is granted by a share of the limit for each
 // daemon: shares are lost where callers are uneven, and their bursts add up.
 //
+// The return of an upstream from a pause is limited in the same way: the daemons that were
+// asked for the pause bound their requests by a rate that rises for some time.
+//
 // # Failures
 //
 // A token that is lost on the way is not replaced. A granting daemon begins with an empty
--- a/internal/route/btgrant/table.go
+++ b/internal/route/btgrant/table.go
@@ -20,6 +20,11 @@
 	// silentPause is how long an upstream gets nothing after its granting daemon did not
 	// answer.
 	silentPause = 100 * time.Millisecond
+	// An upstream that returns from a pause gets returnShare of its warm limit a second,
+	// and twice as much after each returnStep, until returnTime has passed.
+	returnShare = 0.25
+	returnStep  = 500 * time.Millisecond
+	returnTime  = 2 * time.Second
 	// startPause is how long other daemons stop to ask one that has just started.
 	startPause = 300 * time.Millisecond
 )
@@ -66,6 +71,9 @@
 type Request struct {
 	Word  Word
 	Terms Terms
+	// Most bounds the rate besides the limit, while the upstream returns from a pause that
+	// it asked this daemon for. Zero is no bound.
+	Most float64
 }
 
 // Reply is the answer to a Request.
@@ -120,6 +128,9 @@
 	word Word
 	// heldUntil is the time until which this daemon does not ask.
 	heldUntil time.Time
+	// returnsAt is the end of a pause, and returnRate the first rate from then on.
+	returnsAt  time.Time
+	returnRate float64
 	// bucket is used at the granting daemon.
 	bucket bucket
 	// acquired and denied count the requests of this daemon, granted the tokens that it
@@ -127,6 +138,53 @@
 	acquired, denied, granted int
 }
 
+// most returns the bound of the rate during the return from a pause, zero without one.
+func (s *state) most(now time.Time) float64 {
+	since := now.Sub(s.returnsAt)
+	if s.returnsAt.IsZero() || since >= returnTime {
+		return 0
+	}
+	return s.returnRate * float64(uint(1)<<uint(max(since, 0)/returnStep))
+}
+
+// rate returns the rate that the limit and a bound on it allow, infinite for neither.
+func (s *state) rate(most float64) float64 {
+	rate := math.Inf(1)
+	if s.word.Limit.Named {
+		rate = s.word.Limit.PerSecond
+	}
+	if most > 0 {
+		rate = min(rate, most)
+	}
+	return max(rate, minPerSecond)
+}
+
+// Return limits the requests to an upstream for some time after a pause that it asked this
+// daemon for.
+func (t *Table) Return(u *bramleytack.Upstream, at time.Time) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.instance(Word{Upstream: u.ID, Started: u.Started})
+	s.returnsAt, s.returnRate = at, returnShare*float64(max(u.WarmLimit, 1))
+}
+
+// instance returns the state of an instance, a new one unless it is known. It must not be
+// older than the known one. The caller holds the lock.
+func (t *Table) instance(w Word) *state {
+	s := t.states[w.Upstream]
+	if s == nil || w.Started.After(s.word.Started) {
+		s = &state{word: Word{Upstream: w.Upstream, Started: w.Started}}
+		if t.states == nil {
+			t.states = map[bramleytack.UpstreamID]*state{}
+		}
+		t.states[w.Upstream] = s
+	}
+	return s
+}
+
 // Observe takes the limit that an answer of an upstream names, or that it names none.
 func (t *Table) Observe(u *bramleytack.Upstream, l Limit) {
 	if t == nil {
@@ -159,16 +217,10 @@
 // has changed by so much that other daemons should know. The caller holds the lock.
 func (t *Table) update(w Word, source string) bool {
 	s := t.states[w.Upstream]
-	switch {
-	case s == nil && !w.Limit.Named:
+	if s == nil && !w.Limit.Named {
 		return false
-	case s == nil || w.Started.After(s.word.Started):
-		s = &state{word: Word{Upstream: w.Upstream, Started: w.Started}}
-		if t.states == nil {
-			t.states = map[bramleytack.UpstreamID]*state{}
-		}
-		t.states[w.Upstream] = s
-	case w.Started.Before(s.word.Started), !w.At.After(s.word.At):
+	}
+	if s = t.instance(w); w.Started.Before(s.word.Started) || !w.At.After(s.word.At) {
 		return false
 	}
 	old := s.word.Limit
@@ -184,11 +236,11 @@
 	return true
 }
 
-// limited returns the state of an upstream that is limited, or nil. The caller holds the
-// lock.
+// limited returns the state of an upstream that is limited or returns from a pause, or nil.
+// The caller holds the lock.
 func (t *Table) limited(u *bramleytack.Upstream) *state {
 	s := t.states[u.ID]
-	if s == nil || !s.word.Limit.Named || !s.word.Started.Equal(u.Started) {
+	if s == nil || !s.word.Started.Equal(u.Started) || !s.word.Limit.Named && s.most(t.Timer.Now()) <= 0 {
 		return nil
 	}
 	return s
@@ -215,7 +267,7 @@
 		t.mu.Unlock()
 		return d
 	}
-	r := Request{Word: s.word, Terms: terms}
+	r := Request{Word: s.word, Terms: terms, Most: s.most(began)}
 	t.mu.Unlock()
 	reply, ok := t.Ask(ctx, r)
 	d.Granted = t.decide(u, &reply, ok)
@@ -255,14 +307,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.update(r.Word, "request")
-	s := t.states[r.Word.Upstream]
-	if s == nil || !s.word.Limit.Named {
-		// The limit has ended, or the request is from before it.
-		w := r.Word
-		if s != nil {
-			w = s.word
-		}
-		return Reply{Word: w, Granted: true}
+	s := t.instance(r.Word)
+	if !s.word.Limit.Named && r.Most <= 0 {
+		return Reply{Word: s.word, Granted: true}
 	}
 	part := 1.0
 	if t.Part != nil {
@@ -272,7 +319,7 @@
 		return Reply{Word: s.word, After: startPause}
 	}
 	reply := Reply{Word: s.word}
-	interval := time.Duration(float64(time.Second) / (part * max(s.word.Limit.PerSecond, minPerSecond)))
+	interval := time.Duration(float64(time.Second) / (part * s.rate(r.Most)))
 	reply.Granted, reply.Delay, reply.After = s.bucket.take(t.Timer.Now(), interval, r.Terms)
 	if reply.Granted {
 		s.granted++
@@ -280,7 +327,7 @@
 	return reply
 }
 
-// Limited reports whether an upstream is limited.
+// Limited reports whether an upstream is limited or returns from a pause.
 func (t *Table) Limited(u *bramleytack.Upstream) bool {
 	if t == nil {
 		return false
@@ -320,7 +367,7 @@
 		if s == nil {
 			return 0
 		}
-		sum += max(s.word.Limit.PerSecond, minPerSecond)
+		sum += s.rate(s.most(now))
 		if first.IsZero() || s.heldUntil.Before(first) {
 			first = s.heldUntil
 		}
@@ -384,6 +431,8 @@
 	Age       int64   `json:"age"`
 	// Held is the time for which this daemon does not ask.
 	Held int64 `json:"held"`
+	// Returns is the time until the end of a pause, negative after it, zero without one.
+	Returns int64 `json:"returns"`
 	// Acquired and Denied count the requests of this daemon, Granted the tokens that it
 	// has granted to all.
 	Acquired int `json:"acquired"`
@@ -398,7 +447,12 @@
 	now := t.Timer.Now()
 	all := make(map[bramleytack.UpstreamID]State, len(t.states))
 	for id, s := range t.states {
+		returns := int64(0)
+		if !s.returnsAt.IsZero() {
+			returns = s.returnsAt.Sub(now).Milliseconds()
+		}
 		all[id] = State{
+			Returns: returns,
 			Limited: s.word.Limit.Named, PerSecond: s.word.Limit.PerSecond, Age: now.Sub(s.word.At).Milliseconds(),
 			Held: max(s.heldUntil.Sub(now), 0).Milliseconds(), Acquired: s.acquired, Denied: s.denied, Granted: s.granted,
 		}
--- a/internal/route/btgrant/table_test.go
+++ b/internal/route/btgrant/table_test.go
@@ -176,3 +176,17 @@
 		assert.Equal(t, table.ReturnAfter("s", list), time.Second)
 	})
 }
+
+// Guards against an upstream that gets all requests at once after a pause, and against a
+// bound that outlasts the return.
+func TestReturnFromPauseIsLimited(t *testing.T) {
+	run(t, func(table *Table) {
+		u := &bramleytack.Upstream{ID: "u", Started: born, WarmLimit: 8}
+		table.Return(u, table.Timer.Now().Add(time.Second))
+		time.Sleep(time.Second)
+		// 2, 4, 8 and 16 a second for half a second each, and the burst.
+		n := sends(table, returnTime, 5*time.Millisecond, Terms{})
+		assert.Check(t, n >= 10 && n <= 20, "%d", n)
+		assert.Equal(t, sends(table, time.Second, 5*time.Millisecond, Terms{}), 200)
+	})
+}
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -139,7 +139,7 @@
 // observePause stops this daemon's sends to an upstream that asks for a pause.
 func (req *activeRequest) observePause(u *bramleytack.Upstream, header http.Header) {
 	if d := retryAfter(header, req.h.Timer.Now()); d > 0 {
-		req.h.Accounts.Pause(u, d)
+		req.h.Grants.Return(u, req.h.Accounts.Pause(u, d))
 	}
 }
 
--- a/internal/serve/btentry/limit_test.go
+++ b/internal/serve/btentry/limit_test.go
@@ -264,3 +264,24 @@
 		}
 	})
 }
+
+// Guards against daemons that all send at once to an upstream whose pause has ended.
+func TestReturnFromPauseIsShared(t *testing.T) {
+	run(t, func(h *harness) {
+		f := newLimitFleet(h, 8, 0, 3)
+		w := h.workers["s1"]
+		w.SetPause(2 * time.Second)
+		w.Set(btworker.Full)
+		f.load("check", 100, time.Second, inTurn)
+		w.Set(btworker.Healthy)
+		w.SetPause(0)
+		f.load("check", 100, 3*time.Second, inTurn)
+		first := w.FirstAfter(time.Now().Add(-2 * time.Second))
+		assert.Assert(t, !first.IsZero())
+		f.wg.Wait()
+		// A quarter of the warm limit of six a second, twice as much after half a second.
+		n := w.ArrivedAfter(first.Add(-1)) - w.ArrivedAfter(first.Add(500*time.Millisecond))
+		assert.Check(t, n <= 4, "%d requests in the first half second", n)
+		assert.Check(t, f.answered[http.StatusOK] == 400, "%v", f.answered)
+	})
+}
