TestLeavingUpstreamGetsNothing: the new instance is given time to be drawn

Cause: in the 1 s of the check an upstream that has just started is outside the tie for the first half; the 10 calls of the other half are drawn among three upstreams, of which it gets none in 1.7 of 100 runs. Change: the check lasts 4 s, 70 draws. What it asks for is unchanged.

--- a/internal/serve/btentry/signal_test.go
+++ b/internal/serve/btentry/signal_test.go
@@ -65,7 +65,8 @@
 		h.upstreams["s1"].Started = time.Now()
 		h.publish()
 		again := time.Now()
-		h.traffic(time.Second)
+		// An upstream that has just started is second choice for half a second.
+		h.traffic(4 * time.Second)
 		assert.Check(t, h.workers["s1"].ArrivedAfter(again) > 0, "the new instance gets nothing")
 	})
 }
