Tests of the archive and of limits: stand-ins are locked, a daemon is listed once it is whole

What was seen: the race detector reported the store stand-in of TestArchive* and the harness of btentry, in which a restarted daemon was asked for tokens before its handler was set. Product code was not concerned. Change: a mutex in the stand-in; the harness lists a daemon after its handler is set.

--- a/internal/route/btsuspect/archive_test.go
+++ b/internal/route/btsuspect/archive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,12 +13,15 @@
 
 // archiveStore holds one object.
 type archiveStore struct {
+	mu     sync.Mutex
 	object bramleytack.Object
 	down   bool
 	puts   int
 }
 
 func (s *archiveStore) List(context.Context, string) ([]bramleytack.Object, bramleytack.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.down {
 		return nil, 0, bramleytack.ErrStoreDown
 	}
@@ -25,6 +29,8 @@
 }
 
 func (s *archiveStore) Put(_ context.Context, o bramleytack.Object, expected bramleytack.Revision) (bramleytack.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch {
 	case s.down:
 		return 0, bramleytack.ErrStoreDown
@@ -37,6 +43,20 @@
 	return o.Version, nil
 }
 
+// setDown sets whether all calls fail.
+func (s *archiveStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// written returns the number of successful calls of Put.
+func (s *archiveStore) written() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.puts
+}
+
 // archiveOf starts an archive of a table and returns the function that ends it.
 func archiveOf(t *Table, s *archiveStore) context.CancelFunc {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -53,17 +73,17 @@
 		stop := archiveOf(table, s)
 		crash(table, 1, 2, 3)
 		time.Sleep(time.Second)
-		assert.Equal(t, s.puts, 1)
+		assert.Equal(t, s.written(), 1)
 		stop()
-		s.down = true
+		s.setDown(true)
 		next := New(&Table{Timer: table.Timer})
 		defer archiveOf(next, s)()
 		time.Sleep(time.Second)
 		assert.Equal(t, next.Len(), 0)
-		s.down = false
+		s.setDown(false)
 		time.Sleep(2 * archiveRetry)
 		assert.Assert(t, next.Len() == 1 && next.State()[0].Quarantined)
-		assert.Equal(t, s.puts, 1)
+		assert.Equal(t, s.written(), 1)
 	})
 }
 
@@ -92,7 +112,7 @@
 			defer archiveOf(table, s)()
 			crash(table, 1, 2, 3)
 			time.Sleep(time.Second)
-			assert.Equal(t, s.puts, 1)
+			assert.Equal(t, s.written(), 1)
 		})
 	}
 }
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -200,15 +200,15 @@
 	log := btevent.New(io.Discard, 0, bramleytack.HostID(addr.String()))
 	table := btreplica.NewTable(codec{h}, h.timer, log)
 	d := &daemon{addr: addr, started: time.Now()}
-	h.mu.Lock()
-	h.daemons = append(h.daemons, d)
-	h.mu.Unlock()
 	suspects := btsuspect.New(&btsuspect.Table{Timer: h.timer, Log: log})
 	suspects.Share = func(records []btsuspect.Record) { h.share(d, records) }
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stopRun = cancel
 	go suspects.Run(ctx)
-	isFirst := func() bool { return d == h.running()[0] }
+	isFirst := func() bool {
+		all := h.running()
+		return len(all) > 0 && all[0] == d
+	}
 	go (&btsuspect.Archive{Table: suspects, Feed: h.store, Registry: h.store, Timer: h.timer, Reads: isFirst, Writes: isFirst}).Run(ctx)
 	d.handler = &btentry.Handler{
 		Table: table, Accounts: &btaccount.Table{Timer: h.timer}, Suspects: suspects, Dialect: dialect, Mover: h.pool, Timer: h.timer, Log: log,
@@ -217,6 +217,9 @@
 	}
 	d.handler.Accounts.HeldUntil = d.handler.Grants.HeldUntil
 	d.server = &http.Server{Handler: d.handler}
+	h.mu.Lock()
+	h.daemons = append(h.daemons, d)
+	h.mu.Unlock()
 	if h.revision > 0 {
 		h.publishTo(d)
 	}
