--- a/internal/fleet/btgossip/load.go
+++ b/internal/fleet/btgossip/load.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -20,6 +21,10 @@
 	// minLoadInterval is the minimum time between two load reports. Changes that come
 	// together, such as those of a leaving engine, share one report.
 	minLoadInterval = 15 * time.Millisecond
+	// repeatAfter is the time after which a changed report to the hubs is repeated if
+	// there is no newer one, in place of bthub.ReportPeriod. A table with the load then
+	// arrives within three table periods although one report was lost.
+	repeatAfter = 60 * time.Millisecond
 	// tablePeriod is the time between two tables of a hub. Within it a failure domain
 	// starts few generations, less than one for each of its engines.
 	tablePeriod = 50 * time.Millisecond
@@ -47,17 +52,21 @@
 
 func (s *loadSender) run(ctx context.Context) {
 	n := s.n
-	refresh := n.Timer.Every(bthub.ReportPeriod, bthub.ReportPeriod/10)
-	defer refresh.Stop()
+	wait := bthub.ReportPeriod
 	for {
+		refresh := n.Timer.After(wait - time.Duration(rand.Int64N(int64(wait/10))))
 		changed := true
 		select {
 		case <-n.loadSignal:
+			wait = repeatAfter
 		case <-refresh.C():
 			changed = false
+			wait = bthub.ReportPeriod
 		case <-ctx.Done():
+			refresh.Stop()
 			return
 		}
+		refresh.Stop()
 		switch v := n.view(); {
 		case v.large():
 			n.reportToHubs(v)
