A request that is not sent does not count against its upstream; decisions carry their rate

What was seen: by reading the change. A request that was withheld at the send because its upstream left or asked for a pause counted as unreachable, and would have kept the upstream's next pauses longer; denials during the return from a pause were not logged; a step of the clock could have ended the wait after a suspension early. Cause: one class of error for what could not be sent and what was not to be sent; a time of day kept as a number. Change: both withheld kinds are abandoned attempts; a decision has the rate that it was made by; the time of the last resumption keeps its monotonic reading; a reply cannot make a request wait longer than it asked for.

--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -93,8 +93,8 @@
 	// incarnation is Self.Incarnation, or a higher one after outdated.
 	incarnation atomic.Uint64
 	started     time.Time
-	// resumed is the Unix time in nanoseconds of the last ResetLiveness.
-	resumed atomic.Int64
+	// resumed is the time of the last ResetLiveness.
+	resumed atomic.Pointer[time.Time]
 	// grantReplies holds a channel for each grant request that waits for its reply, by
 	// number.
 	grantReplies sync.Map
@@ -208,7 +208,7 @@
 // It is for use after this process was suspended.
 func (n *Node) ResetLiveness() {
 	now := n.Timer.Now()
-	n.resumed.Store(now.UnixNano())
+	n.resumed.Store(&now)
 	n.peers.resetLiveness(now)
 	n.client.Reset()
 }
@@ -216,8 +216,8 @@
 // recentlyResumed reports whether this process was suspended until less than aliveTimeout
 // ago.
 func (n *Node) recentlyResumed(now time.Time) bool {
-	d := time.Duration(now.UnixNano() - n.resumed.Load())
-	return d >= 0 && d < aliveTimeout
+	resumed := n.resumed.Load()
+	return resumed != nil && now.Sub(*resumed) < aliveTimeout
 }
 
 // Follows reports whether this daemon should follow a kind in the store. The live
--- a/internal/route/btgrant/table.go
+++ b/internal/route/btgrant/table.go
@@ -90,11 +90,11 @@
 // Decision is whether a request may be sent.
 type Decision struct {
 	Granted bool
-	// Limit is the limit that it was decided by, and Age the age of the word of it. Both
-	// are zero for an upstream without a limit.
-	Limit  Limit
-	Age    time.Duration
-	Waited time.Duration
+	// PerSecond is the rate that it was decided by, zero for an upstream without a limit.
+	// Age is the age of the word that names the limit, zero during the return from a pause.
+	PerSecond float64
+	Age       time.Duration
+	Waited    time.Duration
 	// Left is the time after which the daemon asks again.
 	Left time.Duration
 }
@@ -260,7 +260,10 @@
 		return Decision{Granted: true}
 	}
 	began := t.Timer.Now()
-	d := Decision{Limit: s.word.Limit, Age: began.Sub(s.word.At)}
+	d := Decision{PerSecond: s.rate(s.most(began))}
+	if s.word.Limit.Named {
+		d.Age = began.Sub(s.word.At)
+	}
 	if left := s.heldUntil.Sub(began); left > terms.Wait && !terms.Urgent {
 		s.denied++
 		d.Left = left
@@ -272,7 +275,7 @@
 	reply, ok := t.Ask(ctx, r)
 	d.Granted = t.decide(u, &reply, ok)
 	if d.Granted && reply.Delay > 0 {
-		d.Granted = t.Timer.Sleep(ctx, reply.Delay) == nil
+		d.Granted = reply.Delay <= terms.Wait && t.Timer.Sleep(ctx, reply.Delay) == nil
 	}
 	d.Waited, d.Left = t.Timer.Now().Sub(began), reply.After
 	return d
@@ -296,7 +299,7 @@
 		return true
 	}
 	s.denied++
-	if until := t.Timer.Now().Add(r.After); until.After(s.heldUntil) {
+	if until := t.Timer.Now().Add(min(r.After, maxAfter)); until.After(s.heldUntil) {
 		s.heldUntil = until
 	}
 	return false
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -72,7 +72,7 @@
 func (req *activeRequest) open(ctx context.Context, u *bramleytack.Upstream, r *btconn.Request, terms btgrant.Terms) (*btconn.Exchange, error) {
 	limited := req.h.Grants.Limited(u)
 	if limited && !req.permitted(ctx, u, terms) {
-		return nil, errNotPermitted
+		return nil, errors.Mark(errLimited, btconn.ErrUnsent)
 	}
 	c, err := req.connect(ctx, u)
 	if err != nil {
@@ -81,11 +81,11 @@
 	if !limited && !req.permitted(ctx, u, terms) {
 		// The upstream has named its limit since.
 		c.Release()
-		return nil, errNotPermitted
+		return nil, errors.Mark(errLimited, btconn.ErrUnsent)
 	}
 	if !req.stillAccepts(u) {
 		c.Release()
-		return nil, errLeft
+		return nil, errors.Mark(errLeft, btconn.ErrUnsent)
 	}
 	x, err := c.Do(ctx, r)
 	if err != nil {
@@ -107,9 +107,8 @@
 	return x, nil
 }
 
-// errLeft is returned for a request whose upstream has asked for no more requests since it
-// was chosen.
-var errLeft = errors.Mark(errors.New("btentry: upstream accepts no work any more"), btconn.ErrUnsent)
+// errLeft is returned for a request whose upstream accepts no more since it was chosen.
+var errLeft = errors.New("btentry: upstream accepts no work any more")
 
 // stillAccepts reports whether an upstream that was chosen before accepts work now.
 func (req *activeRequest) stillAccepts(u *bramleytack.Upstream) bool {
@@ -272,7 +271,7 @@
 // health returns the outcome that counts for the upstream's health.
 func (req *activeRequest) health(r *attemptResult) btaccount.Outcome {
 	switch {
-	case r.limited:
+	case r.limited, errors.Is(r.err, errLeft):
 		return btaccount.Abandoned
 	case r.unsent:
 		return btaccount.Unreachable
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -178,7 +178,13 @@
 func (req *activeRequest) retryAfter() time.Duration {
 	d := time.Duration((0.5 + rand.Float64()) * float64(meanRetryAfter))
 	s := req.h.Table.Snapshot()
-	d += max(req.h.Accounts.PauseLeft(s, req.service), req.h.Grants.ReturnAfter(req.service, s.ByService[req.service]))
+	var accepting []*bramleytack.Upstream
+	for _, u := range s.ByService[req.service] {
+		if s.Accepts(u.ID) {
+			accepting = append(accepting, u)
+		}
+	}
+	d += max(req.h.Accounts.PauseLeft(s, req.service), req.h.Grants.ReturnAfter(req.service, accepting))
 	return max(min(d, req.maxRetryAfter()), 0)
 }
 
--- a/internal/serve/btentry/limit.go
+++ b/internal/serve/btentry/limit.go
@@ -13,14 +13,10 @@
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btgrant"
-	"bramleytack/internal/upstream/btconn"
 )
 
-// errLimited is the cause of errNotPermitted, which also counts as an unsent request.
-var (
-	errLimited      = errors.New("btentry: limit of the upstream allows no request")
-	errNotPermitted = errors.Mark(errLimited, btconn.ErrUnsent)
-)
+// errLimited is returned for a request that the limit of its upstream does not allow now.
+var errLimited = errors.New("btentry: limit of the upstream allows no request")
 
 // observeLimit takes the limit that an upstream names in a response, or that it names none.
 func (req *activeRequest) observeLimit(u *bramleytack.Upstream, header http.Header) {
@@ -56,12 +52,12 @@
 // concerned. It waits at most as long as the terms allow.
 func (req *activeRequest) permitted(ctx context.Context, u *bramleytack.Upstream, terms btgrant.Terms) bool {
 	d := req.h.Grants.Acquire(ctx, u, terms)
-	if !d.Limit.Named {
+	if d.PerSecond <= 0 {
 		return d.Granted
 	}
 	req.h.Metrics.limitedSend(d)
 	if !d.Granted || terms.Wait > 0 {
-		req.log(btevent.SendLimited).Str("upstream", string(u.ID)).Float64("perSecond", d.Limit.PerSecond).Dur("age", d.Age).
+		req.log(btevent.SendLimited).Str("upstream", string(u.ID)).Float64("perSecond", d.PerSecond).Dur("age", d.Age).
 			Bool("granted", d.Granted).Bool("urgent", terms.Urgent).Dur("waited", d.Waited).Dur("left", d.Left).Send()
 	}
 	return d.Granted
