--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -146,8 +146,6 @@
 		req.forward(r)
 	case req.quarantined():
 		req.rejectQuarantined()
-	case r == nil && req.queued > 0:
-		req.reject(http.StatusServiceUnavailable, min(req.queued+req.retryAfter(), req.maxRetryAfter()), "upstreams are full")
 	case r == nil && req.limitedSends > 0:
 		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "upstreams limit their requests")
 	case r == nil:
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -146,9 +146,6 @@
 	quarantinedKey string
 	// expectedDelay is the delay that was expected of the last chosen upstream.
 	expectedDelay time.Duration
-	// queued is the delay that was expected of the best upstream, if it was too long for the
-	// request to be sent.
-	queued time.Duration
 	// limitedSends counts the sends that an upstream's limit did not allow.
 	limitedSends int
 	// attempts counts the attempts that have ended or were replaced by another one,
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -140,7 +140,7 @@
 	if u == nil {
 		u, terms = s.req.pickHeld(s.tried)
 	}
-	if u == nil || s.req.quarantined() || terms.Wait == 0 && s.outlasts(s.req.expectedDelay) {
+	if u == nil || s.req.quarantined() {
 		return false
 	}
 	waited := s.req.h.Timer.Now().Sub(started)
@@ -154,17 +154,6 @@
 	return true
 }
 
-// outlasts reports whether a request that has not been sent would probably reach its
-// deadline, or be ended as stalled, before its first event. The time until then is kept for
-// its Retry-After.
-func (s *relay) outlasts(delay time.Duration) bool {
-	if s.req.attempts > 0 || delay <= min(s.req.remaining(), s.stallLimit()) {
-		return false
-	}
-	s.req.queued = delay
-	return true
-}
-
 func (seg *segment) backupName() string {
 	if seg.backup == nil {
 		return ""
