--- a/review/standin/case_revoked.go
+++ b/review/standin/case_revoked.go
@@ -59,36 +59,45 @@
 	return resp.StatusCode, resp.Header.Get("Server-Seal") != "", err
 }
 
+// splitReaders returns the daemons that poll the configuration now and the others.
+func (l *lab) splitReaders() (readers, others []*daemon) {
+	for _, d := range l.daemons {
+		if d.door.watchAge("config") < 3*time.Second && len(readers) < silentShare {
+			readers = append(readers, d)
+		} else {
+			others = append(others, d)
+		}
+	}
+	return readers, others
+}
+
 // caseRevoked takes a key away from a tenant right after the store has become silent for
 // three of nine daemons, those that read the configuration for the others. The other
 // daemons must reject the key after config_ms.
 func caseRevoked(l *lab) bool {
 	l.configureKeys(7, 34228, "key-1", "key-2")
 	born := time.Now().UnixMilli()
+	var addrs []string
 	for i, zone := range []string{"qld-a", "qld-b", "qld-c"} {
 		s, err := net.Listen("tcp4", l.ip(100+i)+":0")
 		must(err)
 		id := fmt.Sprintf("o-%d", i+1)
 		go func() { _ = http.Serve(s, &plainWorker{id: id}) }()
-		l.register(id, "counter-app", s.Addr().String(), zone, "ready", 6, born)
+		addrs = append(addrs, s.Addr().String())
+		l.register(id, "counter-app", addrs[i], zone, "ready", 6, born)
 	}
 	l.startDaemons(fleetSize)
 	time.Sleep(6 * time.Second)
 
-	// A change of the configuration just before: key-3 is added.
+	// Planned work: a zone is emptied, its worker drains, and key-3 is added.
+	readers, calm := l.splitReaders()
+	l.store.put("evacuations", "qld-c", map[string]any{})
+	l.register("o-3", "counter-app", addrs[2], "qld-c", "draining", 6, born)
 	l.configureKeys(9, 34228, "key-1", "key-2", "key-3")
-	l.logf("version 9 is acknowledged, key-3 is new")
-	time.Sleep(300 * time.Millisecond)
-	var readers, calm []*daemon
-	for _, d := range l.daemons {
-		if d.door.watching("config") && len(readers) < silentShare {
-			readers = append(readers, d)
-		} else {
-			calm = append(calm, d)
-		}
-	}
+	l.logf("qld-c is evacuated, o-3 drains, version 9 is acknowledged, key-3 is new")
+	time.Sleep(100 * time.Millisecond)
 	for _, d := range readers {
-		l.logf("%s reads the configuration", d.name)
+		l.logf("%s reads the store", d.name)
 	}
 	if l.trouble {
 		for _, d := range readers {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -30,7 +30,7 @@
 	*store
 	addr   string
 	silent atomic.Bool
-	// watches counts the waiting watches by kind.
+	// watches holds the start of the newest watch by kind.
 	watches sync.Map
 }
 
@@ -68,19 +68,21 @@
 	return d
 }
 
-// watching reports whether a watch of a kind is waiting.
-func (d *storeDoor) watching(kind string) bool {
-	n, ok := d.watches.Load(kind)
-	return ok && n.(*atomic.Int64).Load() > 0
+// watchAge returns the time since the newest watch of a kind began, a long time without
+// one.
+func (d *storeDoor) watchAge(kind string) time.Duration {
+	at, ok := d.watches.Load(kind)
+	if !ok {
+		return time.Hour
+	}
+	return time.Since(at.(time.Time))
 }
 
 // ServeHTTP answers a call unless the store is silent for this daemon. A connection on
 // which a response is lost returns nothing further.
 func (d *storeDoor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Has("watch") {
-		n, _ := d.watches.LoadOrStore(strings.TrimPrefix(r.URL.Path, "/api/objects/"), &atomic.Int64{})
-		n.(*atomic.Int64).Add(1)
-		defer n.(*atomic.Int64).Add(-1)
+		d.watches.Store(strings.TrimPrefix(r.URL.Path, "/api/objects/"), time.Now())
 	}
 	kept := &keptResponse{header: http.Header{}}
 	d.store.ServeHTTP(kept, r)
