--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -28,6 +29,13 @@
 	gap      time.Duration
 	runs     atomic.Int64
 	running  atomic.Int64
+
+	// moves is set if moves and copies find room.
+	moves    bool
+	cut      cutOff
+	listener *busyListener
+	// fromCopy is the time until the first event of a run that goes on from a copy.
+	fromCopy time.Duration
 }
 
 // runEngine serves until the process is killed. It prints a line for each run.
@@ -40,8 +48,16 @@
 	f.BoolVar(&e.unframed, "unframed", false, "responses have neither a length nor chunks")
 	f.Float64Var(&e.slow, "slow", 1, "factor by which all work takes longer")
 	f.DurationVar(&e.gap, "gap", 28*time.Millisecond, "time between two events")
+	f.BoolVar(&e.moves, "moves", false, "moves and copies find room")
+	f.DurationVar(&e.cut.length, "cut", 0, "time for which the engine is cut off after the first move")
+	f.DurationVar(&e.fromCopy, "from-copy", 30*time.Millisecond, "time until the first event of a run that goes on from a copy")
 	_ = f.Parse(args)
-	l, err := net.Listen("tcp4", *addr)
+	l, err := listenShort(*addr)
+	if e.cut.length == 0 {
+		l.Close()
+		l.Listener, err = net.Listen("tcp4", *addr)
+	}
+	e.listener = l
 	if err != nil {
 		panic(err)
 	}
@@ -58,8 +74,13 @@
 		})
 		return
 	case r.URL.Path == "/api/kv-move":
+		var m struct{ ID, Target string }
+		_ = json.NewDecoder(r.Body).Decode(&m)
+		if e.moves {
+			e.move(w, m.ID, m.Target)
+			return
+		}
 		// No other engine has room.
-		_, _ = io.Copy(io.Discard, r.Body)
 		answer(w, http.StatusServiceUnavailable, map[string]any{"born": e.born})
 		return
 	case strings.HasPrefix(r.URL.Path, "/api/"):
@@ -74,7 +95,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.Header.Get("Kv-From") != "" {
+	if r.Header.Get("Kv-From") != "" && !e.moves {
 		// There is no copy here.
 		h.Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -93,8 +114,16 @@
 	total := output / tokensPerEvent
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	run := fmt.Sprintf("%s#%d", e.id, e.runs.Add(1))
-	e.wait(r, time.Duration(float64(prompt)/prefillPerMilli*float64(time.Millisecond)))
-	fmt.Printf("worker %s runs %s as %s, last-event-id %q, %d events in all\n", e.id, r.Header.Get("Attempt-Id"), run, r.Header.Get("Last-Event-Id"), total)
+	if from := r.Header.Get("Kv-From"); from != "" {
+		fmt.Printf("worker %s goes on with %s as %s, from %s, last-event-id %d\n", e.id, r.Header.Get("Attempt-Id"), run, from, last)
+		if !e.wait(r, e.fromCopy) {
+			fmt.Printf("worker %s: caller of %s left before an event\n", e.id, run)
+			return
+		}
+	} else {
+		e.wait(r, time.Duration(float64(prompt)/prefillPerMilli*float64(time.Millisecond)))
+		fmt.Printf("worker %s runs %s as %s, last-event-id %q, %d events in all\n", e.id, r.Header.Get("Attempt-Id"), run, r.Header.Get("Last-Event-Id"), total)
+	}
 	h := w.Header()
 	h.Set("Server-Seal", "seal-"+run)
 	h.Set("Server-Load", fmt.Sprintf("%d,0,24", e.running.Load()))
@@ -120,6 +149,7 @@
 		}
 	}
 	for n := last + 1; n <= total; n++ {
+		e.cut.pass(r.Header.Get("Attempt-Id"))
 		if err := write(fmt.Sprintf("id: %d\ndata: %s from %d %d/%d\n\n", n, run, last, n, total)); err != nil {
 			fmt.Printf("worker %s: caller of %s left at event %d\n", e.id, run, n)
 			return
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,8 @@
 		os.Exit(run(caseUnframed))
 	case "joined":
 		os.Exit(run(caseJoined))
+	case "twice":
+		os.Exit(run(caseTwice))
 	case "revoked":
 		os.Exit(run(caseRevoked))
 	default:
