--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases into target/. They need the standard library only.
 set -e
 cd "$(dirname "$0")/standin"
-GOFLAGS= GOWORK=off CGO_ENABLED=0 go build -o ../../target/review-standin .
+GOFLAGS= GOWORK=off CGO_ENABLED=0 go build -buildvcs=false -o ../../target/review-standin .
--- a/review/standin/case_revoked.go
+++ b/review/standin/case_revoked.go
@@ -23,6 +23,7 @@
 
 // plainWorker is a stand-in of a worker of a plain service.
 type plainWorker struct {
+	l    *lab
 	id   string
 	runs atomic.Int64
 }
@@ -35,6 +36,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	o.l.logf("worker %s runs %s for tenant %q", o.id, r.Header.Get("Attempt-Id"), r.Header.Get("Tenant"))
 	time.Sleep(5 * time.Millisecond)
 	w.Header().Set("Server-Seal", fmt.Sprintf("seal-%s#%d", o.id, o.runs.Add(1)))
 	w.Header().Set("Server-Load", "1,0,6")
@@ -82,7 +84,7 @@
 		s, err := net.Listen("tcp4", l.ip(100+i)+":0")
 		must(err)
 		id := fmt.Sprintf("o-%d", i+1)
-		go func() { _ = http.Serve(s, &plainWorker{id: id}) }()
+		go func() { _ = http.Serve(s, &plainWorker{l: l, id: id}) }()
 		addrs = append(addrs, s.Addr().String())
 		l.register(id, "counter-app", addrs[i], zone, "ready", 6, born)
 	}
