--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -25,10 +25,14 @@
 	id       string
 	born     int64
 	unframed bool
-	slow     float64
-	gap      time.Duration
-	runs     atomic.Int64
-	running  atomic.Int64
+	// The engine takes slow times as long for slowFor in each slowEvery.
+	slow      float64
+	slowFor   time.Duration
+	slowEvery time.Duration
+	started   time.Time
+	gap       time.Duration
+	runs      atomic.Int64
+	running   atomic.Int64
 
 	// moves is set if moves and copies find room.
 	moves    bool
@@ -42,11 +46,13 @@
 func runEngine(args []string) {
 	f := flag.NewFlagSet("engine", flag.ExitOnError)
 	addr := f.String("addr", "", "address")
-	e := &engine{}
+	e := &engine{started: time.Now()}
 	f.StringVar(&e.id, "id", "", "id in the store")
 	f.Int64Var(&e.born, "born", 0, "start in Unix milliseconds")
 	f.BoolVar(&e.unframed, "unframed", false, "responses have neither a length nor chunks")
-	f.Float64Var(&e.slow, "slow", 1, "factor by which all work takes longer")
+	f.Float64Var(&e.slow, "slow", 1, "factor by which all work takes longer at times")
+	f.DurationVar(&e.slowFor, "slow-for", 6500*time.Millisecond, "length of a slow time")
+	f.DurationVar(&e.slowEvery, "slow-every", 10*time.Second, "time from one slow time to the next")
 	f.DurationVar(&e.gap, "gap", 28*time.Millisecond, "time between two events")
 	f.BoolVar(&e.moves, "moves", false, "moves and copies find room")
 	f.DurationVar(&e.cut.length, "cut", 0, "time for which the engine is cut off after the first move")
@@ -164,8 +170,11 @@
 
 // wait takes as long as work does, and reports false if the caller has left.
 func (e *engine) wait(r *http.Request, d time.Duration) bool {
+	if time.Since(e.started)%e.slowEvery < e.slowFor {
+		d = time.Duration(float64(d) * e.slow)
+	}
 	select {
-	case <-time.After(time.Duration(float64(d) * e.slow)):
+	case <-time.After(d):
 		return true
 	case <-r.Context().Done():
 		return false
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,5 +1,3 @@
-// Command standin runs the cases of the review: stand-ins of the platform's store, of
-// workers and of clients around the real daemons.
 package main
 
 import (
