Stages of requests, and a line for each that the end of a daemon cuts

Callers saw: nothing new; on-call could not tell why a request ended without an answer around a planned stop.

Change: each request keeps how far it has come: reading, choosing an upstream, sent to one (no byte for the caller yet), answering. BT101 and the part requests of the state dump count them; BT516 names each request that is cut at the end, with its stage, how long it was in it, its upstream and the caller's last event.

No decision changes.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -78,6 +78,7 @@
 	MoveEnded               = Event{513, zerolog.InfoLevel, "move of a generation has ended"}
 	ResponseLimitExceeded   = Event{514, zerolog.WarnLevel, "response of an upstream exceeded a limit"}
 	SendLimited             = Event{515, zerolog.InfoLevel, "request waited for a limited upstream or was not sent to it"}
+	RequestCut              = Event{516, zerolog.WarnLevel, "request was cut by the end of the daemon"}
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
 	RequestSuspected        = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
 	RequestQuarantined      = Event{603, zerolog.ErrorLevel, "request is quarantined"}
@@ -153,6 +154,7 @@
 		MoveEnded,
 		ResponseLimitExceeded,
 		SendLimited,
+		RequestCut,
 		ClaimNotStored,
 		RequestSuspected,
 		RequestQuarantined,
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -186,6 +186,7 @@
 	}
 	n.dump.Add("peers", func() any { return n.gossip.Alive() })
 	n.dump.Add("fleet", func() any { return n.gossip.State() })
+	n.dump.Add("requests", func() any { return n.handler.Stages() })
 	n.dump.Add("loads", func() any { return n.accounts.OwnLoads() })
 	n.dump.Add("suspects", func() any { return n.suspects.State() })
 	n.dump.Add("limits", func() any { return n.grants.State() })
@@ -359,5 +360,8 @@
 	if p == btdrain.Leaving {
 		n.gossip.TriggerDigest()
 	}
-	n.log.Event(btevent.ProcessDraining).Stringer("phase", p).Int("active", n.handler.Active()).Send()
+	n.log.Event(btevent.ProcessDraining).Stringer("phase", p).Int("active", n.handler.Active()).Interface("stages", n.handler.Stages()).Send()
+	if p == btdrain.Ended {
+		n.handler.LogCut()
+	}
 }
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -87,6 +87,7 @@
 		c.Release()
 		return nil, errors.Mark(errLeft, btconn.ErrUnsent)
 	}
+	req.progress.sent(u.ID, req.h.Timer.Now())
 	x, err := c.Do(ctx, r)
 	if err != nil {
 		return nil, err
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -76,7 +76,7 @@
 
 	// pace is learned from the streams of this daemon.
 	pace     btforecast.Pace
-	active   atomic.Int64
+	requests activeSet
 	buffered atomic.Int64
 	// unconfiguredSince is the Unix time in nanoseconds of the first request that came
 	// before the configuration, zero without one.
@@ -86,7 +86,11 @@
 
 // Active returns the number of requests that are being served. It is safe for
 // concurrent use.
-func (h *Handler) Active() int { return int(h.active.Load()) }
+func (h *Handler) Active() int {
+	h.requests.mu.Lock()
+	defer h.requests.mu.Unlock()
+	return len(h.requests.requests)
+}
 
 // Buffered returns the size in bytes of the bodies that are kept in memory. It is safe
 // for concurrent use.
@@ -94,9 +98,10 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.active.Add(1)
-	defer h.active.Add(-1)
 	req := &activeRequest{h: h, w: w, id: r.Header.Get(h.Dialect.RequestID), received: h.Timer.Now()}
+	req.progress.since = req.received
+	h.requests.add(req)
+	defer h.requests.remove(req)
 	if h.Leaving != nil && h.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
@@ -108,6 +113,7 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), req.deadline, errDeadline)
 	defer cancel()
 	h.Budget.Request(req.service)
+	req.progress.enter(stageChoosing, "", h.Timer.Now())
 	if req.route.Streaming {
 		req.stream(ctx)
 		return
@@ -127,6 +133,7 @@
 	service  string
 	id       string
 	received time.Time
+	progress progress
 	// deadline is the end of the route's timeout or the caller's own deadline,
 	// whichever is earlier.
 	deadline  time.Time
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -267,6 +267,7 @@
 		return false
 	}
 	s.flusher.Flush()
+	s.req.progress.forwarded(s.lastEventID, s.req.h.Timer.Now())
 	return true
 }
 
