Test, red: requests that wait at an upstream get no answer at the end of a planned stop

Callers saw: status 0 at the end of the daemon that had taken their request; the request had been passed on and never ran.

The stand-in for upstreams gets a number of places. Requests that find none free wait in order, get no byte meanwhile, and are answered as not run when their deadline passes in the queue, as the users' pages say of workers. A stream whose deadline passes while it runs breaks off; it ended as complete before.

--- /dev/null
+++ b/internal/serve/btentry/queue_test.go
@@ -0,0 +1,127 @@
+package btentry_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bramleytack/internal/node/btdrain"
+	"bramleytack/internal/standin/btworker"
+)
+
+// stopGrace is the time between the signal of a planned stop and the kill.
+const stopGrace = 8 * time.Second
+
+// plannedStop stops the harness's daemon with a drain, and reports when it has ended.
+func (h *harness) plannedStop() (*btdrain.Drain, <-chan struct{}) {
+	d := h.running()[0]
+	drain := &btdrain.Drain{Timer: h.timer, Grace: stopGrace, Active: d.handler.Active}
+	d.handler.Leaving = func() bool { return drain.Phase() != btdrain.Serving }
+	d.handler.Accepts = drain.Accepts
+	ended := make(chan struct{})
+	go (&stopper{drain: drain, daemon: d, ended: ended}).run()
+	return drain, ended
+}
+
+// stopper ends a daemon as its process does.
+type stopper struct {
+	drain  *btdrain.Drain
+	daemon *daemon
+	ended  chan struct{}
+}
+
+func (s *stopper) run() {
+	s.drain.Run(s.daemon.server)
+	s.daemon.stop()
+	close(s.ended)
+}
+
+// Guards against requests that wait at an upstream, or in the daemon, and whose connections
+// are closed without a byte at the end of a planned stop; and against those that are then
+// said not to have run although they have.
+func TestWaitingRequestsOfPlannedStop(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		target string
+		engine btworker.Config
+		shop   btworker.Config
+		memory int
+		tokens string
+		period time.Duration
+	}{
+		{"guides in the queue of an engine", "guide", btworker.Config{Events: streamEvents, Gap: 4 * eventGap, Slots: 3}, btworker.Config{}, 1 << 20, "1000,240", 200 * time.Millisecond},
+		{"guides of an engine that stands still", "guide", btworker.Config{Events: streamEvents, Gap: 10 * time.Second, Slots: 1}, btworker.Config{}, 1 << 20, "1000,240", 200 * time.Millisecond},
+		{"tags behind others", "tag", btworker.Config{Events: 3, Gap: time.Second, Slots: 2}, btworker.Config{}, 1 << 20, "2200,12", 100 * time.Millisecond},
+		{"guides that wait for memory", "guide", btworker.Config{Events: streamEvents, Gap: 4 * eventGap}, btworker.Config{}, 6000, "1000,240", 100 * time.Millisecond},
+		{"orders in the queue of an upstream", "order", btworker.Config{Events: 1}, btworker.Config{Work: 200 * time.Millisecond, Slots: 1}, 1 << 20, "", 50 * time.Millisecond},
+		{"checks in the queue of an upstream", "check", btworker.Config{Events: 1}, btworker.Config{Work: 200 * time.Millisecond, Slots: 1}, 1 << 20, "", 50 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.memory = c.memory
+				for i := range 2 {
+					h.start(fmt.Sprintf("e%d", i), engineService, c.engine)
+					h.start(fmt.Sprintf("s%d", i), callService, c.shop)
+				}
+				s := &stopCallers{h: h, target: c.target, header: map[string]string{}, answered: map[int]int{}}
+				if c.tokens != "" {
+					s.header[dialect.TokenCounts] = c.tokens
+				}
+				var drain *btdrain.Drain
+				var ended <-chan struct{}
+				signal := time.Now().Add(6 * time.Second)
+				for i := 0; drain == nil || drain.Phase() < btdrain.Closing; i++ {
+					if drain == nil && !time.Now().Before(signal) {
+						drain, ended = h.plannedStop()
+					}
+					s.wg.Go(func() { s.send(fmt.Sprint("stop-", i)) })
+					time.Sleep(c.period)
+				}
+				<-ended
+				s.wg.Wait()
+				assert.Check(t, s.silent == 0, "%d requests got no byte, answered %v", s.silent, s.answered)
+				assert.Check(t, s.untrue == 0, "%d requests ran although they were said not to", s.untrue)
+				t.Logf("answered %v", s.answered)
+				assert.Check(t, time.Since(signal) <= stopGrace, "the end took %v", time.Since(signal))
+			})
+		})
+	}
+}
+
+// stopCallers sends requests around a planned stop and counts what their callers got.
+type stopCallers struct {
+	h      *harness
+	target string
+	header map[string]string
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	answered map[int]int
+	// silent counts requests whose connection closed without a response, untrue those that
+	// were rejected as not run although they ran.
+	silent int
+	untrue int
+}
+
+func (s *stopCallers) send(id string) {
+	conn, err := s.h.dialEntry(s.h.entryAddr)
+	if err != nil {
+		// The listener has closed.
+		return
+	}
+	sent := time.Now()
+	r := s.h.exchange(conn, id, http.MethodPost, fmt.Sprintf("/%s/%s", s.target, id), s.header, 40*time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answered[r.status]++
+	if r.status == 0 && time.Since(sent) > 200*time.Millisecond {
+		s.silent++
+	}
+	if r.status == http.StatusServiceUnavailable && s.h.pool.Runs(id) > 0 {
+		s.untrue++
+	}
+}
--- a/internal/standin/btworker/pool.go
+++ b/internal/standin/btworker/pool.go
@@ -39,7 +39,7 @@
 
 // Start starts an upstream.
 func (p *Pool) Start(cfg Config) *Worker {
-	w := &Worker{pool: p, cfg: cfg, copies: map[string]time.Time{}, active: map[string]context.CancelFunc{}}
+	w := &Worker{pool: p, places: places{count: cfg.Slots, queue: cfg.Queue}, cfg: cfg, copies: map[string]time.Time{}, active: map[string]context.CancelFunc{}}
 	p.mu.Lock()
 	if p.workers == nil {
 		p.workers, p.runs = map[netip.AddrPort]*Worker{}, map[string]int{}
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -25,6 +25,10 @@
 	Gap  time.Duration
 	// Work is the time of a plain call.
 	Work time.Duration
+	// Slots is the number of requests that run at once, zero for any. Others wait, up to
+	// Queue of them, zero for any, and get no byte before they run.
+	Slots int
+	Queue int
 	// Fatal reports whether a request crashes the upstream as it begins to run it. Nil
 	// means that none does. The upstream starts again after Restart and calls Restarted.
 	Fatal     func(r *http.Request, body string) bool
@@ -68,6 +72,7 @@
 	fault  atomic.Uint32
 	// stalled holds streams back, as a preemption does.
 	stalled atomic.Bool
+	places  places
 	crashed atomic.Bool
 	// pause is the time in nanoseconds for which a full upstream asks for no requests.
 	pause atomic.Int64
@@ -270,17 +275,20 @@
 	}
 	handle := r.Header.Get(d.From)
 	if Fault(w.fault.Load()) == Full || handle != "" && !w.use(handle) {
-		rw.Header().Set(d.NotRun, "1")
-		if p := time.Duration(w.pause.Load()); p > 0 {
-			rw.Header().Set("Retry-After", strconv.FormatFloat(p.Seconds(), 'f', -1, 64))
-		}
-		rw.WriteHeader(http.StatusServiceUnavailable)
+		w.refuse(rw, errFull)
+		return
+	}
+	ctx, done := workContext(r, d.DeadlineMillis)
+	if err := w.places.take(ctx); err != nil {
+		done()
+		w.refuse(rw, err)
 		return
 	}
+	defer w.places.leave()
 	if handle == "" {
 		w.pool.ran(id)
 	}
-	ctx, done := context.WithCancel(r.Context())
+	w.nameLoad(rw.Header())
 	w.mu.Lock()
 	w.active[id] = done
 	w.mu.Unlock()
@@ -302,6 +310,33 @@
 	w.answer(ctx, rw, id)
 }
 
+// workContext returns a context that ends when the caller of a request disconnects or the
+// time is over that the request's header names in milliseconds.
+func workContext(r *http.Request, name string) (context.Context, context.CancelFunc) {
+	ms, err := strconv.Atoi(r.Header.Get(name))
+	if err != nil || ms <= 0 {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+// refuse answers a request that does not run.
+func (w *Worker) refuse(rw http.ResponseWriter, cause error) {
+	rw.Header().Set(w.pool.Dialect.NotRun, cause.Error())
+	w.nameLoad(rw.Header())
+	if p := time.Duration(w.pause.Load()); p > 0 {
+		rw.Header().Set("Retry-After", strconv.FormatFloat(p.Seconds(), 'f', -1, 64))
+	}
+	rw.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// nameLoad adds the load to a response if the number of places is limited.
+func (w *Worker) nameLoad(header http.Header) {
+	if v := w.places.load(); v != "" {
+		header.Set(w.pool.Dialect.Load, v)
+	}
+}
+
 // crashByRequest ends the upstream during a request, which gets no answer.
 func (w *Worker) crashByRequest() {
 	w.CrashAndRestart()
@@ -326,6 +361,7 @@
 
 func (w *Worker) answer(ctx context.Context, rw http.ResponseWriter, id string) {
 	if !pause(ctx, w.cfg.Work) {
+		rw.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
 	body := "answer of " + w.cfg.ID + " to " + id
@@ -334,7 +370,7 @@
 		panic(http.ErrAbortHandler)
 	case Mute:
 		<-ctx.Done()
-		return
+		panic(http.ErrAbortHandler)
 	case Foreign:
 		rw.Header().Set(w.pool.Dialect.RequestID, "another")
 	case Truncated:
@@ -381,14 +417,14 @@
 	for n := last + 1; n <= w.cfg.Events; n++ {
 		for w.stalled.Load() {
 			if !pause(ctx, w.cfg.Gap) {
-				return
+				panic(http.ErrAbortHandler)
 			}
 		}
 		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d of %s\n\n", n, n, id); err != nil {
 			return
 		}
 		if err := http.NewResponseController(rw).Flush(); err != nil || !pause(ctx, w.cfg.Gap) {
-			return
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
