A daemon answers requests without a byte before it ends

Callers saw: the connection closed without a byte 7.60 s after the signal of a planned stop (status 0), for requests that waited at an upstream.

Cause: at its end a daemon closed all connections, whatever their requests had come to. It knows of the end for the whole grace, but only new requests were compared with it; one that was sent already waited for its upstream, its own deadline or the exit of the process, whichever came first. Class: an end of the process that no request is told of.

Change: 0.3 s before the end (phase finishing) each request whose caller has got no byte is ended: 503 if it did not run and will not (it waits in the daemon, was not sent, or the upstream says so), else 502. A closed segment says which. What it ends so does not count against the upstream's health. Streams with a byte go on until the end. A process that was paused past its end still has the 0.3 s. Accepts counts to the start of the phase.

TestRequestsAreAnsweredBeforeTheEnd (in time, and paused past the end).

--- a/internal/node/btdrain/doc.go
+++ b/internal/node/btdrain/doc.go
@@ -2,21 +2,23 @@
 //
 // The daemon passes through phases, each of which allows less than the one before:
 //
-//	phase    named to callers  new connections  requests that would outlast it  idle connections
-//	serving  yes               accepted         accepted                        kept
-//	leaving  no                accepted         rejected, not run               closed after a response
-//	closing  no                refused          rejected, not run               closed
-//	ended    no                refused          cut off                         closed
+//	phase      named to callers  new connections  requests that would outlast it  idle connections
+//	serving    yes               accepted         accepted                        kept
+//	leaving    no                accepted         rejected, not run               closed after a response
+//	closing    no                refused          rejected, not run               closed
+//	finishing  no                refused          rejected, not run               closed
+//	ended      no                refused          cut off                         closed
 //
 // Callers cache the addresses of daemons, so that new connections still arrive for a
 // while after the daemon left the directory. A request that cannot be expected to end in
 // time is rejected at once, because its caller can still have it served elsewhere. The
-// daemon closes its listeners before it ends; a request that it has read is answered.
+// daemon closes its listeners before it ends. At the start of finishing the context of Finish
+// ends: requests whose callers have got no byte by then are answered.
 //
 // # Usage
 //
 //	d := &btdrain.Drain{Timer: timers, Grace: 8 * time.Second, Active: active}
-//	handler.Accepts = d.Accepts
+//	handler.Accepts, handler.Finish = d.Accepts, d.Finish()
 //	<-ctx.Done()
 //	d.Run(server)
 package btdrain
--- a/internal/node/btdrain/drain.go
+++ b/internal/node/btdrain/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,9 @@
 	// closingTime is the least time between the close of the listeners and the end of a
 	// daemon. Requests that arrived just before are read and answered in it.
 	closingTime = time.Second
+	// answerTime is the time between the end of the phase Closing and the end of a daemon.
+	// Requests whose callers have got no byte are answered in it.
+	answerTime = 300 * time.Millisecond
 	// earlyTime is the time after the signal in which callers are assumed not to know of it.
 	earlyTime = 2500 * time.Millisecond
 	// killMargin is the least time between the end of a daemon and its kill by the
@@ -32,10 +36,11 @@
 	Serving Phase = iota
 	Leaving
 	Closing
+	Finishing
 	Ended
 )
 
-var phaseNames = [...]string{"serving", "leaving", "closing", "ended"}
+var phaseNames = [...]string{"serving", "leaving", "closing", "finishing", "ended"}
 
 // String returns the phase's name.
 func (p Phase) String() string { return phaseNames[p] }
@@ -59,27 +64,48 @@
 	Changed func(p Phase)
 
 	phase atomic.Int32
-	// end is the time by which the daemon ends, once it is not Serving.
-	end atomic.Pointer[time.Time]
+	// finishAt is the start of the phase Finishing, once the daemon is not Serving.
+	finishAt atomic.Pointer[time.Time]
+	once     sync.Once
+	finish   context.Context
+	// setFinished ends finish.
+	setFinished context.CancelFunc
 }
 
 // Phase returns the current phase.
 func (d *Drain) Phase() Phase { return Phase(d.phase.Load()) }
 
-// Accepts reports whether a request should end before the daemon does. Soon after the
+// Finish returns a context that ends with the phase Closing, when requests whose callers have
+// got no byte have to be answered.
+func (d *Drain) Finish() context.Context {
+	d.once.Do(func() { d.finish, d.setFinished = context.WithCancel(context.Background()) })
+	return d.finish
+}
+
+// FinishAt returns the time at which the context of Finish ends at the latest. It reports
+// false while the daemon is Serving.
+func (d *Drain) FinishAt() (time.Time, bool) {
+	at := d.finishAt.Load()
+	if at == nil {
+		return time.Time{}, false
+	}
+	return *at, true
+}
+
+// Accepts reports whether a request should end before the phase Finishing. Soon after the
 // signal, when few callers know that the daemon is leaving and others may be leaving too, the
 // time that the request is expected to take decides. Later it must end in the longest time
 // that it may take.
 func (d *Drain) Accepts(expected, longest time.Duration) bool {
-	end := d.end.Load()
-	if end == nil {
+	finishAt, leaving := d.FinishAt()
+	if !leaving {
 		return true
 	}
 	now := d.Timer.Now()
-	if now.Before(end.Add(killMargin - d.Grace + earlyTime)) {
-		return now.Add(expected).Before(*end)
+	if now.Before(finishAt.Add(answerTime + killMargin - d.Grace + earlyTime)) {
+		return now.Add(expected).Before(finishAt)
 	}
-	return now.Add(longest).Before(*end)
+	return now.Add(longest).Before(finishAt)
 }
 
 // Run passes through the phases and returns when the daemon may end. The servers close
@@ -87,7 +113,8 @@
 func (d *Drain) Run(servers ...Server) {
 	started := d.Timer.Now()
 	end := started.Add(max(d.Grace-killMargin, 0))
-	d.end.Store(&end)
+	finishAt := end.Add(-answerTime)
+	d.finishAt.Store(&finishAt)
 	d.enter(Leaving)
 	closeAt := end.Add(-closingTime)
 	d.wait(closeAt, func() bool { return d.Timer.Now().Sub(started) >= minLeaving && d.Active() == 0 })
@@ -99,7 +126,13 @@
 		open.Add(1)
 		go (&shutdown{server: s, open: &open}).run(ctx)
 	}
-	d.wait(end, func() bool { return open.Load() == 0 && d.Active() == 0 })
+	served := func() bool { return open.Load() == 0 && d.Active() == 0 }
+	d.wait(finishAt, served)
+	d.Finish()
+	d.setFinished()
+	d.enter(Finishing)
+	// A process that was paused, or got no processor time, still answers.
+	d.wait(latest(end, d.Timer.Now().Add(answerTime)), served)
 	d.enter(Ended)
 }
 
@@ -110,6 +143,13 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // wait returns at a time, or earlier once done returns true.
 func (d *Drain) wait(until time.Time, done func() bool) {
 	for !done() {
--- a/internal/node/btdrain/drain_test.go
+++ b/internal/node/btdrain/drain_test.go
@@ -253,6 +253,28 @@
 	})
 }
 
+// Guards against a daemon that cuts requests without time to answer them, also if it was
+// paused until after its end.
+func TestRequestsAreAnsweredBeforeTheEnd(t *testing.T) {
+	for name, paused := range map[string]bool{"in time": false, "paused": true} {
+		t.Run(name, func(t *testing.T) {
+			runDaemon(t, func(d *daemon) {
+				d.active.Add(1) // A request that does not end.
+				if paused {
+					d.drain.Grace = time.Millisecond
+				}
+				var finishing, ended time.Time
+				context.AfterFunc(d.drain.Finish(), func() { finishing = time.Now() })
+				d.end()
+				ended = time.Now()
+				assert.Assert(t, !finishing.IsZero() && ended.Sub(finishing) >= answerTime, "%v", ended.Sub(finishing))
+				assert.Equal(t, d.drain.Phase(), Ended)
+				assert.Assert(t, !d.drain.Accepts(0, 0))
+			})
+		})
+	}
+}
+
 // Guards against a listener that is open until the end of the process.
 func TestListenerClosesBeforeTheEnd(t *testing.T) {
 	runDaemon(t, func(d *daemon) {
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -189,8 +189,8 @@
 		// The request may fail at every upstream; a retry elsewhere shows it.
 		health, r.unattributed = btaccount.Abandoned, true
 	}
-	if r.err != nil && errors.Is(ctx.Err(), context.Canceled) && req.h.Timer.Now().Sub(started) < req.lateThreshold() {
-		// The caller disconnected before the upstream was late.
+	if r.err != nil && (callerLeft(ctx) && req.h.Timer.Now().Sub(started) < req.lateThreshold() || endedByDaemon(ctx)) {
+		// The upstream is not the cause, or the caller disconnected before it was late.
 		health = btaccount.Abandoned
 	}
 	lease.End(health)
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btgrant"
@@ -140,12 +138,16 @@
 // attempt could be made.
 func (req *activeRequest) respond(ctx context.Context, r *attemptResult) {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case callerLeft(ctx):
 		req.log(btevent.CallerDisconnected).Int("sends", req.attempts).Send()
 	case r != nil && r.usable():
 		req.forward(r)
 	case req.quarantined():
 		req.rejectQuarantined()
+	case endedByDaemon(ctx) && (r == nil || r.outcome == bramleytack.NotRun):
+		req.rejectLeaving()
+	case endedByDaemon(ctx):
+		req.reject(http.StatusBadGateway, 0, "daemon ends before the response")
 	case r == nil && req.limitedSends > 0:
 		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "upstreams limit their requests")
 	case r == nil:
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -73,6 +73,9 @@
 	// another one at most, as far as the end of the daemon is concerned. Nil means that
 	// all are.
 	Accepts func(expected, longest time.Duration) bool
+	// Finish ends when requests whose callers have got no byte have to be answered, because
+	// the daemon ends soon after. Nil never ends.
+	Finish context.Context
 
 	// pace is learned from the streams of this daemon.
 	pace     btforecast.Pace
@@ -112,6 +115,12 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), req.deadline, errDeadline)
 	defer cancel()
+	ctx, req.finish = context.WithCancelCause(ctx)
+	defer req.finish(nil)
+	if h.Finish != nil {
+		req.release = context.AfterFunc(h.Finish, req.daemonEnds)
+		defer req.release()
+	}
 	h.Budget.Request(req.service)
 	req.progress.enter(stageChoosing, "", h.Timer.Now())
 	if req.route.Streaming {
@@ -124,6 +133,23 @@
 // errDeadline is the cancellation cause of a request that reaches its deadline.
 var errDeadline = errors.New("btentry: deadline has passed")
 
+// errDaemonEnds is the cancellation cause of a request whose caller has got no byte when the
+// daemon is about to end.
+var errDaemonEnds = errors.New("btentry: daemon ends")
+
+// daemonEnds ends a request without a byte for its caller.
+func (req *activeRequest) daemonEnds() { req.finish(errDaemonEnds) }
+
+// begin lets a request go on until the daemon has ended, because its caller gets a first
+// byte. It reports false if the request has been ended for the end of the daemon already.
+func (req *activeRequest) begin() bool { return req.release == nil || req.release() }
+
+// endedByDaemon reports whether the daemon is about to end and the caller has got no byte.
+func endedByDaemon(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errDaemonEnds) }
+
+// callerLeft reports whether the caller has disconnected.
+func callerLeft(ctx context.Context) bool { return errors.Is(context.Cause(ctx), context.Canceled) }
+
 // activeRequest is the state of one request while it is served.
 type activeRequest struct {
 	h        *Handler
@@ -134,6 +160,9 @@
 	id       string
 	received time.Time
 	progress progress
+	// finish ends the request's context. release undoes that the end of the daemon does.
+	finish  context.CancelCauseFunc
+	release func() bool
 	// deadline is the end of the route's timeout or the caller's own deadline,
 	// whichever is earlier.
 	deadline  time.Time
@@ -202,10 +231,15 @@
 	if accepts := req.h.Accepts; accepts == nil || accepts(req.durations()) {
 		return true
 	}
-	req.reject(http.StatusServiceUnavailable, min(leavingRetryAfter, req.maxRetryAfter()), "daemon ends before the request")
+	req.rejectLeaving()
 	return false
 }
 
+// rejectLeaving answers a request that has not run and will not, since the daemon ends.
+func (req *activeRequest) rejectLeaving() {
+	req.reject(http.StatusServiceUnavailable, max(min(leavingRetryAfter, req.maxRetryAfter()), 0), "daemon ends before the request")
+}
+
 // durations returns a time that few requests of this kind and size exceed, and the longest
 // time that this one may take: until its deadline or, for a generation of a limited length,
 // until it has reached that length at an ordinary pace.
--- a/internal/serve/btentry/queue_test.go
+++ b/internal/serve/btentry/queue_test.go
@@ -16,15 +16,13 @@
 // stopGrace is the time between the signal of a planned stop and the kill.
 const stopGrace = 8 * time.Second
 
-// plannedStop stops the harness's daemon with a drain, and reports when it has ended.
-func (h *harness) plannedStop() (*btdrain.Drain, <-chan struct{}) {
+// prepareStop gives the harness's daemon an end in order, before it gets requests.
+func (h *harness) prepareStop() *stopper {
 	d := h.running()[0]
 	drain := &btdrain.Drain{Timer: h.timer, Grace: stopGrace, Active: d.handler.Active}
 	d.handler.Leaving = func() bool { return drain.Phase() != btdrain.Serving }
-	d.handler.Accepts = drain.Accepts
-	ended := make(chan struct{})
-	go (&stopper{drain: drain, daemon: d, ended: ended}).run()
-	return drain, ended
+	d.handler.Accepts, d.handler.Finish = drain.Accepts, drain.Finish()
+	return &stopper{drain: drain, daemon: d, ended: make(chan struct{})}
 }
 
 // stopper ends a daemon as its process does.
@@ -71,17 +69,14 @@
 				if c.tokens != "" {
 					s.header[dialect.TokenCounts] = c.tokens
 				}
-				var drain *btdrain.Drain
-				var ended <-chan struct{}
+				stop := h.prepareStop()
 				signal := time.Now().Add(6 * time.Second)
-				for i := 0; drain == nil || drain.Phase() < btdrain.Closing; i++ {
-					if drain == nil && !time.Now().Before(signal) {
-						drain, ended = h.plannedStop()
-					}
+				after(6*time.Second, stop.run)
+				for i := 0; stop.drain.Phase() < btdrain.Closing; i++ {
 					s.wg.Go(func() { s.send(fmt.Sprint("stop-", i)) })
 					time.Sleep(c.period)
 				}
-				<-ended
+				<-stop.ended
 				s.wg.Wait()
 				assert.Check(t, s.silent == 0, "%d requests got no byte, answered %v", s.silent, s.answered)
 				assert.Check(t, s.untrue == 0, "%d requests ran although they were said not to", s.untrue)
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -19,6 +19,10 @@
 // readAheadItems is the number of items that a segment reads ahead of its relay.
 const readAheadItems = 32
 
+// settleTime bounds the wait for a closed segment to say whether its request was sent. It
+// only closes a connection.
+const settleTime = 50 * time.Millisecond
+
 // item is sent from a segment to its relay: the response header, an event, or the
 // end of the segment.
 type item struct {
@@ -45,6 +49,10 @@
 	terms  btgrant.Terms
 	items  chan item
 	cancel context.CancelFunc
+	// result is how the request ended if no stream was opened. It may be read once ended is
+	// closed.
+	result *attemptResult
+	ended  chan struct{}
 	// started is when the segment began to send its request. lastEventAt equals it
 	// until the first event.
 	started      time.Time
@@ -81,7 +89,7 @@
 	ctx, seg.cancel = context.WithCancel(ctx)
 	now := seg.req.h.Timer.Now()
 	seg.started, seg.lastEventAt = now, now
-	seg.items = make(chan item, readAheadItems)
+	seg.items, seg.ended = make(chan item, readAheadItems), make(chan struct{})
 	seg.lease = seg.req.h.Accounts.Begin(seg.upstream.ID, seg.need)
 	if seg.backup != nil {
 		seg.copyLease = seg.req.h.Accounts.BeginCopy(seg.backup.ID, seg.need)
@@ -92,14 +100,18 @@
 // run sends the request and reads the response to its end.
 func (seg *segment) run(ctx context.Context) {
 	r := &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown}
+	seg.result = &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown, err: errDaemonEnds}
+	defer close(seg.ended)
 	x, err := seg.req.open(ctx, seg.upstream, seg.request, seg.terms)
 	if err != nil {
-		seg.send(ctx, item{head: r.fail(err), ended: true, err: err})
+		seg.result = r.fail(err)
+		seg.send(ctx, item{head: r, ended: true, err: err})
 		return
 	}
 	defer x.Close()
 	if x.StatusCode != http.StatusOK {
-		seg.send(ctx, item{head: seg.req.readResult(r, x), ended: true})
+		seg.result = seg.req.readResult(r, x)
+		seg.send(ctx, item{head: r, ended: true})
 		return
 	}
 	r.status, r.header, r.outcome = x.StatusCode, x.Header, bramleytack.Ran
@@ -142,6 +154,19 @@
 	}
 }
 
+// settle returns what is known of the request of a closed segment: it did not run if it was
+// not sent, or if the upstream says so.
+func (seg *segment) settle() *attemptResult {
+	timeout := seg.req.h.Timer.After(settleTime)
+	defer timeout.Stop()
+	select {
+	case <-seg.ended:
+		return seg.result
+	case <-timeout.C():
+		return &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown, err: errDaemonEnds}
+	}
+}
+
 // close ends the segment with an outcome for the upstream's health. It closes the
 // connection, which makes the engine stop the generation. Closing a nil or closed
 // segment has no effect.
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btaccount"
@@ -204,6 +202,10 @@
 		// The item was read before the segment was closed.
 		return
 	}
+	if s.ctx.Err() != nil {
+		// run ends the request. The item may be due to that.
+		return
+	}
 	switch {
 	case i.head != nil && i.ended:
 		s.headFailed(seg, i.head)
@@ -237,6 +239,10 @@
 		seg.lease.PrefillDone()
 		seg.firstEventAt = now
 	}
+	if !s.headSent && !s.req.begin() {
+		// run ends the request.
+		return
+	}
 	if seg == s.next {
 		s.promote()
 	}
@@ -297,6 +303,10 @@
 
 // complete ends a response whose stream is complete.
 func (s *relay) complete(seg *segment) {
+	if !s.headSent && !s.req.begin() {
+		// run ends the request.
+		return
+	}
 	if seg == s.next {
 		s.promote()
 	}
@@ -402,7 +412,7 @@
 	s.done = true
 	req := s.req
 	switch {
-	case errors.Is(context.Cause(s.ctx), context.Canceled):
+	case callerLeft(s.ctx):
 		req.log(btevent.CallerDisconnected).Uint64("lastEvent", s.lastEventID).Send()
 	case s.headSent:
 		req.log(btevent.StreamBroken).Uint64("lastEvent", s.lastEventID).Dur("left", req.remaining()).Send()
@@ -410,6 +420,9 @@
 		s.close()
 		// net/http closes the connection without ending the response.
 		panic(http.ErrAbortHandler)
+	case endedByDaemon(s.ctx):
+		s.settle()
+		req.respond(s.ctx, s.finalResult)
 	case s.cur != nil && s.cur.cancel != nil:
 		req.reject(http.StatusGatewayTimeout, 0, "timeout")
 	default:
@@ -417,6 +430,17 @@
 	}
 }
 
+// settle ends the segments and adds to the final result what becomes of their requests.
+func (s *relay) settle() {
+	for _, seg := range []*segment{s.cur, s.next} {
+		if seg == nil || seg.cancel == nil {
+			continue
+		}
+		seg.close(btaccount.Abandoned)
+		s.finalResult = betterResult(s.finalResult, seg.settle())
+	}
+}
+
 func (s *relay) close() {
 	s.cur.close(btaccount.Abandoned)
 	s.next.close(btaccount.Abandoned)
