A leaving daemon counts the wait at upstreams, and ends their time before its own

Cause: the forecast that decides what a leaving daemon takes had the run of a request and not its wait for a place, and it was made once, before the request waited in the daemon for memory or permission. The upstream was told the caller's deadline, also if the daemon ends long before it.

Change: the forecast is made again when the request is about to be sent, with the wait at the chosen upstream (btaccount.Wait: requests ahead of it, by loads of all daemons and its own report, over its places). A request that then outlasts the daemon is rejected as not run. While the daemon is leaving, an upstream's time for a request ends 0.1 s before answers are due: what still waits then is rejected by the upstream, which says that it has not run, and the caller is told so. The time is set when the request is sent, no longer before it waits for a limited upstream.

TestWaitCountsRequestsAhead.

--- a/internal/node/btdrain/doc.go
+++ b/internal/node/btdrain/doc.go
@@ -18,7 +18,7 @@
 // # Usage
 //
 //	d := &btdrain.Drain{Timer: timers, Grace: 8 * time.Second, Active: active}
-//	handler.Accepts, handler.Finish = d.Accepts, d.Finish()
+//	handler.Accepts, handler.FinishAt, handler.Finish = d.Accepts, d.FinishAt, d.Finish()
 //	<-ctx.Done()
 //	d.Run(server)
 package btdrain
--- a/internal/node/btdrain/drain_test.go
+++ b/internal/node/btdrain/drain_test.go
@@ -263,11 +263,11 @@
 				if paused {
 					d.drain.Grace = time.Millisecond
 				}
-				var finishing, ended time.Time
-				context.AfterFunc(d.drain.Finish(), func() { finishing = time.Now() })
+				finishing := make(chan time.Time, 1)
+				context.AfterFunc(d.drain.Finish(), func() { finishing <- time.Now() })
 				d.end()
-				ended = time.Now()
-				assert.Assert(t, !finishing.IsZero() && ended.Sub(finishing) >= answerTime, "%v", ended.Sub(finishing))
+				left := time.Since(<-finishing)
+				assert.Assert(t, left >= answerTime, "%v to answer", left)
 				assert.Equal(t, d.drain.Phase(), Ended)
 				assert.Assert(t, !d.drain.Accepts(0, 0))
 			})
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -150,7 +150,7 @@
 	}
 	n.handler.ShareLeaving = n.gossip.ShareLeaving
 	n.leaving = btdrain.Drain{Timer: n.timer, Grace: s.Bounds.Grace, Active: n.handler.Active, Changed: n.phaseChanged}
-	n.handler.Finish = n.leaving.Finish()
+	n.handler.FinishAt, n.handler.Finish = n.leaving.FinishAt, n.leaving.Finish()
 	n.registerMetrics()
 	return n
 }
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -267,6 +267,22 @@
 	return candidates[chosen], time.Duration(scores[chosen] * float64(time.Millisecond)), false
 }
 
+// Wait returns the time for which a request is expected to wait for a place at an upstream,
+// if the requests ahead of it run for run each.
+func (t *Table) Wait(s *bramleytack.Snapshot, u *bramleytack.Upstream, run time.Duration) time.Duration {
+	places := u.WarmLimit
+	if profile := s.Engine(u.Service); profile != nil {
+		places = profile.Slots
+	}
+	if places <= 0 {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ahead := t.load(u.ID, t.Timer.Now()).Running + 1 - places
+	return time.Duration(max(ahead, 0)) * run / time.Duration(places)
+}
+
 // use returns the forecast share of an engine's memory in use with one more
 // request, at least fullBatchUse if no slot of its batch is free. It is zero for
 // plain services.
--- /dev/null
+++ b/internal/route/btaccount/wait_test.go
@@ -0,0 +1,41 @@
+package btaccount
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bramleytack"
+	"bramleytack/bttimer"
+)
+
+// Guards against a forecast of the end of a request that leaves out the wait for a place at
+// its upstream.
+func TestWaitCountsRequestsAhead(t *testing.T) {
+	const run = 6 * time.Second
+	for _, c := range []struct {
+		name             string
+		own, peers, seen int
+		want             time.Duration
+	}{
+		{"idle", 0, 0, 0, 0},
+		{"last place", 23, 0, 0, 0},
+		{"first in the queue", 24, 0, 0, run / 24},
+		{"with those of other daemons", 24, 23, 0, run},
+		{"as the upstream reports", 1, 0, 24 + 47, 2 * run},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFakeTime(t, func(t *testing.T, timer *bttimer.Service) {
+				s, table := fleet(1), newTable(timer)
+				u := s.Upstreams["e00"]
+				for range c.own {
+					table.Begin(u.ID, longGeneration)
+				}
+				table.SetPeer(Source{Host: "other"}, map[bramleytack.UpstreamID]Load{u.ID: {Running: c.peers}})
+				table.Observe(u.ID, min(c.seen, 24), max(c.seen-24, 0))
+				assert.Equal(t, table.Wait(s, u, run), c.want)
+			})
+		})
+	}
+}
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -64,7 +64,6 @@
 	d := req.h.Dialect
 	header := req.header.Clone()
 	header.Set(d.ExpectInstance, string(u.ID))
-	header.Set(d.DeadlineMillis, strconv.FormatInt(max(req.remaining().Milliseconds(), 1), 10))
 	return &btconn.Request{Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body}
 }
 
@@ -87,6 +86,7 @@
 		c.Release()
 		return nil, errors.Mark(errLeft, btconn.ErrUnsent)
 	}
+	r.Header.Set(req.h.Dialect.DeadlineMillis, strconv.FormatInt(max(req.upstreamTime().Milliseconds(), 1), 10))
 	req.progress.sent(u.ID, req.h.Timer.Now())
 	x, err := c.Do(ctx, r)
 	if err != nil {
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -45,7 +45,7 @@
 		if u == nil {
 			u, terms = req.pickHeld(tried)
 		}
-		if u == nil {
+		if u == nil || req.outlastsDaemon(u) {
 			break
 		}
 		tried[u.ID] = true
@@ -144,7 +144,7 @@
 		req.forward(r)
 	case req.quarantined():
 		req.rejectQuarantined()
-	case endedByDaemon(ctx) && (r == nil || r.outcome == bramleytack.NotRun):
+	case (endedByDaemon(ctx) || req.outlasts || !req.accepted(0)) && (r == nil || r.outcome == bramleytack.NotRun):
 		req.rejectLeaving()
 	case endedByDaemon(ctx):
 		req.reject(http.StatusBadGateway, 0, "daemon ends before the response")
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -32,6 +32,9 @@
 	// maxBufferedBytes bounds the request bodies that the handler keeps in memory.
 	// A body of unknown length counts only after it has been read.
 	maxBufferedBytes = 24 << 20
+	// finishMargin is the time between the end of an upstream's time for a request of a leaving
+	// daemon and Handler.Finish. The upstream's rejection arrives in it.
+	finishMargin = 100 * time.Millisecond
 	// daemonRetryAfter is the Retry-After value if the daemon keeps too many request
 	// bodies in memory, and the least one if it has no configuration yet.
 	daemonRetryAfter = 400 * time.Millisecond
@@ -73,6 +76,9 @@
 	// another one at most, as far as the end of the daemon is concerned. Nil means that
 	// all are.
 	Accepts func(expected, longest time.Duration) bool
+	// FinishAt returns the time at which Finish ends at the latest, and reports whether the
+	// daemon is leaving. Nil means that it is not.
+	FinishAt func() (time.Time, bool)
 	// Finish ends when requests whose callers have got no byte have to be answered, because
 	// the daemon ends soon after. Nil never ends.
 	Finish context.Context
@@ -142,7 +148,10 @@
 
 // begin lets a request go on until the daemon has ended, because its caller gets a first
 // byte. It reports false if the request has been ended for the end of the daemon already.
-func (req *activeRequest) begin() bool { return req.release == nil || req.release() }
+func (req *activeRequest) begin() bool {
+	req.begun.Store(true)
+	return req.release == nil || req.release()
+}
 
 // endedByDaemon reports whether the daemon is about to end and the caller has got no byte.
 func endedByDaemon(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errDaemonEnds) }
@@ -163,6 +172,11 @@
 	// finish ends the request's context. release undoes that the end of the daemon does.
 	finish  context.CancelCauseFunc
 	release func() bool
+	// begun is set once the caller gets a first byte.
+	begun atomic.Bool
+	// outlasts is set if no upstream was asked because the request would not have ended
+	// before the daemon.
+	outlasts bool
 	// deadline is the end of the route's timeout or the caller's own deadline,
 	// whichever is earlier.
 	deadline  time.Time
@@ -228,13 +242,50 @@
 // endsInTime rejects a request that may outlast this daemon. Another daemon can take it at
 // once, while nobody knows what became of one that is cut.
 func (req *activeRequest) endsInTime() bool {
-	if accepts := req.h.Accepts; accepts == nil || accepts(req.durations()) {
+	if req.accepted(0) {
 		return true
 	}
 	req.rejectLeaving()
 	return false
 }
 
+// accepted reports whether a request that waits at an upstream first should end before this
+// daemon does.
+func (req *activeRequest) accepted(wait time.Duration) bool {
+	if req.h.Accepts == nil {
+		return true
+	}
+	expected, longest := req.durations()
+	left := req.remaining()
+	return req.h.Accepts(min(wait+expected, left), min(wait+longest, left))
+}
+
+// outlastsDaemon reports whether a request would not end before a leaving daemon if it were
+// sent to u now, and notes that.
+func (req *activeRequest) outlastsDaemon(u *bramleytack.Upstream) bool {
+	if req.accepted(req.remaining()) {
+		// It ends in time even if it waits until its deadline.
+		return false
+	}
+	expected, _ := req.durations()
+	req.outlasts = !req.accepted(req.h.Accounts.Wait(req.snapshot, u, expected))
+	return req.outlasts
+}
+
+// upstreamTime returns the time that an upstream has for the request: until its deadline or,
+// as long as the caller has got no byte, until shortly before a leaving daemon ends. A
+// request that still waits then is rejected by the upstream, and known not to have run.
+func (req *activeRequest) upstreamTime() time.Duration {
+	left := req.remaining()
+	if req.h.FinishAt == nil || req.begun.Load() {
+		return left
+	}
+	if at, leaving := req.h.FinishAt(); leaving {
+		left = min(left, at.Sub(req.h.Timer.Now())-finishMargin)
+	}
+	return left
+}
+
 // rejectLeaving answers a request that has not run and will not, since the daemon ends.
 func (req *activeRequest) rejectLeaving() {
 	req.reject(http.StatusServiceUnavailable, max(min(leavingRetryAfter, req.maxRetryAfter()), 0), "daemon ends before the request")
--- a/internal/serve/btentry/queue_test.go
+++ b/internal/serve/btentry/queue_test.go
@@ -21,7 +21,7 @@
 	d := h.running()[0]
 	drain := &btdrain.Drain{Timer: h.timer, Grace: stopGrace, Active: d.handler.Active}
 	d.handler.Leaving = func() bool { return drain.Phase() != btdrain.Serving }
-	d.handler.Accepts, d.handler.Finish = drain.Accepts, drain.Finish()
+	d.handler.Accepts, d.handler.FinishAt, d.handler.Finish = drain.Accepts, drain.FinishAt, drain.Finish()
 	return &stopper{drain: drain, daemon: d, ended: make(chan struct{})}
 }
 
@@ -39,8 +39,9 @@
 }
 
 // Guards against requests that wait at an upstream, or in the daemon, and whose connections
-// are closed without a byte at the end of a planned stop; and against those that are then
-// said not to have run although they have.
+// are closed without a byte at the end of a planned stop; against those that are said not to
+// have run although they have; and against callers that are not told that a request which
+// they sent to the leaving daemon has not run.
 func TestWaitingRequestsOfPlannedStop(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -65,13 +66,12 @@
 					h.start(fmt.Sprintf("e%d", i), engineService, c.engine)
 					h.start(fmt.Sprintf("s%d", i), callService, c.shop)
 				}
-				s := &stopCallers{h: h, target: c.target, header: map[string]string{}, answered: map[int]int{}}
+				s := &stopCallers{h: h, signal: time.Now().Add(6 * time.Second), target: c.target, header: map[string]string{}, answered: map[int]int{}}
 				if c.tokens != "" {
 					s.header[dialect.TokenCounts] = c.tokens
 				}
 				stop := h.prepareStop()
-				signal := time.Now().Add(6 * time.Second)
-				after(6*time.Second, stop.run)
+				after(time.Until(s.signal), stop.run)
 				for i := 0; stop.drain.Phase() < btdrain.Closing; i++ {
 					s.wg.Go(func() { s.send(fmt.Sprint("stop-", i)) })
 					time.Sleep(c.period)
@@ -80,8 +80,9 @@
 				s.wg.Wait()
 				assert.Check(t, s.silent == 0, "%d requests got no byte, answered %v", s.silent, s.answered)
 				assert.Check(t, s.untrue == 0, "%d requests ran although they were said not to", s.untrue)
+				assert.Check(t, s.untold == 0, "%d requests did not run, and their callers do not know", s.untold)
 				t.Logf("answered %v", s.answered)
-				assert.Check(t, time.Since(signal) <= stopGrace, "the end took %v", time.Since(signal))
+				assert.Check(t, time.Since(s.signal) <= stopGrace, "the end took %v", time.Since(s.signal))
 			})
 		})
 	}
@@ -92,14 +93,17 @@
 	h      *harness
 	target string
 	header map[string]string
+	signal time.Time
 	wg     sync.WaitGroup
 
 	mu       sync.Mutex
 	answered map[int]int
 	// silent counts requests whose connection closed without a response, untrue those that
-	// were rejected as not run although they ran.
+	// were rejected as not run although they ran. untold counts those that were sent after the
+	// signal, did not run and were answered at the end of the daemon as if they may have.
 	silent int
 	untrue int
+	untold int
 }
 
 func (s *stopCallers) send(id string) {
@@ -119,4 +123,7 @@
 	if r.status == http.StatusServiceUnavailable && s.h.pool.Runs(id) > 0 {
 		s.untrue++
 	}
+	if r.body == "daemon ends before the response\n" && s.h.pool.Runs(id) == 0 && sent.After(s.signal) {
+		s.untold++
+	}
 }
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -138,7 +138,7 @@
 	if u == nil {
 		u, terms = s.req.pickHeld(s.tried)
 	}
-	if u == nil || s.req.quarantined() {
+	if u == nil || s.req.quarantined() || s.req.outlastsDaemon(u) {
 		return false
 	}
 	waited := s.req.h.Timer.Now().Sub(started)
