A stream that cannot end before the daemon does is answered instead of begun and cut

Cause: 2.5 s after the signal on a request is taken if its longest time fits, but that was checked when it arrived, and its wait at the upstream was open. When its first event came nobody looked again. By what a request was promised also depended on the time of the check instead of its arrival.

Change: Accepts takes the time of arrival, so that a check repeated later holds a request to the same terms. A stream that was taken because it had to end, and whose longest run no longer fits as its first event comes, is answered 502. One that arrived earlier, and was only expected to end, may begin: it may still end in time.

--- a/internal/node/btdrain/drain.go
+++ b/internal/node/btdrain/drain.go
@@ -92,17 +92,17 @@
 	return *at, true
 }
 
-// Accepts reports whether a request should end before the phase Finishing. Soon after the
-// signal, when few callers know that the daemon is leaving and others may be leaving too, the
-// time that the request is expected to take decides. Later it must end in the longest time
-// that it may take.
-func (d *Drain) Accepts(expected, longest time.Duration) bool {
+// Accepts reports whether a request that arrived at a time and takes some more time should end
+// before the phase Finishing. For one that arrived soon after the signal, when few callers know
+// that the daemon is leaving and others may be leaving too, the time that it is expected to
+// take decides. A later one must end in the longest time that it may take.
+func (d *Drain) Accepts(arrived time.Time, expected, longest time.Duration) bool {
 	finishAt, leaving := d.FinishAt()
 	if !leaving {
 		return true
 	}
 	now := d.Timer.Now()
-	if now.Before(finishAt.Add(answerTime + killMargin - d.Grace + earlyTime)) {
+	if arrived.Before(finishAt.Add(answerTime + killMargin - d.Grace + earlyTime)) {
 		return now.Add(expected).Before(finishAt)
 	}
 	return now.Add(longest).Before(finishAt)
--- a/internal/node/btdrain/drain_test.go
+++ b/internal/node/btdrain/drain_test.go
@@ -48,7 +48,7 @@
 		return
 	}
 	takes := time.Duration(ms) * time.Millisecond
-	if longest := takes + 50*time.Millisecond; !d.drain.Accepts(longest, longest) {
+	if longest := takes + 50*time.Millisecond; !d.drain.Accepts(time.Now(), longest, longest) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -231,16 +231,16 @@
 // against a daemon that rejects what it can still serve.
 func TestOnlyRequestsThatEndInTimeAreAccepted(t *testing.T) {
 	runDaemon(t, func(d *daemon) {
-		assert.Assert(t, d.drain.Accepts(time.Hour, time.Hour))
+		assert.Assert(t, d.drain.Accepts(time.Now(), time.Hour, time.Hour))
 		go d.end()
 		time.Sleep(time.Second)
 		assert.Equal(t, d.drain.Phase(), Leaving)
-		assert.Assert(t, d.drain.Accepts(6*time.Second, 6*time.Second))
-		assert.Assert(t, d.drain.Accepts(6*time.Second, time.Hour), "few callers know of it")
-		assert.Assert(t, !d.drain.Accepts(7*time.Second, 7*time.Second))
+		assert.Assert(t, d.drain.Accepts(time.Now(), 6*time.Second, 6*time.Second))
+		assert.Assert(t, d.drain.Accepts(time.Now(), 6*time.Second, time.Hour), "few callers know of it")
+		assert.Assert(t, !d.drain.Accepts(time.Now(), 7*time.Second, 7*time.Second))
 		time.Sleep(2 * time.Second)
-		assert.Assert(t, d.drain.Accepts(0, 4*time.Second))
-		assert.Assert(t, !d.drain.Accepts(0, 5*time.Second), "it may be cut")
+		assert.Assert(t, d.drain.Accepts(time.Now(), 0, 4*time.Second))
+		assert.Assert(t, !d.drain.Accepts(time.Now(), 0, 5*time.Second), "it may be cut")
 	})
 }
 
@@ -269,7 +269,7 @@
 				left := time.Since(<-finishing)
 				assert.Assert(t, left >= answerTime, "%v to answer", left)
 				assert.Equal(t, d.drain.Phase(), Ended)
-				assert.Assert(t, !d.drain.Accepts(0, 0))
+				assert.Assert(t, !d.drain.Accepts(time.Now(), 0, 0))
 			})
 		})
 	}
--- a/internal/serve/btentry/fault_test.go
+++ b/internal/serve/btentry/fault_test.go
@@ -262,7 +262,7 @@
 func TestRejectedBodiesAreNotCounted(t *testing.T) {
 	run(t, func(h *harness) {
 		h.startShop("s1")
-		h.handler.Accepts = func(_, _ time.Duration) bool { return false }
+		h.handler.Accepts = func(time.Time, time.Duration, time.Duration) bool { return false }
 		for range 3 {
 			assert.Equal(t, h.request(http.MethodPost, "/order/1", nil, time.Second).status, http.StatusServiceUnavailable)
 		}
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -72,10 +72,10 @@
 	// Leaving reports whether the daemon is shutting down. Responses then close
 	// their connection.
 	Leaving func() bool
-	// Accepts reports whether a request is accepted that should take some time, and takes
-	// another one at most, as far as the end of the daemon is concerned. Nil means that
-	// all are.
-	Accepts func(expected, longest time.Duration) bool
+	// Accepts reports whether a request that arrived at a time is accepted that should take
+	// some more time, and takes another one at most, as far as the end of the daemon is
+	// concerned. Nil means that all are.
+	Accepts func(arrived time.Time, expected, longest time.Duration) bool
 	// FinishAt returns the time at which Finish ends at the latest, and reports whether the
 	// daemon is leaving. Nil means that it is not.
 	FinishAt func() (time.Time, bool)
@@ -257,7 +257,7 @@
 	}
 	expected, longest := req.durations()
 	left := req.remaining()
-	return req.h.Accepts(min(wait+expected, left), min(wait+longest, left))
+	return req.h.Accepts(req.received, min(wait+expected, left), min(wait+longest, left))
 }
 
 // outlastsDaemon reports whether a request would not end before a leaving daemon if it were
@@ -272,6 +272,15 @@
 	return req.outlasts
 }
 
+// mayBegin reports whether a stream whose first event has come may begin. One that was taken
+// because it had to end before a leaving daemon does, and no longer can, is better answered
+// than cut. One that was taken because it was expected to end may still do so.
+func (req *activeRequest) mayBegin() bool {
+	_, longest := req.durations()
+	run := max(longest-req.route.TargetLatency, 0)
+	return (req.h.Accepts == nil || req.h.Accepts(req.received, 0, run)) && req.begin()
+}
+
 // upstreamTime returns the time that an upstream has for the request: until its deadline or,
 // as long as the caller has got no byte, until shortly before a leaving daemon ends. A
 // request that still waits then is rejected by the upstream, and known not to have run.
--- a/internal/serve/btentry/queue_test.go
+++ b/internal/serve/btentry/queue_test.go
@@ -16,6 +16,9 @@
 // stopGrace is the time between the signal of a planned stop and the kill.
 const stopGrace = 8 * time.Second
 
+// enginePause is how long engines pause during a planned stop.
+const enginePause = 3700 * time.Millisecond
+
 // prepareStop gives the harness's daemon an end in order, before it gets requests.
 func (h *harness) prepareStop() *stopper {
 	d := h.running()[0]
@@ -51,13 +54,16 @@
 		memory int
 		tokens string
 		period time.Duration
+		// paused is the time after the signal at which engines pause for enginePause.
+		paused time.Duration
 	}{
-		{"guides in the queue of an engine", "guide", btworker.Config{Events: streamEvents, Gap: 4 * eventGap, Slots: 3}, btworker.Config{}, 1 << 20, "1000,240", 200 * time.Millisecond},
-		{"guides of an engine that stands still", "guide", btworker.Config{Events: streamEvents, Gap: 10 * time.Second, Slots: 1}, btworker.Config{}, 1 << 20, "1000,240", 200 * time.Millisecond},
-		{"tags behind others", "tag", btworker.Config{Events: 3, Gap: time.Second, Slots: 2}, btworker.Config{}, 1 << 20, "2200,12", 100 * time.Millisecond},
-		{"guides that wait for memory", "guide", btworker.Config{Events: streamEvents, Gap: 4 * eventGap}, btworker.Config{}, 6000, "1000,240", 100 * time.Millisecond},
-		{"orders in the queue of an upstream", "order", btworker.Config{Events: 1}, btworker.Config{Work: 200 * time.Millisecond, Slots: 1}, 1 << 20, "", 50 * time.Millisecond},
-		{"checks in the queue of an upstream", "check", btworker.Config{Events: 1}, btworker.Config{Work: 200 * time.Millisecond, Slots: 1}, 1 << 20, "", 50 * time.Millisecond},
+		{"guides in the queue of an engine", "guide", btworker.Config{Events: streamEvents, Gap: 4 * eventGap, Slots: 3}, btworker.Config{}, 1 << 20, "1000,240", 200 * time.Millisecond, 0},
+		{"guides of an engine that stands still", "guide", btworker.Config{Events: streamEvents, Gap: 10 * time.Second, Slots: 1}, btworker.Config{}, 1 << 20, "1000,240", 200 * time.Millisecond, 0},
+		{"tags behind others", "tag", btworker.Config{Events: 3, Gap: time.Second, Slots: 2}, btworker.Config{}, 1 << 20, "2200,12", 100 * time.Millisecond, 0},
+		{"guides that wait for memory", "guide", btworker.Config{Events: streamEvents, Gap: 4 * eventGap}, btworker.Config{}, 6000, "1000,240", 100 * time.Millisecond, 0},
+		{"guides of engines that pause", "guide", btworker.Config{Events: 20, Gap: 2 * eventGap}, btworker.Config{}, 1 << 20, "1000,80", 100 * time.Millisecond, 3 * time.Second},
+		{"orders in the queue of an upstream", "order", btworker.Config{Events: 1}, btworker.Config{Work: 200 * time.Millisecond, Slots: 1}, 1 << 20, "", 50 * time.Millisecond, 0},
+		{"checks in the queue of an upstream", "check", btworker.Config{Events: 1}, btworker.Config{Work: 200 * time.Millisecond, Slots: 1}, 1 << 20, "", 50 * time.Millisecond, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, func(h *harness) {
@@ -72,6 +78,10 @@
 				}
 				stop := h.prepareStop()
 				after(time.Until(s.signal), stop.run)
+				if c.paused > 0 {
+					after(time.Until(s.signal)+c.paused, func() { h.stall(true) })
+					after(time.Until(s.signal)+c.paused+enginePause, func() { h.stall(false) })
+				}
 				for i := 0; stop.drain.Phase() < btdrain.Closing; i++ {
 					s.wg.Go(func() { s.send(fmt.Sprint("stop-", i)) })
 					time.Sleep(c.period)
@@ -80,6 +90,7 @@
 				s.wg.Wait()
 				assert.Check(t, s.silent == 0, "%d requests got no byte, answered %v", s.silent, s.answered)
 				assert.Check(t, s.untrue == 0, "%d requests ran although they were said not to", s.untrue)
+				assert.Check(t, s.cut == 0, "%d streams cut that were sent when the daemon took only what ends in time", s.cut)
 				assert.Check(t, s.untold == 0, "%d requests did not run, and their callers do not know", s.untold)
 				t.Logf("answered %v", s.answered)
 				assert.Check(t, time.Since(s.signal) <= stopGrace, "the end took %v", time.Since(s.signal))
@@ -88,6 +99,13 @@
 	}
 }
 
+// stall makes all upstreams pause, or go on.
+func (h *harness) stall(on bool) {
+	for _, w := range h.workers {
+		w.Stall(on)
+	}
+}
+
 // stopCallers sends requests around a planned stop and counts what their callers got.
 type stopCallers struct {
 	h      *harness
@@ -104,6 +122,8 @@
 	silent int
 	untrue int
 	untold int
+	// cut counts streams that were sent three seconds after the signal or later and broke off.
+	cut int
 }
 
 func (s *stopCallers) send(id string) {
@@ -123,6 +143,9 @@
 	if r.status == http.StatusServiceUnavailable && s.h.pool.Runs(id) > 0 {
 		s.untrue++
 	}
+	if r.status == http.StatusOK && r.err != nil && sent.Sub(s.signal) >= 3*time.Second {
+		s.cut++
+	}
 	if r.body == "daemon ends before the response\n" && s.h.pool.Runs(id) == 0 && sent.After(s.signal) {
 		s.untold++
 	}
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -239,8 +239,9 @@
 		seg.lease.PrefillDone()
 		seg.firstEventAt = now
 	}
-	if !s.headSent && !s.req.begin() {
-		// run ends the request.
+	if !s.headSent && !s.req.mayBegin() {
+		s.req.daemonEnds()
+		s.fail()
 		return
 	}
 	if seg == s.next {
@@ -304,7 +305,7 @@
 // complete ends a response whose stream is complete.
 func (s *relay) complete(seg *segment) {
 	if !s.headSent && !s.req.begin() {
-		// run ends the request.
+		s.fail()
 		return
 	}
 	if seg == s.next {
