A caller that closes its side of the connection gets no false success

Callers saw: `200 OK` with an empty body, from no upstream, or a stream that ends as complete after its first events, if they closed their side of the connection and still read.

Cause: net/http takes the end of the caller's bytes for a disconnection and ends the context. The handler then returned without an answer, which net/http completes: with an empty 200, or with the last chunk of a stream. Class: a return of the handler that writes nothing, or not all.

Change: without a byte for the caller the answer is 502, which is not counted as a rejection; a response of an upstream that is whole already is forwarded. A stream that has begun is aborted, whoever ends it.

Evidence: TestHalfClosedCallerGetsNoFalseAnswer, all five cases failed before (four false successes, one stream that looked complete after 7 of 60 events) and pass now. Tests of btentry pass with the race detector.

--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -138,10 +138,12 @@
 // attempt could be made.
 func (req *activeRequest) respond(ctx context.Context, r *attemptResult) {
 	switch {
-	case callerLeft(ctx):
-		req.log(btevent.CallerDisconnected).Int("sends", req.attempts).Send()
 	case r != nil && r.usable():
 		req.forward(r)
+	case callerLeft(ctx):
+		req.log(btevent.CallerDisconnected).Int("sends", req.attempts).Send()
+		// A caller that has closed only its side of the connection still reads.
+		req.writeError(http.StatusBadGateway, 0, "caller has disconnected")
 	case req.quarantined():
 		req.rejectQuarantined()
 	case endedByDaemon(ctx) && (r == nil || r.outcome == bramleytack.NotRun):
--- /dev/null
+++ b/internal/serve/btentry/exit_test.go
@@ -0,0 +1,125 @@
+package btentry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"bramleytack/internal/standin/btworker"
+)
+
+// halfConn is a connection of which one direction can be closed.
+type halfConn struct {
+	net.Conn
+	out net.Conn
+}
+
+func (c *halfConn) Write(b []byte) (int, error)        { return c.out.Write(b) }
+func (c *halfConn) CloseWrite() error                  { return c.out.Close() }
+func (c *halfConn) SetWriteDeadline(t time.Time) error { return c.out.SetWriteDeadline(t) }
+
+func (c *halfConn) Close() error {
+	_ = c.out.Close()
+	return c.Conn.Close()
+}
+
+// oneConn is a listener that accepts connections from a channel.
+type oneConn struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	if c, ok := <-l.conns; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (l *oneConn) Close() error { return nil }
+
+// exchangeHalf sends text as it is, closes the caller's side after a time unless that is
+// zero, and reads the response.
+func (h *harness) exchangeHalf(text string, closeAfter, timeout time.Duration) (got response) {
+	in, out := net.Pipe()
+	in2, out2 := net.Pipe()
+	here, there := &halfConn{Conn: in, out: out2}, &halfConn{Conn: in2, out: out}
+	l := &oneConn{conns: make(chan net.Conn, 1)}
+	l.conns <- there
+	server := &http.Server{Handler: h.handler}
+	go (&entryServer{server, l}).run()
+	defer func() {
+		here.Close()
+		close(l.conns)
+		_ = server.Close()
+	}()
+	assert.NilError(h.t, here.SetReadDeadline(time.Now().Add(timeout)))
+	_, err := io.WriteString(here, text)
+	assert.NilError(h.t, err)
+	if closeAfter > 0 {
+		after(closeAfter, func() { _ = here.CloseWrite() })
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(here), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		got.err = err
+		return got
+	}
+	defer resp.Body.Close()
+	got.status, got.header = resp.StatusCode, resp.Header
+	got.read(resp.Body)
+	return got
+}
+
+// requestText returns a request as it is sent, with more headers and a body.
+func requestText(target, headers, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: half\r\nAuthorization: Bearer %s\r\n%s\r\n%s", target, dialect.RequestID, apiKey, headers, body)
+}
+
+// Callers close their side of the connection and still read. Guards against a success that
+// no upstream gave, and against a stream that looks complete although it is not.
+func TestHalfClosedCallerGetsNoFalseAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name, target, tokens string
+		fault                btworker.Fault
+		engines              int
+		status               int
+	}{
+		{"call that runs", "/order/a", "", btworker.Mute, 1, http.StatusBadGateway},
+		{"repeatable call that runs", "/check/a", "", btworker.Mute, 1, http.StatusBadGateway},
+		{"stream before its first event", "/guide/a", "3000,900", btworker.Healthy, 1, http.StatusBadGateway},
+		{"stream that waits for memory", "/guide/a", "30000,900", btworker.Healthy, 2, http.StatusBadGateway},
+		{"stream after its first event", "/tag/a", "3000,900", btworker.Healthy, 1, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.startShop("s1").Set(c.fault)
+				h.memory = 32000
+				for i := range c.engines {
+					h.startEngine(fmt.Sprint("e", i))
+				}
+				if c.engines > 1 {
+					for range 3 {
+						go h.request(http.MethodPost, "/guide/a", map[string]string{dialect.TokenCounts: c.tokens}, 5*time.Second)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				closeAfter := 50 * time.Millisecond
+				if c.status == http.StatusOK {
+					closeAfter = 300 * time.Millisecond
+				}
+				got := h.exchangeHalf(requestText(c.target, dialect.TokenCounts+": "+c.tokens+"\r\nContent-Length: 4\r\n", "body"), closeAfter, 5*time.Second)
+				assert.Check(t, is.Equal(got.status, c.status), "%q %v", got.body, got.err)
+				if got.status == http.StatusOK {
+					assert.Check(t, is.ErrorIs(got.err, io.ErrUnexpectedEOF), "%d events", len(got.events))
+				}
+			})
+		})
+	}
+}
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -395,6 +395,11 @@
 func (req *activeRequest) reject(status int, retryAfter time.Duration, reason string) {
 	req.log(btevent.RequestRejected).Int("status", status).Int("sends", req.attempts).Str("reason", reason).Str("key", req.quarantinedKey).Send()
 	req.h.Metrics.rejected(status, reason)
+	req.writeError(status, retryAfter, reason)
+}
+
+// writeError sends a response of the daemon.
+func (req *activeRequest) writeError(status int, retryAfter time.Duration, reason string) {
 	header := req.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if req.id != "" {
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -406,24 +406,26 @@
 	b.run(s.ctx)
 }
 
-// fail ends the request without a complete stream. If the caller has got an event
-// and is still connected, it panics with http.ErrAbortHandler.
+// fail ends the request without a complete stream. If the caller has got an event, it
+// panics with http.ErrAbortHandler.
 func (s *relay) fail() {
 	s.done = true
 	req := s.req
 	switch {
-	case callerLeft(s.ctx):
-		req.log(btevent.CallerDisconnected).Uint64("lastEvent", s.lastEventID).Send()
 	case s.headSent:
-		req.log(btevent.StreamBroken).Uint64("lastEvent", s.lastEventID).Dur("left", req.remaining()).Send()
-		req.h.Metrics.streamBroken()
+		if callerLeft(s.ctx) {
+			req.log(btevent.CallerDisconnected).Uint64("lastEvent", s.lastEventID).Send()
+		} else {
+			req.log(btevent.StreamBroken).Uint64("lastEvent", s.lastEventID).Dur("left", req.remaining()).Send()
+			req.h.Metrics.streamBroken()
+		}
 		s.close()
 		// net/http closes the connection without ending the response.
 		panic(http.ErrAbortHandler)
 	case endedByDaemon(s.ctx):
 		s.settle()
 		req.respond(s.ctx, s.finalResult)
-	case s.cur != nil && s.cur.cancel != nil:
+	case s.cur != nil && s.cur.cancel != nil && !callerLeft(s.ctx):
 		req.reject(http.StatusGatewayTimeout, 0, "timeout")
 	default:
 		req.respond(s.ctx, s.finalResult)
