A request whose body cannot be read is answered truthfully

Callers saw: `200 OK` with an empty body for a malformed chunk, or for a body that ends early on a connection that they still read; no answer at all, beyond the deadline, while their body did not come.

Cause: an error while the body is read was taken for a disconnection, after which the handler returned without an answer, which net/http completes with an empty 200. Nothing bounded the read.

Change: 400, and 408 at the deadline of the request: it has not run and will not.

Evidence: TestUnreadableBodyIsRejected: before, three of four cases got the false 200, and the fourth had no answer after 3 s (deadline 1.2 s); all pass now. Tests of btentry pass.

--- a/internal/serve/btentry/exit_test.go
+++ b/internal/serve/btentry/exit_test.go
@@ -123,3 +123,29 @@
 		})
 	}
 }
+
+// Guards against a success for a request whose body cannot be read, and against one that is
+// held past its deadline because its body does not come.
+func TestUnreadableBodyIsRejected(t *testing.T) {
+	for _, c := range []struct {
+		name, headers, body string
+		closeAfter          time.Duration
+		status              int
+	}{
+		{"malformed chunk", "Transfer-Encoding: chunked\r\n", "zz\r\nbody\r\n", 0, http.StatusBadRequest},
+		{"chunks that end early", "Transfer-Encoding: chunked\r\n", "4\r\nbo", time.Millisecond, http.StatusBadRequest},
+		{"body shorter than its length", "Content-Length: 40\r\n", "body", time.Millisecond, http.StatusBadRequest},
+		{"body that does not come", "Content-Length: 40\r\n", "body", 0, http.StatusRequestTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.startShop("s1")
+				started := time.Now()
+				got := h.exchangeHalf(requestText("/order/a", c.headers, c.body), c.closeAfter, 3*time.Second)
+				assert.Check(t, is.Equal(got.status, c.status), "%q %v", got.body, got.err)
+				assert.Check(t, time.Since(started) <= 1200*time.Millisecond)
+				assert.Check(t, is.Equal(h.pool.Runs("half"), 0))
+			})
+		})
+	}
+}
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -363,16 +364,27 @@
 		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many bodies in memory")
 		return false
 	}
+	conn := http.NewResponseController(req.w)
+	if r.ContentLength != 0 {
+		// Only a connection without deadlines returns an error. It keeps the request until
+		// its body has come.
+		_ = conn.SetReadDeadline(req.deadline)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(req.w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		req.reject(http.StatusRequestEntityTooLarge, 0, "body is too large")
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		req.reject(http.StatusRequestTimeout, 0, "body has not come in time")
+		return false
 	case err != nil:
-		req.log(btevent.CallerDisconnected).Err(err).Send()
+		// The caller may still read, although it has sent no whole body.
+		req.reject(http.StatusBadRequest, 0, "body cannot be read")
 		return false
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	req.body = body
 	req.h.buffered.Add(int64(len(body)))
 	return true
