A panic of the daemon is answered, logged and counted

Callers saw: the connection closed without a byte if the goroutine of their request panicked.

Cause: net/http recovers from the panic of a handler by closing its connection, and writes the stack to standard error, where no request id stands.

Change: 500 unless the caller may have got a part of the response, which is aborted then; event BT517 with the request id and the stack; bramleytack_request_panics_total. Panics of other goroutines (segments, probes, moves) still end the process.

Evidence: TestPanicIsAnswered: before "unexpected EOF" without a status, now 500 with the request id.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -79,6 +79,7 @@
 	ResponseLimitExceeded   = Event{514, zerolog.WarnLevel, "response of an upstream exceeded a limit"}
 	SendLimited             = Event{515, zerolog.InfoLevel, "request waited for a limited upstream or was not sent to it"}
 	RequestCut              = Event{516, zerolog.WarnLevel, "request was cut by the end of the daemon"}
+	RequestPanicked         = Event{517, zerolog.ErrorLevel, "request ended by a panic"}
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
 	RequestSuspected        = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
 	RequestQuarantined      = Event{603, zerolog.ErrorLevel, "request is quarantined"}
@@ -155,6 +156,7 @@
 		ResponseLimitExceeded,
 		SendLimited,
 		RequestCut,
+		RequestPanicked,
 		ClaimNotStored,
 		RequestSuspected,
 		RequestQuarantined,
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -170,7 +170,7 @@
 	if req.method != http.MethodHead {
 		req.w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 	}
-	req.w.WriteHeader(r.status)
+	req.writeHead(r.status)
 	_, err := req.w.Write(r.body)
 	req.log(btevent.RequestAnswered).Str("upstream", string(r.upstream.ID)).Int("status", r.status).AnErr("cause", err).Send()
 	req.h.Metrics.responded(req, r.status)
--- a/internal/serve/btentry/exit_test.go
+++ b/internal/serve/btentry/exit_test.go
@@ -149,3 +149,16 @@
 		})
 	}
 }
+
+// Guards against a request that ends without an answer because of a fault of the daemon.
+func TestPanicIsAnswered(t *testing.T) {
+	run(t, func(h *harness) {
+		h.startShop("s1")
+		h.handler.Accepts = func(_, _ time.Duration) bool { panic("test") }
+		got := h.request(http.MethodPost, "/order/a", nil, callTimeout)
+		assert.Check(t, got.err)
+		assert.Check(t, is.Equal(got.status, http.StatusInternalServerError))
+		assert.Check(t, is.Equal(got.header.Get(dialect.RequestID), got.id))
+		assert.Check(t, is.Equal(h.handler.Active(), 0))
+	})
+}
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -106,6 +106,7 @@
 	req.progress.since = req.received
 	h.requests.add(req)
 	defer h.requests.remove(req)
+	defer req.answerPanic()
 	if h.Leaving != nil && h.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
@@ -185,6 +186,8 @@
 	expectedDelay time.Duration
 	// limitedSends counts the sends that an upstream's limit did not allow.
 	limitedSends int
+	// answered is set once the caller may have got a part of the response.
+	answered bool
 	// attempts counts the attempts that have ended or were replaced by another one,
 	// without those that reached no upstream or another instance.
 	attempts int
@@ -420,7 +423,7 @@
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	req.w.WriteHeader(status)
+	req.writeHead(status)
 	_, _ = io.WriteString(req.w, reason+"\n")
 }
 
--- a/internal/serve/btentry/metrics.go
+++ b/internal/serve/btentry/metrics.go
@@ -27,6 +27,7 @@
 	brokenStreams     prometheus.Counter
 	limits            *prometheus.CounterVec
 	breaks            *prometheus.CounterVec
+	panics            prometheus.Counter
 	latency           *prometheus.HistogramVec
 	firstEventLatency prometheus.Histogram
 	eventGaps         prometheus.Histogram
@@ -43,6 +44,7 @@
 		brokenStreams:     prometheus.NewCounter(prometheus.CounterOpts{Name: "bramleytack_streams_broken_total", Help: "Streams that ended before their end."}),
 		limits:            prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_response_limits_total", Help: "Responses of upstreams that exceeded a limit."}, []string{"limit"}),
 		breaks:            prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_upstream_breaks_total", Help: "Checks of upstreams after a connection broke."}, []string{"verdict"}),
+		panics:            prometheus.NewCounter(prometheus.CounterOpts{Name: "bramleytack_request_panics_total", Help: "Requests that ended by a panic of the daemon."}),
 		latency:           prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "bramleytack_answer_seconds", Help: "Time to the whole response.", Buckets: latencyBuckets}, []string{"kind"}),
 		firstEventLatency: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_first_event_seconds", Help: "Time to the first event.", Buckets: latencyBuckets}),
 		eventGaps:         prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_event_gap_seconds", Help: "Time between events.", Buckets: gapBuckets}),
@@ -50,7 +52,7 @@
 		memoryWaits:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_room_wait_seconds", Help: "Time until an engine had room for a generation.", Buckets: latencyBuckets}),
 		limitedSends:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_limited_sends_total", Help: "Requests for permission to send to a limited upstream."}, []string{"result"}),
 	}
-	r.MustRegister(m.limitedSends, m.answers, m.rejections, m.brokenStreams, m.limits, m.breaks, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
+	r.MustRegister(m.limitedSends, m.answers, m.rejections, m.brokenStreams, m.limits, m.breaks, m.panics, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
 	return m
 }
 
@@ -93,6 +95,12 @@
 	}
 }
 
+func (m *Metrics) panicked() {
+	if m != nil {
+		m.panics.Inc()
+	}
+}
+
 func (m *Metrics) limitExceeded(name string) {
 	if m != nil {
 		m.limits.WithLabelValues(name).Inc()
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -286,7 +286,7 @@
 	s.req.h.Suspects.ReportExecuted(s.req.partKeys()...)
 	s.lastEventAt = s.req.h.Timer.Now()
 	copyHeader(s.req.w.Header(), s.head.header)
-	s.req.w.WriteHeader(s.head.status)
+	s.req.writeHead(s.head.status)
 	s.firstEventLatency = s.lastEventAt.Sub(s.req.received)
 	s.req.h.Metrics.firstEvent(s.firstEventLatency)
 }
