Forwarded answers of a daemon that leaves close their connections

Callers saw: no `Connection: close` in the forwarded responses of a daemon that was leaving, so that they kept their connections to it until it closed them itself.

Cause: the header was set when a request arrived. copyHeader, which removes headers that concern one connection, removed it from forwarded responses; a request that arrived before the signal never had it.

Change: it is set when the head of the response is written, for all responses.

--- a/internal/serve/btentry/answer.go
+++ b/internal/serve/btentry/answer.go
@@ -10,8 +10,12 @@
 	"bramleytack/btevent"
 )
 
-// writeHead sends the head of the response.
+// writeHead sends the head of the response. A daemon that is leaving closes the connection
+// after the response, so that its caller connects to another one.
 func (req *activeRequest) writeHead(status int) {
+	if req.h.Leaving != nil && req.h.Leaving() {
+		req.w.Header().Set("Connection", "close")
+	}
 	req.answered = true
 	req.w.WriteHeader(status)
 }
--- a/internal/serve/btentry/exit_test.go
+++ b/internal/serve/btentry/exit_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -162,3 +163,27 @@
 		assert.Check(t, is.Equal(h.handler.Active(), 0))
 	})
 }
+
+// Guards against callers that keep their connections to a daemon that is leaving, because
+// forwarded answers do not tell them.
+func TestAnswersOfLeavingDaemonCloseConnections(t *testing.T) {
+	for _, target := range []string{"/order/a", "/check/a", "/guide/a", "/none/a"} {
+		t.Run(strings.Split(target, "/")[1], func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.startShop("s1")
+				h.startEngine("e1")
+				signal := time.Now().Add(10 * time.Millisecond)
+				h.handler.Leaving = func() bool { return !time.Now().Before(signal) }
+				// The signal comes while the first one runs.
+				for range 2 {
+					got := h.generate(target)
+					assert.Check(t, got.err)
+					if !time.Now().Before(signal) {
+						assert.Check(t, got.closes)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -107,9 +107,6 @@
 	h.requests.add(req)
 	defer h.requests.remove(req)
 	defer req.answerPanic()
-	if h.Leaving != nil && h.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
 	// The body is counted once it has been read, also if the request is rejected then.
 	defer func() { h.buffered.Add(-int64(len(req.body))) }()
 	if !req.admit(r) {
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -349,6 +349,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes is set if the connection closes after the response.
+	closes bool
 	// err is set if the response did not arrive or is incomplete.
 	err error
 	// longestPause is the longest time between two events.
@@ -397,7 +399,7 @@
 		return got
 	}
 	defer resp.Body.Close()
-	got.status, got.header = resp.StatusCode, resp.Header
+	got.status, got.header, got.closes = resp.StatusCode, resp.Header, resp.Close
 	got.read(resp.Body)
 	return got
 }
