net/http answers no request with a success of its own

Callers saw: `200 OK` with an empty body for `OPTIONS *`, from no upstream and also without a configuration.

Cause: http.Server answers this request itself unless told otherwise.

Change: the handler gets it: 503 without a configuration, else 404. What net/http still answers itself are failures: 400, 431, 501, 505, 417.

--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -254,7 +254,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "btnode: listen on %s", s.addr)
 		}
-		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+		server := newServer(s.handler)
 		if s.addr == n.settings.Entry {
 			n.entry = server
 		}
@@ -263,6 +263,11 @@
 	return nil
 }
 
+// newServer returns a server that passes all requests whose heads can be read to a handler.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true}
+}
+
 // listener serves HTTP on one address.
 type listener struct {
 	node   *Node
