A response that changes the protocol is none

Callers would get, by reading: status 101 of an upstream that had no reason to send it, on a connection on which net/http then reads their next request.

Cause: 101 was taken for a final response, although upgrades are never asked for: the header concerns one connection and is not forwarded.

Change: the response is malformed; callers get 502.

Evidence: case "other protocol" of TestBrokenResponses: before no error, now one. Tests of btconn pass.

--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -208,7 +208,11 @@
 		case err != nil:
 			return nil, errors.Wrapf(ErrMalformed, "%v", err)
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			// No request asks for another protocol, and no response follows.
+			return nil, errors.Wrap(ErrMalformed, "other protocol")
+		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
 	}
--- a/internal/upstream/btconn/conn_test.go
+++ b/internal/upstream/btconn/conn_test.go
@@ -138,6 +138,7 @@
 		{"closed", ""},
 		{"garbage", "hello\r\n\r\n"},
 		{"truncated head", "HTTP/1.1 200 OK\r\nContent-"},
+		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\nok"},
 		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"},
 		{"truncated chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok"},
 	}
