A call is not given up at a late upstream if no other one is left

Callers saw: 502 "upstream failed" for a repeatable call after 450 ms (three target latencies) of 1.2 s, although its only upstream was at work on it.

Cause: an attempt that another one may follow ends at the late threshold, whether there is another upstream or not.

Change: without another eligible upstream the attempt has all the time that is left.

Evidence: TestLateUpstreamKeepsCallWithoutOthers: before 502, now 200. Tests of btentry pass. Not covered: a retry that the budget refuses after the attempt was given up.

--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -56,7 +56,7 @@
 			req.log(btevent.RetryBudgetExhausted).Str("service", req.service).Send()
 			break
 		}
-		r := req.attempt(ctx, u, terms, req.attemptTimeout())
+		r := req.attempt(ctx, u, terms, req.attemptTimeout(tried))
 		req.noteLimited(r, terms, tried)
 		if !r.unsent {
 			sent++
@@ -120,10 +120,12 @@
 	return req.route.Repeatable() && (r.err != nil || r.status >= http.StatusInternalServerError)
 }
 
-// attemptTimeout returns how long the next attempt may take.
-func (req *activeRequest) attemptTimeout() time.Duration {
+// attemptTimeout returns how long the next attempt may take. Without an upstream that is not
+// in tried, it may take all the time that is left.
+func (req *activeRequest) attemptTimeout(tried map[bramleytack.UpstreamID]bool) time.Duration {
 	remaining := req.remaining()
-	if !req.route.Repeatable() || req.attempts+1 >= req.route.MaxAttempts {
+	if !req.route.Repeatable() || req.attempts+1 >= req.route.MaxAttempts ||
+		len(req.h.Accounts.Eligible(req.snapshot, req.service, tried)) == 0 {
 		return remaining
 	}
 	return min(remaining, req.lateThreshold())
--- a/internal/serve/btentry/exit_test.go
+++ b/internal/serve/btentry/exit_test.go
@@ -293,6 +293,16 @@
 	}
 }
 
+// Guards against a call that is given up at a slow upstream although no other one is left.
+func TestLateUpstreamKeepsCallWithoutOthers(t *testing.T) {
+	run(t, func(h *harness) {
+		h.start("s1", callService, btworker.Config{Work: 800 * time.Millisecond})
+		got := h.request(http.MethodPost, "/check/a", nil, callTimeout)
+		assert.Check(t, got.err)
+		assert.Check(t, is.Equal(got.status, http.StatusOK), got.body)
+	})
+}
+
 // fillMemory fills all engines with generations.
 func (h *harness) fillMemory() {
 	h.accounts.Begin("e1", btaccount.Need{Prompt: h.memory, Output: 100, MaxOutput: 900})
