--- /dev/null
+++ b/internal/serve/btentry/answer.go
@@ -0,0 +1,40 @@
+package btentry
+
+import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
+
+	"github.com/cockroachdb/errors"
+
+	"bramleytack/btevent"
+)
+
+// writeHead sends the head of the response. A daemon that is leaving closes the connection
+// after the response, so that its caller connects to another one.
+func (req *activeRequest) writeHead(status int) {
+	if req.h.Leaving != nil && req.h.Leaving() {
+		req.w.Header().Set("Connection", "close")
+	}
+	req.answered = true
+	req.w.WriteHeader(status)
+}
+
+// answerPanic ends a request whose goroutine panics. It answers the caller unless that may
+// have got a part of the response.
+func (req *activeRequest) answerPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(cause)
+	}
+	req.h.Metrics.panicked()
+	req.log(btevent.RequestPanicked).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Send()
+	if req.answered {
+		panic(http.ErrAbortHandler)
+	}
+	clear(req.w.Header())
+	req.reject(http.StatusInternalServerError, 0, "daemon failed")
+}
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -56,7 +56,7 @@
 			req.log(btevent.RetryBudgetExhausted).Str("service", req.service).Send()
 			break
 		}
-		r := req.attempt(ctx, u, terms, req.attemptTimeout())
+		r := req.attempt(ctx, u, terms, req.attemptTimeout(tried))
 		req.noteLimited(r, terms, tried)
 		if !r.unsent {
 			sent++
@@ -120,10 +120,12 @@
 	return req.route.Repeatable() && (r.err != nil || r.status >= http.StatusInternalServerError)
 }
 
-// attemptTimeout returns how long the next attempt may take.
-func (req *activeRequest) attemptTimeout() time.Duration {
+// attemptTimeout returns how long the next attempt may take. Without an upstream that is not
+// in tried, it may take all the time that is left.
+func (req *activeRequest) attemptTimeout(tried map[bramleytack.UpstreamID]bool) time.Duration {
 	remaining := req.remaining()
-	if !req.route.Repeatable() || req.attempts+1 >= req.route.MaxAttempts {
+	if !req.route.Repeatable() || req.attempts+1 >= req.route.MaxAttempts ||
+		len(req.h.Accounts.Eligible(req.snapshot, req.service, tried)) == 0 {
 		return remaining
 	}
 	return min(remaining, req.lateThreshold())
@@ -138,10 +140,12 @@
 // attempt could be made.
 func (req *activeRequest) respond(ctx context.Context, r *attemptResult) {
 	switch {
-	case callerLeft(ctx):
-		req.log(btevent.CallerDisconnected).Int("sends", req.attempts).Send()
 	case r != nil && r.usable():
 		req.forward(r)
+	case callerLeft(ctx):
+		req.log(btevent.CallerDisconnected).Int("sends", req.attempts).Send()
+		// A caller that has closed only its side of the connection still reads.
+		req.writeError(http.StatusBadGateway, 0, "caller has disconnected")
 	case req.quarantined():
 		req.rejectQuarantined()
 	case (endedByDaemon(ctx) || req.outlasts || !req.accepted(0)) && (r == nil || r.outcome == bramleytack.NotRun):
@@ -168,7 +172,7 @@
 	if req.method != http.MethodHead {
 		req.w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 	}
-	req.w.WriteHeader(r.status)
+	req.writeHead(r.status)
 	_, err := req.w.Write(r.body)
 	req.log(btevent.RequestAnswered).Str("upstream", string(r.upstream.ID)).Int("status", r.status).AnErr("cause", err).Send()
 	req.h.Metrics.responded(req, r.status)
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -111,9 +112,7 @@
 	req.progress.since = req.received
 	h.requests.add(req)
 	defer h.requests.remove(req)
-	if h.Leaving != nil && h.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
+	defer req.answerPanic()
 	// The body is counted once it has been read, also if the request is rejected then.
 	defer func() { h.buffered.Add(-int64(len(req.body))) }()
 	if !req.admit(r) {
@@ -198,6 +197,8 @@
 	expectedDelay time.Duration
 	// limitedSends counts the sends that an upstream's limit did not allow.
 	limitedSends int
+	// answered is set once the caller may have got a part of the response.
+	answered bool
 	// attempts counts the attempts that have ended or were replaced by another one,
 	// without those that reached no upstream or another instance.
 	attempts int
@@ -423,16 +424,27 @@
 		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many bodies in memory")
 		return false
 	}
+	conn := http.NewResponseController(req.w)
+	if r.ContentLength != 0 {
+		// Only a connection without deadlines returns an error. It keeps the request until
+		// its body has come.
+		_ = conn.SetReadDeadline(req.deadline)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(req.w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		req.reject(http.StatusRequestEntityTooLarge, 0, "body is too large")
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		req.reject(http.StatusRequestTimeout, 0, "body has not come in time")
+		return false
 	case err != nil:
-		req.log(btevent.CallerDisconnected).Err(err).Send()
+		// The caller may still read, although it has sent no whole body.
+		req.reject(http.StatusBadRequest, 0, "body cannot be read")
 		return false
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	req.body = body
 	req.h.buffered.Add(int64(len(body)))
 	return true
@@ -455,6 +467,11 @@
 func (req *activeRequest) reject(status int, retryAfter time.Duration, reason string) {
 	req.log(btevent.RequestRejected).Int("status", status).Int("sends", req.attempts).Str("reason", reason).Str("key", req.quarantinedKey).Send()
 	req.h.Metrics.rejected(status, reason)
+	req.writeError(status, retryAfter, reason)
+}
+
+// writeError sends a response of the daemon.
+func (req *activeRequest) writeError(status int, retryAfter time.Duration, reason string) {
 	header := req.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if req.id != "" {
@@ -463,7 +480,7 @@
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	req.w.WriteHeader(status)
+	req.writeHead(status)
 	_, _ = io.WriteString(req.w, reason+"\n")
 }
 
