--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -132,6 +132,11 @@
 		for _, w := range h.workers {
 			w.Crash()
 		}
+		// Checks of upstreams that were under way have left their connections in the pools.
+		time.Sleep(time.Second)
+		for _, d := range h.running() {
+			d.handler.Pool.DropAll()
+		}
 		// Goroutines of closed connections must end before the synctest bubble does.
 		time.Sleep(time.Minute)
 	})
