A response is whole by what is known of its upstream, not by the end of its connection

Cause: an unframed response counted as whole unless its upstream was found crashed. A leaving or removed upstream was not looked at, one that did not answer or had been replaced counted as running, a look that began before the end was shared, and error responses to streams were not checked at all.

Change: ending.go alone says whole, broken or unknown, for calls and streams. Framed responses are decided by their length or chunks. Unframed ones are whole only if the upstream, leaving or not, accepts connections after the end, no later instance has its address, and its deadline is not reached. Streams and leaving upstreams are looked at after 10 ms, since a process may close its listener last. What is unknown goes on from the copy or after the last event, is repeated if it may be, or is broken off. Responses without a body count as framed. Verdicts for suspects stay: a leaving upstream that ends is no crash. The metric of breaks no longer counts looks after whole responses.

The maximum of output tokens is not taken as evidence: that each event has exactly the configured number of tokens is a forecast elsewhere, and an error would make a cut stream complete.

Two faults of the test on the way: a reset that net.Pipe showed as an end at random (now Network.Reset), and a race on the listener in the case "starts again".

--- a/internal/btmemnet/network.go
+++ b/internal/btmemnet/network.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,6 +64,13 @@
 	}
 }
 
+// Reset closes the open connections between two hosts. Reads at both ends fail with
+// syscall.ECONNRESET.
+func (n *Network) Reset(a, b netip.Addr) {
+	n.each(a, b, func(c *conn) { c.reset.Store(true) })
+	n.Cut(a, b)
+}
+
 func (n *Network) each(a, b netip.Addr, f func(*conn)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -135,10 +143,20 @@
 	network *Network
 	path    path
 	silent  bool
+	reset   atomic.Bool
 	once    sync.Once
 	closed  chan struct{}
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil && c.reset.Load() {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
 // Write delays or drops what the network's faults ask for.
 func (c *conn) Write(b []byte) (int, error) {
 	c.network.mu.Lock()
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -208,12 +208,7 @@
 		return r.fail(err)
 	}
 	defer x.Close()
-	req.readResult(r, x)
-	if r.usable() && !x.Framed() && req.h.inspect(ctx, u, io.EOF) == verdictCrashed {
-		// The body may have been cut short.
-		r.err, r.outcome = io.ErrUnexpectedEOF, bramleytack.Unknown
-	}
-	return r
+	return req.readResult(ctx, r, x)
 }
 
 // fail records an error that came before a response.
@@ -226,7 +221,7 @@
 }
 
 // readResult reads the response body and sets the outcome of r.
-func (req *activeRequest) readResult(r *attemptResult, x *btconn.Exchange) *attemptResult {
+func (req *activeRequest) readResult(ctx context.Context, r *attemptResult, x *btconn.Exchange) *attemptResult {
 	d := req.h.Dialect
 	r.status, r.header = x.StatusCode, x.Header
 	r.body, r.err = req.h.readBody(x.Body)
@@ -238,8 +233,10 @@
 		r.outcome, r.misdirected, r.err = bramleytack.NotRun, true, nil
 	case r.header.Get(d.NotRun) != "":
 		r.outcome, r.err = bramleytack.NotRun, nil
-	case r.err == nil:
-		r.outcome = bramleytack.Ran
+	default:
+		if r.err = req.checkEnd(ctx, r.upstream, x, r.err, false); r.err == nil {
+			r.outcome = bramleytack.Ran
+		}
 	}
 	return r
 }
--- a/internal/serve/btentry/crash.go
+++ b/internal/serve/btentry/crash.go
@@ -94,11 +94,7 @@
 func (h *Handler) check(ctx context.Context, u *bramleytack.Upstream, cause error) verdict {
 	v := verdictLeaving
 	if s := h.Table.Snapshot(); s != nil && !isLeaving(s, u) {
-		// The other requests of the upstream need the result even if this one's caller
-		// disconnects.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), inspectTimeout)
-		defer cancel()
-		switch err := h.Pool.Check(ctx, u.Addr); {
+		switch err := h.look(ctx, u); {
 		case err == nil:
 			v = verdictListening
 		case errors.Is(err, syscall.ECONNREFUSED):
@@ -113,6 +109,14 @@
 	return v
 }
 
+// look returns nil if an upstream accepts connections. Other requests of the upstream need
+// the result even if the caller of this one disconnects.
+func (h *Handler) look(ctx context.Context, u *bramleytack.Upstream) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), inspectTimeout)
+	defer cancel()
+	return h.Pool.Check(ctx, u.Addr)
+}
+
 // breakCheck is the check of an upstream at which a request broke off. It uses no field
 // of the request that changes after admission.
 type breakCheck struct {
--- /dev/null
+++ b/internal/serve/btentry/ending.go
@@ -0,0 +1,114 @@
+package btentry
+
+import (
+	"context"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bramleytack"
+	"bramleytack/internal/route/btsuspect"
+	"bramleytack/internal/upstream/btconn"
+)
+
+const (
+	// closeSpread is the time in which a process that ends closes its connections and its
+	// listener, in any order.
+	closeSpread = 10 * time.Millisecond
+	// endLooks is how often an upstream is looked at that does not answer. One packet may
+	// be lost.
+	endLooks = 2
+	// Upstreams stop work at the deadline they were sent. It is in whole units of
+	// deadlineUnit, and their clocks run faster by up to clockRate.
+	deadlineUnit = time.Millisecond
+	clockRate    = 0.01
+)
+
+// errEndUnknown is returned for a response that ended with its connection and may have been
+// cut short.
+var errEndUnknown = errors.New("btentry: response may be cut short")
+
+// ending is what is known of a response of which nothing more arrives. Only a whole one may
+// look complete to a caller.
+type ending uint8
+
+const (
+	// endWhole responses have arrived to their last byte.
+	endWhole ending = iota
+	// endBroken responses lack a part.
+	endBroken
+	// endUnknown responses ended with their connection, for which the upstream may have
+	// had another reason than their end.
+	endUnknown
+)
+
+// ending decides whether a response of u is whole, whatever ended it. err is the error of
+// the last read of its body, nil or io.EOF at its end. empty is set for a stream without an
+// event.
+func (req *activeRequest) ending(ctx context.Context, u *bramleytack.Upstream, x *btconn.Exchange, err error, empty bool) ending {
+	switch {
+	case err != nil && !errors.Is(err, io.EOF):
+		return endBroken
+	case x.Framed():
+		return endWhole
+	case empty:
+		return endBroken
+	case req.remaining() <= deadlineUnit+time.Duration(clockRate*float64(req.deadline.Sub(req.received))):
+		return endUnknown
+	}
+	// A process that ends closes its connections as one that has sent all does.
+	h := req.h
+	if s := h.Table.Snapshot(); req.route.Streaming || s == nil || isLeaving(s, u) {
+		// Calls of an upstream that is to stay do not wait.
+		if h.Timer.Sleep(ctx, closeSpread) != nil {
+			return endUnknown
+		}
+	}
+	if h.crashes.known(btsuspect.CrashOf(u), h.Timer.Now()) || !h.listens(ctx, u) || h.replaced(u) {
+		return endUnknown
+	}
+	return endWhole
+}
+
+// checkEnd returns nil if a response is whole, and what it lacks otherwise. Its parameters
+// are those of ending.
+func (req *activeRequest) checkEnd(ctx context.Context, u *bramleytack.Upstream, x *btconn.Exchange, err error, empty bool) error {
+	switch req.ending(ctx, u, x, err, empty) {
+	case endWhole:
+		return nil
+	case endUnknown:
+		return errEndUnknown
+	}
+	if err == nil || errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// listens reports whether an upstream accepts connections. Unlike inspect it shares no look
+// with other requests: one that began before the end of a response shows nothing of it.
+func (h *Handler) listens(ctx context.Context, u *bramleytack.Upstream) bool {
+	for range endLooks {
+		err := h.look(ctx, u)
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			return err == nil
+		}
+	}
+	return false
+}
+
+// replaced reports whether an instance that started later has the address of u.
+func (h *Handler) replaced(u *bramleytack.Upstream) bool {
+	s := h.Table.Snapshot()
+	if s == nil {
+		return false
+	}
+	for _, other := range s.Upstreams {
+		if other.Addr == u.Addr && other.Started.After(u.Started) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/route/btaccount"
@@ -110,7 +107,7 @@
 	}
 	defer x.Close()
 	if x.StatusCode != http.StatusOK {
-		seg.result = seg.req.readResult(r, x)
+		seg.result = seg.req.readResult(ctx, r, x)
 		seg.send(ctx, item{head: r, ended: true})
 		return
 	}
@@ -119,31 +116,19 @@
 		return
 	}
 	events := btstream.NewReader(x.Body)
-	for n := 0; ; n++ {
+	for empty := true; ; {
 		e, err := events.Next()
-		switch {
-		case errors.Is(err, io.EOF):
-			seg.send(ctx, item{ended: true, err: seg.checkEnd(ctx, x, n)})
-			return
-		case err != nil:
-			seg.send(ctx, item{ended: true, err: err})
+		if err != nil {
+			seg.send(ctx, item{ended: true, err: seg.req.checkEnd(ctx, seg.upstream, x, err, empty)})
 			return
 		}
+		empty = empty && !e.HasData
 		if !seg.send(ctx, item{event: e}) {
 			return
 		}
 	}
 }
 
-// checkEnd returns io.ErrUnexpectedEOF if a stream that ended after some events was broken
-// off although its end looks like that of a whole one.
-func (seg *segment) checkEnd(ctx context.Context, x *btconn.Exchange, events int) error {
-	if !x.Framed() && (events == 0 || seg.req.h.inspect(ctx, seg.upstream, io.EOF) == verdictCrashed) {
-		return io.ErrUnexpectedEOF
-	}
-	return nil
-}
-
 // send passes an item to the relay. It reports false if the segment was closed.
 func (seg *segment) send(ctx context.Context, i item) bool {
 	select {
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -23,6 +23,8 @@
 	// Read is the time to the first event, Gap the one between events.
 	Read time.Duration
 	Gap  time.Duration
+	// Unframed streams have neither a length nor chunks.
+	Unframed bool
 	// Work is the time of a plain call.
 	Work time.Duration
 	// Slots is the number of requests that run at once, zero for any. Others wait, up to
@@ -406,6 +408,10 @@
 	}
 	last, _ := strconv.Atoi(r.Header.Get(d.LastEvent))
 	rw.Header().Set("Content-Type", "text/event-stream")
+	if w.cfg.Unframed {
+		// net/http sends no chunks then, and closes the connection at the end.
+		rw.Header().Set("Transfer-Encoding", "identity")
+	}
 	// The head leaves before the first event.
 	_ = http.NewResponseController(rw).Flush()
 	if !pause(ctx, w.cfg.Read) || Fault(w.fault.Load()) == Lost {
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -259,10 +259,10 @@
 	return !x.writeErr.Load() && !x.Response.Close && x.conn.r.Buffered() == 0 && x.Framed()
 }
 
-// Framed reports whether the response body has a length or chunks. If it has not, it ends
-// with the connection, and a body that was cut short may look whole.
+// Framed reports whether the response has a length, chunks, or no body at all. If it has
+// not, its body ends with the connection, and one that was cut short may look whole.
 func (x *Exchange) Framed() bool {
-	return x.ContentLength >= 0 || len(x.TransferEncoding) > 0
+	return x.ContentLength >= 0 || len(x.TransferEncoding) > 0 || x.body == http.NoBody
 }
 
 // keepAlive returns the idle timeout in the Keep-Alive header, or defaultKeepAlive.
