A pause that an upstream asks for is kept up to an hour

Users saw: an upstream that asked for a pause of 90 s got requests from 65 s on.

Cause: pauses were cut to one minute, a bound that no page and no setting named. A number of seconds too large for a float was not taken for one.

The spread by which daemons return is at most 6 s, as before, instead of a tenth. A value that cannot be read changes nothing, as before.

--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -119,7 +119,7 @@
 	n.pool = &btconn.Pool{}
 	n.engines = a.Engines(n.pool)
 	n.registry = prometheus.NewRegistry()
-	n.accounts = &btaccount.Table{Timer: n.timer, Domain: s.FailureDomain, Log: n.log}
+	n.accounts = &btaccount.Table{Timer: n.timer, Domain: s.FailureDomain, MaxPause: s.Bounds.MaxPause, Log: n.log}
 	n.suspects = btsuspect.New(&btsuspect.Table{Timer: n.timer, Log: n.log})
 	n.grants = &btgrant.Table{Timer: n.timer, Log: n.log}
 	n.gossip = btgossip.New(&btgossip.Node{
--- a/internal/node/btnode/settings.go
+++ b/internal/node/btnode/settings.go
@@ -45,6 +45,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// MaxPause bounds the pause that an upstream can ask for. Zero means an hour.
+	MaxPause time.Duration
 	// DirectoryValidity is the longest validity of a directory response. Zero means
 	// no limit.
 	DirectoryValidity time.Duration
--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -38,10 +38,12 @@
 	// maxDoublings keeps the shift of both pauses from overflowing. maxEjection
 	// and maxUnreachablePause are reached earlier.
 	maxDoublings = 5
-	// maxPause bounds the pause that an upstream can ask for.
-	maxPause = time.Minute
-	// pauseSpread is the share of a pause by which daemons return at different times.
-	pauseSpread = 0.1
+	// defaultMaxPause bounds the pause that an upstream can ask for.
+	defaultMaxPause = time.Hour
+	// pauseSpread is the share of a pause by which daemons return at different times, and
+	// maxPauseSpread its bound.
+	pauseSpread    = 0.1
+	maxPauseSpread = 6 * time.Second
 	// reportValidity is how long a load header of an upstream's response is used.
 	reportValidity = 300 * time.Millisecond
 )
--- a/internal/route/btaccount/health.go
+++ b/internal/route/btaccount/health.go
@@ -1,6 +1,7 @@
 package btaccount
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -75,14 +76,14 @@
 	return healthy
 }
 
-// Pause stops this daemon's sends to an upstream that asked for a pause, for at most a
-// minute, and returns its end. A pause never shortens an earlier one of the same instance.
+// Pause stops this daemon's sends to an upstream that asked for a pause, for at most
+// MaxPause and a little more, and returns its end. A pause never shortens an earlier one of the same instance.
 // Other daemons learn of it as of an ejection.
 func (t *Table) Pause(u *bramleytack.Upstream, d time.Duration) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d = min(d, maxPause)
-	d += time.Duration(pauseSpread * rand.Float64() * float64(d))
+	d = min(d, cmp.Or(t.MaxPause, defaultMaxPause))
+	d += time.Duration(rand.Float64() * min(pauseSpread*float64(d), float64(maxPauseSpread)))
 	a := t.account(u.ID)
 	until := t.Timer.Now().Add(d)
 	if a.pausedStart.Equal(u.Started) && !until.After(a.pausedUntil) {
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -74,6 +74,8 @@
 	// HeldUntil returns the time until which this daemon gets no permission to send to an
 	// upstream that limits its requests. Nil means that there is no such upstream.
 	HeldUntil func(u *bramleytack.Upstream) time.Time
+	// MaxPause bounds the pause that an upstream can ask for. Zero means an hour.
+	MaxPause time.Duration
 	// Changed is called when this daemon's load at a model engine changes, or when
 	// it ejects an upstream. The table is locked during the call, so Changed must
 	// not block or use the table.
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -152,7 +152,7 @@
 func retryAfter(header http.Header, now time.Time) time.Duration {
 	var longest time.Duration
 	for _, v := range header.Values("Retry-After") {
-		if s, err := strconv.ParseFloat(strings.TrimSpace(v), 64); err == nil {
+		if s, err := strconv.ParseFloat(strings.TrimSpace(v), 64); err == nil || errors.Is(err, strconv.ErrRange) {
 			if s > 0 {
 				longest = max(longest, time.Duration(min(s, maxRetryAfterSeconds)*float64(time.Second)))
 			}
--- a/internal/serve/btentry/signal_test.go
+++ b/internal/serve/btentry/signal_test.go
@@ -117,6 +117,44 @@
 	}
 }
 
+// Guards against a pause that ends before its time because it is long, and against one
+// that exceeds the bound.
+func TestLongPauseIsKept(t *testing.T) {
+	for asked, until := range map[string]time.Duration{"90": 90 * time.Second, "7200": time.Hour, "1e999": time.Hour} {
+		t.Run(asked, func(t *testing.T) {
+			run(t, func(h *harness) {
+				for i := range 3 {
+					h.startEngine(fmt.Sprint("e", i))
+					h.startShop(fmt.Sprint("s", i))
+				}
+				paused := []string{"e0", "s0"}
+				for _, name := range paused {
+					h.workers[name].SetRetryAfter(asked)
+					h.workers[name].Set(btworker.Full)
+				}
+				start := time.Now()
+				h.traffic(500 * time.Millisecond)
+				for _, name := range paused {
+					h.workers[name].Set(btworker.Healthy)
+				}
+				for _, at := range []time.Duration{7 * time.Second, 65 * time.Second, until - 3*time.Second} {
+					time.Sleep(time.Until(start.Add(at)))
+					h.traffic(2 * time.Second)
+				}
+				for _, name := range paused {
+					n := h.workers[name].ArrivedAfter(start.Add(500 * time.Millisecond))
+					assert.Check(t, n == 0, "%d requests reached %s", n, name)
+				}
+				time.Sleep(time.Until(start.Add(until + 10*time.Second)))
+				h.traffic(4 * time.Second)
+				for _, name := range paused {
+					assert.Check(t, h.workers[name].ArrivedAfter(start.Add(until)) > 0, "%s gets nothing after its pause", name)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a request that was chosen for an upstream before the upstream said that it
 // is leaving, or asked for a pause, and that is sent after it.
 func TestChoiceIsCheckedAtTheSend(t *testing.T) {
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -74,8 +74,8 @@
 	stalled atomic.Bool
 	places  places
 	crashed atomic.Bool
-	// pause is the time in nanoseconds for which a full upstream asks for no requests.
-	pause atomic.Int64
+	// retryAfter is the Retry-After value of a full upstream's rejections, empty for none.
+	retryAfter atomic.Pointer[string]
 	// leaving upstreams say so in all their responses.
 	leaving atomic.Bool
 	// limit is the value of the limit header, empty for none.
@@ -127,7 +127,16 @@
 func (w *Worker) Stall(on bool) { w.stalled.Store(on) }
 
 // SetPause makes a full upstream ask for a pause in its rejections.
-func (w *Worker) SetPause(d time.Duration) { w.pause.Store(int64(d)) }
+func (w *Worker) SetPause(d time.Duration) {
+	if d <= 0 {
+		w.SetRetryAfter("")
+		return
+	}
+	w.SetRetryAfter(strconv.FormatFloat(d.Seconds(), 'f', -1, 64))
+}
+
+// SetRetryAfter sets the Retry-After value of rejections. An empty one ends it.
+func (w *Worker) SetRetryAfter(value string) { w.retryAfter.Store(&value) }
 
 // SetLeaving makes the upstream say that it is leaving, or end that.
 func (w *Worker) SetLeaving(on bool) { w.leaving.Store(on) }
@@ -324,8 +333,8 @@
 func (w *Worker) refuse(rw http.ResponseWriter, cause error) {
 	rw.Header().Set(w.pool.Dialect.NotRun, cause.Error())
 	w.nameLoad(rw.Header())
-	if p := time.Duration(w.pause.Load()); p > 0 {
-		rw.Header().Set("Retry-After", strconv.FormatFloat(p.Seconds(), 'f', -1, 64))
+	if v := w.retryAfter.Load(); v != nil && *v != "" {
+		rw.Header().Set("Retry-After", *v)
 	}
 	rw.WriteHeader(http.StatusServiceUnavailable)
 }
