A pause survives a registration that is away for a while

Users would see (fake time): an upstream that asked for a pause gets requests before its end, and all at once after it, if its registration lapsed and came back meanwhile, as in an outage of the store.

Cause: accounts and returns of upstreams that are not registered were dropped at once, whatever they said.

Change: both are kept until the pause has ended and, for the rate of the return, 2 s longer. Another instance is not bound.

Evidence: TestLongPauseIsKept: before 11 requests reached each paused upstream 7 s after it asked, in all three cases, now none. TestReturnFromPauseIsLimited with the registration away: before 400 requests in the return, now within 10 to 20. Tests of btentry and internal/route pass.

--- a/cmd/bramleytack-fleet/doc.go
+++ b/cmd/bramleytack-fleet/doc.go
@@ -1,8 +1,9 @@
 // Command bramleytack-fleet runs one daemon on the users' platform.
 //
 // It reads the settings file that the environment variable BRAMLEYTACK_BOOT
-// names, and the bound of pauses in BRAMLEYTACK_MAX_PAUSE if it is set, logs JSON lines to standard output and serves until it receives SIGTERM
-// or SIGINT. On SIGHUP it reads the settings again.
+// names, and the bound of pauses in BRAMLEYTACK_MAX_PAUSE if it is set, logs JSON
+// lines to standard output and serves until it receives SIGTERM or SIGINT. On
+// SIGHUP it reads the settings again.
 //
 // # Usage
 //
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -198,8 +198,9 @@
 }
 
 // Retain removes the loads of sources that are not valid, and the accounts of
-// upstreams that are not in the snapshot and have no request or copy of this
-// daemon. The table is locked while valid is called.
+// upstreams that are not in the snapshot, have no request or copy of this daemon
+// and have not asked for a pause, since a registration may be back before its end.
+// The table is locked while valid is called.
 func (t *Table) Retain(s *bramleytack.Snapshot, valid func(Source) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -210,7 +211,7 @@
 		}
 	}
 	for id, a := range t.accounts {
-		if _, ok := s.Upstreams[id]; !ok && a.own.IsZero() {
+		if _, ok := s.Upstreams[id]; !ok && a.own.IsZero() && !t.Timer.Now().Before(a.pausedUntil) {
 			delete(t.accounts, id)
 		}
 	}
--- a/internal/route/btgrant/table.go
+++ b/internal/route/btgrant/table.go
@@ -411,12 +411,13 @@
 	return words
 }
 
-// Retain drops what belongs to instances that are not in the snapshot.
+// Retain drops what belongs to instances that are not in the snapshot, but for the return
+// from a pause, since a registration may be back before.
 func (t *Table) Retain(s *bramleytack.Snapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, st := range t.states {
-		if u := s.Upstreams[id]; u == nil || u.Started.After(st.word.Started) {
+		if u := s.Upstreams[id]; u == nil && st.most(t.Timer.Now()) <= 0 || u != nil && u.Started.After(st.word.Started) {
 			delete(t.states, id)
 		}
 	}
--- a/internal/route/btgrant/table_test.go
+++ b/internal/route/btgrant/table_test.go
@@ -184,6 +184,8 @@
 		u := &bramleytack.Upstream{ID: "u", Started: born, WarmLimit: 8}
 		table.Return(u, table.Timer.Now().Add(time.Second))
 		time.Sleep(time.Second)
+		// The registration is away for a while.
+		table.Retain(&bramleytack.Snapshot{})
 		// 2, 4, 8 and 16 a second for half a second each, and the burst.
 		n := sends(table, returnTime, 5*time.Millisecond, Terms{})
 		assert.Check(t, n >= 10 && n <= 20, "%d", n)
--- a/internal/serve/btentry/signal_test.go
+++ b/internal/serve/btentry/signal_test.go
@@ -11,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"bramleytack"
+	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/standin/btworker"
 )
 
@@ -117,8 +119,8 @@
 	}
 }
 
-// Guards against a pause that ends before its time because it is long, and against one
-// that exceeds the bound.
+// Guards against a pause that ends before its time because it is long, or because the
+// registration of the upstream is away for a while, and against one that exceeds the bound.
 func TestLongPauseIsKept(t *testing.T) {
 	for asked, until := range map[string]time.Duration{"90": 90 * time.Second, "7200": time.Hour, "1e999": time.Hour} {
 		t.Run(asked, func(t *testing.T) {
@@ -137,6 +139,18 @@
 				for _, name := range paused {
 					h.workers[name].Set(btworker.Healthy)
 				}
+				away := map[string]*bramleytack.Upstream{}
+				for _, name := range paused {
+					away[name] = h.upstreams[name]
+					delete(h.upstreams, name)
+				}
+				h.publish()
+				h.accounts.Retain(h.table.Snapshot(), func(btaccount.Source) bool { return true })
+				time.Sleep(5 * time.Second)
+				for name, u := range away {
+					h.upstreams[name] = u
+				}
+				h.publish()
 				for _, at := range []time.Duration{7 * time.Second, 65 * time.Second, until - 3*time.Second} {
 					time.Sleep(time.Until(start.Add(at)))
 					h.traffic(2 * time.Second)
