--- a/internal/standin/btworker/pool.go
+++ b/internal/standin/btworker/pool.go
@@ -29,10 +29,13 @@
 	// move.
 	CopyDelay time.Duration
 	MoveTime  time.Duration
+	// KeepVisits makes the pool keep the stays of all requests.
+	KeepVisits bool
 
 	mu      sync.Mutex
 	workers map[netip.AddrPort]*Worker
 	runs    map[string]int
+	visits  map[string][]*Visit
 }
 
 var _ bramleytack.EngineMover = (*Pool)(nil)
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -263,6 +263,8 @@
 	w.last, w.body = r, string(body)
 	w.arrivals = append(w.arrivals, Arrival{At: time.Now(), From: from})
 	w.mu.Unlock()
+	visit := w.pool.arrived(id, w.cfg.ID)
+	defer w.pool.mark(&visit.Ended)
 	rw.Header().Set(d.RequestID, id)
 	w.nameLimit(rw.Header(), from)
 	if w.leaving.Load() {
@@ -285,6 +287,7 @@
 		return
 	}
 	defer w.places.leave()
+	w.pool.mark(&visit.Began)
 	if handle == "" {
 		w.pool.ran(id)
 	}
