--- a/internal/fleet/btgossip/load.go
+++ b/internal/fleet/btgossip/load.go
@@ -22,11 +22,9 @@
 	// together, such as those of a leaving engine, share one report.
 	minLoadInterval = 15 * time.Millisecond
 	// repeatAfter is the time after which a changed report to the hubs is repeated if
-	// there is no newer one, in place of bthub.ReportPeriod, and repeats how often. Two
-	// tables with the load are then sent within three table periods although one report
-	// was lost.
-	repeatAfter = 25 * time.Millisecond
-	repeats     = 2
+	// there is no newer one, in place of bthub.ReportPeriod. A table with the load then
+	// arrives within three table periods although one report was lost.
+	repeatAfter = 60 * time.Millisecond
 	// tablePeriod is the time between two tables of a hub. Within it a failure domain
 	// starts few generations, less than one for each of its engines.
 	tablePeriod = 50 * time.Millisecond
@@ -54,18 +52,16 @@
 
 func (s *loadSender) run(ctx context.Context) {
 	n := s.n
-	wait, left := bthub.ReportPeriod, 0
+	wait := bthub.ReportPeriod
 	for {
 		refresh := n.Timer.After(wait - time.Duration(rand.Int64N(int64(wait/10))))
 		changed := true
 		select {
 		case <-n.loadSignal:
-			wait, left = repeatAfter, repeats
+			wait = repeatAfter
 		case <-refresh.C():
 			changed = false
-			if left--; left <= 0 {
-				wait = bthub.ReportPeriod
-			}
+			wait = bthub.ReportPeriod
 		case <-ctx.Done():
 			refresh.Stop()
 			return
