A generation has one successor at a time

Cause: the silent engine was probed and the stream went on from the backup copy while the move was in flight. The end of the move then started a second successor and overwrote the first one without closing it. Besides, the end of an old move could pass for that of a newer one.

Change: only startNext sets the next segment, and it closes what it replaces, the current segment too unless both run the request from the start. A move counts only for the segment that it began for. If it ends while the generation goes on elsewhere, its copy is not used unless that fails, and its end is logged with that cause. A stream whose successor fails while a move is in flight waits for the move instead of failing. Moves that end after their request keep no goroutine.

The stand-in numbers runs, records when it worked on what, and can miss that callers leave, as behind a lost path. TestHandovers disturbs streams at random: engines leave, crash, stall and lose the path, callers leave, the daemon ends.

Not done: the unused copy of a move stays at its target until the engine drops it; the mover has no call that frees a copy.

--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -32,19 +32,22 @@
 // at its source.
 var errTargetLeft = errors.New("btentry: target of the move accepts no work")
 
+// errReplaced is the cause of a move whose generation has gone on elsewhere. Its copy is used
+// only if that fails.
+var errReplaced = errors.New("btentry: generation went on elsewhere during the move")
+
 // moveResult is how a move ended.
 type moveResult struct {
-	source *segment
-	target *bramleytack.Upstream
-	copy   bramleytack.EngineCopy
-	err    error
+	move *move
+	copy bramleytack.EngineCopy
+	err  error
 }
 
 // checkLeaving hands the stream over if the current engine is leaving: to the
 // backup engine if its copy is complete, and by a move otherwise.
 func (s *relay) checkLeaving() {
 	s.req.snapshot = s.req.h.Table.Snapshot()
-	if s.moving || s.next != nil || s.cur.cancel == nil || s.cur.eventCount == 0 || !isLeaving(s.req.snapshot, s.cur.upstream) {
+	if s.moving != nil || s.next != nil || s.cur.cancel == nil || s.cur.eventCount == 0 || !isLeaving(s.req.snapshot, s.cur.upstream) {
 		return
 	}
 	if s.req.need.MaxOutput < minBackupOutput {
@@ -176,7 +179,6 @@
 	}
 	// A copy can be used once, and only after its generation has stopped.
 	seg.backup = nil
-	seg.close(btaccount.Abandoned)
 	name := bramleytack.EngineCopy{Holder: u.Addr, Handle: s.req.id}.String()
 	s.startNext(u, fromCopy, name, reason)
 	return true
@@ -187,8 +189,13 @@
 	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u)
 }
 
-// startNext starts the next segment.
+// startNext starts the next segment. Nothing else does, and what the segment replaces is
+// closed: a next segment, and the current one unless both run the request from the start.
 func (s *relay) startNext(u *bramleytack.Upstream, from origin, copyName, reason string) {
+	s.next.close(btaccount.Abandoned)
+	if from == fromCopy || s.headSent {
+		s.cur.close(btaccount.Abandoned)
+	}
 	s.next = s.newSegment(u, from, copyName)
 	s.next.terms = btgrant.Terms{Wait: handoverWait, Urgent: s.headSent}
 	s.next.start(s.ctx)
@@ -216,12 +223,9 @@
 // recoverStream continues the stream after the current segment failed, or ends the
 // request if it cannot.
 func (s *relay) recoverStream(seg *segment, err error) {
-	if s.moving {
-		// handleMove continues the stream or recovers it.
-		return
-	}
-	if s.next != nil {
-		// The next segment has already started.
+	if s.moving != nil || s.next != nil {
+		// The next segment has already started, or handleMove starts it or recovers the
+		// stream.
 		return
 	}
 	if !s.headSent {
@@ -240,15 +244,18 @@
 
 // nextFailed handles a next segment that failed. The current segment may still run
 // if the next one was to resume the stream, but not if it was to continue from a
-// copy, which requires that the generation has ended.
+// copy, which requires that the generation has ended. Without another way on,
+// a generation that is being moved waits for handleMove.
 func (s *relay) nextFailed() {
 	if s.cur.cancel != nil {
 		return
 	}
-	if s.req.mayRepeat() && (s.continueFromBackup("handover failed, using backup copy") || s.resume("handover failed")) {
+	if s.req.mayRepeat() && (s.continueFromMove() || s.continueFromBackup("handover failed, using backup copy") || s.resume("handover failed")) {
 		return
 	}
-	s.fail()
+	if s.moving == nil {
+		s.fail()
+	}
 }
 
 // move starts to copy the generation's memory to another engine while it runs.
@@ -256,17 +263,16 @@
 // less time than a second copy that queues behind those of other generations.
 func (s *relay) move() {
 	profile := s.req.snapshot.Engine(s.req.service)
-	if s.moving || profile == nil || !profile.Moves || s.req.h.Mover == nil {
+	if s.moving != nil || profile == nil || !profile.Moves || s.req.h.Mover == nil {
 		return
 	}
 	target := s.req.h.Accounts.PickTarget(s.req.snapshot, s.cur.upstream, s.remainingNeed())
 	if target == nil {
 		return
 	}
-	s.moving = true
-	m := &move{relay: s, source: s.cur, target: target, need: s.remainingNeed()}
+	s.moving = &move{relay: s, source: s.cur, target: target, need: s.remainingNeed()}
 	s.req.log(btevent.MoveStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(target.ID)).Uint64("lastEvent", s.lastEventID).Send()
-	go m.run()
+	go s.moving.run()
 }
 
 // move is one transfer of a running generation's memory.
@@ -279,34 +285,54 @@
 
 func (m *move) run() {
 	s := m.relay
-	r := moveResult{source: m.source, target: m.target}
+	r := moveResult{move: m}
 	lease := s.req.h.Accounts.BeginCopy(m.target.ID, m.need)
 	defer lease.End()
 	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
 	defer cancel()
 	r.copy, r.err = s.req.h.Mover.Move(ctx, m.source.upstream.Addr, m.target.Addr, s.req.id, false)
-	s.moveResults <- r
+	select {
+	case s.moveResults <- r:
+	case <-s.ctx.Done():
+	}
 }
 
-// handleMove continues the stream from the copy that a move made.
-func (s *relay) handleMove(m moveResult) {
-	s.moving = false
+// handleMove continues the stream from the copy that a move made. If the generation has
+// gone on elsewhere since, the copy is kept until that succeeds or fails.
+func (s *relay) handleMove(r moveResult) {
+	m := r.move
+	switch {
+	case r.err != nil:
+	case m != s.moving || s.next != nil:
+		r.err = errReplaced
+	case !s.req.mayHandOver(m.target):
+		r.err = errTargetLeft
+	}
 	s.req.log(btevent.MoveEnded).Str("from", string(m.source.upstream.ID)).Str("to", string(m.target.ID)).
-		AnErr("cause", m.err).Send()
-	if s.done || m.source != s.cur {
+		AnErr("cause", r.err).Send()
+	if m != s.moving {
 		return
 	}
-	if m.err == nil && !s.req.mayHandOver(m.target) {
-		m.err = errTargetLeft
+	s.moving = nil
+	if r.err == nil || errors.Is(r.err, errReplaced) {
+		s.moved = &r
 	}
-	if m.err == nil {
-		s.cur.close(btaccount.Abandoned)
-		s.startNext(m.target, fromCopy, m.copy.String(), "moved")
+	if s.next != nil || s.continueFromMove() || s.cur.cancel != nil {
 		return
 	}
-	if s.cur.cancel == nil {
-		s.recoverStream(s.cur, m.err)
+	s.recoverStream(s.cur, r.err)
+}
+
+// continueFromMove continues the current segment's generation from the copy of its move.
+// It reports false if there is no copy or its engine accepts no work.
+func (s *relay) continueFromMove() bool {
+	r := s.moved
+	s.moved = nil
+	if r == nil || !s.req.mayHandOver(r.move.target) {
+		return false
 	}
+	s.startNext(r.move.target, fromCopy, r.copy.String(), "moved")
+	return true
 }
 
 // retryCopy repeats a handover to a copy that was rejected unexecuted: the copy can
--- /dev/null
+++ b/internal/serve/btentry/handover_test.go
@@ -0,0 +1,230 @@
+package btentry_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleytack/internal/standin/btworker"
+)
+
+var handoverSeeds = flag.Uint64("handover.seeds", 150, "seeds of TestHandovers")
+
+// overlapBound is the time for which an engine may work on a generation that goes on at
+// another one.
+const overlapBound = 400 * time.Millisecond
+
+// longestLoss is the longest time for which the daemon does not reach an engine.
+const longestLoss = 2 * time.Second
+
+// A leaving engine loses the path to the daemon while it moves its generation. Guards
+// against a generation that goes on from its copy and from its move, to the end.
+func TestStreamHasOneSuccessor(t *testing.T) {
+	for moveTime := 150 * time.Millisecond; moveTime < 500*time.Millisecond; moveTime += 10 * time.Millisecond {
+		t.Run(moveTime.String(), func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.pool.CopyDelay, h.pool.MoveTime = 100*time.Millisecond, moveTime
+				for i := range 3 {
+					h.startGenerator(fmt.Sprintf("e%d", i+1), 250*time.Millisecond)
+				}
+				after(700*time.Millisecond, func() {
+					name := h.runningEngine()
+					h.setLeaving(name)
+					h.losePath(name, 300*time.Millisecond)
+				})
+				got := h.generate("/guide/a")
+				h.checkComplete(got)
+				h.checkRuns(got)
+			})
+		})
+	}
+}
+
+// Engines leave, crash, stall and lose the path to the daemon, callers leave and the daemon
+// ends, at random times. Guards against two engines that work on one generation.
+func TestHandovers(t *testing.T) {
+	for seed := range *handoverSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			run(t, func(h *harness) { (&handovers{harness: h, rng: rand.New(rand.NewPCG(seed, 1))}).run() })
+		})
+	}
+}
+
+// handovers is one run of TestHandovers.
+type handovers struct {
+	*harness
+	rng *rand.Rand
+	// disturbing keeps faults from beginning at the same time.
+	disturbing sync.Mutex
+}
+
+func (h *handovers) run() {
+	h.pool.CopyDelay, h.pool.MoveTime = h.between(50, 1500), h.between(20, 700)
+	engines := 2 + h.rng.IntN(4)
+	for i := range engines {
+		h.startGenerator(fmt.Sprintf("e%d", i+1), h.between(20, 1500))
+	}
+	for range 1 + h.rng.IntN(6) {
+		h.disturb(fmt.Sprintf("e%d", 1+h.rng.IntN(engines)))
+	}
+	if h.rng.IntN(20) == 0 {
+		after(h.between(500, 3000), h.daemons[0].stop)
+	}
+	var all sync.WaitGroup
+	for i := range 1 + h.rng.IntN(4) {
+		target, timeout, pause := "/guide/a", 40*time.Second, h.between(0, 400)
+		header := map[string]string{dialect.TokenCounts: "3000,900"}
+		if h.rng.IntN(2) == 0 {
+			target, timeout = "/tag/a", 7*time.Second
+			if h.rng.IntN(4) == 0 {
+				header[dialect.LastEvent] = "7"
+			}
+		}
+		if h.rng.IntN(5) == 0 {
+			timeout = h.between(100, 2500)
+		}
+		id := fmt.Sprint("stream-", i)
+		all.Go(func() {
+			time.Sleep(pause)
+			c, err := h.dialEntry(h.entryAddr)
+			if err != nil {
+				// The daemon has ended.
+				return
+			}
+			got := h.exchange(c, id, http.MethodPost, target, header, timeout)
+			h.checkOrder(got, header[dialect.LastEvent])
+			h.checkRuns(got)
+		})
+	}
+	all.Wait()
+}
+
+// disturb makes one fault of an engine begin at a random time.
+func (h *handovers) disturb(name string) {
+	w, length := h.workers[name], h.between(50, int(longestLoss.Milliseconds()))
+	var fault func()
+	switch h.rng.IntN(6) {
+	case 0, 1:
+		cut := h.rng.IntN(2) == 0
+		fault = func() {
+			h.setLeaving(name)
+			if cut {
+				h.losePath(name, length)
+			}
+		}
+	case 2:
+		fault = w.Crash
+	case 3:
+		fault = func() {
+			w.Stall(true)
+			after(length, func() { w.Stall(false) })
+		}
+	case 4:
+		fault = func() { h.losePath(name, length) }
+	default:
+		fault = func() { h.net.Cut(h.entryAddr.Addr(), h.upstreams[name].Addr.Addr()) }
+	}
+	after(h.between(0, 2500), func() {
+		h.disturbing.Lock()
+		defer h.disturbing.Unlock()
+		fault()
+	})
+}
+
+// between returns a random time of so many milliseconds.
+func (h *handovers) between(least, most int) time.Duration {
+	return time.Duration(least+h.rng.IntN(most-least)) * time.Millisecond
+}
+
+// startGenerator starts an engine whose first event takes some time.
+func (h *harness) startGenerator(name string, read time.Duration) {
+	h.start(name, engineService, btworker.Config{Events: streamEvents, Read: read, Gap: eventGap})
+}
+
+// loss is the time in which the path between the daemon and an engine is lost.
+type loss struct {
+	engine   string
+	from, to time.Time
+}
+
+// reachedFrom returns when the daemon reaches an engine, a time or up to overlapBound later
+// if the path is not lost meanwhile, and else the time at which the path is back.
+func (h *harness) reachedFrom(engine string, from time.Time) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range h.losses {
+		if l.engine == engine && l.from.Sub(from) < overlapBound && l.to.After(from) {
+			from = l.to
+		}
+	}
+	return from
+}
+
+// losePath drops everything between the daemon and an engine for a time.
+func (h *harness) losePath(name string, d time.Duration) {
+	entry, addr := h.entryAddr.Addr(), h.upstreams[name].Addr.Addr()
+	block := func(on bool) {
+		h.net.Block(entry, addr, on)
+		h.net.Block(addr, entry, on)
+		h.workers[name].Deafen(on)
+	}
+	h.mu.Lock()
+	h.losses = append(h.losses, loss{name, time.Now(), time.Now().Add(d)})
+	h.mu.Unlock()
+	block(true)
+	after(d, func() { block(false) })
+}
+
+// checkRuns fails the test if engines work on a request beside those at which it went on,
+// or after its end, which is now.
+func (h *harness) checkRuns(got response) {
+	h.t.Helper()
+	ended := time.Now()
+	time.Sleep(longestLoss + overlapBound)
+	spans := slices.DeleteFunc(h.pool.Spans(), func(s btworker.Span) bool { return s.ID != got.id })
+	for i, a := range spans {
+		if late := a.To.Sub(h.reachedFrom(a.Worker, ended)); a.To.IsZero() || late > overlapBound {
+			h.t.Errorf("%s works on %s for %v after its end", a.Worker, a.ID, late)
+		}
+		for _, b := range spans[i+1:] {
+			from, either := b.From, false
+			if a.Run != b.Run && a.Last == b.Last && (got.firstEventAt.IsZero() || !got.firstEventAt.Before(from)) {
+				// Both may run until the caller has got the first event.
+				from, either = got.firstEventAt, true
+			}
+			if from.IsZero() || a.To.Sub(h.reachedFrom(a.Worker, from)) <= overlapBound {
+				continue
+			}
+			if !either || b.To.Sub(h.reachedFrom(b.Worker, from)) > overlapBound {
+				h.t.Errorf("%s works on %s for %v beside %s (runs %d after %d, %d after %d)", a.Worker, a.ID, a.To.Sub(from), b.Worker, a.Run, a.Last, b.Run, b.Last)
+			}
+		}
+	}
+}
+
+// checkOrder fails the test if pieces are missing or come twice, or if a stream looks complete
+// that is not.
+func (h *handovers) checkOrder(got response, last string) {
+	h.t.Helper()
+	n := 0
+	_, _ = fmt.Sscan(last, &n)
+	for line := range strings.Lines(got.body) {
+		var event int
+		if _, err := fmt.Sscanf(line, "data: event %d,", &event); err != nil {
+			continue
+		}
+		if event != n+1 {
+			h.t.Errorf("event %d of %s after %d", event, got.id, n)
+		}
+		n = event
+	}
+	if got.err == nil && got.status == http.StatusOK && n != streamEvents {
+		h.t.Errorf("%s is complete after %d events", got.id, n)
+	}
+}
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -89,13 +89,15 @@
 	entryAddr netip.AddrPort
 	requests  atomic.Int64
 	store     *memoryStore
-	// mu guards daemons.
+	// mu guards daemons and losses.
 	mu      sync.Mutex
 	daemons []*daemon
 	// recordDelay is the mean time that a record of a suspect takes to another daemon.
 	recordDelay time.Duration
 	// memory is the capacity of an engine in tokens.
 	memory int
+	// losses are the losses of paths in the order in which they began.
+	losses []loss
 }
 
 // run calls f with a new harness in fake time.
@@ -353,6 +355,8 @@
 	err error
 	// longestPause is the longest time between two events.
 	longestPause time.Duration
+	// firstEventAt is zero without an event.
+	firstEventAt time.Time
 	events       []string
 }
 
@@ -412,6 +416,8 @@
 		if id, ok := strings.CutPrefix(line, "id: "); ok {
 			if len(r.events) > 0 {
 				r.longestPause = max(r.longestPause, time.Since(last))
+			} else {
+				r.firstEventAt = time.Now()
 			}
 			last = time.Now()
 			r.events = append(r.events, strings.TrimSpace(id))
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -62,13 +62,17 @@
 	next *segment
 	// head is the first response header of an engine. It is sent to the caller with
 	// the first event.
-	head         *attemptResult
-	headSent     bool
-	lastEventID  uint64
-	lastEventAt  time.Time
-	tried        map[bramleytack.UpstreamID]bool
-	moveResults  chan moveResult
-	moving       bool
+	head        *attemptResult
+	headSent    bool
+	lastEventID uint64
+	lastEventAt time.Time
+	tried       map[bramleytack.UpstreamID]bool
+	moveResults chan moveResult
+	// moving is the move of the current segment's generation that is in flight, or nil.
+	// moved is one that ended while the generation went on elsewhere, or nil: its copy
+	// is used if that fails.
+	moving       *move
+	moved        *moveResult
 	probeResults chan probeResult
 	probing      bool
 	// firstEventLatency and longestPause are measured as the caller sees them.
@@ -82,7 +86,7 @@
 // stream serves a request whose response is an event stream.
 func (req *activeRequest) stream(ctx context.Context) {
 	flusher, _ := req.w.(http.Flusher)
-	s := &relay{req: req, ctx: ctx, flusher: flusher, tried: map[bramleytack.UpstreamID]bool{}, moveResults: make(chan moveResult, 1), probeResults: make(chan probeResult, 1)}
+	s := &relay{req: req, ctx: ctx, flusher: flusher, tried: map[bramleytack.UpstreamID]bool{}, moveResults: make(chan moveResult), probeResults: make(chan probeResult, 1)}
 	if v, err := strconv.ParseUint(req.header.Get(req.h.Dialect.LastEvent), 10, 64); err == nil {
 		s.lastEventID = v
 	}
@@ -295,7 +299,7 @@
 func (s *relay) promote() {
 	old := s.cur
 	s.cur, s.next = s.next, nil
-	s.moving = false
+	s.moving, s.moved = nil, nil
 	old.close(btaccount.Abandoned)
 	s.req.log(btevent.StreamMoved).Str("from", string(old.upstream.ID)).Str("to", string(s.cur.upstream.ID)).
 		Stringer("origin", s.cur.origin).Uint64("lastEvent", s.lastEventID).Dur("pause", s.req.h.Timer.Now().Sub(s.lastEventAt)).Send()
--- a/internal/standin/btworker/pool.go
+++ b/internal/standin/btworker/pool.go
@@ -33,13 +33,28 @@
 	mu      sync.Mutex
 	workers map[netip.AddrPort]*Worker
 	runs    map[string]int
+	spans   []*Span
+}
+
+// Span is the time in which an upstream worked on a request that it began to run or to go
+// on with.
+type Span struct {
+	ID     string
+	Worker string
+	// Run is the number of the request's run. It stays the same from copy to copy.
+	Run int
+	// Last is the event that the span goes on after, zero from the start.
+	Last int
+	From time.Time
+	// To is zero while the work goes on.
+	To time.Time
 }
 
 var _ bramleytack.EngineMover = (*Pool)(nil)
 
 // Start starts an upstream.
 func (p *Pool) Start(cfg Config) *Worker {
-	w := &Worker{pool: p, places: places{count: cfg.Slots, queue: cfg.Queue}, cfg: cfg, copies: map[string]time.Time{}, active: map[string]context.CancelFunc{}}
+	w := &Worker{pool: p, places: places{count: cfg.Slots, queue: cfg.Queue}, cfg: cfg, copies: map[string]heldCopy{}, active: map[string]*Span{}}
 	p.mu.Lock()
 	if p.workers == nil {
 		p.workers, p.runs = map[netip.AddrPort]*Worker{}, map[string]int{}
@@ -71,10 +86,34 @@
 	return p.runs[id]
 }
 
-func (p *Pool) ran(id string) {
+// Spans returns the work of all upstreams, in the order in which it began.
+func (p *Pool) Spans() []Span {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]Span, len(p.spans))
+	for i, s := range p.spans {
+		all[i] = *s
+	}
+	return all
+}
+
+// begin records that an upstream begins to work on a request, as a new run if run is zero.
+func (p *Pool) begin(worker, id string, run, last int) *Span {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if run == 0 {
+		p.runs[id]++
+		run = p.runs[id]
+	}
+	s := &Span{ID: id, Worker: worker, Run: run, Last: last, From: time.Now()}
+	p.spans = append(p.spans, s)
+	return s
+}
+
+func (p *Pool) end(s *Span) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.runs[id]++
+	s.To = time.Now()
 }
 
 func (p *Pool) at(addr netip.AddrPort) *Worker {
@@ -86,7 +125,7 @@
 // Move implements bramleytack.EngineMover.
 func (p *Pool) Move(ctx context.Context, source, target netip.AddrPort, id string, _ bool) (bramleytack.EngineCopy, error) {
 	from, to := p.at(source), p.at(target)
-	if from == nil || to == nil || !from.running(id) || to.crashed.Load() {
+	if from == nil || to == nil || from.running(id) == nil || to.crashed.Load() {
 		return bramleytack.EngineCopy{}, errNoRun
 	}
 	select {
@@ -94,10 +133,11 @@
 	case <-ctx.Done():
 		return bramleytack.EngineCopy{}, ctx.Err()
 	}
-	if !from.running(id) || to.crashed.Load() {
+	run := from.running(id)
+	if run == nil || to.crashed.Load() {
 		return bramleytack.EngineCopy{}, errNoRun
 	}
 	c := bramleytack.EngineCopy{Holder: source, Handle: "move-" + id}
-	to.keep(c.String(), 0)
+	to.keep(c.String(), run.Run, 0)
 	return c, nil
 }
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -72,6 +72,8 @@
 	fault  atomic.Uint32
 	// stalled holds streams back, as a preemption does.
 	stalled atomic.Bool
+	// deaf upstreams do not notice that callers leave.
+	deaf    atomic.Bool
 	places  places
 	crashed atomic.Bool
 	// pause is the time in nanoseconds for which a full upstream asks for no requests.
@@ -84,8 +86,8 @@
 	misdirected atomic.Int64
 
 	mu     sync.Mutex
-	copies map[string]time.Time
-	active map[string]context.CancelFunc
+	copies map[string]heldCopy
+	active map[string]*Span
 	last   *http.Request
 	body   string
 	// arrivals are the requests that arrived, in order.
@@ -96,6 +98,12 @@
 	told      map[netip.Addr]time.Time
 }
 
+// heldCopy is a copy of a run's memory, complete from a time on.
+type heldCopy struct {
+	run int
+	at  time.Time
+}
+
 // Arrival is a request that reached an upstream.
 type Arrival struct {
 	At   time.Time
@@ -126,6 +134,10 @@
 // Stall holds streams back, or lets them go on.
 func (w *Worker) Stall(on bool) { w.stalled.Store(on) }
 
+// Deafen keeps the upstream from noticing that callers leave, as the loss of a path does, or
+// ends that.
+func (w *Worker) Deafen(on bool) { w.deaf.Store(on) }
+
 // SetPause makes a full upstream ask for a pause in its rejections.
 func (w *Worker) SetPause(d time.Duration) { w.pause.Store(int64(d)) }
 
@@ -218,30 +230,30 @@
 	return len(w.active)
 }
 
-func (w *Worker) running(id string) bool {
+// running returns the work on a request, or nil.
+func (w *Worker) running(id string) *Span {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	_, ok := w.active[id]
-	return ok
+	return w.active[id]
 }
 
-// keep stores a copy that arrives after d.
-func (w *Worker) keep(name string, d time.Duration) {
+// keep stores a copy of a run that arrives after d.
+func (w *Worker) keep(name string, run int, d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.copies[name] = time.Now().Add(d)
+	w.copies[name] = heldCopy{run, time.Now().Add(d)}
 }
 
-// use takes a copy that has arrived.
-func (w *Worker) use(name string) bool {
+// use takes a copy that has arrived and returns its run, zero without one.
+func (w *Worker) use(name string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	at, ok := w.copies[name]
-	if !ok || time.Now().Before(at) {
-		return false
+	c, ok := w.copies[name]
+	if !ok || time.Now().Before(c.at) {
+		return 0
 	}
 	delete(w.copies, name)
-	return true
+	return c.run
 }
 
 // ServeHTTP implements http.Handler.
@@ -273,35 +285,40 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	handle := r.Header.Get(d.From)
-	if Fault(w.fault.Load()) == Full || handle != "" && !w.use(handle) {
+	run := 0
+	if handle := r.Header.Get(d.From); handle != "" {
+		run = w.use(handle)
+	}
+	if Fault(w.fault.Load()) == Full || run == 0 && r.Header.Get(d.From) != "" {
 		w.refuse(rw, errFull)
 		return
 	}
-	ctx, done := workContext(r, d.DeadlineMillis)
+	ctx, done := w.workContext(r)
 	if err := w.places.take(ctx); err != nil {
 		done()
 		w.refuse(rw, err)
 		return
 	}
 	defer w.places.leave()
-	if handle == "" {
-		w.pool.ran(id)
-	}
+	last, _ := strconv.Atoi(r.Header.Get(d.LastEvent))
+	work := w.pool.begin(w.cfg.ID, id, run, last)
 	w.nameLoad(rw.Header())
 	w.mu.Lock()
-	w.active[id] = done
+	w.active[id] = work
 	w.mu.Unlock()
 	defer func() {
 		done()
+		w.pool.end(work)
 		w.mu.Lock()
-		delete(w.active, id)
+		if w.active[id] == work {
+			delete(w.active, id)
+		}
 		w.mu.Unlock()
 	}()
 	rw.Header().Set(d.Seal, "seal-"+w.cfg.ID)
 	fatal := w.cfg.Fatal != nil && w.cfg.Fatal(r, string(body))
 	if w.cfg.Events > 0 {
-		w.stream(ctx, rw, r, id, fatal)
+		w.stream(ctx, rw, r, work, fatal)
 		return
 	}
 	if fatal {
@@ -310,14 +327,27 @@
 	w.answer(ctx, rw, id)
 }
 
-// workContext returns a context that ends when the caller of a request disconnects or the
-// time is over that the request's header names in milliseconds.
-func workContext(r *http.Request, name string) (context.Context, context.CancelFunc) {
-	ms, err := strconv.Atoi(r.Header.Get(name))
-	if err != nil || ms <= 0 {
-		return context.WithCancel(r.Context())
+// deafPoll is the time between two looks whether a deaf upstream hears again.
+const deafPoll = 10 * time.Millisecond
+
+// workContext returns a context that ends when the upstream notices that the caller of a
+// request has disconnected, or the time is over that the request's header names in
+// milliseconds.
+func (w *Worker) workContext(r *http.Request) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
+	if ms, err := strconv.Atoi(r.Header.Get(w.pool.Dialect.DeadlineMillis)); err == nil && ms > 0 {
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
+	}
+	stop := context.AfterFunc(r.Context(), func() {
+		for w.deaf.Load() {
+			time.Sleep(deafPoll)
+		}
+		cancel()
+	})
+	return ctx, func() {
+		stop()
+		cancel()
 	}
-	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
 
 // refuse answers a request that does not run.
@@ -397,14 +427,13 @@
 }
 
 // stream sends events until the end, or until the connection closes.
-func (w *Worker) stream(ctx context.Context, rw http.ResponseWriter, r *http.Request, id string, fatal bool) {
+func (w *Worker) stream(ctx context.Context, rw http.ResponseWriter, r *http.Request, work *Span, fatal bool) {
 	d := w.pool.Dialect
 	if backup := r.Header.Get(d.Backup); backup != "" {
 		if addr, err := netip.ParseAddrPort(strings.TrimSpace(backup)); err == nil && w.pool.at(addr) != nil {
-			w.pool.at(addr).keep(addr.String()+"/"+id, w.pool.CopyDelay)
+			w.pool.at(addr).keep(addr.String()+"/"+work.ID, work.Run, w.pool.CopyDelay)
 		}
 	}
-	last, _ := strconv.Atoi(r.Header.Get(d.LastEvent))
 	rw.Header().Set("Content-Type", "text/event-stream")
 	// The head leaves before the first event.
 	_ = http.NewResponseController(rw).Flush()
@@ -414,16 +443,16 @@
 	if fatal {
 		w.crashByRequest()
 	}
-	for n := last + 1; n <= w.cfg.Events; n++ {
+	for n := work.Last + 1; n <= w.cfg.Events; n++ {
 		for w.stalled.Load() {
 			if !pause(ctx, w.cfg.Gap) {
 				panic(http.ErrAbortHandler)
 			}
 		}
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d of %s\n\n", n, n, id); err != nil {
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d, run %d from %d of %s\n\n", n, n, work.Run, work.Last, work.ID); err != nil && !w.deaf.Load() {
 			return
 		}
-		if err := http.NewResponseController(rw).Flush(); err != nil || !pause(ctx, w.cfg.Gap) {
+		if err := http.NewResponseController(rw).Flush(); err != nil && !w.deaf.Load() || !pause(ctx, w.cfg.Gap) {
 			panic(http.ErrAbortHandler)
 		}
 	}
