A stream has the events of one run, or of one that went on after the last

Cause: a stream without a first event is sent to a second engine. If the first one then sent events, the second one still replaced it with its own first event; what the caller had was dropped from it, and the rest forwarded. Besides, the response header was that of the first engine to answer, whichever run the events were of.

Change: a segment knows how many events the caller had got when it began. As soon as the caller gets more of the current one, a next one that is no copy of its run is closed, so that of two runs from the start the one that sends first wins and the other ends at once. The bound of 300 ms for both has nothing left to do and goes. The response header is that of the run whose events follow. A first engine that fails before its response no longer ends a request that runs at a second one. A result of the second one counts for the status as well: a request that may have run there is not answered as not run, nor on timeout.

A stream now stays at a slow engine that sends its first event before the second one does, and is not sent on again; its pauses may be late.

--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -67,15 +67,12 @@
 }
 
 // checkSilence acts on a current engine that sends nothing. After the first event
-// it is probed; before that, a resumable stream is sent to another engine. If a
-// next segment is running already, its overlap is checked instead.
+// it is probed; before that, a resumable stream is sent to another engine too.
 func (s *relay) checkSilence() {
-	now := s.req.h.Timer.Now()
 	if s.next != nil {
-		s.checkOverlap(now)
 		return
 	}
-	silent := now.Sub(s.cur.lastEventAt)
+	silent := s.req.h.Timer.Now().Sub(s.cur.lastEventAt)
 	if silent >= s.stallLimit() && s.cur.cancel != nil {
 		s.segmentBroken(s.cur, errStalled)
 		return
@@ -147,24 +144,6 @@
 	}
 }
 
-// checkOverlap closes one of two running segments after maxOverlap: the next one
-// if the current one has sent an event since, and the current one otherwise. Two
-// engines that have yet to send the first event of a resumable stream may continue.
-func (s *relay) checkOverlap(now time.Time) {
-	if now.Sub(s.next.started) < maxOverlap || s.next.origin == fromEvent && !s.headSent {
-		return
-	}
-	if s.cur.cancel == nil {
-		return
-	}
-	if s.cur.lastEventAt.After(s.next.started) {
-		s.next.close(btaccount.Abandoned)
-		s.next = nil
-		return
-	}
-	s.cur.close(btaccount.Failed)
-}
-
 // continueFromBackup closes the current segment and starts one from the copy at
 // the backup engine. It reports false if there is no backup or it accepts no work.
 func (s *relay) continueFromBackup(reason string) bool {
@@ -222,16 +201,12 @@
 
 // recoverStream continues the stream after the current segment failed, or ends the
 // request if it cannot.
-func (s *relay) recoverStream(seg *segment, err error) {
+func (s *relay) recoverStream(err error) {
 	if s.moving != nil || s.next != nil {
 		// The next segment has already started, or handleMove starts it or recovers the
 		// stream.
 		return
 	}
-	if !s.headSent {
-		// The engine may have run the request, even if a later attempt does not run.
-		s.finalResult = &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown, err: err}
-	}
 	reason := "broken"
 	if err != nil {
 		reason = err.Error()
@@ -320,7 +295,7 @@
 	if s.next != nil || s.continueFromMove() || s.cur.cancel != nil {
 		return
 	}
-	s.recoverStream(s.cur, r.err)
+	s.recoverStream(r.err)
 }
 
 // continueFromMove continues the current segment's generation from the copy of its move.
--- a/internal/serve/btentry/handover_test.go
+++ b/internal/serve/btentry/handover_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"bramleytack/internal/standin/btworker"
 )
 
@@ -46,8 +48,43 @@
 	}
 }
 
+// A resumable stream is sent to a second engine, and the first one goes on before it.
+// Guards against streams that begin with one run and end with another.
+func TestStreamIsOfOneRun(t *testing.T) {
+	run(t, func(h *harness) {
+		h.startEngines(2)
+		for _, w := range h.workers {
+			w.Stall(true)
+		}
+		after(1300*time.Millisecond, func() {
+			for _, w := range h.workers {
+				w.Stall(false)
+			}
+		})
+		got := h.request(http.MethodPost, "/tag/a", map[string]string{dialect.TokenCounts: "100,40"}, 6*time.Second)
+		h.checkComplete(got)
+		assert.Equal(t, h.pool.Runs(got.id), 2)
+		(&handovers{harness: h}).checkOrder(got, "")
+		h.checkRuns(got)
+	})
+}
+
+// The first engine of a resumable stream crashes before its response while a second one
+// runs the request. Guards against ending the request with the first one.
+func TestStreamGoesOnAtSecondEngine(t *testing.T) {
+	run(t, func(h *harness) {
+		first := h.start("e1", engineService, btworker.Config{Events: streamEvents, Slots: 1, Read: 100 * time.Millisecond, Gap: eventGap})
+		go h.generate("/guide/a")
+		after(200*time.Millisecond, func() { h.startGenerator("e2", 600*time.Millisecond) })
+		after(1500*time.Millisecond, first.Crash)
+		time.Sleep(100 * time.Millisecond)
+		h.checkComplete(h.request(http.MethodPost, "/tag/a", map[string]string{dialect.TokenCounts: "100,40"}, 6*time.Second))
+	})
+}
+
 // Engines leave, crash, stall and lose the path to the daemon, callers leave and the daemon
-// ends, at random times. Guards against two engines that work on one generation.
+// ends, at random times. Guards against two engines that work on one generation and against
+// streams with pieces of two runs.
 func TestHandovers(t *testing.T) {
 	for seed := range *handoverSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -208,21 +245,24 @@
 	}
 }
 
-// checkOrder fails the test if pieces are missing or come twice, or if a stream looks complete
-// that is not.
+// checkOrder fails the test if pieces are missing or come twice, if a stream looks complete
+// that is not, or if a piece of another run follows that did not begin after the piece before.
 func (h *handovers) checkOrder(got response, last string) {
 	h.t.Helper()
-	n := 0
+	n, run := 0, 0
 	_, _ = fmt.Sscan(last, &n)
 	for line := range strings.Lines(got.body) {
-		var event int
-		if _, err := fmt.Sscanf(line, "data: event %d,", &event); err != nil {
+		var event, r, from int
+		if _, err := fmt.Sscanf(line, "data: event %d, run %d from %d", &event, &r, &from); err != nil {
 			continue
 		}
 		if event != n+1 {
 			h.t.Errorf("event %d of %s after %d", event, got.id, n)
 		}
-		n = event
+		if run != 0 && r != run && from != n {
+			h.t.Errorf("run %d of %s from event %d goes on after event %d of run %d", r, got.id, from, n, run)
+		}
+		n, run = event, r
 	}
 	if got.err == nil && got.status == http.StatusOK && n != streamEvents {
 		h.t.Errorf("%s is complete after %d events", got.id, n)
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -44,7 +44,11 @@
 	// backup is the engine that keeps a copy of the generation's memory, or nil.
 	backup *bramleytack.Upstream
 	origin origin
-	need   btaccount.Need
+	// after is the number of events that the caller had got when the segment began.
+	after int
+	// head is the first response header of the run, or nil.
+	head *attemptResult
+	need btaccount.Need
 	// terms are those on which the segment asks for permission of a limited upstream.
 	terms  btgrant.Terms
 	items  chan item
@@ -167,6 +171,9 @@
 	}
 }
 
+// running reports whether the segment has begun and is not closed.
+func (seg *segment) running() bool { return seg != nil && seg.cancel != nil }
+
 // close ends the segment with an outcome for the upstream's health. It closes the
 // connection, which makes the engine stop the generation. Closing a nil or closed
 // segment has no effect.
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -38,8 +38,6 @@
 	minStall     = 2 * time.Second
 	stallTargets = 4
 	stallPauses  = 8
-	// maxOverlap bounds the time in which two engines run the same generation.
-	maxOverlap = 300 * time.Millisecond
 	// A resumable stream without any event is sent to another engine after this
 	// share of the target latency, but not before lateDelayFactor times the expected
 	// delay of its engine.
@@ -58,12 +56,11 @@
 	flusher http.Flusher
 	// cur is the segment whose events the caller gets. next is the one that replaces
 	// it with its first event, or nil.
-	cur  *segment
-	next *segment
-	// head is the first response header of an engine. It is sent to the caller with
-	// the first event.
-	head        *attemptResult
-	headSent    bool
+	cur      *segment
+	next     *segment
+	headSent bool
+	// delivered is the number of events that the caller has got.
+	delivered   int
 	lastEventID uint64
 	lastEventAt time.Time
 	tried       map[bramleytack.UpstreamID]bool
@@ -167,17 +164,23 @@
 // unless the segment continues from a copy.
 func (s *relay) newSegment(u *bramleytack.Upstream, from origin, copyName string) *segment {
 	req, d := s.req, s.req.h.Dialect
-	seg := &segment{req: req, upstream: u, origin: from, need: s.remainingNeed(), copyName: copyName, request: req.upstreamRequest(u)}
+	seg := &segment{req: req, upstream: u, origin: from, after: s.delivered, need: s.remainingNeed(), copyName: copyName, request: req.upstreamRequest(u)}
 	seg.need.Copied = from == fromCopy
 	if from != fromStart && (s.headSent || s.lastEventID > 0) {
 		seg.request.Header.Set(d.LastEvent, strconv.FormatUint(s.lastEventID, 10))
 	}
 	if copyName != "" {
 		seg.request.Header.Set(d.From, copyName)
+		seg.head = s.cur.head
 	}
 	profile := req.snapshot.Engine(req.service)
 	if profile != nil && profile.Backups && req.need.MaxOutput >= minBackupOutput {
-		if seg.backup = req.h.Accounts.PickBackup(req.snapshot, u, seg.need); seg.backup != nil {
+		seg.backup = req.h.Accounts.PickBackup(req.snapshot, u, seg.need)
+		if s.cur.running() && s.cur.backup != nil && seg.backup != nil && s.cur.backup.ID == seg.backup.ID {
+			// Copies of two runs of a request have the same name at an engine.
+			seg.backup = nil
+		}
+		if seg.backup != nil {
 			seg.request.Header.Set(d.Backup, seg.backup.Addr.String())
 		}
 	}
@@ -214,8 +217,8 @@
 	case i.head != nil && i.ended:
 		s.headFailed(seg, i.head)
 	case i.head != nil:
-		if s.head == nil {
-			s.head = i.head
+		if seg.head == nil {
+			seg.head = i.head
 		}
 	case i.ended && i.err == nil:
 		s.complete(seg)
@@ -226,8 +229,15 @@
 	}
 }
 
+// mayFollow reports whether the caller may get events of a segment after those that it has
+// got: the segment goes on with their run, or began with the last of them.
+func (s *relay) mayFollow(seg *segment) bool {
+	return seg.origin == fromCopy || seg.after == s.delivered
+}
+
 // deliver sends an event to the caller unless the caller has it already. The first
-// event of the next segment ends the current one.
+// event of the next segment ends the current one. The first one of the current segment
+// ends a next one that began without it.
 func (s *relay) deliver(seg *segment, i item) {
 	now := s.req.h.Timer.Now()
 	if !i.event.HasData {
@@ -256,6 +266,11 @@
 		}
 		s.lastEventID = i.event.ID
 	}
+	s.delivered++
+	if s.next != nil && !s.mayFollow(s.next) {
+		s.next.close(btaccount.Abandoned)
+		s.next = nil
+	}
 	if seg.eventCount%growthReportEvents == 0 {
 		seg.lease.Grow(s.tokensSent())
 	}
@@ -289,8 +304,8 @@
 	s.headSent = true
 	s.req.h.Suspects.ReportExecuted(s.req.partKeys()...)
 	s.lastEventAt = s.req.h.Timer.Now()
-	copyHeader(s.req.w.Header(), s.head.header)
-	s.req.w.WriteHeader(s.head.status)
+	copyHeader(s.req.w.Header(), s.cur.head.header)
+	s.req.w.WriteHeader(s.cur.head.status)
 	s.firstEventLatency = s.lastEventAt.Sub(s.req.received)
 	s.req.h.Metrics.firstEvent(s.firstEventLatency)
 }
@@ -319,9 +334,9 @@
 	seg.close(btaccount.Served)
 	s.learnLength()
 	s.req.h.Suspects.ReportExecuted(s.req.fingerprint())
-	s.req.log(btevent.RequestAnswered).Str("upstream", string(seg.upstream.ID)).Int("status", s.head.status).
+	s.req.log(btevent.RequestAnswered).Str("upstream", string(seg.upstream.ID)).Int("status", seg.head.status).
 		Uint64("lastEvent", s.lastEventID).Dur("first", s.firstEventLatency).Dur("longestPause", s.longestPause).Send()
-	s.req.h.Metrics.responded(s.req, s.head.status)
+	s.req.h.Metrics.responded(s.req, seg.head.status)
 }
 
 // learnLength adds the length and the pace of a complete generation to the forecasts.
@@ -339,6 +354,9 @@
 	if r.err != nil && !r.unsent {
 		s.inspectBreak(seg, r.err)
 	}
+	if !r.unsent && !r.misdirected {
+		s.noteResult(r)
+	}
 	if seg == s.next {
 		s.next = nil
 		if !s.retryCopy(seg, r) {
@@ -346,20 +364,26 @@
 		}
 		return
 	}
-	if seg.origin == fromStart {
-		s.firstFailed(r)
-		return
+	s.firstFailed(r)
+}
+
+// noteResult adds the result of a segment to what the request is answered with if the
+// caller gets no event.
+func (s *relay) noteResult(r *attemptResult) {
+	if !s.headSent {
+		s.finalResult = betterResult(s.finalResult, r)
 	}
-	s.recoverStream(seg, r.err)
 }
 
 // firstFailed tries another engine after the first segment opened no stream, and
-// ends the request if it may not.
+// ends the request if it may not. A request that runs elsewhere already goes on there.
 func (s *relay) firstFailed(r *attemptResult) {
 	s.req.noteLimited(r, s.cur.terms, s.tried)
+	if s.next != nil {
+		return
+	}
 	if !r.unsent && !r.misdirected {
 		s.req.attempts++
-		s.finalResult = betterResult(s.finalResult, r)
 	}
 	if !s.req.mayRepeat() {
 		s.fail()
@@ -379,13 +403,15 @@
 func (s *relay) segmentBroken(seg *segment, err error) {
 	s.req.noteLimit(seg.upstream, err)
 	seg.close(btaccount.Failed)
+	// The engine may have run the request, even if a later attempt does not run.
+	s.noteResult(&attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown, err: err})
 	s.inspectBreak(seg, err)
 	if seg == s.next {
 		s.next = nil
 		s.nextFailed()
 		return
 	}
-	s.recoverStream(seg, err)
+	s.recoverStream(err)
 }
 
 // checkQuarantine ends a request without any event if it has become quarantined since it
@@ -427,7 +453,7 @@
 	case endedByDaemon(s.ctx):
 		s.settle()
 		req.respond(s.ctx, s.finalResult)
-	case s.cur != nil && s.cur.cancel != nil:
+	case s.cur.running() || s.next.running():
 		req.reject(http.StatusGatewayTimeout, 0, "timeout")
 	default:
 		req.respond(s.ctx, s.finalResult)
@@ -437,7 +463,7 @@
 // settle ends the segments and adds to the final result what becomes of their requests.
 func (s *relay) settle() {
 	for _, seg := range []*segment{s.cur, s.next} {
-		if seg == nil || seg.cancel == nil {
+		if !seg.running() {
 			continue
 		}
 		seg.close(btaccount.Abandoned)
--- a/internal/standin/btworker/pool.go
+++ b/internal/standin/btworker/pool.go
@@ -41,9 +41,11 @@
 type Span struct {
 	ID     string
 	Worker string
-	// Run is the number of the request's run. It stays the same from copy to copy.
-	Run int
-	// Last is the event that the span goes on after, zero from the start.
+	// Run is the number of the request's run, and Start the event that it began after, zero
+	// from the start. They stay the same from copy to copy.
+	Run   int
+	Start int
+	// Last is the event that the span goes on after.
 	Last int
 	From time.Time
 	// To is zero while the work goes on.
@@ -97,15 +99,16 @@
 	return all
 }
 
-// begin records that an upstream begins to work on a request, as a new run if run is zero.
-func (p *Pool) begin(worker, id string, run, last int) *Span {
+// begin records that an upstream begins to work on a request, from a copy or, if that is
+// nil, as a new run.
+func (p *Pool) begin(worker, id string, from *heldCopy, last int) *Span {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if run == 0 {
+	if from == nil {
 		p.runs[id]++
-		run = p.runs[id]
+		from = &heldCopy{run: p.runs[id], start: last}
 	}
-	s := &Span{ID: id, Worker: worker, Run: run, Last: last, From: time.Now()}
+	s := &Span{ID: id, Worker: worker, Run: from.run, Start: from.start, Last: last, From: time.Now()}
 	p.spans = append(p.spans, s)
 	return s
 }
@@ -138,6 +141,6 @@
 		return bramleytack.EngineCopy{}, errNoRun
 	}
 	c := bramleytack.EngineCopy{Holder: source, Handle: "move-" + id}
-	to.keep(c.String(), run.Run, 0)
+	to.keep(c.String(), run, 0)
 	return c, nil
 }
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -100,8 +100,9 @@
 
 // heldCopy is a copy of a run's memory, complete from a time on.
 type heldCopy struct {
-	run int
-	at  time.Time
+	run   int
+	start int
+	at    time.Time
 }
 
 // Arrival is a request that reached an upstream.
@@ -238,22 +239,22 @@
 }
 
 // keep stores a copy of a run that arrives after d.
-func (w *Worker) keep(name string, run int, d time.Duration) {
+func (w *Worker) keep(name string, work *Span, d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.copies[name] = heldCopy{run, time.Now().Add(d)}
+	w.copies[name] = heldCopy{work.Run, work.Start, time.Now().Add(d)}
 }
 
-// use takes a copy that has arrived and returns its run, zero without one.
-func (w *Worker) use(name string) int {
+// use takes a copy that has arrived, nil without one.
+func (w *Worker) use(name string) *heldCopy {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c, ok := w.copies[name]
 	if !ok || time.Now().Before(c.at) {
-		return 0
+		return nil
 	}
 	delete(w.copies, name)
-	return c.run
+	return &c
 }
 
 // ServeHTTP implements http.Handler.
@@ -267,16 +268,16 @@
 		return
 	}
 	id := r.Header.Get(d.RequestID)
-	var from netip.Addr
+	var caller netip.Addr
 	if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
-		from = a.Addr()
+		caller = a.Addr()
 	}
 	w.mu.Lock()
 	w.last, w.body = r, string(body)
-	w.arrivals = append(w.arrivals, Arrival{At: time.Now(), From: from})
+	w.arrivals = append(w.arrivals, Arrival{At: time.Now(), From: caller})
 	w.mu.Unlock()
 	rw.Header().Set(d.RequestID, id)
-	w.nameLimit(rw.Header(), from)
+	w.nameLimit(rw.Header(), caller)
 	if w.leaving.Load() {
 		rw.Header().Set(d.Leaving, "1")
 	}
@@ -285,11 +286,11 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	run := 0
+	var from *heldCopy
 	if handle := r.Header.Get(d.From); handle != "" {
-		run = w.use(handle)
+		from = w.use(handle)
 	}
-	if Fault(w.fault.Load()) == Full || run == 0 && r.Header.Get(d.From) != "" {
+	if Fault(w.fault.Load()) == Full || from == nil && r.Header.Get(d.From) != "" {
 		w.refuse(rw, errFull)
 		return
 	}
@@ -301,7 +302,7 @@
 	}
 	defer w.places.leave()
 	last, _ := strconv.Atoi(r.Header.Get(d.LastEvent))
-	work := w.pool.begin(w.cfg.ID, id, run, last)
+	work := w.pool.begin(w.cfg.ID, id, from, last)
 	w.nameLoad(rw.Header())
 	w.mu.Lock()
 	w.active[id] = work
@@ -431,7 +432,7 @@
 	d := w.pool.Dialect
 	if backup := r.Header.Get(d.Backup); backup != "" {
 		if addr, err := netip.ParseAddrPort(strings.TrimSpace(backup)); err == nil && w.pool.at(addr) != nil {
-			w.pool.at(addr).keep(addr.String()+"/"+work.ID, work.Run, w.pool.CopyDelay)
+			w.pool.at(addr).keep(addr.String()+"/"+work.ID, work, w.pool.CopyDelay)
 		}
 	}
 	rw.Header().Set("Content-Type", "text/event-stream")
@@ -449,7 +450,7 @@
 				panic(http.ErrAbortHandler)
 			}
 		}
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d, run %d from %d of %s\n\n", n, n, work.Run, work.Last, work.ID); err != nil && !w.deaf.Load() {
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d, run %d from %d of %s\n\n", n, n, work.Run, work.Start, work.ID); err != nil && !w.deaf.Load() {
 			return
 		}
 		if err := http.NewResponseController(rw).Flush(); err != nil && !w.deaf.Load() || !pause(ctx, w.cfg.Gap) {
