SIGHUP during the start does not end a daemon

Cause: the signal was registered after the daemon had been put together; until then its default action ends the process. Change: it is registered first, and kept until the daemon can reload.

Evidence: by reading; no test of its own, since the window is the start of a process.

--- a/cmd/bramleytack-fleet/main.go
+++ b/cmd/bramleytack-fleet/main.go
@@ -35,6 +35,9 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
+	// A signal that comes before the daemon can reload must not end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	store := platform.NewStore(s.Store)
@@ -43,9 +46,7 @@
 		Engines:     func(pool *btconn.Pool) btnode.Engines { return &platform.EngineClient{Pool: pool} },
 		EncodeAddrs: platform.EncodeAddrs, Calls: store.Calls,
 	}, os.Stdout)
-	reload := &reloader{node: node, signals: make(chan os.Signal, 1)}
-	signal.Notify(reload.signals, syscall.SIGHUP)
-	go reload.run()
+	go (&reloader{node: node, signals: hangups}).run()
 	if err := node.Run(ctx); err != nil {
 		bramleytack.PrintError(os.Stderr, "bramleytack-fleet", err)
 		return exitFailed
