An upstream's window goes with its attempt

Cause: the time that an upstream is told and the time by which its end is judged were computed in two places. Class: one decision from two sources.

Change: open notes the window that it tells the upstream; the end of a response, the upstream's health and the check after a break go by it. It is shortened only where the request is expected to wait for a place, so that streams that begin at once keep their time. A leaving daemon starts nothing in its last 0.2 s before answers are due, and resumes only what fits.

The harness registers the places that its upstreams have, as the users' platform does; the tests of queues had 24 for 1 to 3.

--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -49,6 +49,8 @@
 	// limit did not allow it.
 	unsent  bool
 	limited bool
+	// window is the time that the upstream was given.
+	window window
 	// unattributed is set if the upstream or the request itself may have caused the
 	// failure. It does not count against the upstream's health yet.
 	unattributed bool
@@ -67,8 +69,10 @@
 	return &btconn.Request{Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body}
 }
 
-// open sends a request to u, if its limit allows that, and reads the response header.
-func (req *activeRequest) open(ctx context.Context, u *bramleytack.Upstream, r *btconn.Request, terms btgrant.Terms) (*btconn.Exchange, error) {
+// open sends a request to the result's upstream, if its limit allows that, and reads the
+// response header.
+func (req *activeRequest) open(ctx context.Context, result *attemptResult, r *btconn.Request, terms btgrant.Terms) (*btconn.Exchange, error) {
+	u := result.upstream
 	limited := req.h.Grants.Limited(u)
 	if limited && !req.permitted(ctx, u, terms) {
 		return nil, errors.Mark(errLimited, btconn.ErrUnsent)
@@ -86,7 +90,8 @@
 		c.Release()
 		return nil, errors.Mark(errLeft, btconn.ErrUnsent)
 	}
-	r.Header.Set(req.h.Dialect.DeadlineMillis, strconv.FormatInt(max(req.upstreamTime().Milliseconds(), 1), 10))
+	result.window = req.window(u)
+	r.Header.Set(req.h.Dialect.DeadlineMillis, strconv.FormatInt(max(result.window.end.Sub(result.window.start).Milliseconds(), 1), 10))
 	req.progress.sent(u.ID, req.h.Timer.Now())
 	x, err := c.Do(ctx, r)
 	if err != nil {
@@ -203,7 +208,7 @@
 
 func (req *activeRequest) exchange(ctx context.Context, u *bramleytack.Upstream, terms btgrant.Terms) *attemptResult {
 	r := &attemptResult{upstream: u, outcome: bramleytack.Unknown}
-	x, err := req.open(ctx, u, req.upstreamRequest(u), terms)
+	x, err := req.open(ctx, r, req.upstreamRequest(u), terms)
 	if err != nil {
 		return r.fail(err)
 	}
@@ -234,7 +239,7 @@
 	case r.header.Get(d.NotRun) != "":
 		r.outcome, r.err = bramleytack.NotRun, nil
 	default:
-		if r.err = req.checkEnd(ctx, r.upstream, x, r.err, false); r.err == nil {
+		if r.err = req.checkEnd(ctx, r, x, r.err, false); r.err == nil {
 			r.outcome = bramleytack.Ran
 		}
 	}
@@ -269,7 +274,7 @@
 // health returns the outcome that counts for the upstream's health.
 func (req *activeRequest) health(r *attemptResult) btaccount.Outcome {
 	switch {
-	case r.limited, errors.Is(r.err, errLeft):
+	case r.limited, errors.Is(r.err, errLeft), r.window.shortened && r.window.over(req.h.Timer.Now()):
 		return btaccount.Abandoned
 	case r.unsent:
 		return btaccount.Unreachable
--- a/internal/serve/btentry/ending.go
+++ b/internal/serve/btentry/ending.go
@@ -20,12 +20,25 @@
 	// endLooks is how often an upstream is looked at that does not answer. One packet may
 	// be lost.
 	endLooks = 2
-	// Upstreams stop work at the deadline they were sent. It is in whole units of
-	// deadlineUnit, and their clocks run faster by up to clockRate.
-	deadlineUnit = time.Millisecond
-	clockRate    = 0.01
+	// Upstreams stop work at the end of their window. It is sent in whole units of
+	// windowUnit, and their clocks run faster by up to clockRate.
+	windowUnit = time.Millisecond
+	clockRate  = 0.01
 )
 
+// window is the time that an upstream is given for a request.
+type window struct {
+	start time.Time
+	end   time.Time
+	// shortened is set if the window ends before the request's deadline.
+	shortened bool
+}
+
+// over reports whether the upstream may have stopped work because its window has ended.
+func (w window) over(now time.Time) bool {
+	return !w.end.IsZero() && w.end.Sub(now) <= windowUnit+time.Duration(clockRate*float64(w.end.Sub(w.start)))
+}
+
 // errEndUnknown is returned for a response that ended with its connection and may have been
 // cut short.
 var errEndUnknown = errors.New("btentry: response may be cut short")
@@ -44,10 +57,10 @@
 	endUnknown
 )
 
-// ending decides whether a response of u is whole, whatever ended it. err is the error of
+// ending decides whether a response is whole, whatever ended it. err is the error of
 // the last read of its body, nil or io.EOF at its end. empty is set for a stream without an
 // event.
-func (req *activeRequest) ending(ctx context.Context, u *bramleytack.Upstream, x *btconn.Exchange, err error, empty bool) ending {
+func (req *activeRequest) ending(ctx context.Context, r *attemptResult, x *btconn.Exchange, err error, empty bool) ending {
 	switch {
 	case err != nil && !errors.Is(err, io.EOF):
 		return endBroken
@@ -55,11 +68,11 @@
 		return endWhole
 	case empty:
 		return endBroken
-	case req.remaining() <= deadlineUnit+time.Duration(clockRate*float64(req.deadline.Sub(req.received))):
+	case r.window.over(req.h.Timer.Now()):
 		return endUnknown
 	}
 	// A process that ends closes its connections as one that has sent all does.
-	h := req.h
+	h, u := req.h, r.upstream
 	if s := h.Table.Snapshot(); req.route.Streaming || s == nil || isLeaving(s, u) {
 		// Calls of an upstream that is to stay do not wait.
 		if h.Timer.Sleep(ctx, closeSpread) != nil {
@@ -74,8 +87,8 @@
 
 // checkEnd returns nil if a response is whole, and what it lacks otherwise. Its parameters
 // are those of ending.
-func (req *activeRequest) checkEnd(ctx context.Context, u *bramleytack.Upstream, x *btconn.Exchange, err error, empty bool) error {
-	switch req.ending(ctx, u, x, err, empty) {
+func (req *activeRequest) checkEnd(ctx context.Context, r *attemptResult, x *btconn.Exchange, err error, empty bool) error {
+	switch req.ending(ctx, r, x, err, empty) {
 	case endWhole:
 		return nil
 	case endUnknown:
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -153,7 +153,7 @@
 	}
 	s.req.snapshot = s.req.h.Table.Snapshot()
 	u := s.req.snapshot.Upstreams[seg.backup.ID]
-	if u == nil || !s.req.mayHandOver(u) {
+	if u == nil || !s.req.mayHandOver(u) || s.req.daemonFinishes() {
 		return false
 	}
 	// A copy can be used once, and only after its generation has stopped.
@@ -186,11 +186,11 @@
 // event. It reports false if the route, its attempt limit or the retry budget does
 // not allow it, or if no engine is left.
 func (s *relay) resume(reason string) bool {
-	if !s.req.route.Resumable || s.req.attempts+1 >= s.req.route.MaxAttempts || !s.req.h.Budget.Retry(s.req.service) {
+	if !s.req.route.Resumable || s.req.attempts+1 >= s.req.route.MaxAttempts {
 		return false
 	}
 	u := s.req.pickUpstream(s.tried)
-	if u == nil {
+	if u == nil || s.req.outlastsDaemon(u) || !s.req.h.Budget.Retry(s.req.service) {
 		return false
 	}
 	s.tried[u.ID] = true
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -59,7 +59,7 @@
 	s.Version = 1
 	s.Routes = bramleytack.NewRouteTable(c.h.routes)
 	s.Services = map[string]*bramleytack.ServiceRecord{
-		engineService: {Name: engineService, Engine: &bramleytack.EngineProfile{Slots: 24, MemoryTokens: c.h.memory, TokensPerEvent: 4, Moves: true, Backups: true}},
+		engineService: {Name: engineService, Engine: &bramleytack.EngineProfile{Slots: c.h.slots, MemoryTokens: c.h.memory, TokensPerEvent: 4, Moves: true, Backups: true}},
 		callService:   {Name: callService},
 	}
 	w := &bramleytack.Workspace{Name: "w1"}
@@ -100,6 +100,8 @@
 	daemons []*daemon
 	// recordDelay is the mean time that a record of a suspect takes to another daemon.
 	recordDelay time.Duration
+	// slots is the number of places of an engine, as registered.
+	slots int
 	// memory is the capacity of an engine in tokens.
 	memory int
 	// losses are the losses of paths in the order in which they began.
@@ -114,7 +116,7 @@
 			net:   &btmemnet.Network{},
 			store: &memoryStore{},
 			pool:  &btworker.Pool{Dialect: dialect, CopyDelay: 300 * time.Millisecond, MoveTime: 200 * time.Millisecond},
-			timer: bttimer.New(1), entryAddr: netip.MustParseAddrPort("10.0.0.1:80"), configRevision: 1, memory: 1 << 20, recordDelay: 5 * time.Millisecond,
+			timer: bttimer.New(1), entryAddr: netip.MustParseAddrPort("10.0.0.1:80"), configRevision: 1, memory: 1 << 20, slots: 24, recordDelay: 5 * time.Millisecond,
 			routes: []*bramleytack.Route{
 				{Name: "guide", Host: "h", PathPrefix: "/guide/", Streaming: true, Timeout: 39 * time.Second, TargetLatency: 1800 * time.Millisecond, MaxPause: 180 * time.Millisecond, MaxAttempts: 1, Services: singleService(engineService)},
 				{Name: "tag", Host: "h", PathPrefix: "/tag/", Streaming: true, Resumable: true, Timeout: 6 * time.Second, TargetLatency: 1500 * time.Millisecond, MaxPause: 180 * time.Millisecond, MaxAttempts: 2, Services: singleService(engineService)},
@@ -327,7 +329,11 @@
 	cfg.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(len(h.workers) + 1)}), 80)
 	w := h.pool.Start(cfg)
 	h.workers[name] = w
-	h.upstreams[name] = &bramleytack.Upstream{ID: bramleytack.UpstreamID(name), Addr: cfg.Addr, Service: service, FailureDomain: "d1", WarmLimit: 6}
+	warm := 6
+	if cfg.Slots > 0 {
+		warm = cfg.Slots
+	}
+	h.upstreams[name] = &bramleytack.Upstream{ID: bramleytack.UpstreamID(name), Addr: cfg.Addr, Service: service, FailureDomain: "d1", WarmLimit: warm}
 	h.publish()
 	return w
 }
--- a/internal/serve/btentry/queue_test.go
+++ b/internal/serve/btentry/queue_test.go
@@ -68,6 +68,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			run(t, func(h *harness) {
 				h.memory = c.memory
+				if c.engine.Slots > 0 {
+					h.slots = c.engine.Slots
+				}
 				for i := range 2 {
 					h.start(fmt.Sprintf("e%d", i), engineService, c.engine)
 					h.start(fmt.Sprintf("s%d", i), callService, c.shop)
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -54,6 +54,9 @@
 	// closed.
 	result *attemptResult
 	ended  chan struct{}
+	// window is the time that the upstream was given. It may be read once the segment has
+	// sent an item.
+	window window
 	// started is when the segment began to send its request. lastEventAt equals it
 	// until the first event.
 	started      time.Time
@@ -103,7 +106,7 @@
 	r := &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown}
 	seg.result = &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown, err: errDaemonEnds}
 	defer close(seg.ended)
-	x, err := seg.req.open(ctx, seg.upstream, seg.request, seg.terms)
+	x, err := seg.req.open(ctx, r, seg.request, seg.terms)
 	if err != nil {
 		seg.result = r.fail(err)
 		seg.send(ctx, item{head: r, ended: true, err: err})
@@ -116,6 +119,7 @@
 		return
 	}
 	r.status, r.header, r.outcome = x.StatusCode, x.Header, bramleytack.Ran
+	seg.window = r.window
 	if !seg.send(ctx, item{head: r}) {
 		return
 	}
@@ -123,7 +127,7 @@
 	for empty := true; ; {
 		e, err := events.Next()
 		if err != nil {
-			seg.send(ctx, item{ended: true, err: seg.req.checkEnd(ctx, seg.upstream, x, err, empty)})
+			seg.send(ctx, item{ended: true, err: seg.req.checkEnd(ctx, r, x, err, empty)})
 			return
 		}
 		empty = empty && !e.HasData
