A closing daemon answers what it still reads; idle connections close 0.3 s before the end

Cause: the listeners were closed by http.Server.Shutdown, after which net/http drops each request that it reads.

Change: the phase Closing closes the listener only, and lasts at least 0.2 s. Requests are read on, and answered (as not run, with Connection: close). Shutdown begins with the phase Finishing, 0.3 s before the end; connections that are idle then close, as they did 1 s before it.

--- a/internal/node/btdrain/drain.go
+++ b/internal/node/btdrain/drain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,8 +19,11 @@
 	// daemon. Requests that arrived just before are read and answered in it.
 	closingTime = time.Second
 	// answerTime is the time between the end of the phase Closing and the end of a daemon.
-	// Requests whose callers have got no byte are answered in it.
+	// Requests whose callers have got no byte are answered in it, and no more are read.
 	answerTime = 300 * time.Millisecond
+	// lastReadTime is the least time in the phase Closing. Requests on connections that
+	// were accepted just before are read and answered in it.
+	lastReadTime = 200 * time.Millisecond
 	// earlyTime is the time after the signal in which callers are assumed not to know of it.
 	earlyTime = 2500 * time.Millisecond
 	// killMargin is the least time between the end of a daemon and its kill by the
@@ -47,11 +52,22 @@
 
 // Server serves callers' connections.
 type Server interface {
-	// Shutdown closes the listeners and idle connections, and returns when no
+	// CloseListener refuses new connections. Those that are open are served.
+	CloseListener() error
+	// Shutdown closes idle connections and reads no further requests. It returns when no
 	// connection is active or the context ends.
 	Shutdown(ctx context.Context) error
 }
 
+// HTTPServer is a Server that serves HTTP on one listener.
+type HTTPServer struct {
+	*http.Server
+	Listener net.Listener
+}
+
+// CloseListener implements Server.
+func (s *HTTPServer) CloseListener() error { return s.Listener.Close() }
+
 // Drain is the state of a daemon's end. Its fields are set before the first use. The
 // methods are safe for concurrent use, but Run may be called once.
 type Drain struct {
@@ -109,7 +125,7 @@
 }
 
 // Run passes through the phases and returns when the daemon may end. The servers close
-// their listeners in the phase Closing.
+// their listeners in the phase Closing, and all that is idle in the phase Finishing.
 func (d *Drain) Run(servers ...Server) {
 	started := d.Timer.Now()
 	end := started.Add(max(d.Grace-killMargin, 0))
@@ -119,6 +135,15 @@
 	closeAt := end.Add(-closingTime)
 	d.wait(closeAt, func() bool { return d.Timer.Now().Sub(started) >= minLeaving && d.Active() == 0 })
 	d.enter(Closing)
+	for _, s := range servers {
+		// An error means that the listener has closed before.
+		_ = s.CloseListener()
+	}
+	closed := d.Timer.Now()
+	d.wait(finishAt, func() bool { return d.Timer.Now().Sub(closed) >= lastReadTime && d.Active() == 0 })
+	d.Finish()
+	d.setFinished()
+	d.enter(Finishing)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var open atomic.Int32
@@ -126,13 +151,8 @@
 		open.Add(1)
 		go (&shutdown{server: s, open: &open}).run(ctx)
 	}
-	served := func() bool { return open.Load() == 0 && d.Active() == 0 }
-	d.wait(finishAt, served)
-	d.Finish()
-	d.setFinished()
-	d.enter(Finishing)
 	// A process that was paused, or got no processor time, still answers.
-	d.wait(latest(end, d.Timer.Now().Add(answerTime)), served)
+	d.wait(latest(end, d.Timer.Now().Add(answerTime)), func() bool { return open.Load() == 0 && d.Active() == 0 })
 	d.enter(Ended)
 }
 
--- a/internal/node/btdrain/drain_test.go
+++ b/internal/node/btdrain/drain_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -27,10 +28,11 @@
 
 // daemon serves requests of the path /MILLIS, which take that long.
 type daemon struct {
-	drain  *Drain
-	server *http.Server
-	active atomic.Int32
-	net    *btmemnet.Network
+	drain    *Drain
+	server   *http.Server
+	listener net.Listener
+	active   atomic.Int32
+	net      *btmemnet.Network
 }
 
 func (d *daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -57,7 +59,7 @@
 }
 
 // run serves until the daemon closes its listener.
-func (d *daemon) run() { _ = d.server.Serve(d.net.Listen(addr)) }
+func (d *daemon) run() { _ = d.server.Serve(d.listener) }
 
 // runDaemon calls f with a running daemon in fake time, and cuts all connections after
 // it, as the end of the process does.
@@ -66,7 +68,7 @@
 		timer := bttimer.New(1)
 		d := &daemon{net: &btmemnet.Network{}}
 		d.drain = &Drain{Timer: timer, Grace: grace, Active: func() int { return int(d.active.Load()) }}
-		d.server = &http.Server{Handler: d}
+		d.server, d.listener = &http.Server{Handler: d}, d.net.Listen(addr)
 		go d.run()
 		synctest.Wait()
 		f(d)
@@ -79,7 +81,7 @@
 // end drains the daemon and ends it.
 func (d *daemon) end() time.Duration {
 	started := time.Now()
-	d.drain.Run(d.server)
+	d.drain.Run(&HTTPServer{Server: d.server, Listener: d.listener})
 	took := time.Since(started)
 	_ = d.server.Close()
 	return took
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -106,7 +106,7 @@
 	leaving     btdrain.Drain
 	resync      btreplica.Resync
 	// entry serves callers. It is set by start.
-	entry *http.Server
+	entry *btdrain.HTTPServer
 }
 
 // New returns a daemon that writes its log to logs. It opens no connection.
@@ -260,7 +260,7 @@
 		}
 		server := newServer(s.handler)
 		if s.addr == n.settings.Entry {
-			n.entry = server
+			n.entry = &btdrain.HTTPServer{Server: server, Listener: l}
 		}
 		go (&listener{node: n, server: server, l: l}).run()
 	}
@@ -281,7 +281,7 @@
 
 func (l *listener) run() {
 	err := l.server.Serve(l.l)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && l.node.isLeaving() {
 		return
 	}
 	l.node.log.Event(btevent.ProcessFailed).Stringer("addr", l.l.Addr()).Err(err).Send()
--- a/internal/serve/btentry/grace_test.go
+++ b/internal/serve/btentry/grace_test.go
@@ -50,7 +50,7 @@
 				answered := map[int]int{}
 				stopped := time.Now()
 				wg.Go(func() {
-					drain.Run(d.server)
+					drain.Run(&btdrain.HTTPServer{Server: d.server, Listener: d.listener})
 					d.stop()
 				})
 				// Requests of the first three seconds may be cut.
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -148,10 +148,11 @@
 
 // daemon is one daemon of the harness. Daemons exchange nothing but suspects.
 type daemon struct {
-	addr    netip.AddrPort
-	handler *btentry.Handler
-	server  *http.Server
-	stopRun context.CancelFunc
+	addr     netip.AddrPort
+	handler  *btentry.Handler
+	server   *http.Server
+	listener net.Listener
+	stopRun  context.CancelFunc
 	// isolated daemons neither send records of suspects nor get any.
 	isolated atomic.Bool
 	started  time.Time
@@ -238,7 +239,8 @@
 	if h.revision > 0 {
 		h.publishTo(d)
 	}
-	go (&entryServer{d.server, h.net.Listen(addr)}).run()
+	d.listener = h.net.Listen(addr)
+	go (&entryServer{d.server, d.listener}).run()
 	return d
 }
 
--- a/internal/serve/btentry/leaving_test.go
+++ b/internal/serve/btentry/leaving_test.go
@@ -165,6 +165,28 @@
 	})
 }
 
+// Guards against a request of a new connection that is read while the daemon closes and whose
+// connection is then closed without an answer.
+func TestRequestOfNewConnectionIsAnsweredWhileClosing(t *testing.T) {
+	run(t, func(h *harness) {
+		h.startShop("s1")
+		h.startEngine("e1").Stall(true)
+		stop := h.prepareStop()
+		go h.request(http.MethodPost, "/guide/1", map[string]string{dialect.TokenCounts: "1000,240"}, 40*time.Second)
+		time.Sleep(50 * time.Millisecond)
+		go stop.run()
+		time.Sleep(6590 * time.Millisecond)
+		assert.Assert(t, stop.drain.Phase() == btdrain.Leaving)
+		c, err := h.dialEntry(h.entryAddr)
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Millisecond)
+		assert.Assert(t, stop.drain.Phase() == btdrain.Closing)
+		got := h.exchange(c, "new", http.MethodPost, "/order/1", nil, 2*time.Second)
+		assert.Check(t, got.err, "no answer")
+		<-stop.ended
+	})
+}
+
 // Guards against retries of streams that a leaving daemon's own time ended, shortly before its
 // end.
 func TestLeavingDaemonDoesNotResumeWhatItsTimeEnded(t *testing.T) {
--- a/internal/serve/btentry/queue_test.go
+++ b/internal/serve/btentry/queue_test.go
@@ -36,7 +36,7 @@
 }
 
 func (s *stopper) run() {
-	s.drain.Run(s.daemon.server)
+	s.drain.Run(&btdrain.HTTPServer{Server: s.daemon.server, Listener: s.daemon.listener})
 	s.daemon.stop()
 	close(s.ended)
 }
