Bodies of requests count while they are read

Users would see (fake time): 40 to 48 MiB of bodies in a daemon whose bound is 24 MiB, when twelve bodies of 4 MiB came at the same time, with a length or in chunks; a process that exceeds its memory is ended, with all its connections.

Cause: a body was compared with the memory that is left before it was read, and counted after.

Change: bodies of requests and of responses are read by one function that counts each part before it is kept. One that does not fit any more is answered 503, as before one that would not fit.

TestRequestBodiesLeaveMemoryForResponses now fills the memory exactly (4 MiB less 4 bytes a body): still 502 with a reserve of zero.

--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -30,9 +29,9 @@
 // on a connection on which a late response to an earlier request may arrive.
 var errOtherRequest = errors.New("btentry: response belongs to another request")
 
-// errTooLarge is returned for a response body that exceeds maxResponseBytes, or the
-// memory that is left for all bodies.
-var errTooLarge = errors.New("btentry: response body is too large")
+// errTooLarge is returned for a response body that exceeds maxResponseBytes, and for any body
+// that exceeds the memory that is left.
+var errTooLarge = errors.New("btentry: body is too large")
 
 // attemptResult is how an attempt ended.
 type attemptResult struct {
@@ -247,26 +246,9 @@
 // readBody reads a response body. While it is read it counts against the memory for all
 // bodies: a body without end would otherwise use up the memory of the daemon.
 func (h *Handler) readBody(r io.Reader) ([]byte, error) {
-	var body []byte
-	counted := 0
-	defer func() { h.buffered.responses.Add(-int64(counted)) }()
-	for {
-		if len(body) == counted {
-			if counted+bodyChunk > maxResponseBytes || !h.buffered.takeResponse(bodyChunk) {
-				return nil, errTooLarge
-			}
-			counted += bodyChunk
-			body = slices.Grow(body, bodyChunk)
-		}
-		n, err := r.Read(body[len(body):counted])
-		body = body[:len(body)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
-	}
+	body, counted, err := readCounted(r, -1, maxResponseBytes, h.buffered.takeResponse)
+	h.buffered.responses.Add(-int64(counted))
+	return body, err
 }
 
 // health returns the outcome that counts for the upstream's health.
--- a/internal/serve/btentry/exit_test.go
+++ b/internal/serve/btentry/exit_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -324,18 +325,52 @@
 			assert.Check(t, is.Equal(got.status, http.StatusOK), got.body)
 		})
 		time.Sleep(50 * time.Millisecond)
-		const size = 4 << 20
+		// With the order's body, five of them fill the memory for requests, and six all of it.
+		const size = 4<<20 - 4
 		for range 6 {
 			wg.Go(func() {
 				_ = h.exchangeHalf(requestText("/guide/a", fmt.Sprintf("Content-Length: %d\r\n", size), strings.Repeat("x", size)), 0, 5*time.Second)
 			})
+			time.Sleep(10 * time.Millisecond)
 		}
-		time.Sleep(200 * time.Millisecond)
-		assert.Check(t, h.handler.Buffered() >= 4*size, "%d", h.handler.Buffered())
+		time.Sleep(100 * time.Millisecond)
+		assert.Check(t, h.handler.Buffered() >= 5*size, "%d", h.handler.Buffered())
 		wg.Wait()
 	})
 }
 
+// Guards against bodies that come at the same time and exceed the memory for them, because
+// they count only once they have been read.
+func TestBodiesCountWhileTheyAreRead(t *testing.T) {
+	const size, callers = 4 << 20, 12
+	for name, header := range map[string]string{"length": fmt.Sprintf("Content-Length: %d\r\n", size), "chunks": "Transfer-Encoding: chunked\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.startEngine("e1").Stall(true)
+				body := strings.Repeat("x", size)
+				if name == "chunks" {
+					body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, body)
+				}
+				var wg sync.WaitGroup
+				var rejected atomic.Int32
+				for range callers {
+					wg.Go(func() {
+						if h.exchangeHalf(requestText("/guide/a", header, body), 0, time.Second).status == http.StatusServiceUnavailable {
+							rejected.Add(1)
+						}
+					})
+				}
+				time.Sleep(500 * time.Millisecond)
+				assert.Check(t, h.handler.Buffered() <= 24<<20, "%d bytes", h.handler.Buffered())
+				wg.Wait()
+				assert.Check(t, rejected.Load() > 0 && rejected.Load() < callers, "%d rejected", rejected.Load())
+				time.Sleep(time.Second)
+				assert.Check(t, is.Equal(h.handler.Buffered(), int64(0)))
+			})
+		})
+	}
+}
+
 // fillMemory fills all engines with generations.
 func (h *harness) fillMemory() {
 	h.accounts.Begin("e1", btaccount.Need{Prompt: h.memory, Output: 100, MaxOutput: 900})
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/textproto"
@@ -104,8 +105,8 @@
 	h.requests.add(req)
 	defer h.requests.remove(req)
 	defer req.answerPanic()
-	// The body is counted once it has been read, also if the request is rejected then.
-	defer func() { h.buffered.requests.Add(-int64(len(req.body))) }()
+	// The body counts from its first byte on, also if the request is rejected.
+	defer func() { h.buffered.requests.Add(-int64(req.counted)) }()
 	if !req.admit(r) {
 		return
 	}
@@ -168,7 +169,9 @@
 	host      string
 	header    http.Header
 	body      []byte
-	need      btaccount.Need
+	// counted is the number of bytes that count as the body's.
+	counted int
+	need    btaccount.Need
 	// parts are the ids of the shared parts of the prompt.
 	parts []string
 	// ownKeys is set by keys.
@@ -367,12 +370,18 @@
 		// its body has come.
 		_ = conn.SetReadDeadline(req.deadline)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(req.w, r.Body, limit))
+	body, counted, err := readCounted(http.MaxBytesReader(req.w, r.Body, limit), r.ContentLength, math.MaxInt, req.h.buffered.takeRequest)
+	if err != nil {
+		req.h.buffered.requests.Add(-int64(counted))
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		req.reject(http.StatusRequestEntityTooLarge, 0, "body is too large")
 		return false
+	case errors.Is(err, errTooLarge):
+		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many bodies in memory")
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		req.reject(http.StatusRequestTimeout, 0, "body has not come in time")
 		return false
@@ -382,8 +391,7 @@
 		return false
 	}
 	_ = conn.SetReadDeadline(time.Time{})
-	req.body = body
-	req.h.buffered.requests.Add(int64(len(body)))
+	req.body, req.counted = body, counted
 	return true
 }
 
