A caller that does not read ends at its deadline

Users would see (fake time): a stream whose caller does not read is kept for ever, in the memory and the count of the daemon, which at its end waits for it to the last.

Cause: nothing bounds a write to a caller; the request looks at its deadline only between writes.

Change: writes fail one second after the deadline. The bound ends with the request, so that it does not bind the next one.

Evidence: TestCallerThatDoesNotReadIsEnded: before one active request 2 s after its timeout of 6 s, now none. A call whose whole answer fits the buffer of net/http is no longer counted when it blocks; not changed.

--- a/internal/serve/btentry/exit_test.go
+++ b/internal/serve/btentry/exit_test.go
@@ -371,6 +371,21 @@
 	}
 }
 
+// Guards against a caller that does not read and keeps its request for longer than its timeout.
+func TestCallerThatDoesNotReadIsEnded(t *testing.T) {
+	run(t, func(h *harness) {
+		h.startEngine("e1")
+		c, err := h.dialEntry(h.entryAddr)
+		assert.NilError(t, err)
+		defer c.Close()
+		go (&textWriter{c, requestText("/tag/a", "Content-Length: 4\r\n", "body")}).run()
+		time.Sleep(time.Second)
+		assert.Check(t, is.Equal(h.handler.Active(), 1))
+		time.Sleep(7 * time.Second)
+		assert.Check(t, is.Equal(h.handler.Active(), 0))
+	})
+}
+
 // fillMemory fills all engines with generations.
 func (h *harness) fillMemory() {
 	h.accounts.Begin("e1", btaccount.Need{Prompt: h.memory, Output: 100, MaxOutput: 900})
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -42,6 +42,9 @@
 	// leavingRetryAfter is the Retry-After value of a daemon that is leaving. Other
 	// daemons can take the request at once.
 	leavingRetryAfter = 20 * time.Millisecond
+	// lastWriteTime is the time after a request's deadline in which its caller has to take
+	// what is written.
+	lastWriteTime = time.Second
 	// durationMargin is the factor from the expected length of a generation to one that
 	// few generations exceed.
 	durationMargin = 1.5
@@ -112,6 +115,10 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), req.deadline, errDeadline)
 	defer cancel()
+	conn := http.NewResponseController(w)
+	_ = conn.SetWriteDeadline(req.deadline.Add(lastWriteTime))
+	// The deadline must not bind the next request of the connection.
+	defer func() { _ = conn.SetWriteDeadline(time.Time{}) }()
 	ctx, req.finish = context.WithCancelCause(ctx)
 	defer req.finish(nil)
 	if h.Finish != nil {
