--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/textproto"
@@ -30,9 +31,6 @@
 const (
 	// defaultMaxBodyBytes bounds a request body if the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
-	// maxBufferedBytes bounds the request bodies that the handler keeps in memory.
-	// A body of unknown length counts only after it has been read.
-	maxBufferedBytes = 24 << 20
 	// daemonRetryAfter is the Retry-After value if the daemon keeps too many request
 	// bodies in memory, and the least one if it has no configuration yet.
 	daemonRetryAfter = 400 * time.Millisecond
@@ -41,6 +39,9 @@
 	// callers return only once.
 	maxConfigRetryAfter = 3 * time.Second
 	configRetryShare    = 0.2
+	// lastWriteTime is the time after a request's deadline in which its caller has to take
+	// what is written.
+	lastWriteTime = time.Second
 )
 
 // Handler serves callers over HTTP. Its fields are set before the first request.
@@ -78,7 +79,7 @@
 	// pace is learned from the streams of this daemon.
 	pace     btforecast.Pace
 	requests activeSet
-	buffered atomic.Int64
+	buffered bodyMemory
 	// unconfiguredSince is the Unix time in nanoseconds of the first request that came
 	// before the configuration, zero without one.
 	unconfiguredSince atomic.Int64
@@ -95,7 +96,7 @@
 
 // Buffered returns the size in bytes of the bodies that are kept in memory. It is safe
 // for concurrent use.
-func (h *Handler) Buffered() int64 { return h.buffered.Load() }
+func (h *Handler) Buffered() int64 { return h.buffered.total() }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -104,13 +105,17 @@
 	h.requests.add(req)
 	defer h.requests.remove(req)
 	defer req.answerPanic()
-	// The body is counted once it has been read, also if the request is rejected then.
-	defer func() { h.buffered.Add(-int64(len(req.body))) }()
+	// The body counts from its first byte on, also if the request is rejected.
+	defer func() { h.buffered.requests.Add(-int64(req.counted)) }()
 	if !req.admit(r) {
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), req.deadline, errDeadline)
 	defer cancel()
+	conn := http.NewResponseController(w)
+	_ = conn.SetWriteDeadline(req.deadline.Add(lastWriteTime))
+	// The deadline must not bind the next request of the connection.
+	defer func() { _ = conn.SetWriteDeadline(time.Time{}) }()
 	ctx, req.finish = context.WithCancelCause(ctx)
 	defer req.finish(nil)
 	if h.Finish != nil {
@@ -156,7 +161,9 @@
 	host      string
 	header    http.Header
 	body      []byte
-	need      btaccount.Need
+	// counted is the number of bytes that count as the body's.
+	counted int
+	need    btaccount.Need
 	// parts are the ids of the shared parts of the prompt.
 	parts []string
 	// ownKeys is set by keys.
@@ -313,7 +320,7 @@
 		req.reject(http.StatusRequestEntityTooLarge, 0, "body is too large")
 		return false
 	}
-	if req.h.buffered.Load()+max(r.ContentLength, 0) > maxBufferedBytes {
+	if !req.h.buffered.fits(max(r.ContentLength, 0)) {
 		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many bodies in memory")
 		return false
 	}
@@ -323,12 +330,18 @@
 		// its body has come.
 		_ = conn.SetReadDeadline(req.deadline)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(req.w, r.Body, limit))
+	body, counted, err := readCounted(http.MaxBytesReader(req.w, r.Body, limit), r.ContentLength, math.MaxInt, req.h.buffered.takeRequest)
+	if err != nil {
+		req.h.buffered.requests.Add(-int64(counted))
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		req.reject(http.StatusRequestEntityTooLarge, 0, "body is too large")
 		return false
+	case errors.Is(err, errTooLarge):
+		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many bodies in memory")
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		req.reject(http.StatusRequestTimeout, 0, "body has not come in time")
 		return false
@@ -338,8 +351,7 @@
 		return false
 	}
 	_ = conn.SetReadDeadline(time.Time{})
-	req.body = body
-	req.h.buffered.Add(int64(len(body)))
+	req.body, req.counted = body, counted
 	return true
 }
 
