Only registrations that lapsed while the store was away get a grace

Cause: a removal counted as a lapse for 3 s after the last failed call, not after the return of the store. A poll sent into a silent store fails up to 2.7 s after the silence ends, so one late reader gave a grace to removals made up to 5.7 s after it, for all daemons, each of which kept the upstream for 2 s more. Pulls of lapsed registrations began the grace anew.

Change: - The return of the store is that for the fleet: the end of the time in which no daemon read it. A daemon that alone had no answer gives none. - Upstreams that announced their end get no grace. - A grace runs from the first time that a registration is missing. - While the store is down, it is asked for changes without a wait, so that a probe fails after 0.7 s instead of 2.7 s. Each kind is read again at the return; a kind whose poll had failed waited for up to 2 s.

Not covered: an outage that ends before any poll noticed it.

--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -186,6 +186,10 @@
 	return n.StoreStatus.ReadsUpstreams(n.Timer.Now()) || n.view().storeRead
 }
 
+// PeerReadsStore reports whether another live daemon reads the registrations of upstreams
+// from the store and gets answers.
+func (n *Node) PeerReadsStore() bool { return n.view().storeRead }
+
 // Announce sends a digest to all live daemons, for changes that cannot wait until
 // periodic digests reach all of them. In a fleet with hubs it goes to this failure
 // domain and the hubs of the others.
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -11,9 +11,9 @@
 	"bramleytack/btevent"
 )
 
-// lapseGrace is how long an upstream stays usable after its registration disappeared
-// during or soon after an outage of the store. Registrations that lapsed because of the
-// outage return within about two seconds.
+// lapseGrace is how long an upstream stays usable after the store, on its return from an
+// outage, no longer had its registration. Registrations that lapsed because of the outage
+// return within about two seconds.
 const lapseGrace = 2 * time.Second
 
 // maxRejectedEntries is the number of entries that cannot be read which are logged of one
@@ -29,8 +29,7 @@
 	// Upto is the revision up to which the batch is complete.
 	Upto    bramleytack.Revision
 	Objects []bramleytack.Object
-	// AfterOutage is set if the store was down, or a call to it had failed within
-	// reregisterWindow, when the batch was read.
+	// AfterOutage is set if the batch was read as the store returned from an outage.
 	AfterOutage bool
 	// FromStore is set if this daemon read the batch from the store, not from a peer.
 	FromStore bool
@@ -45,8 +44,8 @@
 	// lastChange is the revision of the newest change.
 	lastChange bramleytack.Revision
 	objects    map[string]bramleytack.Object
-	// lapsed holds the names of registrations that disappeared during or soon after
-	// an outage, with the time at which they are dropped.
+	// lapsed holds the names of registrations that disappeared during an outage, with
+	// the time at which they are dropped.
 	lapsed map[string]time.Time
 }
 
@@ -172,7 +171,7 @@
 		t.mu.Unlock()
 		return false
 	}
-	changed := k.apply(b, t.timer.Now())
+	changed := k.apply(b, t.timer.Now(), t.isLeaving)
 	if changed {
 		k.lastChange = k.lastChangeAfter(b)
 		t.rebuild()
@@ -206,10 +205,13 @@
 }
 
 // apply adds a batch to the replica and reports whether any object changed. The first
-// list counts as a change.
-func (k *kindState) apply(b Batch, now time.Time) bool {
+// list counts as a change. isLeaving tells the upstreams that were about to end.
+func (k *kindState) apply(b Batch, now time.Time, isLeaving func(name string) bool) bool {
 	changed := k.upto == 0
 	k.upto = b.Upto
+	mayReturn := func(name string) bool {
+		return b.AfterOutage && b.Kind == bramleytack.KindUpstreams && !isLeaving(name)
+	}
 	if b.Full {
 		present := make(map[string]bool, len(b.Objects))
 		for _, o := range b.Objects {
@@ -217,7 +219,7 @@
 		}
 		for name := range k.objects {
 			if !present[name] {
-				k.remove(name, b, now)
+				k.remove(name, mayReturn(name), now)
 				changed = true
 			}
 		}
@@ -225,24 +227,25 @@
 	for _, o := range b.Objects {
 		if o.Deleted {
 			if old, ok := k.objects[o.Name]; ok && (o.Version == 0 || o.Version >= old.Version) {
-				k.remove(o.Name, b, now)
+				k.remove(o.Name, mayReturn(o.Name), now)
 				changed = true
 			}
 			continue
 		}
-		if old, ok := k.objects[o.Name]; ok && old.Version >= o.Version {
+		if !slices.Contains(b.Lapsed, o.Name) {
 			delete(k.lapsed, o.Name)
+		}
+		if old, ok := k.objects[o.Name]; ok && old.Version >= o.Version {
 			continue
 		}
 		k.objects[o.Name] = o
-		delete(k.lapsed, o.Name)
 		changed = true
 	}
 	for _, name := range b.Lapsed {
 		// Without the mark, a daemon that has just started would keep an upstream that
 		// has ended: the other daemons drop it without a change in the store.
 		if _, ok := k.objects[name]; ok {
-			k.lapsed[name] = now.Add(lapseGrace)
+			k.lapse(name, now)
 		}
 	}
 	return changed
@@ -261,19 +264,34 @@
 	return newest
 }
 
-// remove drops an object. A registration that disappeared during or soon after an
-// outage is kept for lapseGrace.
-func (k *kindState) remove(name string, b Batch, now time.Time) {
-	if b.AfterOutage && b.Kind == bramleytack.KindUpstreams {
-		if _, inGrace := k.lapsed[name]; !inGrace {
-			k.lapsed[name] = now.Add(lapseGrace)
-		}
+// remove drops an object. If its registration may have lapsed, it stays for lapseGrace.
+func (k *kindState) remove(name string, mayReturn bool, now time.Time) {
+	if mayReturn {
+		k.lapse(name, now)
 		return
 	}
 	delete(k.objects, name)
 	delete(k.lapsed, name)
 }
 
+// lapse keeps an object for lapseGrace from the first time that it is missing.
+func (k *kindState) lapse(name string, now time.Time) {
+	if _, ok := k.lapsed[name]; !ok {
+		k.lapsed[name] = now.Add(lapseGrace)
+	}
+}
+
+// isLeaving reports whether an upstream has announced, in the store or by itself, that it
+// is leaving. Its removal is no lapse.
+func (t *Table) isLeaving(name string) bool {
+	u := t.decoded[name].upstream
+	if u == nil {
+		return false
+	}
+	m, ok := t.leaving[name]
+	return u.State == bramleytack.UpstreamLeaving || ok && m.started.Equal(u.Started)
+}
+
 // MarkLeaving records that an instance of an upstream itself said that it is leaving, and
 // reports whether that is news. An instance that is leaving does not return: the mark
 // stays, whatever the store says.
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -38,9 +38,9 @@
 	// followOverlap is how long a daemon keeps following a kind after others took
 	// over. It is longer than the time after which an unanswered poll fails.
 	followOverlap = 3 * time.Second
-	// reregisterWindow is how long after the last failed call missing registrations may
-	// still return.
-	reregisterWindow = 3 * time.Second
+	// probeWait is the length of a poll of a store that is down. A probe fails soon after
+	// it, so that none outlasts an outage for long.
+	probeWait = 10 * time.Millisecond
 )
 
 // Watcher follows one kind of objects in the store: it lists the kind, then reads
@@ -99,8 +99,9 @@
 
 func (w *Watcher) loop(ctx context.Context) {
 	backoff := minBackoff
-	relist := true
+	relist, failed := true, false
 	for ctx.Err() == nil {
+		w.StoreStatus.observe(w.Timer.Now())
 		if !w.updateFollowing() {
 			w.StoreStatus.releaseProbe(w)
 			w.sleep(ctx, w.inactiveDelay())
@@ -111,11 +112,12 @@
 			continue
 		}
 		pollCtx, cancel, stale := w.Resync.begin(ctx, w)
-		err := w.poll(pollCtx, relist || stale)
+		probe := (failed || w.StoreStatus.Down()) && w.Table.Upto(w.Kind) > 0
+		err := w.poll(pollCtx, relist || stale, probe)
 		cancel()
 		switch {
 		case err == nil:
-			relist = false
+			relist, failed = probe && (relist || stale), false
 			backoff = minBackoff
 			w.StoreStatus.recordSuccess(w.Log, w.Kind, w.Timer.Now())
 			if w.Pause != nil {
@@ -133,17 +135,18 @@
 			if w.StoreStatus.recordFailure(w.Log, w.Timer.Now(), err) {
 				w.Resync.All(w)
 			}
-			relist = relist || stale
+			relist, failed = relist || stale, true
 			w.sleep(ctx, max(backoff, w.probeDelay())+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 		}
 	}
 }
 
-// poll lists the kind or waits for changes, and applies the result to the table.
-func (w *Watcher) poll(ctx context.Context, relist bool) error {
+// poll lists the kind or waits for changes, and applies the result to the table. As a
+// probe it only asks for changes and does not wait for them.
+func (w *Watcher) poll(ctx context.Context, relist, probe bool) error {
 	base := w.Table.Upto(w.Kind)
-	if relist || base == 0 {
+	if !probe && (relist || base == 0) {
 		if w.Table.Snapshot() == nil {
 			var cancel context.CancelFunc
 			ctx, cancel = context.WithTimeout(ctx, firstListTimeout<<min(max(w.firstLists-shortLists+1, 0), maxListDoublings))
@@ -154,14 +157,18 @@
 		if err != nil {
 			return err
 		}
-		w.Table.Apply(Batch{Kind: w.Kind, Full: true, Upto: upto, Objects: objects, FromStore: true, AfterOutage: w.StoreStatus.DownRecently(w.Timer.Now())})
+		w.Table.Apply(Batch{Kind: w.Kind, Full: true, Upto: upto, Objects: objects, FromStore: true, AfterOutage: w.StoreStatus.Returned(w.Timer.Now())})
 		return nil
 	}
-	objects, upto, err := w.Feed.Changes(ctx, w.Kind, base, pollTimeout)
+	wait := pollTimeout
+	if probe {
+		wait = probeWait
+	}
+	objects, upto, err := w.Feed.Changes(ctx, w.Kind, base, wait)
 	if err != nil {
 		return err
 	}
-	w.Table.Apply(Batch{Kind: w.Kind, Base: base, Upto: upto, Objects: objects, FromStore: true, AfterOutage: w.StoreStatus.DownRecently(w.Timer.Now())})
+	w.Table.Apply(Batch{Kind: w.Kind, Base: base, Upto: upto, Objects: objects, FromStore: true, AfterOutage: w.StoreStatus.Returned(w.Timer.Now())})
 	return nil
 }
 
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -133,7 +133,7 @@
 	n.suspects.Share, n.suspects.Elected = n.gossip.ShareSuspicions, n.gossip.Elected
 	n.grants.Ask, n.grants.Share, n.grants.Part, n.grants.Daemons = n.gossip.AskGrant, n.gossip.ShareWords, n.gossip.GrantPart, n.gossip.Count
 	n.accounts.HeldUntil = n.grants.HeldUntil
-	n.storeStatus.OnDown = n.gossip.Announce
+	n.storeStatus.OnDown, n.storeStatus.PeerReads = n.gossip.Announce, n.gossip.PeerReadsStore
 	n.accounts.Daemons = n.gossip.Count
 	n.accounts.Changed = n.gossip.LoadChanged
 	n.accounts.RemoteLate = n.gossip.HasHubs
