A removal that a full list shows is announced as a change

Cause: a full list names no removed objects, so lastChangeAfter did not raise the revision of the newest change. Digests did not announce it, and full lists are not pushed: the other daemons kept the object until the next change of its kind.

Change: each object that a batch adds, replaces or removes raises the revision of the newest change, where that happens.

Before: TestRemovalByListIsAnnounced failed (4 instead of 9). After: it passes.

--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -173,7 +173,6 @@
 	}
 	changed := k.apply(b, t.timer.Now(), t.isLeaving)
 	if changed {
-		k.lastChange = k.lastChangeAfter(b)
 		t.rebuild()
 	}
 	t.mu.Unlock()
@@ -205,7 +204,8 @@
 }
 
 // apply adds a batch to the replica and reports whether any object changed. The first
-// list counts as a change. isLeaving tells the upstreams that were about to end.
+// list counts as a change. A removal has no revision of its own, so it counts as made at
+// that of b. isLeaving tells the upstreams that were about to end.
 func (k *kindState) apply(b Batch, now time.Time, isLeaving func(name string) bool) bool {
 	changed := k.upto == 0
 	k.upto = b.Upto
@@ -220,7 +220,7 @@
 		for name := range k.objects {
 			if !present[name] {
 				k.remove(name, mayReturn(name), now)
-				changed = true
+				k.lastChange, changed = b.Upto, true
 			}
 		}
 	}
@@ -228,7 +228,7 @@
 		if o.Deleted {
 			if old, ok := k.objects[o.Name]; ok && (o.Version == 0 || o.Version >= old.Version) {
 				k.remove(o.Name, mayReturn(o.Name), now)
-				changed = true
+				k.lastChange, changed = b.Upto, true
 			}
 			continue
 		}
@@ -239,7 +239,7 @@
 			continue
 		}
 		k.objects[o.Name] = o
-		changed = true
+		k.lastChange, changed = max(k.lastChange, o.Version), true
 	}
 	for _, name := range b.Lapsed {
 		// Without the mark, a daemon that has just started would keep an upstream that
@@ -251,19 +251,6 @@
 	return changed
 }
 
-// lastChangeAfter returns the revision of the newest change once b is applied. A
-// removal has no revision of its own, so it counts as made at the revision of b.
-func (k *kindState) lastChangeAfter(b Batch) bramleytack.Revision {
-	newest := k.lastChange
-	for _, o := range b.Objects {
-		if o.Deleted {
-			return b.Upto
-		}
-		newest = max(newest, o.Version)
-	}
-	return newest
-}
-
 // remove drops an object. If its registration may have lapsed, it stays for lapseGrace.
 func (k *kindState) remove(name string, mayReturn bool, now time.Time) {
 	if mayReturn {
--- a/internal/fleet/btreplica/table_test.go
+++ b/internal/fleet/btreplica/table_test.go
@@ -374,3 +374,15 @@
 		assert.Equal(t, len(table.Snapshot().Upstreams), 1)
 	})
 }
+
+// A full list lacks an object. Guards against a removal that is not announced as a change,
+// so that other daemons do not pull it.
+func TestRemovalByListIsAnnounced(t *testing.T) {
+	inFakeTime(t, func(t *testing.T, table *Table, _ *bttimer.Service) {
+		kind := bramleytack.KindEvacuations
+		table.Apply(Batch{Kind: kind, Full: true, Upto: 5, Objects: []bramleytack.Object{object(kind, "a", 3), object(kind, "b", 4)}})
+		assert.Equal(t, table.LastChange(kind), bramleytack.Revision(4))
+		table.Apply(Batch{Kind: kind, Full: true, Upto: 9, Objects: []bramleytack.Object{object(kind, "a", 3)}})
+		assert.Equal(t, table.LastChange(kind), bramleytack.Revision(9))
+	})
+}
