A reader of the store whose answers are late says so

Cause: a reader noticed the silence when its poll failed, 2.7 s after its begin. The polls of a kind begin together after a change, so nobody noticed earlier.

Change: - The polls of a daemon end at even distances, so that it expects an answer from the store at least each second. They last up to 2.4 s instead of 2 s. - An answer that is 0.3 s late (twice the last delay if that is more, up to 0.7 s) and for which no other has come makes the daemon announce at once that it lacks the store. The next daemons by rank read; the call goes on. - A daemon that takes over begins with one call. If that is late, the next one follows after 0.3 s.

Not covered: polls of one kind that hang at all readers while those of other kinds are answered; readers that are killed or frozen, which count for 1.5 s.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -44,6 +44,7 @@
 	WatchStarted            = Event{211, zerolog.InfoLevel, "daemon has started to watch a kind in the store"}
 	WatchEnded              = Event{212, zerolog.InfoLevel, "daemon has stopped watching a kind in the store"}
 	EntryRejected           = Event{213, zerolog.WarnLevel, "entry of the store cannot be read, the others hold"}
+	StoreLate               = Event{214, zerolog.InfoLevel, "store's answer is late, other daemons read it"}
 	LeaseAcquired           = Event{300, zerolog.InfoLevel, "cell lease was acquired"}
 	LeaseLost               = Event{301, zerolog.WarnLevel, "cell lease was lost"}
 	ViewChanged             = Event{302, zerolog.InfoLevel, "view has changed"}
@@ -120,6 +121,7 @@
 		WatchStarted,
 		WatchEnded,
 		EntryRejected,
+		StoreLate,
 		LeaseAcquired,
 		LeaseLost,
 		ViewChanged,
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -323,7 +323,7 @@
 func (n *Node) self() Peer {
 	return Peer{
 		Host: n.Self.Host, Addr: n.Self.Addr, FailureDomain: n.Self.FailureDomain, Incarnation: n.incarnation.Load(), Processor: n.Self.Processor,
-		Heartbeat: n.heartbeat.Load(), Ready: n.Ready(), Leaving: n.Leaving(), StoreDown: n.StoreStatus.Down(),
+		Heartbeat: n.heartbeat.Load(), Ready: n.Ready(), Leaving: n.Leaving(), StoreDown: n.StoreStatus.Unanswered(),
 		StoreRead: n.StoreStatus.ReadsUpstreams(n.Timer.Now()), rank: rank(n.Self.Host),
 	}
 }
--- a/internal/fleet/btgossip/peers.go
+++ b/internal/fleet/btgossip/peers.go
@@ -33,7 +33,8 @@
 	Heartbeat uint64 `json:"Beat"`
 	Ready     bool
 	Leaving   bool
-	// StoreDown is set if the daemon's latest call to the store failed.
+	// StoreDown is set if the daemon's latest call to the store failed or its answer is
+	// late.
 	StoreDown bool
 	// StoreRead is set if the daemon reads the registrations of upstreams from the
 	// store and gets answers.
--- a/internal/fleet/btreplica/outage_test.go
+++ b/internal/fleet/btreplica/outage_test.go
@@ -151,7 +151,7 @@
 		time.Sleep(4 * time.Second)
 		f.remove("a")
 		f.setSilent(false)
-		time.Sleep(2200 * time.Millisecond)
+		time.Sleep(2600 * time.Millisecond)
 		assert.Equal(t, table.Upto(bramleytack.KindUpstreams), bramleytack.Revision(2))
 		assert.Equal(t, len(table.Snapshot().Upstreams), 1)
 		time.Sleep(lapseGrace)
@@ -170,7 +170,7 @@
 		time.Sleep(4 * time.Second)
 		f.remove("a")
 		f.setSilent(false)
-		time.Sleep(2400 * time.Millisecond)
+		time.Sleep(2600 * time.Millisecond)
 		assert.Equal(t, len(table.Snapshot().Upstreams), 0)
 	})
 }
--- a/internal/fleet/btreplica/store_status.go
+++ b/internal/fleet/btreplica/store_status.go
@@ -1,6 +1,7 @@
 package btreplica
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,14 @@
 // itself takes it as away. Others take over from readers in less time.
 const awayAfter = 500 * time.Millisecond
 
+const (
+	// minLateMargin is how long after it is due an answer counts as late. It exceeds the
+	// answers of a store that is 60 times slower than usual. The margin grows with the
+	// answers, up to maxLateMargin, at which polls fail.
+	minLateMargin = 300 * time.Millisecond
+	maxLateMargin = 700 * time.Millisecond
+)
+
 // StoreStatus records whether the store answers the calls of this daemon's watchers,
 // which share it. The zero value is ready to use and counts as answering.
 type StoreStatus struct {
@@ -33,9 +42,19 @@
 	awayAt time.Time
 	// down is set if the latest call failed.
 	down bool
+	// late is set if an answer is late and none has come since it was due. Other daemons
+	// then take over, before the call fails.
+	late bool
+	// answeredAt is the time of the latest answer, delay its delay after it was due.
+	answeredAt time.Time
+	delay      time.Duration
+	// due holds when the latest call of each watcher that follows its kind is to be
+	// answered.
+	due map[*Watcher]time.Time
 	// upstreamsReadAt is the time of the latest answer about upstreams.
 	upstreamsReadAt time.Time
-	// OnDown is called on the first failed call after an answer. It may be nil.
+	// OnDown is called on the first failed call or late answer after an answer. It may be
+	// nil.
 	OnDown func()
 	// PeerReads reports whether another daemon reads the store and gets answers. Nil means
 	// that there are no others.
@@ -44,13 +63,13 @@
 	prober *Watcher
 }
 
-// mayCall reports whether a watcher may call the store. While the store is down, one
-// watcher probes it for all, because failed calls count against the store's rate limit,
-// too.
+// mayCall reports whether a watcher may call the store. While the store is down, or has
+// not answered this daemon recently, one watcher probes it for all, because failed calls
+// count against the store's rate limit, too.
 func (s *StoreStatus) mayCall(w *Watcher) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.down {
+	if !s.down && (w.Table.Snapshot() == nil || w.Timer.Now().Sub(s.answeredAt) < readValidity) {
 		return true
 	}
 	if s.prober == nil {
@@ -59,26 +78,86 @@
 	return s.prober == w
 }
 
-// releaseProbe lets another watcher probe the store if w is the prober.
-func (s *StoreStatus) releaseProbe(w *Watcher) {
+// release lets another watcher probe the store if w is the prober, and expects no answers
+// of w any more.
+func (s *StoreStatus) release(w *Watcher) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.due, w)
 	if s.prober == w {
 		s.prober = nil
 	}
 }
 
-// recordSuccess notes an answer of the store about a kind.
-func (s *StoreStatus) recordSuccess(log *btevent.Logger, kind string, now time.Time) {
+// spacedWait returns the length of a poll of w, at most pollTimeout, with which the answers
+// to the polls of all watchers are due at even distances, up to a quarter more after an
+// early answer. A silence of the store then shows soon without further calls.
+func (s *StoreStatus) spacedWait(w *Watcher, now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var others []time.Duration
+	for o, due := range s.due {
+		if o != w && due.After(now) {
+			others = append(others, due.Sub(now))
+		}
+	}
+	slices.Sort(others)
+	if s.due == nil {
+		s.due = map[*Watcher]time.Time{}
+	}
+	s.due[w] = now
+	distance := pollTimeout / time.Duration(len(s.due))
+	var last time.Duration
+	for _, due := range others {
+		if due-last > distance+distance/4 {
+			break
+		}
+		last = due
+	}
+	return min(last+distance, pollTimeout)
+}
+
+// expect notes when the call that w begins is to be answered, and returns how much later
+// the answer counts as late.
+func (s *StoreStatus) expect(w *Watcher, due time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if kind == bramleytack.KindUpstreams {
+	if s.due == nil {
+		s.due = map[*Watcher]time.Time{}
+	}
+	s.due[w] = due
+	return min(max(2*s.delay, minLateMargin), maxLateMargin)
+}
+
+// recordLate notes that an answer is late, unless another one has come since it was due.
+func (s *StoreStatus) recordLate(log *btevent.Logger, due time.Time) {
+	s.mu.Lock()
+	first := !s.down && !s.late && s.answeredAt.Before(due)
+	s.late = s.late || first
+	s.mu.Unlock()
+	if first {
+		log.Event(btevent.StoreLate).Time("due", due).Send()
+		if s.OnDown != nil {
+			s.OnDown()
+		}
+	}
+}
+
+// recordSuccess notes an answer of the store to a watcher.
+func (s *StoreStatus) recordSuccess(w *Watcher, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answeredAt, s.late = now, false
+	if due, ok := s.due[w]; ok && !now.Before(due) {
+		s.delay = now.Sub(due)
+	}
+	if w.Kind == bramleytack.KindUpstreams {
 		s.upstreamsReadAt = now
 	}
 	s.prober = nil
 	if s.down {
 		s.down = false
-		log.Event(btevent.StoreRecovered).Dur("away", now.Sub(s.lastFailure)).Send()
+		w.Log.Event(btevent.StoreRecovered).Dur("away", now.Sub(s.lastFailure)).Send()
 	}
 }
 
@@ -125,6 +204,14 @@
 	return s.down
 }
 
+// Unanswered reports whether the latest call failed or its answer is late. Other daemons
+// then read the store.
+func (s *StoreStatus) Unanswered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down || s.late
+}
+
 // Returned reports whether an answer that arrives now may miss registrations that lapsed
 // while the store was away for all daemons: it is the first one, or came within
 // returnWindow after it. A store that answers others was not away.
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// pollTimeout is the length of a long poll. A poll that gets no answer fails within
-	// a second after it.
-	pollTimeout = 2 * time.Second
+	// pollTimeout is the greatest length of a long poll. A poll that gets no answer fails
+	// within a second after it.
+	pollTimeout = 2400 * time.Millisecond
 	// firstListTimeout bounds the first list while there is no configuration. Callers wait
 	// for it, and a connection on which the store went silent stays silent after the store
 	// is back. It exceeds the answers of a store that is 60 times slower than usual. After
@@ -37,7 +37,7 @@
 	noConfigInterval = 10 * time.Millisecond
 	// followOverlap is how long a daemon keeps following a kind after others took
 	// over. It is longer than the time after which an unanswered poll fails.
-	followOverlap = 3 * time.Second
+	followOverlap = 3500 * time.Millisecond
 	// probeWait is the length of a poll of a store that is down. A probe fails soon after
 	// it, so that none outlasts an outage for long.
 	probeWait = 10 * time.Millisecond
@@ -103,7 +103,7 @@
 	for ctx.Err() == nil {
 		w.StoreStatus.observe(w.Timer.Now())
 		if !w.updateFollowing() {
-			w.StoreStatus.releaseProbe(w)
+			w.StoreStatus.release(w)
 			w.sleep(ctx, w.inactiveDelay())
 			continue
 		}
@@ -119,7 +119,7 @@
 		case err == nil:
 			relist, failed = probe && (relist || stale), false
 			backoff = minBackoff
-			w.StoreStatus.recordSuccess(w.Log, w.Kind, w.Timer.Now())
+			w.StoreStatus.recordSuccess(w, w.Timer.Now())
 			if w.Pause != nil {
 				w.sleep(ctx, w.Pause())
 			}
@@ -153,6 +153,7 @@
 			defer cancel()
 			w.firstLists++
 		}
+		w.expectAnswer(ctx, 0)
 		objects, upto, err := w.Feed.List(ctx, w.Kind)
 		if err != nil {
 			return err
@@ -160,10 +161,11 @@
 		w.Table.Apply(Batch{Kind: w.Kind, Full: true, Upto: upto, Objects: objects, FromStore: true, AfterOutage: w.StoreStatus.Returned(w.Timer.Now())})
 		return nil
 	}
-	wait := pollTimeout
-	if probe {
-		wait = probeWait
+	wait := probeWait
+	if !probe {
+		wait = w.StoreStatus.spacedWait(w, w.Timer.Now())
 	}
+	w.expectAnswer(ctx, wait)
 	objects, upto, err := w.Feed.Changes(ctx, w.Kind, base, wait)
 	if err != nil {
 		return err
@@ -172,6 +174,30 @@
 	return nil
 }
 
+// expectAnswer makes the daemon count as one without the store if the answer of a call,
+// which is due after wait, is late and no other call is answered instead. It lasts until
+// the context ends. The first lists of a start may be slow and take no part.
+func (w *Watcher) expectAnswer(ctx context.Context, wait time.Duration) {
+	if w.Table.Snapshot() == nil {
+		return
+	}
+	due := w.Timer.Now().Add(wait)
+	go (&lateAnswer{w: w, due: due, margin: w.StoreStatus.expect(w, due)}).run(ctx)
+}
+
+// lateAnswer notes that an answer is late.
+type lateAnswer struct {
+	w      *Watcher
+	due    time.Time
+	margin time.Duration
+}
+
+func (l *lateAnswer) run(ctx context.Context) {
+	if l.w.Timer.Sleep(ctx, l.due.Add(l.margin).Sub(l.w.Timer.Now())) == nil {
+		l.w.StoreStatus.recordLate(l.w.Log, l.due)
+	}
+}
+
 // inactiveDelay returns the time until the next check of whether to follow the kind.
 func (w *Watcher) inactiveDelay() time.Duration {
 	if w.Table.Snapshot() == nil {
