--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// pollTimeout is the length of a long poll. A poll that gets no answer fails within
-	// a second after it.
-	pollTimeout = 2 * time.Second
+	// pollTimeout is the greatest length of a long poll. A poll that gets no answer fails
+	// within a second after it.
+	pollTimeout = 2400 * time.Millisecond
 	// firstListTimeout bounds the first list while there is no configuration. Callers wait
 	// for it, and a connection on which the store went silent stays silent after the store
 	// is back. It exceeds the answers of a store that is 60 times slower than usual. After
@@ -37,10 +37,10 @@
 	noConfigInterval = 10 * time.Millisecond
 	// followOverlap is how long a daemon keeps following a kind after others took
 	// over. It is longer than the time after which an unanswered poll fails.
-	followOverlap = 3 * time.Second
-	// reregisterWindow is how long after the last failed call missing registrations may
-	// still return.
-	reregisterWindow = 3 * time.Second
+	followOverlap = 3500 * time.Millisecond
+	// probeWait is the length of a poll of a store that is down. A probe fails soon after
+	// it, so that none outlasts an outage for long.
+	probeWait = 10 * time.Millisecond
 )
 
 // Watcher follows one kind of objects in the store: it lists the kind, then reads
@@ -99,10 +99,11 @@
 
 func (w *Watcher) loop(ctx context.Context) {
 	backoff := minBackoff
-	relist := true
+	relist, failed := true, false
 	for ctx.Err() == nil {
+		w.StoreStatus.observe(w.Timer.Now())
 		if !w.updateFollowing() {
-			w.StoreStatus.releaseProbe(w)
+			w.StoreStatus.release(w)
 			w.sleep(ctx, w.inactiveDelay())
 			continue
 		}
@@ -111,13 +112,14 @@
 			continue
 		}
 		pollCtx, cancel, stale := w.Resync.begin(ctx, w)
-		err := w.poll(pollCtx, relist || stale)
+		probe := (failed || w.StoreStatus.Down()) && w.Table.Upto(w.Kind) > 0
+		err := w.poll(pollCtx, relist || stale, probe)
 		cancel()
 		switch {
 		case err == nil:
-			relist = false
+			relist, failed = probe && (relist || stale), false
 			backoff = minBackoff
-			w.StoreStatus.recordSuccess(w.Log, w.Kind, w.Timer.Now())
+			w.StoreStatus.recordSuccess(w, w.Timer.Now())
 			if w.Pause != nil {
 				w.sleep(ctx, w.Pause())
 			}
@@ -133,38 +135,69 @@
 			if w.StoreStatus.recordFailure(w.Log, w.Timer.Now(), err) {
 				w.Resync.All(w)
 			}
-			relist = relist || stale
+			relist, failed = relist || stale, true
 			w.sleep(ctx, max(backoff, w.probeDelay())+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 		}
 	}
 }
 
-// poll lists the kind or waits for changes, and applies the result to the table.
-func (w *Watcher) poll(ctx context.Context, relist bool) error {
+// poll lists the kind or waits for changes, and applies the result to the table. As a
+// probe it only asks for changes and does not wait for them.
+func (w *Watcher) poll(ctx context.Context, relist, probe bool) error {
 	base := w.Table.Upto(w.Kind)
-	if relist || base == 0 {
+	if !probe && (relist || base == 0) {
 		if w.Table.Snapshot() == nil {
 			var cancel context.CancelFunc
 			ctx, cancel = context.WithTimeout(ctx, firstListTimeout<<min(max(w.firstLists-shortLists+1, 0), maxListDoublings))
 			defer cancel()
 			w.firstLists++
 		}
+		w.expectAnswer(ctx, 0)
 		objects, upto, err := w.Feed.List(ctx, w.Kind)
 		if err != nil {
 			return err
 		}
-		w.Table.Apply(Batch{Kind: w.Kind, Full: true, Upto: upto, Objects: objects, FromStore: true, AfterOutage: w.StoreStatus.DownRecently(w.Timer.Now())})
+		w.Table.Apply(Batch{Kind: w.Kind, Full: true, Upto: upto, Objects: objects, FromStore: true, AfterOutage: w.StoreStatus.Returned(w.Timer.Now())})
 		return nil
 	}
-	objects, upto, err := w.Feed.Changes(ctx, w.Kind, base, pollTimeout)
+	wait := probeWait
+	if !probe {
+		wait = w.StoreStatus.spacedWait(w, w.Timer.Now())
+	}
+	w.expectAnswer(ctx, wait)
+	objects, upto, err := w.Feed.Changes(ctx, w.Kind, base, wait)
 	if err != nil {
 		return err
 	}
-	w.Table.Apply(Batch{Kind: w.Kind, Base: base, Upto: upto, Objects: objects, FromStore: true, AfterOutage: w.StoreStatus.DownRecently(w.Timer.Now())})
+	w.Table.Apply(Batch{Kind: w.Kind, Base: base, Upto: upto, Objects: objects, FromStore: true, AfterOutage: w.StoreStatus.Returned(w.Timer.Now())})
 	return nil
 }
 
+// expectAnswer makes the daemon count as one without the store if the answer of a call,
+// which is due after wait, is late and no other call is answered instead. It lasts until
+// the context ends. The first lists of a start may be slow and take no part.
+func (w *Watcher) expectAnswer(ctx context.Context, wait time.Duration) {
+	if w.Table.Snapshot() == nil {
+		return
+	}
+	due := w.Timer.Now().Add(wait)
+	go (&lateAnswer{w: w, due: due, margin: w.StoreStatus.expect(w, due)}).run(ctx)
+}
+
+// lateAnswer notes that an answer is late.
+type lateAnswer struct {
+	w      *Watcher
+	due    time.Time
+	margin time.Duration
+}
+
+func (l *lateAnswer) run(ctx context.Context) {
+	if l.w.Timer.Sleep(ctx, l.due.Add(l.margin).Sub(l.w.Timer.Now())) == nil {
+		l.w.StoreStatus.recordLate(l.w.Log, l.due)
+	}
+}
+
 // inactiveDelay returns the time until the next check of whether to follow the kind.
 func (w *Watcher) inactiveDelay() time.Duration {
 	if w.Table.Snapshot() == nil {
