--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -123,7 +123,7 @@
 		defer req.release()
 	}
 	h.Budget.Request(req.service)
-	req.progress.enter(stageChoosing, "", h.Timer.Now())
+	req.progress.reach(stageChoosing, h.Timer.Now())
 	if req.route.Streaming {
 		req.stream(ctx)
 		return
--- a/internal/serve/btentry/progress.go
+++ b/internal/serve/btentry/progress.go
@@ -38,24 +38,25 @@
 	lastEvent uint64
 }
 
-// enter sets the stage and, unless it is empty, the upstream.
-func (p *progress) enter(s stage, u bramleytack.UpstreamID, now time.Time) {
+// reach sets the stage unless the request has come that far.
+func (p *progress) reach(s stage, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stage, p.since = s, now
-	if u != "" {
-		p.upstream = u
+	p.reachLocked(s, now)
+}
+
+func (p *progress) reachLocked(s stage, now time.Time) {
+	if p.stage < s {
+		p.stage, p.since = s, now
 	}
 }
 
-// sent sets the stage unless the caller has got a part of the response.
+// sent records that the request is passed on to an upstream.
 func (p *progress) sent(u bramleytack.UpstreamID, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.upstream = u
-	if p.stage < stageSent {
-		p.stage, p.since = stageSent, now
-	}
+	p.reachLocked(stageSent, now)
 }
 
 // forwarded records an event that the caller got.
@@ -63,9 +64,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastEvent = lastEvent
-	if p.stage != stageAnswering {
-		p.stage, p.since = stageAnswering, now
-	}
+	p.reachLocked(stageAnswering, now)
 }
 
 // activeSet holds the requests that are being served. The zero value is empty. It is safe
