A probe that meets a lost history is followed by a list

Cause: after a failed call a watcher asks for changes without a wait. If the history was gone, it asked again at once, not for the list.

Change: a lost history is followed by a list, also after a failure.

Before: TestOutageEndsWithoutHistory failed (the kind was not read). After: 20 of 20 runs of the package pass with the race detector.

--- a/internal/fleet/btreplica/outage_test.go
+++ b/internal/fleet/btreplica/outage_test.go
@@ -23,6 +23,9 @@
 	names   map[string]bool
 	silent  bool
 	changed chan struct{}
+	// gone holds the kinds that must be listed, calls is the number of calls.
+	gone  map[string]bool
+	calls int
 }
 
 func newWorkerFeed(names ...string) *workerFeed {
@@ -42,6 +45,13 @@
 	f.changed = make(chan struct{})
 }
 
+// dropHistory makes the polls of each kind fail until it has been listed.
+func (f *workerFeed) dropHistory() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gone, f.calls = map[string]bool{bramleytack.KindConfig: true, bramleytack.KindUpstreams: true}, 0
+}
+
 func (f *workerFeed) setSilent(on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -50,8 +60,10 @@
 
 // list returns the objects and a channel that is closed with the next change.
 func (f *workerFeed) list(kind string) (objects []bramleytack.Object, upto bramleytack.Revision, silent bool, changed chan struct{}) {
+	time.Sleep(4 * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls++
 	if kind == bramleytack.KindConfig {
 		objects = append(objects, object(kind, "main", 1, 1))
 	}
@@ -77,6 +89,9 @@
 	if silent {
 		return nil, 0, noAnswer(ctx, 2*time.Second)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.gone, kind)
 	return objects, upto, nil
 }
 
@@ -86,6 +101,12 @@
 	if silent {
 		return nil, 0, noAnswer(ctx, wait+margin)
 	}
+	f.mu.Lock()
+	gone := f.gone[kind]
+	f.mu.Unlock()
+	if gone {
+		return nil, 0, bramleytack.ErrHistoryGone
+	}
 	if upto == after {
 		select {
 		case <-changed:
@@ -203,3 +224,22 @@
 		assert.Equal(t, len(table.Snapshot().Upstreams), 0)
 	})
 }
+
+// The store returns from an outage without its history. Guards against probes that ask for
+// changes again and again instead of listing.
+func TestOutageEndsWithoutHistory(t *testing.T) {
+	f := newWorkerFeed("a")
+	watchAll(t, f, nil, func(t *testing.T, table *Table) {
+		time.Sleep(3500 * time.Millisecond)
+		f.setSilent(true)
+		time.Sleep(4 * time.Second)
+		f.dropHistory()
+		f.remove("a")
+		f.setSilent(false)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, table.Upto(bramleytack.KindUpstreams), bramleytack.Revision(2))
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		assert.Assert(t, f.calls < 40, "%d calls", f.calls)
+	})
+}
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -99,7 +99,7 @@
 
 func (w *Watcher) loop(ctx context.Context) {
 	backoff := minBackoff
-	relist, failed := true, false
+	relist, failed, gone := true, false, false
 	for ctx.Err() == nil {
 		w.StoreStatus.observe(w.Timer.Now())
 		if !w.updateFollowing() {
@@ -112,12 +112,12 @@
 			continue
 		}
 		pollCtx, cancel, stale := w.Resync.begin(ctx, w)
-		probe := (failed || w.StoreStatus.Down()) && w.Table.Upto(w.Kind) > 0
+		probe := !gone && (failed || w.StoreStatus.Down()) && w.Table.Upto(w.Kind) > 0
 		err := w.poll(pollCtx, relist || stale, probe)
 		cancel()
 		switch {
 		case err == nil:
-			relist, failed = probe && (relist || stale), false
+			relist, failed, gone = probe && (relist || stale), false, false
 			backoff = minBackoff
 			w.StoreStatus.recordSuccess(w, w.Timer.Now())
 			if w.Pause != nil {
@@ -128,14 +128,14 @@
 		case w.Resync.interrupted(w):
 			continue
 		case errors.Is(err, bramleytack.ErrHistoryGone):
-			relist = true
+			relist, gone = true, true
 			w.Resync.All(w)
 			w.Log.Event(btevent.HistoryGone).Str("kind", w.Kind).Uint64("revision", uint64(w.Table.Upto(w.Kind))).Send()
 		default:
 			if w.StoreStatus.recordFailure(w.Log, w.Timer.Now(), err) {
 				w.Resync.All(w)
 			}
-			relist, failed = relist || stale, true
+			relist, failed, gone = relist || stale, true, false
 			w.sleep(ctx, max(backoff, w.probeDelay())+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 		}
