A stream is not taken from a silent engine for one that has no free place

Its engine had been silent for less than 0.2 s on the busy machine; the stream went on from its copy at another engine, and waited there in the queue for 2.9 s until the end.

Cause: after 90 ms of silence and 50 ms without a connection the current segment is closed for the copy, so that the pause stays short. Where the copy has to wait for a place, the pause is long either way, and nothing is won by haste.

Change: if the engine with the copy has no free place, by all daemons' loads and its own report, the generation stays where it is until the engine has been silent for a second.

Evidence: TestStreamStaysAtSilentEngineIfTheOtherIsFull: before the stream broke off after 300 ms of silence, now it is complete. btentry passes, TestHandovers with it.

--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -20,6 +20,9 @@
 	// counts as unreachable and not just busy. It is several round trips between
 	// failure domains.
 	probeTimeout = 50 * time.Millisecond
+	// fullBackupSilence is how long an engine is silent until its generation goes on at one
+	// that has no free place.
+	fullBackupSilence = time.Second
 	// handoverWait is how long a generation waits for permission of a limited engine to go
 	// on there.
 	handoverWait = 100 * time.Millisecond
@@ -136,7 +139,9 @@
 	}
 	switch {
 	case r.upstream == s.cur.upstream && r.err != nil && r.silent:
-		s.continueFromBackup("silent")
+		if s.givenUp() {
+			s.continueFromBackup("silent")
+		}
 	case r.upstream == s.cur.upstream:
 	case r.err != nil || !s.continueFromBackup("leaving"):
 		s.cur.backup = nil
@@ -144,6 +149,17 @@
 	}
 }
 
+// givenUp reports whether the current engine, which is silent and does not answer, is worth no
+// further wait. It may be busy or cut off for a moment. Where the copy would wait for a place,
+// the pause is long either way.
+func (s *relay) givenUp() bool {
+	u := s.cur.backup
+	if u == nil || s.req.h.Accounts.Wait(s.req.h.Table.Snapshot(), u, s.req.route.TargetLatency) == 0 {
+		return true
+	}
+	return s.req.h.Timer.Now().Sub(s.cur.lastEventAt) >= fullBackupSilence
+}
+
 // continueFromBackup closes the current segment and starts one from the copy at
 // the backup engine. It reports false if there is no backup or it accepts no work.
 func (s *relay) continueFromBackup(reason string) bool {
--- a/internal/standin/btworker/places.go
+++ b/internal/standin/btworker/places.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 )
 
@@ -26,8 +27,9 @@
 	waiting []chan struct{}
 }
 
-// take takes a place, and waits for one until the context ends.
-func (p *places) take(ctx context.Context) error {
+// take takes a place, and waits for one until the context ends, ahead of all others if first is
+// set.
+func (p *places) take(ctx context.Context, first bool) error {
 	p.mu.Lock()
 	if p.count == 0 || p.taken < p.count {
 		p.taken++
@@ -39,7 +41,11 @@
 		return errFull
 	}
 	mine := make(chan struct{})
-	p.waiting = append(p.waiting, mine)
+	if first {
+		p.waiting = slices.Insert(p.waiting, 0, mine)
+	} else {
+		p.waiting = append(p.waiting, mine)
+	}
 	p.mu.Unlock()
 	select {
 	case <-mine:
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -308,7 +308,7 @@
 		return
 	}
 	ctx, done := w.workContext(r)
-	if err := w.places.take(ctx); err != nil {
+	if err := w.places.take(ctx, from != nil); err != nil {
 		done()
 		w.refuse(rw, err)
 		return
