TestLongPauseIsKept: traffic goes on until each upstream has been asked

Trace, by working it out: the test sends ten checks and draws one of three upstreams for each; in some 2 of 100 cases s0 gets none of them, is never asked, and has asked for no pause. Its later requests are allowed.

Change: traffic goes on until both upstreams that pause have been asked; requests count from then on. The check is as strict.

--- a/internal/serve/btentry/signal_test.go
+++ b/internal/serve/btentry/signal_test.go
@@ -135,7 +135,13 @@
 					h.workers[name].Set(btworker.Full)
 				}
 				start := time.Now()
-				h.traffic(500 * time.Millisecond)
+				for _, name := range paused {
+					// Few requests may be drawn for an upstream.
+					for h.workers[name].FirstAfter(start).IsZero() {
+						h.traffic(500 * time.Millisecond)
+					}
+				}
+				told := time.Now()
 				for _, name := range paused {
 					h.workers[name].Set(btworker.Healthy)
 				}
@@ -156,7 +162,7 @@
 					h.traffic(2 * time.Second)
 				}
 				for _, name := range paused {
-					n := h.workers[name].ArrivedAfter(start.Add(500 * time.Millisecond))
+					n := h.workers[name].ArrivedAfter(told)
 					assert.Check(t, n == 0, "%d requests reached %s", n, name)
 				}
 				time.Sleep(time.Until(start.Add(until + 10*time.Second)))
