--- a/cmd/bramleytack-fleet/main.go
+++ b/cmd/bramleytack-fleet/main.go
@@ -41,8 +41,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	store := platform.NewStore(s.Store)
+	store.Memory = btnode.NewMemory(s)
 	node := btnode.New(s, btnode.Adapter{
-		Feed: store, Registry: store, Codec: platform.Codec{}, Dialect: platform.Dialect(),
+		Memory: store.Memory, Feed: store, Registry: store, Codec: platform.Codec{}, Dialect: platform.Dialect(),
 		Engines:     func(pool *btconn.Pool) btnode.Engines { return &platform.EngineClient{Pool: pool} },
 		EncodeAddrs: platform.EncodeAddrs, Calls: store.Calls,
 	}, os.Stdout)
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -18,6 +18,7 @@
 	"bramleytack/btevent"
 	"bramleytack/internal/fleet/bthub"
 	"bramleytack/internal/fleet/btreplica"
+	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btsuspect"
@@ -76,6 +77,8 @@
 	Seeds []netip.Addr
 	// Dial opens connections for pulls. Nil means net.Dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Memory bounds the replies to pulls. It may be nil.
+	Memory *btmemory.Budget
 	// DirectFleet is the number of daemons up to which a fleet has no hubs. Zero means
 	// the default of 96.
 	DirectFleet int
@@ -120,8 +123,8 @@
 	Addr netip.Addr
 }
 
-// New prepares n for Start and returns it. All exported fields but Dial, Log and
-// Seeds must be set.
+// New prepares n for Start and returns it. All exported fields but Dial, Memory,
+// Log and Seeds must be set.
 func New(n *Node) *Node {
 	n.pulls = make(chan pull, len(bramleytack.ReplicatedKinds))
 	n.digestSignal = make(chan struct{}, 1)
--- a/internal/fleet/btgossip/pull.go
+++ b/internal/fleet/btgossip/pull.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"encoding/binary"
 	"io"
 	"net"
 	"net/netip"
@@ -19,6 +20,7 @@
 
 	"bramleytack"
 	"bramleytack/btevent"
+	"bramleytack/internal/node/btmemory"
 )
 
 const (
@@ -26,6 +28,8 @@
 	pullTimeout = 700 * time.Millisecond
 	// maxReplySize bounds a reply in bytes, both compressed and uncompressed.
 	maxReplySize = 8 << 20
+	// maxPullRequest bounds a request for a pull in bytes.
+	maxPullRequest = 1 << 10
 	// pullGrace is how long a pull waits for changes that are on their way. A digest
 	// that announces a revision may overtake the datagram with the changes.
 	pullGrace = 20 * time.Millisecond
@@ -130,11 +134,13 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
 	br := bufio.NewReader(c)
+	kept := p.n.Memory.Open(btmemory.Peers, cancel)
+	defer kept.Close()
 	for _, r := range batch {
 		if _, err := protodelim.MarshalTo(c, &PullRequest{Kind: r.kind}); err != nil {
 			return errors.Wrap(err, "btgossip: pull")
 		}
-		b, err := readReply(br)
+		b, err := readReply(br, kept)
 		if err != nil {
 			return errors.Wrap(err, "btgossip: pull")
 		}
@@ -157,13 +163,27 @@
 	return framed.Bytes(), err
 }
 
-// readReply reads a batch that encodeReply encoded.
-func readReply(br *bufio.Reader) (*ObjectBatch, error) {
+// readReply reads a batch that encodeReply encoded. Its bytes count in kept.
+func readReply(br *bufio.Reader, kept *btmemory.Account) (*ObjectBatch, error) {
+	size, err := binary.ReadUvarint(br)
+	if err != nil {
+		return nil, err
+	}
+	if size > maxReplySize {
+		return nil, errReplyTooLarge
+	}
+	data, err := btmemory.ReadAll(io.LimitReader(br, int64(size)), int(size), maxReplySize, kept)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) < int(size) {
+		return nil, io.ErrUnexpectedEOF
+	}
 	var compressed wrapperspb.BytesValue
-	if err := (protodelim.UnmarshalOptions{MaxSize: maxReplySize}).UnmarshalFrom(br, &compressed); err != nil {
+	if err := proto.Unmarshal(data, &compressed); err != nil {
 		return nil, err
 	}
-	return expandBatch(compressed.Value)
+	return expandBatch(compressed.Value, kept)
 }
 
 // compressBatch returns an encoded batch, compressed by DEFLATE.
@@ -186,15 +206,15 @@
 	return compressed.Bytes(), nil
 }
 
-// expandBatch returns the batch that compressBatch compressed.
-func expandBatch(compressed []byte) (*ObjectBatch, error) {
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxReplySize+1))
+// expandBatch returns the batch that compressBatch compressed. Its bytes count in kept.
+func expandBatch(compressed []byte, kept *btmemory.Account) (*ObjectBatch, error) {
+	plain, err := btmemory.ReadAll(flate.NewReader(bytes.NewReader(compressed)), -1, maxReplySize, kept)
+	if errors.Is(err, btmemory.ErrTooLarge) {
+		return nil, errReplyTooLarge
+	}
 	if err != nil {
 		return nil, err
 	}
-	if len(plain) > maxReplySize {
-		return nil, errReplyTooLarge
-	}
 	b := &ObjectBatch{}
 	return b, proto.Unmarshal(plain, b)
 }
@@ -272,7 +292,7 @@
 	br := bufio.NewReader(c.conn)
 	for {
 		var r PullRequest
-		if err := protodelim.UnmarshalFrom(br, &r); err != nil {
+		if err := (protodelim.UnmarshalOptions{MaxSize: maxPullRequest}).UnmarshalFrom(br, &r); err != nil {
 			return err
 		}
 		data, err := c.server.reply(r.Kind)
--- a/internal/fleet/btgossip/push.go
+++ b/internal/fleet/btgossip/push.go
@@ -9,6 +9,7 @@
 	"bramleytack"
 	"bramleytack/btevent"
 	"bramleytack/internal/fleet/btreplica"
+	"bramleytack/internal/node/btmemory"
 )
 
 const (
@@ -74,7 +75,9 @@
 
 // handleCompressed applies compressed changes from another daemon.
 func (n *Node) handleCompressed(p *Packet, sender netip.Addr) {
-	b, err := expandBatch(p.Compressed)
+	kept := n.Memory.Open(btmemory.Peers, func() {})
+	defer kept.Close()
+	b, err := expandBatch(p.Compressed, kept)
 	if err != nil {
 		n.Log.Event(btevent.PeerPacketDropped).Stringer("from", sender).Err(err).Send()
 		return
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -26,6 +26,7 @@
 	"bramleytack/internal/fleet/btgossip"
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/node/btdrain"
+	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
@@ -41,6 +42,14 @@
 	// softMemoryShare is the share of Settings.MemoryBytes that is the garbage
 	// collector's soft limit.
 	softMemoryShare = 0.6
+	// keptMemoryShare is the share of Settings.MemoryBytes for data that others sent and
+	// that is not in use yet or any more. The collector lets garbage of as much pile up, and
+	// the rest is for connections, goroutines and the replica.
+	keptMemoryShare = 0.2
+	// defaultKeptMemory replaces it without a limit on the process.
+	defaultKeptMemory = 24 << 20
+	// maxRequestHead bounds the head of a caller's request in bytes.
+	maxRequestHead = 64 << 10
 	// gcPercent is below Go's default of 100 because memory is scarcer than
 	// processor time here.
 	gcPercent = 60
@@ -63,9 +72,19 @@
 	largeUpstreamsPollPause = 200 * time.Millisecond
 )
 
+// NewMemory returns the bound of the bytes that a daemon keeps of what others sent.
+func NewMemory(s Settings) *btmemory.Budget {
+	if s.MemoryBytes <= 0 {
+		return &btmemory.Budget{Limit: defaultKeptMemory}
+	}
+	return &btmemory.Budget{Limit: int64(keptMemoryShare * float64(s.MemoryBytes))}
+}
+
 // Adapter holds the implementations that depend on the platform. New needs Engines,
-// and Run needs all fields.
+// and Run needs all fields but Memory.
 type Adapter struct {
+	// Memory is shared with the client of the store. Nil means no bound.
+	Memory   *btmemory.Budget
 	Feed     bramleytack.Feed
 	Registry bramleytack.Registry
 	Codec    bramleytack.CatalogCodec
@@ -116,7 +135,7 @@
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	n.log = btevent.New(n.logs, zerolog.InfoLevel, s.Host)
 	n.table = btreplica.NewTable(a.Codec, n.timer, n.log)
-	n.pool = &btconn.Pool{}
+	n.pool = &btconn.Pool{Memory: a.Memory}
 	n.engines = a.Engines(n.pool)
 	n.registry = prometheus.NewRegistry()
 	n.accounts = &btaccount.Table{Timer: n.timer, Domain: s.FailureDomain, MaxPause: s.Bounds.MaxPause, Log: n.log}
@@ -128,7 +147,7 @@
 			Port: s.Peer.Port(), Incarnation: uint64(time.Now().UnixMilli()), Processor: s.ProcessorMillis,
 		},
 		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Suspects: n.suspects, Grants: n.grants, Timer: n.timer, Log: n.log,
-		Ready: n.Ready, Leaving: n.isLeaving, Seeds: addrsOf(s.Seeds),
+		Memory: a.Memory, Ready: n.Ready, Leaving: n.isLeaving, Seeds: addrsOf(s.Seeds),
 	})
 	n.suspects.Share, n.suspects.Elected = n.gossip.ShareSuspicions, n.gossip.Elected
 	n.grants.Ask, n.grants.Share, n.grants.Part, n.grants.Daemons = n.gossip.AskGrant, n.gossip.ShareWords, n.gossip.GrantPart, n.gossip.Count
@@ -140,8 +159,8 @@
 	n.handler = &btentry.Handler{
 		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Grants: n.grants, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.isLeaving, Accepts: n.leaving.Accepts,
-		Lengths: btforecast.New(n.timer),
-		Budget:  newBudget(n.timer, s.Bounds, n.gossip.Count),
+		Lengths: btforecast.New(n.timer), Memory: a.Memory,
+		Budget: newBudget(n.timer, s.Bounds, n.gossip.Count),
 	}
 	n.handler.ShareLeaving = n.gossip.ShareLeaving
 	n.leaving = btdrain.Drain{Timer: n.timer, Grace: s.Bounds.Grace, Active: n.handler.Active, Changed: n.phaseChanged}
@@ -178,7 +197,7 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "bramleytack_upstream_connections_total", Help: "Connections opened to upstreams."}, func() float64 { return float64(n.pool.Opened.Load()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "bramleytack_log_lines_dropped_total", Help: "Log lines dropped because of a slow reader."}, func() float64 { return float64(n.dropped.Load()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bramleytack_peers_alive", Help: "Other daemons that are alive."}, func() float64 { return float64(len(n.gossip.Alive())) }),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bramleytack_body_bytes", Help: "Size of the bodies that are kept in memory."}, func() float64 { return float64(n.handler.Buffered()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bramleytack_body_bytes", Help: "Bytes that are kept of requests, responses and answers of others."}, func() float64 { return float64(n.adapter.Memory.Kept()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bramleytack_requests_active", Help: "Requests being served."}, func() float64 { return float64(n.handler.Active()) }),
 	)
 	for _, c := range btgossip.Causes() {
@@ -269,7 +288,7 @@
 
 // newServer returns a server that passes all requests whose heads can be read to a handler.
 func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxRequestHead, DisableGeneralOptionsHandler: true}
 }
 
 // listener serves HTTP on one address.
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,27 +11,20 @@
 
 	"bramleytack"
 	"bramleytack/btevent"
+	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/serve/btstream"
 	"bramleytack/internal/upstream/btconn"
 )
 
-const (
-	// maxResponseBytes bounds a response that is buffered until it is complete.
-	maxResponseBytes = 16 << 20
-	// bodyChunk is the size in bytes in which a response body grows and is counted.
-	bodyChunk = 32 << 10
-)
+// maxResponseBytes bounds a response that is buffered until it is complete.
+const maxResponseBytes = 16 << 20
 
 // errOtherRequest is returned if a response carries the id of another request, or none
 // on a connection on which a late response to an earlier request may arrive.
 var errOtherRequest = errors.New("btentry: response belongs to another request")
 
-// errTooLarge is returned for a response body that exceeds maxResponseBytes, and for any body
-// that exceeds the memory that is left.
-var errTooLarge = errors.New("btentry: body is too large")
-
 // attemptResult is how an attempt ended.
 type attemptResult struct {
 	upstream *bramleytack.Upstream
@@ -60,12 +52,13 @@
 // response has arrived.
 func (r *attemptResult) usable() bool { return r.err == nil && r.outcome == bramleytack.Ran }
 
-// upstreamRequest returns the request to send to u.
-func (req *activeRequest) upstreamRequest(u *bramleytack.Upstream) *btconn.Request {
+// upstreamRequest returns the request to send to u. What is kept of the response's head
+// counts in kept.
+func (req *activeRequest) upstreamRequest(u *bramleytack.Upstream, kept *btmemory.Account) *btconn.Request {
 	d := req.h.Dialect
 	header := req.header.Clone()
 	header.Set(d.ExpectInstance, string(u.ID))
-	return &btconn.Request{Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body}
+	return &btconn.Request{Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body, Kept: kept}
 }
 
 // open sends a request to the result's upstream, if its limit allows that, and reads the
@@ -206,13 +199,17 @@
 }
 
 func (req *activeRequest) exchange(ctx context.Context, u *bramleytack.Upstream, terms btgrant.Terms) *attemptResult {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	kept := req.h.Memory.Open(btmemory.Upstream(u.ID), cancel)
+	defer kept.Close()
 	r := &attemptResult{upstream: u, outcome: bramleytack.Unknown}
-	x, err := req.open(ctx, r, req.upstreamRequest(u), terms)
+	x, err := req.open(ctx, r, req.upstreamRequest(u, kept), terms)
 	if err != nil {
 		return r.fail(err)
 	}
 	defer x.Close()
-	return req.readResult(ctx, r, x)
+	return req.readResult(ctx, r, x, kept)
 }
 
 // fail records an error that came before a response.
@@ -224,13 +221,17 @@
 	return r
 }
 
-// readResult reads the response body and sets the outcome of r.
-func (req *activeRequest) readResult(ctx context.Context, r *attemptResult, x *btconn.Exchange) *attemptResult {
+// readResult reads the response body, which counts in kept and then as unread by the caller,
+// and sets the outcome of r.
+func (req *activeRequest) readResult(ctx context.Context, r *attemptResult, x *btconn.Exchange, kept *btmemory.Account) *attemptResult {
 	d := req.h.Dialect
 	r.status, r.header = x.StatusCode, x.Header
-	r.body, r.err = req.h.readBody(x.Body)
+	r.body, r.err = btmemory.ReadAll(x.Body, int(x.ContentLength), maxResponseBytes, kept)
 	if r.err == nil && !x.Complete() {
-		r.err = errTooLarge
+		r.err = btmemory.ErrTooLarge
+	}
+	if !kept.MoveAllTo(req.unread) {
+		r.body, r.err = nil, btmemory.ErrFull
 	}
 	switch {
 	case r.status == http.StatusMisdirectedRequest:
@@ -245,14 +246,6 @@
 	return r
 }
 
-// readBody reads a response body. While it is read it counts against the memory for all
-// bodies: a body without end would otherwise use up the memory of the daemon.
-func (h *Handler) readBody(r io.Reader) ([]byte, error) {
-	body, counted, err := readCounted(r, -1, maxResponseBytes, h.buffered.takeResponse)
-	h.buffered.responses.Add(-int64(counted))
-	return body, err
-}
-
 // health returns the outcome that counts for the upstream's health.
 func (req *activeRequest) health(r *attemptResult) btaccount.Outcome {
 	switch {
@@ -280,7 +273,15 @@
 // responseLimits are the limits on responses of upstreams, by their names in logs and
 // metrics.
 var responseLimits = map[string]error{
-	"head": btconn.ErrHeadTooLarge, "body": errTooLarge, "event": btstream.ErrEventTooLong, "stall": errStalled,
+	"head": btconn.ErrHeadTooLarge, "body": btmemory.ErrTooLarge, "event": btstream.ErrEventTooLong, "stall": errStalled,
+	"memory": btmemory.ErrFull,
+}
+
+// noteUnread logs and counts a response that was dropped because its caller did not read it.
+func (req *activeRequest) noteUnread(u *bramleytack.Upstream) {
+	if req.unread.Ended() {
+		req.noteLimit(u, btmemory.ErrFull)
+	}
 }
 
 // noteLimit logs and counts an error that is due to a limit on responses.
--- a/internal/serve/btentry/exit_test.go
+++ b/internal/serve/btentry/exit_test.go
@@ -334,7 +334,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(100 * time.Millisecond)
-		assert.Check(t, h.handler.Buffered() >= 5*size, "%d", h.handler.Buffered())
+		assert.Check(t, h.handler.Memory.Kept() >= 5*size, "%d", h.handler.Memory.Kept())
 		wg.Wait()
 	})
 }
@@ -361,11 +361,11 @@
 					})
 				}
 				time.Sleep(500 * time.Millisecond)
-				assert.Check(t, h.handler.Buffered() <= 24<<20, "%d bytes", h.handler.Buffered())
+				assert.Check(t, h.handler.Memory.Kept() <= 24<<20, "%d bytes", h.handler.Memory.Kept())
 				wg.Wait()
 				assert.Check(t, rejected.Load() > 0 && rejected.Load() < callers, "%d rejected", rejected.Load())
 				time.Sleep(time.Second)
-				assert.Check(t, is.Equal(h.handler.Buffered(), int64(0)))
+				assert.Check(t, is.Equal(h.handler.Memory.Kept(), int64(0)))
 			})
 		})
 	}
--- a/internal/serve/btentry/fault_test.go
+++ b/internal/serve/btentry/fault_test.go
@@ -160,12 +160,12 @@
 				assert.Assert(t, status >= http.StatusBadGateway)
 				ended++
 			case <-time.After(time.Millisecond):
-				peak = max(peak, h.handler.Buffered())
+				peak = max(peak, h.handler.Memory.Kept())
 			}
 		}
 		assert.Assert(t, peak > 20<<20 && peak <= 25<<20, "%d bytes were kept", peak)
 		time.Sleep(time.Second)
-		assert.Equal(t, h.handler.Buffered(), int64(0), "memory of ended requests is still counted")
+		assert.Equal(t, h.handler.Memory.Kept(), int64(0), "memory of ended requests is still counted")
 		u.l.Close()
 	})
 }
@@ -266,6 +266,6 @@
 		for range 3 {
 			assert.Equal(t, h.request(http.MethodPost, "/order/1", nil, time.Second).status, http.StatusServiceUnavailable)
 		}
-		assert.Equal(t, h.handler.Buffered(), int64(0))
+		assert.Equal(t, h.handler.Memory.Kept(), int64(0))
 	})
 }
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -21,6 +21,7 @@
 	"bramleytack/btidentity"
 	"bramleytack/btretry"
 	"bramleytack/internal/fleet/btreplica"
+	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
@@ -45,7 +46,7 @@
 )
 
 // Handler serves callers over HTTP. Its fields are set before the first request.
-// Suspects, Grants, Mover, Log, Metrics, Leaving and Accepts may be nil.
+// Suspects, Grants, Mover, Log, Metrics, Memory, Leaving and Accepts may be nil.
 type Handler struct {
 	Table    *btreplica.Table
 	Accounts *btaccount.Table
@@ -59,6 +60,8 @@
 	Metrics  *Metrics
 	Budget   *btretry.Budget
 	Lengths  *btforecast.Lengths
+	// Memory bounds the bytes that are kept of requests and responses.
+	Memory *btmemory.Budget
 	// ShareLeaving tells other daemons that an upstream has said that it is leaving. Nil
 	// tells none.
 	ShareLeaving func(u *bramleytack.Upstream)
@@ -79,7 +82,6 @@
 	// pace is learned from the streams of this daemon.
 	pace     btforecast.Pace
 	requests activeSet
-	buffered bodyMemory
 	// unconfiguredSince is the Unix time in nanoseconds of the first request that came
 	// before the configuration, zero without one.
 	unconfiguredSince atomic.Int64
@@ -94,10 +96,6 @@
 	return len(h.requests.requests)
 }
 
-// Buffered returns the size in bytes of the bodies that are kept in memory. It is safe
-// for concurrent use.
-func (h *Handler) Buffered() int64 { return h.buffered.total() }
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &activeRequest{h: h, w: w, id: r.Header.Get(h.Dialect.RequestID), received: h.Timer.Now()}
@@ -106,7 +104,10 @@
 	defer h.requests.remove(req)
 	defer req.answerPanic()
 	// The body counts from its first byte on, also if the request is rejected.
-	defer func() { h.buffered.requests.Add(-int64(req.counted)) }()
+	req.kept = h.Memory.OpenRequest()
+	defer req.kept.Close()
+	req.unread = h.Memory.Open(btmemory.Callers, req.dropCaller)
+	defer req.unread.Close()
 	if !req.admit(r) {
 		return
 	}
@@ -161,9 +162,10 @@
 	host      string
 	header    http.Header
 	body      []byte
-	// counted is the number of bytes that count as the body's.
-	counted int
-	need    btaccount.Need
+	// kept counts the body, and unread what the caller has not been sent yet of responses.
+	kept   *btmemory.Account
+	unread *btmemory.Account
+	need   btaccount.Need
 	// parts are the ids of the shared parts of the prompt.
 	parts []string
 	// ownKeys is set by keys.
@@ -192,6 +194,10 @@
 		req.reject(http.StatusServiceUnavailable, req.configRetryAfter(r), "no configuration yet")
 		return false
 	}
+	if !req.kept.Take(headerSize(r.Header)) {
+		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many requests in memory")
+		return false
+	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	req.route = req.snapshot.Routes.Find(r.Host, path)
 	if req.route == nil {
@@ -261,6 +267,21 @@
 	}
 }
 
+// headerFieldCost is what a field of a header takes besides its text, in bytes.
+const headerFieldCost = 100
+
+// headerSize returns the size in memory of a request's header, in bytes.
+func headerSize(header http.Header) int {
+	size := 0
+	for name, values := range header {
+		size += headerFieldCost + len(name)
+		for _, v := range values {
+			size += len(v)
+		}
+	}
+	return size
+}
+
 // hopByHopHeaders concern a single connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
@@ -320,7 +341,7 @@
 		req.reject(http.StatusRequestEntityTooLarge, 0, "body is too large")
 		return false
 	}
-	if !req.h.buffered.fits(max(r.ContentLength, 0)) {
+	if !req.h.Memory.FitsRequest(max(r.ContentLength, 0)) {
 		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many bodies in memory")
 		return false
 	}
@@ -330,16 +351,16 @@
 		// its body has come.
 		_ = conn.SetReadDeadline(req.deadline)
 	}
-	body, counted, err := readCounted(http.MaxBytesReader(req.w, r.Body, limit), r.ContentLength, math.MaxInt, req.h.buffered.takeRequest)
+	body, err := btmemory.ReadAll(http.MaxBytesReader(req.w, r.Body, limit), int(r.ContentLength), math.MaxInt, req.kept)
 	if err != nil {
-		req.h.buffered.requests.Add(-int64(counted))
+		req.kept.Close()
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		req.reject(http.StatusRequestEntityTooLarge, 0, "body is too large")
 		return false
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, btmemory.ErrFull):
 		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many bodies in memory")
 		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -351,10 +372,16 @@
 		return false
 	}
 	_ = conn.SetReadDeadline(time.Time{})
-	req.body, req.counted = body, counted
+	req.body = body
 	return true
 }
 
+// dropCaller ends a response whose caller does not read it: what is not written yet fails.
+func (req *activeRequest) dropCaller() {
+	// Only a connection without deadlines returns an error.
+	_ = http.NewResponseController(req.w).SetWriteDeadline(time.Unix(1, 0))
+}
+
 // remaining returns the time until the deadline.
 func (req *activeRequest) remaining() time.Duration { return req.deadline.Sub(req.h.Timer.Now()) }
 
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -27,6 +27,7 @@
 	"bramleytack/bttimer"
 	"bramleytack/internal/btmemnet"
 	"bramleytack/internal/fleet/btreplica"
+	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
@@ -49,7 +50,9 @@
 	engineService = "engines"
 	callService   = "shop"
 	eventGap      = 30 * time.Millisecond
-	streamEvents  = 60
+	// keptMemory is room for bodies of 24 MiB, and for heads.
+	keptMemory   = 24<<20 + 64<<10
+	streamEvents = 60
 )
 
 // codec fills snapshots from the harness and ignores the encoded objects.
@@ -229,7 +232,7 @@
 	d.handler = &btentry.Handler{
 		Table: table, Accounts: &btaccount.Table{Timer: h.timer}, Suspects: suspects, Dialect: dialect, Mover: h.pool, Timer: h.timer, Log: log,
 		Grants: h.grants(d), Pool: &btconn.Pool{Dial: d.dial(h.net)}, Metrics: btentry.NewMetrics(prometheus.NewRegistry()),
-		Budget: &btretry.Budget{Timer: h.timer}, Lengths: btforecast.New(h.timer),
+		Budget: &btretry.Budget{Timer: h.timer}, Lengths: btforecast.New(h.timer), Memory: &btmemory.Budget{Limit: keptMemory},
 	}
 	d.handler.Accounts.HeldUntil = d.handler.Grants.HeldUntil
 	d.server = &http.Server{Handler: d.handler}
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -7,14 +7,21 @@
 
 	"bramleytack"
 	"bramleytack/btevent"
+	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/serve/btstream"
 	"bramleytack/internal/upstream/btconn"
+
+	"golang.org/x/sync/semaphore"
 )
 
-// readAheadItems is the number of items that a segment reads ahead of its relay.
-const readAheadItems = 32
+const (
+	// readAheadItems and readAheadBytes bound what a segment reads ahead of its relay. One
+	// larger event is read, too.
+	readAheadItems = 32
+	readAheadBytes = 32 << 10
+)
 
 // settleTime bounds the wait for a closed segment to say whether its request was sent. It
 // only closes a connection.
@@ -47,9 +54,13 @@
 	head *attemptResult
 	need btaccount.Need
 	// terms are those on which the segment asks for permission of a limited upstream.
-	terms  btgrant.Terms
-	items  chan item
+	terms btgrant.Terms
+	items chan item
+	// room has the part of readAheadBytes that is free.
+	room   *semaphore.Weighted
 	cancel context.CancelFunc
+	// kept counts the head of the response and the event that is being read.
+	kept *btmemory.Account
 	// result is how the request ended if no stream was opened. It may be read once ended is
 	// closed.
 	result *attemptResult
@@ -94,19 +105,24 @@
 	now := seg.req.h.Timer.Now()
 	seg.started, seg.lastEventAt = now, now
 	seg.items, seg.ended = make(chan item, readAheadItems), make(chan struct{})
+	seg.room = semaphore.NewWeighted(readAheadBytes)
+	connCtx, drop := context.WithCancel(ctx)
+	seg.kept = seg.req.h.Memory.Open(btmemory.Upstream(seg.upstream.ID), drop)
+	seg.request.Kept = seg.kept
 	seg.lease = seg.req.h.Accounts.Begin(seg.upstream.ID, seg.need)
 	if seg.backup != nil {
 		seg.copyLease = seg.req.h.Accounts.BeginCopy(seg.backup.ID, seg.need)
 	}
-	go seg.run(ctx)
+	go seg.run(ctx, connCtx)
 }
 
-// run sends the request and reads the response to its end.
-func (seg *segment) run(ctx context.Context) {
+// run sends the request and reads the response to its end. connCtx ends with ctx, or when
+// the response finds no memory.
+func (seg *segment) run(ctx, connCtx context.Context) {
 	r := &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown}
 	seg.result = &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown, err: errDaemonEnds}
 	defer close(seg.ended)
-	x, err := seg.req.open(ctx, r, seg.request, seg.terms)
+	x, err := seg.req.open(connCtx, r, seg.request, seg.terms)
 	if err != nil {
 		seg.result = r.fail(err)
 		seg.send(ctx, item{head: r, ended: true, err: err})
@@ -114,7 +130,7 @@
 	}
 	defer x.Close()
 	if x.StatusCode != http.StatusOK {
-		seg.result = seg.req.readResult(ctx, r, x)
+		seg.result = seg.req.readResult(ctx, r, x, seg.kept)
 		seg.send(ctx, item{head: r, ended: true})
 		return
 	}
@@ -123,20 +139,33 @@
 	if !seg.send(ctx, item{head: r}) {
 		return
 	}
-	events := btstream.NewReader(x.Body)
+	events := btstream.NewReader(x.Body, seg.kept)
 	for empty := true; ; {
 		e, err := events.Next()
+		if err == nil && !seg.kept.MoveTo(seg.req.unread, e.Size()) || err != nil && seg.kept.Ended() {
+			err = btmemory.ErrFull
+		}
 		if err != nil {
 			seg.send(ctx, item{ended: true, err: seg.req.checkEnd(ctx, r, x, err, empty)})
 			return
 		}
 		empty = empty && !e.HasData
-		if !seg.send(ctx, item{event: e}) {
+		if seg.room.Acquire(ctx, roomOf(e)) != nil || !seg.send(ctx, item{event: e}) {
+			seg.req.unread.Release(e.Size())
 			return
 		}
 	}
 }
 
+// handled makes the room of an event free that the relay has sent to the caller or dropped.
+func (seg *segment) handled(e btstream.Event) {
+	seg.room.Release(roomOf(e))
+	seg.req.unread.Release(e.Size())
+}
+
+// roomOf returns the part of readAheadBytes that an event takes.
+func roomOf(e btstream.Event) int64 { return int64(min(e.Size(), readAheadBytes)) }
+
 // send passes an item to the relay. It reports false if the segment was closed.
 func (seg *segment) send(ctx context.Context, i item) bool {
 	select {
@@ -172,6 +201,7 @@
 	}
 	seg.cancel()
 	seg.cancel = nil
+	seg.kept.Close()
 	seg.lease.End(o)
 	seg.copyLease.End()
 	req := seg.req
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -164,7 +164,7 @@
 // unless the segment continues from a copy.
 func (s *relay) newSegment(u *bramleytack.Upstream, from origin, copyName string) *segment {
 	req, d := s.req, s.req.h.Dialect
-	seg := &segment{req: req, upstream: u, origin: from, after: s.delivered, need: s.remainingNeed(), copyName: copyName, request: req.upstreamRequest(u)}
+	seg := &segment{req: req, upstream: u, origin: from, after: s.delivered, need: s.remainingNeed(), copyName: copyName, request: req.upstreamRequest(u, nil)}
 	seg.need.Copied = from == fromCopy
 	if from != fromStart && (s.headSent || s.lastEventID > 0) {
 		seg.request.Header.Set(d.LastEvent, strconv.FormatUint(s.lastEventID, 10))
@@ -205,6 +205,7 @@
 
 // handleItem handles an item of a segment.
 func (s *relay) handleItem(seg *segment, i item) {
+	defer seg.handled(i.event)
 	if seg.cancel == nil {
 		// The item was read before the segment was closed.
 		return
@@ -289,6 +290,7 @@
 func (s *relay) forwardEvent(e btstream.Event) bool {
 	if _, err := s.req.w.Write(e.Raw); err != nil {
 		s.req.log(btevent.CallerDisconnected).Err(err).Uint64("lastEvent", s.lastEventID).Send()
+		s.req.noteUnread(s.cur.upstream)
 		s.done = true
 		return false
 	}
--- a/internal/serve/btstream/doc.go
+++ b/internal/serve/btstream/doc.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	r := btstream.NewReader(response.Body)
+//	r := btstream.NewReader(response.Body, account)
 //	for {
 //		e, err := r.Next()
 //		...
--- a/internal/serve/btstream/reader.go
+++ b/internal/serve/btstream/reader.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"bramleytack/internal/node/btmemory"
 )
 
 const (
@@ -14,6 +16,8 @@
 	readBufferSize = 4 << 10
 	// maxEventBytes bounds an event, and the bytes of a line that never ends.
 	maxEventBytes = 1 << 20
+	// minEventBytes is enough for an event of usual size.
+	minEventBytes = 128
 )
 
 // ErrEventTooLong is returned for an event of more than 1 MiB.
@@ -32,17 +36,24 @@
 	Raw []byte
 }
 
+// Size returns the size of the event in memory in bytes.
+func (e Event) Size() int { return cap(e.Raw) }
+
 // Reader reads events from a stream. It is not safe for concurrent use.
 type Reader struct {
-	r *bufio.Reader
+	r    *bufio.Reader
+	kept *btmemory.Account
 }
 
 // NewReader returns a Reader of the events in r. It reads ahead of the events that
-// Next returns.
-func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReaderSize(r, readBufferSize)} }
+// Next returns. The size of each event counts in kept, from its first byte on, until the
+// caller of Next releases it. kept may be nil.
+func NewReader(r io.Reader, kept *btmemory.Account) *Reader {
+	return &Reader{r: bufio.NewReaderSize(r, readBufferSize), kept: kept}
+}
 
-// Next returns the next event. It returns io.EOF after the last one, and
-// io.ErrUnexpectedEOF if the stream ends inside an event.
+// Next returns the next event. It returns io.EOF after the last one, io.ErrUnexpectedEOF if
+// the stream ends inside an event, and btmemory.ErrFull if there is no memory for the event.
 func (r *Reader) Next() (Event, error) {
 	var e Event
 	for {
@@ -67,10 +78,11 @@
 	start := len(e.Raw)
 	for {
 		part, err := r.r.ReadSlice('\n')
+		if gerr := r.grow(e, len(part)); gerr != nil {
+			return nil, gerr
+		}
 		e.Raw = append(e.Raw, part...)
 		switch {
-		case len(e.Raw) > maxEventBytes:
-			return nil, ErrEventTooLong
 		case err == nil:
 			return e.Raw[start:], nil
 		case !errors.Is(err, bufio.ErrBufferFull):
@@ -79,6 +91,16 @@
 	}
 }
 
+// grow makes room for n more bytes of an event.
+func (r *Reader) grow(e *Event, n int) error {
+	if len(e.Raw)+n > maxEventBytes {
+		return ErrEventTooLong
+	}
+	raw, err := btmemory.Grow(e.Raw, max(n, minEventBytes-len(e.Raw)), maxEventBytes, r.kept)
+	e.Raw = raw
+	return err
+}
+
 // parseField evaluates a line that is an id or data field.
 func (e *Event) parseField(line []byte) {
 	if bytes.HasPrefix(line, []byte("data")) {
--- a/internal/serve/btstream/reader_test.go
+++ b/internal/serve/btstream/reader_test.go
@@ -12,7 +12,7 @@
 
 // readAll returns the events of a stream and the error that ended it.
 func readAll(r io.Reader) ([]Event, error) {
-	reader := NewReader(r)
+	reader := NewReader(r, nil)
 	var events []Event
 	for {
 		e, err := reader.Next()
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"bramleytack/internal/node/btmemory"
 )
 
 const (
@@ -23,6 +25,11 @@
 	readBufferBytes = 8 << 10
 	// maxHeadBytes bounds the head of a response, interim responses included.
 	maxHeadBytes = 64 << 10
+	// headerByteCost and headerFieldCost are the bytes that net/http keeps while it reads a
+	// head, for each byte and for each field: a line that grows, and the map entry, the list
+	// and the strings of a field with a short name.
+	headerByteCost  = 2
+	headerFieldCost = 160
 	// maxInlineBody is the largest request body in bytes that is written before the
 	// response is read. Larger ones are written concurrently.
 	maxInlineBody = 16 << 10
@@ -65,6 +72,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Kept counts what is kept of the response's head. It may be nil.
+	Kept *btmemory.Account
 }
 
 // Conn is a connection to an upstream. It carries one request at a time.
@@ -85,6 +94,7 @@
 	// left is the number of bytes that the head may still have. It is negative while
 	// no head is read.
 	left int
+	kept *btmemory.Account
 }
 
 func (l *headLimit) Read(p []byte) (int, error) {
@@ -96,6 +106,9 @@
 	}
 	n, err := l.r.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if !l.kept.Take(headerByteCost*n + headerFieldCost*bytes.Count(p[:n], []byte{'\n'})) {
+		return 0, btmemory.ErrFull
+	}
 	return n, err
 }
 
@@ -135,9 +148,12 @@
 		x.abandon()
 		return nil, err
 	}
-	resp, err := c.readHead(r.Method)
+	resp, err := c.readHead(r.Method, r.Kept)
 	if err != nil {
 		x.abandon()
+		if r.Kept.Ended() {
+			err = btmemory.ErrFull
+		}
 		return nil, err
 	}
 	x.Response = resp
@@ -194,9 +210,9 @@
 }
 
 // readHead reads the head of the final response and skips interim responses.
-func (c *Conn) readHead(method string) (*http.Response, error) {
-	c.limit.left = maxHeadBytes
-	defer func() { c.limit.left = -1 }()
+func (c *Conn) readHead(method string, kept *btmemory.Account) (*http.Response, error) {
+	c.limit.left, c.limit.kept = maxHeadBytes, kept
+	defer func() { c.limit.left, c.limit.kept = -1, nil }()
 	for {
 		if _, err := c.r.Peek(1); err != nil {
 			return nil, errors.Wrap(err, "btconn: no response")
--- a/internal/upstream/btconn/pool.go
+++ b/internal/upstream/btconn/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"bramleytack/internal/node/btmemory"
 )
 
 const (
@@ -34,6 +36,8 @@
 type Pool struct {
 	// Dial opens connections. If nil, the pool dials TCP with userTimeout.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Memory bounds what the pool's users keep of responses. It may be nil.
+	Memory *btmemory.Budget
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*Conn
