--- a/btretry/budget.go
+++ b/btretry/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -29,8 +30,11 @@
 	// Burst bounds the budget of a key, in retries.
 	Burst float64
 	// Processes returns the number of processes that share Minimum and Burst.
-	// Nil means one.
+	// Nil means one. Where the part of a process is less than one retry, it retries with
+	// that probability, so that all together keep to Burst.
 	Processes func() int
+	// Seed seeds the random numbers. It should differ between processes.
+	Seed uint64
 	// MaxKeys bounds the number of buckets. The least recently used one is
 	// dropped.
 	MaxKeys int
@@ -38,6 +42,7 @@
 	mu      sync.Mutex
 	buckets map[string]*list.Element
 	lru     list.List
+	rng     *rand.Rand
 }
 
 // bucket is the budget of one key. A token allows one retry.
@@ -61,20 +66,34 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.refill(key)
-	if k.tokens < 1 {
+	if k.tokens >= 1 {
+		k.tokens--
+		return true
+	}
+	if b.burst() >= 1 {
 		return false
 	}
-	k.tokens--
-	return true
+	allowed := b.draw() < k.tokens
+	k.tokens = 0
+	return allowed
+}
+
+// draw returns a random number between 0 and 1.
+func (b *Budget) draw() float64 {
+	if b.rng == nil {
+		b.rng = rand.New(rand.NewPCG(b.Seed, b.Seed))
+	}
+	return b.rng.Float64()
 }
 
 // refill returns a key's bucket after adding Minimum for the time since its last
-// use. A new bucket allows one retry, so that a key with rare requests can retry.
+// use. A new bucket allows one retry, or what Burst leaves a process of it, so that a key
+// with rare requests can retry.
 func (b *Budget) refill(key string) *bucket {
 	now := b.Timer.Now()
 	e, ok := b.buckets[key]
 	if !ok {
-		return b.add(&bucket{key: key, tokens: 1, refilledAt: now})
+		return b.add(&bucket{key: key, tokens: min(1, b.burst()), refilledAt: now})
 	}
 	b.lru.MoveToBack(e)
 	k := e.Value.(*bucket)
@@ -98,7 +117,7 @@
 	return k
 }
 
-func (b *Budget) burst() float64 { return max(positiveOr(b.Burst, DefaultBurst)/b.processes(), 1) }
+func (b *Budget) burst() float64 { return positiveOr(b.Burst, DefaultBurst) / b.processes() }
 
 func (b *Budget) processes() float64 {
 	if b.Processes == nil {
--- a/internal/node/btnode/budget_test.go
+++ b/internal/node/btnode/budget_test.go
@@ -33,7 +33,7 @@
 				defer timer.Close()
 				all := make([]*btretry.Budget, daemons)
 				for i := range all {
-					all[i] = newBudget(timer, bounds, func() int { return daemons })
+					all[i] = newBudget(timer, bounds, uint64(i), func() int { return daemons })
 					all[i].Request("s")
 				}
 				time.Sleep(time.Minute)
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -160,7 +160,7 @@
 		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Grants: n.grants, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.isLeaving, Accepts: n.leaving.Accepts,
 		Lengths: btforecast.New(n.timer), Memory: a.Memory,
-		Budget: newBudget(n.timer, s.Bounds, n.gossip.Count),
+		Budget: newBudget(n.timer, s.Bounds, uint64(time.Now().UnixNano()), n.gossip.Count),
 	}
 	n.handler.ShareLeaving = n.gossip.ShareLeaving
 	n.leaving = btdrain.Drain{Timer: n.timer, Grace: s.Bounds.Grace, Active: n.handler.Active, Changed: n.phaseChanged}
@@ -171,10 +171,10 @@
 
 // newBudget returns a daemon's part of the budget for retries. Within a window a full bucket
 // and what is added to it are used, so that each gets half of the slack.
-func newBudget(timer bramleytack.Timer, b Bounds, daemons func() int) *btretry.Budget {
+func newBudget(timer bramleytack.Timer, b Bounds, seed uint64, daemons func() int) *btretry.Budget {
 	half := retryBudgetShare * b.RetrySlack / 2
 	return &btretry.Budget{
-		Timer: timer, Ratio: retryBudgetShare * b.RetryRatio, Minimum: half / max(b.RetryWindow.Seconds(), 1), Burst: half, Processes: daemons,
+		Timer: timer, Ratio: retryBudgetShare * b.RetryRatio, Minimum: half / max(b.RetryWindow.Seconds(), 1), Burst: half, Processes: daemons, Seed: seed,
 	}
 }
 
