--- a/internal/node/btmemory/budget.go
+++ b/internal/node/btmemory/budget.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,6 +13,14 @@
 // ErrFull is returned for bytes that find no memory.
 var ErrFull = errors.New("btmemory: memory for data of others is full")
 
+const (
+	// endWait is how long an account waits at most until those that ended for it have closed.
+	// Their readers only have to see that their connections are closed.
+	endWait = 20 * time.Millisecond
+	// smallBytes are taken without that wait.
+	smallBytes = 4 << 10
+)
+
 // reserveShare is the share of Budget.Limit that requests leave to responses: a request
 // that has run should not fail because of others.
 const reserveShare = 1.0 / 6
@@ -39,12 +48,26 @@
 type Budget struct {
 	// Limit is the limit in bytes. It does not change.
 	Limit int64
+	// Total bounds the bytes and RequestCost for each open request together. Limit is lower
+	// by what exceeds it, and no request is opened that leaves nothing but the reserve. Zero
+	// means no bound.
+	Total int64
+	// RequestCost is the memory that a request takes besides what it keeps, in bytes.
+	RequestCost int64
+	// Timer bounds waits. Nil means that no account waits.
+	Timer bramleytack.Timer
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// open is the number of open requests, and requests their bytes.
+	open     int64
 	requests int64
 	sources  map[Source]*source
 	// others is the sum of all accounts but those of requests.
 	others int64
+	// ending is the sum of what accounts held that have ended and are not closed.
+	ending int64
+	// released is closed when one of them closes. It is nil while nobody waits for that.
+	released chan struct{}
 }
 
 // source has the open accounts of one Source.
@@ -62,6 +85,8 @@
 	end    func()
 	// Guarded by the budget's mu.
 	bytes int64
+	// dropping is what the account held when it ended, until it closes.
+	dropping int64
 	// ended is set if the account was ended for want of memory, closed by Close.
 	ended, closed bool
 }
@@ -86,12 +111,27 @@
 	return a
 }
 
-// OpenRequest returns an account for a request of a caller. It is never ended.
-func (b *Budget) OpenRequest() *Account {
+// OpenRequest returns an account for a request of a caller. It is never ended. It reports
+// false if there is no memory for one more request; the account takes nothing then.
+func (b *Budget) OpenRequest() (*Account, bool) {
 	if b == nil {
-		return nil
+		return nil, true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.Total > 0 && (b.open+1)*b.RequestCost+b.reserve() > b.Total {
+		return &Account{budget: b, closed: true}, false
+	}
+	b.open++
+	return &Account{budget: b}, true
+}
+
+// limit returns the limit for the bytes of all accounts.
+func (b *Budget) limit() int64 {
+	if b.Total == 0 {
+		return b.Limit
 	}
-	return &Account{budget: b}
+	return min(b.Limit, b.Total-b.open*b.RequestCost)
 }
 
 // Kept returns the number of bytes in all accounts.
@@ -111,38 +151,83 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.requests+n <= b.Limit-b.reserve()
+	return b.requests+n <= b.limit()-b.reserve()
 }
 
 func (b *Budget) reserve() int64 { return int64(reserveShare * float64(b.Limit)) }
 
 // Take adds n bytes. It reports false and adds none if there is no memory for them: then a
-// response has ended, and its connection has to be closed.
+// response has ended, and its connection has to be closed. It waits shortly for others that
+// make room.
 func (a *Account) Take(n int) bool {
 	if a == nil {
 		return true
 	}
 	b := a.budget
+	if !b.take(a, int64(n)) {
+		return false
+	}
+	if n <= smallBytes || b.Timer == nil {
+		return true
+	}
+	b.awaitEnded()
+	return !a.Ended()
+}
+
+func (b *Budget) take(a *Account, n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.ended || a.closed || !b.makeRoom(a, int64(n)) {
+	if a.ended || a.closed || !b.makeRoom(a, n) {
 		return false
 	}
-	b.add(a, int64(n))
+	b.add(a, n)
 	return true
 }
 
+// awaitEnded waits until the limit holds with what ended accounts have not dropped yet.
+func (b *Budget) awaitEnded() {
+	closed := b.overdue()
+	if closed == nil {
+		return
+	}
+	timeout := b.Timer.After(endWait)
+	defer timeout.Stop()
+	for ; closed != nil; closed = b.overdue() {
+		select {
+		case <-closed:
+		case <-timeout.C():
+			return
+		}
+	}
+}
+
+// overdue returns a channel that is closed when an ended account closes, or nil if the limit
+// holds.
+func (b *Budget) overdue() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.requests+b.others+b.ending <= b.limit() {
+		return nil
+	}
+	if b.released == nil {
+		b.released = make(chan struct{})
+	}
+	return b.released
+}
+
 // makeRoom ends accounts until n bytes of a fit. It reports false if they do not: a itself
 // has ended then, or is a request.
 func (b *Budget) makeRoom(a *Account, n int64) bool {
-	if a.source == "" && b.requests+n > b.Limit-b.reserve() {
+	if a.source == "" && b.requests+n > b.limit()-b.reserve() {
 		return false
 	}
-	for b.requests+b.others+n > b.Limit {
+	for b.requests+b.others+n > b.limit() {
 		largest := b.largest(a, n)
 		if largest == nil {
 			return false
 		}
+		largest.dropping = largest.bytes
+		b.ending += largest.bytes
 		b.add(largest, -largest.bytes)
 		largest.ended = true
 		b.forget(largest)
@@ -196,6 +281,16 @@
 	b.sources[a.source].bytes += n
 }
 
+// drop takes off what an ended account held.
+func (b *Budget) drop(a *Account) {
+	b.ending -= a.dropping
+	a.dropping = 0
+	if b.released != nil {
+		close(b.released)
+		b.released = nil
+	}
+}
+
 // forget removes an account without bytes from its source.
 func (b *Budget) forget(a *Account) {
 	s := b.sources[a.source]
@@ -267,12 +362,18 @@
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.ended || a.closed {
+	if a.ended {
+		b.drop(a)
+		return
+	}
+	if a.closed {
 		return
 	}
 	b.add(a, -a.bytes)
 	a.closed = true
-	if a.source != "" {
-		b.forget(a)
+	if a.source == "" {
+		b.open--
+		return
 	}
+	b.forget(a)
 }
--- a/internal/node/btmemory/budget_test.go
+++ b/internal/node/btmemory/budget_test.go
@@ -8,8 +8,12 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"bramleytack/bttimer"
 )
 
 // account is an account of a test that knows whether it was ended.
@@ -60,12 +64,13 @@
 // another one.
 func TestRequestsAndResponses(t *testing.T) {
 	b := &Budget{Limit: 600}
-	r := b.OpenRequest()
+	r, _ := b.OpenRequest()
 	flood := open(b, "a")
 	assert.Assert(t, flood.Take(600))
 	assert.Assert(t, b.FitsRequest(500) && r.Take(500))
 	assert.Assert(t, flood.dropped)
-	assert.Assert(t, !b.FitsRequest(1) && !b.OpenRequest().Take(1))
+	other, _ := b.OpenRequest()
+	assert.Assert(t, !b.FitsRequest(1) && !other.Take(1))
 	response := open(b, "a")
 	assert.Assert(t, response.Take(100))
 	assert.Assert(t, !response.Take(1))
@@ -96,7 +101,8 @@
 		for range 2000 {
 			if len(all) == 0 || rng.IntN(10) == 0 {
 				if rng.IntN(4) == 0 {
-					all = append(all, b.OpenRequest())
+					a, _ := b.OpenRequest()
+					all = append(all, a)
 				} else {
 					all = append(all, b.Open(Source(rune('a'+rng.IntN(5))), func() {}))
 				}
@@ -120,10 +126,58 @@
 			a.Close()
 		}
 		assert.Equal(t, b.Kept(), int64(0), "seed %d", seed)
+		assert.Equal(t, b.ending, int64(0), "seed %d", seed)
 		assert.Equal(t, len(b.sources), 0, "seed %d", seed)
 	}
 }
 
+// Guards against an account that takes memory before those that made room have dropped what
+// they held, and against one that waits for them without end.
+func TestTakeWaitsForEndedAccounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := bttimer.New(1)
+		defer timer.Close()
+		b := &Budget{Limit: 100_000, Timer: timer}
+		flood, a := open(b, "a"), open(b, "b")
+		assert.Assert(t, flood.Take(90_000))
+		time.AfterFunc(5*time.Millisecond, flood.Close)
+		started := time.Now()
+		assert.Assert(t, a.Take(20_000))
+		assert.Assert(t, flood.dropped)
+		assert.Equal(t, time.Since(started), 5*time.Millisecond)
+		stuck := open(b, "a")
+		assert.Assert(t, stuck.Take(80_000))
+		assert.Assert(t, a.Take(smallBytes))
+		assert.Equal(t, time.Since(started), 5*time.Millisecond, "small bytes wait")
+		assert.Assert(t, a.Take(20_000))
+		assert.Equal(t, time.Since(started), 5*time.Millisecond+endWait)
+	})
+}
+
+// Guards against requests whose connections and goroutines use up the memory that their data
+// leaves, and against requests that are taken although nothing is left for their responses.
+func TestOpenRequestsLowerTheLimit(t *testing.T) {
+	b := &Budget{Limit: 600, Total: 1000, RequestCost: 100}
+	var all []*Account
+	for {
+		a, ok := b.OpenRequest()
+		if !ok {
+			assert.Assert(t, !a.Take(1))
+			break
+		}
+		all = append(all, a)
+	}
+	assert.Equal(t, len(all), 9)
+	flood := open(b, "a")
+	assert.Assert(t, flood.Take(100) && !flood.Take(1))
+	for _, a := range all[3:] {
+		a.Close()
+	}
+	assert.Assert(t, all[0].Take(500) && !all[0].Take(1))
+	_, ok := b.OpenRequest()
+	assert.Assert(t, ok)
+}
+
 // Guards against data that is changed, that exceeds its bound, or whose buffer counts for
 // less than it takes.
 func TestReadAll(t *testing.T) {
--- a/internal/node/btmemory/read.go
+++ b/internal/node/btmemory/read.go
@@ -13,8 +13,8 @@
 // minGrowth is the least size in bytes by which a buffer grows, unless its limit is near.
 const minGrowth = 4 << 10
 
-// Grow returns data with room for at least n more bytes. Its capacity grows by a half, at
-// most to limit, and the growth counts in the account before it is allocated.
+// Grow returns data with room for at least n more bytes. Its capacity doubles, at most to
+// limit, and the growth counts in the account before it is allocated.
 func Grow(data []byte, n, limit int, a *Account) ([]byte, error) {
 	need := len(data) + n
 	switch {
@@ -23,7 +23,7 @@
 	case need <= cap(data):
 		return data, nil
 	}
-	size := min(max(need, cap(data)+cap(data)/2), limit)
+	size := min(max(need, 2*cap(data)), limit)
 	if !a.Take(size - cap(data)) {
 		return data, ErrFull
 	}
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -42,10 +42,14 @@
 	// softMemoryShare is the share of Settings.MemoryBytes that is the garbage
 	// collector's soft limit.
 	softMemoryShare = 0.6
-	// keptMemoryShare is the share of Settings.MemoryBytes for data that others sent and
-	// that is not in use yet or any more. The collector lets garbage of as much pile up, and
-	// the rest is for connections, goroutines and the replica.
-	keptMemoryShare = 0.2
+	// keptMemoryShare is the share of Settings.MemoryBytes for data that others sent. Under
+	// load the heap has up to three times as much, with garbage and buffers that grow.
+	keptMemoryShare = 0.16
+	// totalMemoryShare is the share for that data and for the requests together, each
+	// counted as requestCost: a request takes about 60 KB, with its connections and
+	// goroutines, but leaves less garbage than data does.
+	totalMemoryShare = 0.3
+	requestCost      = 25 << 10
 	// defaultKeptMemory replaces it without a limit on the process.
 	defaultKeptMemory = 24 << 20
 	// maxRequestHead bounds the head of a caller's request in bytes.
@@ -77,7 +81,9 @@
 	if s.MemoryBytes <= 0 {
 		return &btmemory.Budget{Limit: defaultKeptMemory}
 	}
-	return &btmemory.Budget{Limit: int64(keptMemoryShare * float64(s.MemoryBytes))}
+	return &btmemory.Budget{
+		Limit: int64(keptMemoryShare * float64(s.MemoryBytes)), Total: int64(totalMemoryShare * float64(s.MemoryBytes)), RequestCost: requestCost,
+	}
 }
 
 // Adapter holds the implementations that depend on the platform. New needs Engines,
@@ -134,6 +140,9 @@
 	n.logs = diode.NewWriter(logs, logBufferLines, 0, func(dropped int) { n.dropped.Add(int64(dropped)) })
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	n.log = btevent.New(n.logs, zerolog.InfoLevel, s.Host)
+	if a.Memory != nil {
+		a.Memory.Timer = n.timer
+	}
 	n.table = btreplica.NewTable(a.Codec, n.timer, n.log)
 	n.pool = &btconn.Pool{Memory: a.Memory}
 	n.engines = a.Engines(n.pool)
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -104,10 +104,15 @@
 	defer h.requests.remove(req)
 	defer req.answerPanic()
 	// The body counts from its first byte on, also if the request is rejected.
-	req.kept = h.Memory.OpenRequest()
+	opened := false
+	req.kept, opened = h.Memory.OpenRequest()
 	defer req.kept.Close()
 	req.unread = h.Memory.Open(btmemory.Callers, req.dropCaller)
 	defer req.unread.Close()
+	if !opened {
+		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many requests in memory")
+		return
+	}
 	if !req.admit(r) {
 		return
 	}
--- a/internal/serve/btstream/reader.go
+++ b/internal/serve/btstream/reader.go
@@ -43,6 +43,8 @@
 type Reader struct {
 	r    *bufio.Reader
 	kept *btmemory.Account
+	// expected is the size of the event before. Room for as much is made at once.
+	expected int
 }
 
 // NewReader returns a Reader of the events in r. It reads ahead of the events that
@@ -67,6 +69,7 @@
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 && start > 0 {
+			r.expected = len(e.Raw)
 			return e, nil
 		}
 		e.parseField(text)
@@ -96,7 +99,7 @@
 	if len(e.Raw)+n > maxEventBytes {
 		return ErrEventTooLong
 	}
-	raw, err := btmemory.Grow(e.Raw, max(n, minEventBytes-len(e.Raw)), maxEventBytes, r.kept)
+	raw, err := btmemory.Grow(e.Raw, max(n, min(max(r.expected, minEventBytes), maxEventBytes)-len(e.Raw)), maxEventBytes, r.kept)
 	e.Raw = raw
 	return err
 }
