--- a/internal/serve/btentry/kept_test.go
+++ b/internal/serve/btentry/kept_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,12 +77,12 @@
 				done := make(chan struct{})
 				go h.checkKept(done)
 				var wg sync.WaitGroup
-				ended := 0
+				var ended atomic.Int32
 				for i := range floods {
 					wg.Go(func() {
 						got := h.send(fmt.Sprint("flood-", i), http.MethodPost, c.target, nil, 5*time.Second)
 						assert.Check(t, got.err != nil || got.status == http.StatusBadGateway || got.status == http.StatusGatewayTimeout, "%d %q", got.status, got.body)
-						ended++
+						ended.Add(1)
 					})
 				}
 				for i := range 20 {
@@ -98,7 +99,7 @@
 				wg.Wait()
 				close(done)
 				time.Sleep(time.Second)
-				assert.Equal(t, ended, floods)
+				assert.Equal(t, ended.Load(), int32(floods))
 				assert.Equal(t, h.handler.Memory.Kept(), int64(0), "bytes of ended requests are still counted")
 			})
 		})
