--- a/internal/node/btmemory/budget.go
+++ b/internal/node/btmemory/budget.go
@@ -48,9 +48,9 @@
 type Budget struct {
 	// Limit is the limit in bytes. It does not change.
 	Limit int64
-	// Total bounds the bytes and RequestCost for each open request together. Limit is lower
-	// by what exceeds it, and no request is opened that leaves nothing but the reserve. Zero
-	// means no bound.
+	// Total bounds the sum of all bytes and of RequestCost for each open request. Where
+	// Limit would exceed it, a lower limit holds. A request that would leave less than the
+	// reserve for bytes is not opened. Zero means no bound.
 	Total int64
 	// RequestCost is the memory that a request takes besides what it keeps, in bytes.
 	RequestCost int64
@@ -91,9 +91,9 @@
 	ended, closed bool
 }
 
-// Open returns an account without bytes. If its bytes have to make room, end is called
-// once, and not after Close. It has to make those who keep the bytes drop them. It must
-// neither block nor use the budget.
+// Open returns an account without bytes. If the account ends for want of memory, end is
+// called once, and not after Close. It has to make those who keep the bytes drop them, and
+// must neither block nor use the budget.
 func (b *Budget) Open(s Source, end func()) *Account {
 	if b == nil {
 		return nil
@@ -157,8 +157,8 @@
 func (b *Budget) reserve() int64 { return int64(reserveShare * float64(b.Limit)) }
 
 // Take adds n bytes. It reports false and adds none if there is no memory for them: then a
-// response has ended, and its connection has to be closed. It waits shortly for others that
-// make room.
+// response has ended, and its connection has to be closed. It waits for up to endWait until
+// accounts that were ended have dropped their bytes.
 func (a *Account) Take(n int) bool {
 	if a == nil {
 		return true
