Logs tell what the outcome of each attempt rests on, and how often a request may have run

A rejection that is false looked like a true one in the log, and a result that a later one hides like a request that was never sent. Each request now counts its sends and those that are ruled out; BT502 and BT507 have both counts, BT503 has the basis of its outcome.

--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -48,6 +48,22 @@
 	err          error
 }
 
+// basis names what the outcome rests on: "unsent" or "misdirected" requests and those that the
+// upstream "declared" as not run have not run. Others may have, with a "response" or "none".
+func (r *attemptResult) basis() string {
+	switch {
+	case r.unsent:
+		return "unsent"
+	case r.misdirected:
+		return "misdirected"
+	case r.outcome == bramleytack.NotRun:
+		return "declared"
+	case r.status != 0 && r.err == nil:
+		return "response"
+	}
+	return "none"
+}
+
 // usable reports whether the upstream executed the request and its whole
 // response has arrived.
 func (r *attemptResult) usable() bool { return r.err == nil && r.outcome == bramleytack.Ran }
@@ -85,8 +101,12 @@
 	result.window = req.window(u)
 	r.Header.Set(req.h.Dialect.DeadlineMillis, strconv.FormatInt(max(result.window.end.Sub(result.window.start).Milliseconds(), 1), 10))
 	req.progress.sent(u.ID, req.h.Timer.Now())
+	req.execution.begin()
 	x, err := c.Do(ctx, r)
 	if err != nil {
+		if errors.Is(err, btconn.ErrUnsent) {
+			req.execution.ruleOut()
+		}
 		return nil, err
 	}
 	if id := x.Header.Get(req.h.Dialect.RequestID); id != req.id && (id != "" || c.Reused()) {
@@ -243,6 +263,9 @@
 			r.outcome = bramleytack.Ran
 		}
 	}
+	if r.outcome == bramleytack.NotRun {
+		req.execution.ruleOut()
+	}
 	return r
 }
 
@@ -266,7 +289,7 @@
 func (req *activeRequest) logAttempt(r *attemptResult, started time.Time) {
 	req.noteLimit(r.upstream, r.err)
 	req.log(btevent.AttemptEnded).Str("upstream", string(r.upstream.ID)).Str("service", req.service).
-		Int("send", req.attempts).Int("status", r.status).Stringer("outcome", r.outcome).
+		Int("send", req.attempts).Int("status", r.status).Stringer("outcome", r.outcome).Str("basis", r.basis()).
 		Uint64("version", req.snapshot.Version).Dur("took", req.h.Timer.Now().Sub(started)).AnErr("cause", r.err).Send()
 }
 
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -175,7 +175,7 @@
 	req.writeHead(r.status)
 	_, err := req.w.Write(r.body)
 	req.noteUnread(r.upstream)
-	req.log(btevent.RequestAnswered).Str("upstream", string(r.upstream.ID)).Int("status", r.status).AnErr("cause", err).Send()
+	req.execution.logTo(req.log(btevent.RequestAnswered)).Str("upstream", string(r.upstream.ID)).Int("status", r.status).AnErr("cause", err).Send()
 	req.h.Metrics.responded(req, r.status)
 }
 
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -142,14 +142,15 @@
 
 // activeRequest is the state of one request while it is served.
 type activeRequest struct {
-	h        *Handler
-	w        http.ResponseWriter
-	snapshot *bramleytack.Snapshot
-	route    *bramleytack.Route
-	service  string
-	id       string
-	received time.Time
-	progress progress
+	h         *Handler
+	w         http.ResponseWriter
+	snapshot  *bramleytack.Snapshot
+	route     *bramleytack.Route
+	service   string
+	id        string
+	received  time.Time
+	progress  progress
+	execution execution
 	// finish ends the request's context. release undoes that the end of the daemon does.
 	finish  context.CancelCauseFunc
 	release func() bool
@@ -402,7 +403,7 @@
 // reject answers the request with an error of the daemon. The reason becomes the
 // response body and a metric label.
 func (req *activeRequest) reject(status int, retryAfter time.Duration, reason string) {
-	req.log(btevent.RequestRejected).Int("status", status).Int("sends", req.attempts).Str("reason", reason).Str("key", req.quarantinedKey).Send()
+	req.execution.logTo(req.log(btevent.RequestRejected)).Int("status", status).Int("sends", req.attempts).Str("reason", reason).Str("key", req.quarantinedKey).Send()
 	req.h.Metrics.rejected(status, reason)
 	req.writeError(status, retryAfter, reason)
 }
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -337,7 +337,7 @@
 	seg.close(btaccount.Served)
 	s.learnLength()
 	s.req.h.Suspects.ReportExecuted(s.req.fingerprint())
-	s.req.log(btevent.RequestAnswered).Str("upstream", string(seg.upstream.ID)).Int("status", seg.head.status).
+	s.req.execution.logTo(s.req.log(btevent.RequestAnswered)).Str("upstream", string(seg.upstream.ID)).Int("status", seg.head.status).
 		Uint64("lastEvent", s.lastEventID).Dur("first", s.firstEventLatency).Dur("longestPause", s.longestPause).Send()
 	s.req.h.Metrics.responded(s.req, seg.head.status)
 }
