Tests, red: requests that are answered as not run, and run

Upstreams of the tests always said with a rejection that the request had not run, and the soak compared a rejection with the upstreams' records at the moment of the answer only.

--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -59,9 +59,12 @@
 	Mute
 	// Doubled answers are followed by a second one.
 	Doubled
+	// Undeclared upstreams run the request and answer with the status of SetRejection, as one
+	// that refuses does, but do not say that it has not run.
+	Undeclared
 )
 
-var faultNames = [...]string{"healthy", "full", "lost", "foreign", "truncated", "broken", "mute", "doubled"}
+var faultNames = [...]string{"healthy", "full", "lost", "foreign", "truncated", "broken", "mute", "doubled", "undeclared"}
 
 // String returns the fault's name.
 func (f Fault) String() string { return faultNames[f] }
@@ -80,6 +83,8 @@
 	crashed atomic.Bool
 	// retryAfter is the Retry-After value of a full upstream's rejections, empty for none.
 	retryAfter atomic.Pointer[string]
+	// rejection is the status of undeclared rejections, zero for 503.
+	rejection atomic.Int32
 	// leaving upstreams say so in all their responses.
 	leaving atomic.Bool
 	// limit is the value of the limit header, empty for none.
@@ -153,6 +158,9 @@
 // SetRetryAfter sets the Retry-After value of rejections. An empty one ends it.
 func (w *Worker) SetRetryAfter(value string) { w.retryAfter.Store(&value) }
 
+// SetRejection sets the status of undeclared rejections.
+func (w *Worker) SetRejection(status int) { w.rejection.Store(int32(status)) }
+
 // SetLeaving makes the upstream say that it is leaving, or end that.
 func (w *Worker) SetLeaving(on bool) { w.leaving.Store(on) }
 
@@ -331,6 +339,10 @@
 		w.mu.Unlock()
 	}()
 	rw.Header().Set(d.Seal, "seal-"+w.cfg.ID)
+	if Fault(w.fault.Load()) == Undeclared {
+		w.reject(ctx, rw)
+		return
+	}
 	fatal := w.cfg.Fatal != nil && w.cfg.Fatal(r, string(body))
 	if w.cfg.Events > 0 {
 		w.stream(ctx, rw, r, work, fatal)
@@ -369,10 +381,29 @@
 func (w *Worker) refuse(rw http.ResponseWriter, cause error) {
 	rw.Header().Set(w.pool.Dialect.NotRun, cause.Error())
 	w.nameLoad(rw.Header())
+	w.setRetryAfter(rw.Header())
+	rw.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// reject answers a request after it has run, as if it had not.
+func (w *Worker) reject(ctx context.Context, rw http.ResponseWriter) {
+	if !pause(ctx, w.cfg.Work) {
+		return
+	}
+	w.setRetryAfter(rw.Header())
+	status := int(w.rejection.Load())
+	if status == 0 {
+		status = http.StatusServiceUnavailable
+	}
+	rw.WriteHeader(status)
+	_, _ = io.WriteString(rw, "rejected")
+}
+
+// setRetryAfter adds the Retry-After value of rejections.
+func (w *Worker) setRetryAfter(header http.Header) {
 	if v := w.retryAfter.Load(); v != nil && *v != "" {
-		rw.Header().Set("Retry-After", *v)
+		header.Set("Retry-After", *v)
 	}
-	rw.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // nameLoad adds the load to a response if the number of places is limited.
