A rejection that an upstream does not declare is no promise to callers

What callers saw: status 408, 429 or 503 for requests that had run, orders among them; a caller takes that for leave to send the request again.

Cause: the status of an upstream was forwarded unchanged, also where to the caller it means something that neither the upstream nor the daemon has said. Its outcome even counted as ran.

Change: the outcome of such a response is unknown. A request that may be repeated goes to another upstream within the shared budget; otherwise its caller gets 502 without the upstream's seal and body, since a seal beside another status is forbidden. It counts as a failure of the upstream, 429 and 408 too, which counted as served. Weighed: forwarding it unchanged keeps the letter of 'status and seal unchanged' and makes the daemon's word false; for repeatable requests it would break no rule, but the status would still lie, and 502 costs them nothing, as their callers retry after any failure. A Retry-After of a bare 503 still pauses the upstream: it asks for that whatever became of the request. Bare 504 and 500 promise nothing and are forwarded as before.

--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -32,7 +32,7 @@
 	header   http.Header
 	body     []byte
 	// outcome is Ran only if the whole response has arrived or, for a stream, has
-	// begun.
+	// begun, and its status does not tell callers that the request has not run.
 	outcome bramleytack.Outcome
 	// misdirected is set if another instance answered at the upstream's address.
 	misdirected bool
@@ -65,7 +65,7 @@
 }
 
 // usable reports whether the upstream executed the request and its whole
-// response has arrived.
+// response has arrived, which can be forwarded.
 func (r *attemptResult) usable() bool { return r.err == nil && r.outcome == bramleytack.Ran }
 
 // upstreamRequest returns the request to send to u. What is kept of the response's head
@@ -202,7 +202,7 @@
 	started := req.h.Timer.Now()
 	r := req.exchange(limited, u, terms)
 	health := req.health(r)
-	if health == btaccount.Failed && r.usable() && req.route.Repeatable() {
+	if health == btaccount.Failed && r.err == nil && req.route.Repeatable() {
 		// The request may fail at every upstream; a retry elsewhere shows it.
 		health, r.unattributed = btaccount.Abandoned, true
 	}
@@ -259,7 +259,7 @@
 	case r.header.Get(d.NotRun) != "":
 		r.outcome, r.err = bramleytack.NotRun, nil
 	default:
-		if r.err = req.checkEnd(ctx, r, x, r.err, false); r.err == nil {
+		if r.err = req.checkEnd(ctx, r, x, r.err, false); r.err == nil && !promisesNotRun(r.status) {
 			r.outcome = bramleytack.Ran
 		}
 	}
@@ -280,7 +280,7 @@
 		return btaccount.Misdirected
 	case r.outcome == bramleytack.NotRun:
 		return btaccount.Rejected
-	case r.err != nil, r.status >= http.StatusInternalServerError:
+	case r.outcome == bramleytack.Unknown, r.status >= http.StatusInternalServerError:
 		return btaccount.Failed
 	}
 	return btaccount.Served
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -117,7 +117,7 @@
 	if r.outcome == bramleytack.NotRun {
 		return true
 	}
-	return req.route.Repeatable() && (r.err != nil || r.status >= http.StatusInternalServerError)
+	return req.route.Repeatable() && (r.outcome == bramleytack.Unknown || r.status >= http.StatusInternalServerError)
 }
 
 // attemptTimeout returns how long the next attempt may take. Without an upstream that is not
@@ -160,6 +160,8 @@
 		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "upstreams are full")
 	case ctx.Err() != nil || req.remaining() <= 0:
 		req.reject(http.StatusGatewayTimeout, 0, "timeout")
+	case r.err == nil:
+		req.reject(http.StatusBadGateway, 0, "upstream rejected the request without saying that it did not run")
 	default:
 		req.reject(http.StatusBadGateway, 0, "upstream failed")
 	}
--- a/internal/serve/btentry/execution.go
+++ b/internal/serve/btentry/execution.go
@@ -1,6 +1,19 @@
 package btentry
 
-import "sync"
+import (
+	"net/http"
+	"sync"
+)
+
+// promisesNotRun reports whether a status tells callers that their request has not run and
+// will not. An upstream's response with such a status is no such promise unless it says so.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
 
 // execution is what is known of a request at all upstreams that it was sent to. It is safe
 // for concurrent use.
