One record of all sends of a request decides whether it may be rejected as not run

Cause of the class: the daemon's word rested on one result, picked among those of several attempts. By reading, each place that ends an attempt still had to remember to note it, and nothing kept a goroutine of the request from sending after the answer.

Change: each send is entered before its first byte and ruled out only by the absence of any byte, status 421 or the upstream's word. A status that promises 'not run' is written only if no send is open, and from then on the request cannot be sent. respond asks the record instead of the chosen result. If a rejection meets an open send all the same, the caller gets 502 and BT518 tells it.

Evidence: with the line removed that notes a broken stream, TestRejectedCopyHidesNoRun and TestRejectedRequestsNeverRun fail without the record and pass with it. TestExecution with the race detector.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -81,6 +81,7 @@
 	SendLimited             = Event{515, zerolog.InfoLevel, "request waited for a limited upstream or was not sent to it"}
 	RequestCut              = Event{516, zerolog.WarnLevel, "request was cut by the end of the daemon"}
 	RequestPanicked         = Event{517, zerolog.ErrorLevel, "request ended by a panic"}
+	RejectionWithheld       = Event{518, zerolog.ErrorLevel, "request may have run and was not rejected as not run"}
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
 	RequestSuspected        = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
 	RequestQuarantined      = Event{603, zerolog.ErrorLevel, "request is quarantined"}
@@ -159,6 +160,7 @@
 		SendLimited,
 		RequestCut,
 		RequestPanicked,
+		RejectionWithheld,
 		ClaimNotStored,
 		RequestSuspected,
 		RequestQuarantined,
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -100,8 +100,11 @@
 	}
 	result.window = req.window(u)
 	r.Header.Set(req.h.Dialect.DeadlineMillis, strconv.FormatInt(max(result.window.end.Sub(result.window.start).Milliseconds(), 1), 10))
+	if !req.execution.begin() {
+		c.Release()
+		return nil, errors.Mark(errRejected, btconn.ErrUnsent)
+	}
 	req.progress.sent(u.ID, req.h.Timer.Now())
-	req.execution.begin()
 	x, err := c.Do(ctx, r)
 	if err != nil {
 		if errors.Is(err, btconn.ErrUnsent) {
@@ -128,6 +131,9 @@
 // errLeft is returned for a request whose upstream accepts no more since it was chosen.
 var errLeft = errors.New("btentry: upstream accepts no work any more")
 
+// errRejected is returned for a request whose caller has been told that it does not run.
+var errRejected = errors.New("btentry: request was rejected")
+
 // stillAccepts reports whether an upstream that was chosen before accepts work now.
 func (req *activeRequest) stillAccepts(u *bramleytack.Upstream) bool {
 	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u)
@@ -272,7 +278,7 @@
 // health returns the outcome that counts for the upstream's health.
 func (req *activeRequest) health(r *attemptResult) btaccount.Outcome {
 	switch {
-	case r.limited, errors.Is(r.err, errLeft), r.window.cutShort(req.h.Timer.Now()):
+	case r.limited, errors.Is(r.err, errLeft), errors.Is(r.err, errRejected), r.window.cutShort(req.h.Timer.Now()):
 		return btaccount.Abandoned
 	case r.unsent:
 		return btaccount.Unreachable
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -136,9 +136,10 @@
 	return max(lateLatencyFactor*req.route.TargetLatency, minLateThreshold)
 }
 
-// respond answers the caller according to the result r, which is nil if no
-// attempt could be made.
+// respond answers the caller with the result r, which is nil if no attempt could be made. If
+// r is no response to forward, all sends decide whether the request is rejected as not run.
 func (req *activeRequest) respond(ctx context.Context, r *attemptResult) {
+	ran := req.execution.mayHaveRun()
 	switch {
 	case r != nil && r.usable():
 		req.forward(r)
@@ -148,19 +149,19 @@
 		req.writeError(http.StatusBadGateway, 0, "caller has disconnected")
 	case req.quarantined():
 		req.rejectQuarantined()
-	case (endedByDaemon(ctx) || req.outlasts || !req.accepted(0)) && (r == nil || r.outcome == bramleytack.NotRun):
+	case (endedByDaemon(ctx) || req.outlasts || !req.accepted(0)) && !ran:
 		req.rejectLeaving()
 	case endedByDaemon(ctx):
 		req.reject(http.StatusBadGateway, 0, "daemon ends before the response")
-	case r == nil && req.limitedSends > 0:
+	case !ran && r == nil && req.limitedSends > 0:
 		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "upstreams limit their requests")
-	case r == nil:
+	case !ran && r == nil:
 		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "no upstream available")
-	case r.outcome == bramleytack.NotRun:
+	case !ran:
 		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "upstreams are full")
 	case ctx.Err() != nil || req.remaining() <= 0:
 		req.reject(http.StatusGatewayTimeout, 0, "timeout")
-	case r.err == nil:
+	case r != nil && r.outcome == bramleytack.Unknown && r.err == nil:
 		req.reject(http.StatusBadGateway, 0, "upstream rejected the request without saying that it did not run")
 	default:
 		req.reject(http.StatusBadGateway, 0, "upstream failed")
--- a/internal/serve/btentry/execution.go
+++ b/internal/serve/btentry/execution.go
@@ -15,20 +15,28 @@
 	return false
 }
 
-// execution is what is known of a request at all upstreams that it was sent to. It is safe
-// for concurrent use.
+// execution is what is known of a request at all upstreams that it was sent to. The caller is
+// told that the request has not run only if it tells so, and nothing is sent from then on.
+// It is safe for concurrent use.
 type execution struct {
 	mu sync.Mutex
 	// sent counts the sends, ruledOut those that did not run and will not.
 	sent     int
 	ruledOut int
+	// rejected is set once the caller is told that the request has not run.
+	rejected bool
 }
 
-// begin records that the request is sent to an upstream, which may run it from then on.
-func (e *execution) begin() {
+// begin records that the request is sent to an upstream, which may run it from then on. It
+// reports false if it must not be sent, since its caller is told that it does not run.
+func (e *execution) begin() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.rejected {
+		return false
+	}
 	e.sent++
+	return true
 }
 
 // ruleOut records that one of the sends did not run and will not.
@@ -38,6 +46,18 @@
 	e.ruledOut++
 }
 
+// reject ends the sends of the request. It reports false if one of them may have run or may
+// still run: its caller must not be told then that it does not run.
+func (e *execution) reject() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sent > e.ruledOut {
+		return false
+	}
+	e.rejected = true
+	return true
+}
+
 // counts returns the number of sends, and of those that may have run or may still run.
 func (e *execution) counts() (sent, open int) {
 	e.mu.Lock()
@@ -45,6 +65,12 @@
 	return e.sent, e.sent - e.ruledOut
 }
 
+// mayHaveRun reports whether one of the sends may have run or may still run.
+func (e *execution) mayHaveRun() bool {
+	_, open := e.counts()
+	return open > 0
+}
+
 // logTo adds the counts to a log entry.
 func (e *execution) logTo(line *logEvent) *logEvent {
 	sent, open := e.counts()
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -403,6 +403,10 @@
 // reject answers the request with an error of the daemon. The reason becomes the
 // response body and a metric label.
 func (req *activeRequest) reject(status int, retryAfter time.Duration, reason string) {
+	if promisesNotRun(status) && !req.execution.reject() {
+		req.execution.logTo(req.log(btevent.RejectionWithheld)).Int("status", status).Str("reason", reason).Send()
+		status, retryAfter = http.StatusBadGateway, 0
+	}
 	req.execution.logTo(req.log(btevent.RequestRejected)).Int("status", status).Int("sends", req.attempts).Str("reason", reason).Str("key", req.quarantinedKey).Send()
 	req.h.Metrics.rejected(status, reason)
 	req.writeError(status, retryAfter, reason)
