--- a/internal/serve/btentry/crash_test.go
+++ b/internal/serve/btentry/crash_test.go
@@ -373,3 +373,34 @@
 		f.checkContained(3)
 	})
 }
+
+// All engines of a failure domain end at the same moment, while several of them read prompts with
+// a part that no other request has had for some seconds. Guards against that part being
+// quarantined for crashes that had one cause of their own.
+func TestLossOfDomainQuarantinesNoPart(t *testing.T) {
+	run(t, func(h *harness) {
+		f := newFatalFleet(h, func(*http.Request) bool { return false })
+		header := func(i int) map[string]string {
+			return map[string]string{dialect.TokenCounts: "3000,900", dialect.PromptParts: fmt.Sprintf("cc:400,%x:90", 0x2000+i)}
+		}
+		var all sync.WaitGroup
+		for i := range 8 {
+			all.Go(func() {
+				f.h.sendTo(f.h.daemons[i%3].addr, fmt.Sprintf("read-%d", i), http.MethodPost, fmt.Sprintf("/guide/read-%d", i), header(i), 10*time.Second)
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		f.crash("e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8")
+		all.Wait()
+		time.Sleep(restartTime + 500*time.Millisecond)
+		rejected := 0
+		for i := range 10 {
+			got := f.h.sendTo(f.h.daemons[i%3].addr, fmt.Sprintf("later-%d", i), http.MethodPost, fmt.Sprintf("/guide/later-%d", i), header(100+i), 10*time.Second)
+			if got.status == http.StatusBadRequest {
+				rejected++
+			}
+		}
+		assert.Check(t, rejected == 0, "%d of 10 sound requests rejected as quarantined", rejected)
+		time.Sleep(2 * restartTime)
+	})
+}
