--- a/internal/serve/btentry/doc.go
+++ b/internal/serve/btentry/doc.go
@@ -10,8 +10,8 @@
 // The daemon rejects a request with status 408, 421, 429 or 503 only if no
 // upstream has executed it and none will. If an upstream may have executed it,
 // the status is 502 or 504, also where the upstream itself answered with one of
-// these statuses and did not declare that the request has not run. Once a response has begun, a failure closes the
-// connection.
+// these statuses and did not declare that the request has not run. Once a
+// response has begun, a failure closes the connection.
 //
 // A request that crashes the upstreams that run it becomes a suspect at all daemons. It is
 // rejected with status 400, after which callers do not repeat it, once several upstreams
