--- a/internal/serve/btentry/leaving_test.go
+++ b/internal/serve/btentry/leaving_test.go
@@ -213,3 +213,22 @@
 		assert.Check(t, n == 0, "%d requests reached engines less than 0.6 s before the end", n)
 	})
 }
+
+// A stream's deadline comes shortly before a leaving daemon answers what has no byte. Guards
+// against a stream that its upstream ends, at the time that the daemon has told it, before its
+// deadline.
+func TestStreamOfLeavingDaemonKeepsItsDeadline(t *testing.T) {
+	run(t, func(h *harness) {
+		const sent, deadline, unit = 3722 * time.Millisecond, 3497 * time.Millisecond, time.Millisecond
+		h.start("e1", engineService, btworker.Config{Events: streamEvents, Read: 2400 * time.Millisecond, Gap: 20 * time.Millisecond})
+		h.takePlaces("e1")
+		stop := h.prepareStop()
+		go stop.run()
+		time.Sleep(sent)
+		began := time.Now()
+		got := h.request(http.MethodPost, "/tag/1", map[string]string{dialect.TokenCounts: "1000,160", dialect.DeadlineMillis: fmt.Sprint(deadline.Milliseconds())}, 10*time.Second)
+		took := time.Since(began)
+		assert.Check(t, got.status != http.StatusOK || took >= deadline-unit, "cut after %v with %d events", took, len(got.events))
+		<-stop.ended
+	})
+}
