Stand-ins: one copy of the statuses of rejections, for both test packages

The list of statuses that promise 'not run', and those that have to be declared, stood in the tests of btentry and of btsoak. The code under test keeps its own list, so that the tests don't take their expectation from it.

--- a/internal/serve/btentry/rejection_test.go
+++ b/internal/serve/btentry/rejection_test.go
@@ -14,23 +14,10 @@
 	"bramleytack/internal/standin/btworker"
 )
 
-// promisesNotRun reports whether a status tells callers that their request has not run and
-// will not.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// undeclaredStatuses are those of rejections that upstreams have to declare.
-var undeclaredStatuses = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
-
 // Upstreams run a request and answer with the status of a rejection, without saying that it
 // has not run. Guards against callers that are told that it has not.
 func TestUndeclaredRejectionIsNoPromise(t *testing.T) {
-	for _, status := range undeclaredStatuses {
+	for _, status := range btworker.UndeclaredStatuses {
 		for _, c := range []struct {
 			target string
 			runs   int
@@ -60,7 +47,7 @@
 // One of two upstreams rejects requests without saying that they have not run. Guards against
 // repeatable requests that fail although the other one serves them.
 func TestUndeclaredRejectionIsRetriedElsewhere(t *testing.T) {
-	for _, status := range undeclaredStatuses {
+	for _, status := range btworker.UndeclaredStatuses {
 		t.Run(strconv.Itoa(status), func(t *testing.T) {
 			run(t, func(h *harness) {
 				sick := h.startShop("s1")
@@ -122,7 +109,7 @@
 		case 2:
 			w.SetLimit([]string{"", "2", "20"}[c.rng.IntN(3)])
 		case 3:
-			w.SetRejection(undeclaredStatuses[c.rng.IntN(len(undeclaredStatuses))])
+			w.SetRejection(btworker.UndeclaredStatuses[c.rng.IntN(len(btworker.UndeclaredStatuses))])
 			w.Set(btworker.Undeclared)
 		default:
 			w.Set(chaosFaults[c.rng.IntN(len(chaosFaults))])
@@ -165,7 +152,7 @@
 				deadline := 50 + rng.IntN(1500)
 				header := map[string]string{dialect.TokenCounts: "3000,900", dialect.DeadlineMillis: strconv.Itoa(deadline)}
 				got := h.request(http.MethodPost, target, header, time.Duration(max(deadline+rng.IntN(500)-100, 30))*time.Millisecond)
-				if promisesNotRun(got.status) {
+				if btworker.PromisesNotRun(got.status) {
 					mu.Lock()
 					rejected = append(rejected, got.id)
 					mu.Unlock()
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -158,9 +158,6 @@
 // SetRetryAfter sets the Retry-After value of rejections. An empty one ends it.
 func (w *Worker) SetRetryAfter(value string) { w.retryAfter.Store(&value) }
 
-// SetRejection sets the status of undeclared rejections.
-func (w *Worker) SetRejection(status int) { w.rejection.Store(int32(status)) }
-
 // SetLeaving makes the upstream say that it is leaving, or end that.
 func (w *Worker) SetLeaving(on bool) { w.leaving.Store(on) }
 
@@ -377,35 +374,6 @@
 	}
 }
 
-// refuse answers a request that does not run.
-func (w *Worker) refuse(rw http.ResponseWriter, cause error) {
-	rw.Header().Set(w.pool.Dialect.NotRun, cause.Error())
-	w.nameLoad(rw.Header())
-	w.setRetryAfter(rw.Header())
-	rw.WriteHeader(http.StatusServiceUnavailable)
-}
-
-// reject answers a request after it has run, as if it had not.
-func (w *Worker) reject(ctx context.Context, rw http.ResponseWriter) {
-	if !pause(ctx, w.cfg.Work) {
-		return
-	}
-	w.setRetryAfter(rw.Header())
-	status := int(w.rejection.Load())
-	if status == 0 {
-		status = http.StatusServiceUnavailable
-	}
-	rw.WriteHeader(status)
-	_, _ = io.WriteString(rw, "rejected")
-}
-
-// setRetryAfter adds the Retry-After value of rejections.
-func (w *Worker) setRetryAfter(header http.Header) {
-	if v := w.retryAfter.Load(); v != nil && *v != "" {
-		header.Set("Retry-After", *v)
-	}
-}
-
 // nameLoad adds the load to a response if the number of places is limited.
 func (w *Worker) nameLoad(header http.Header) {
 	if v := w.places.load(); v != "" {
