Logs tell the connection of each attempt, and whether the request was on it before

BT503 named the upstream of an attempt but neither its address nor its connection, so that an upstream that refuses, a refusal that is sent twice and a request that is sent to one upstream twice looked alike. BT503 has addr, conn (the number of the connection), reused and again now. No decision changed.

--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -40,6 +40,8 @@
 	// limit did not allow it.
 	unsent  bool
 	limited bool
+	// conn is the connection on which the request was sent, zero if it was not.
+	conn connUse
 	// window is the time that the upstream was given.
 	window window
 	// unattributed is set if the upstream or the request itself may have caused the
@@ -48,6 +50,14 @@
 	err          error
 }
 
+// connUse is what the log tells of the connection of an attempt.
+type connUse struct {
+	number uint64
+	// reused is set if the connection carried a request before, again if it was this one.
+	reused bool
+	again  bool
+}
+
 // basis names what the outcome rests on: "unsent" or "misdirected" requests and those that the
 // upstream "declared" as not run have not run. Others may have, with a "response" or "none".
 func (r *attemptResult) basis() string {
@@ -100,10 +110,12 @@
 	}
 	result.window = req.window(u)
 	r.Header.Set(req.h.Dialect.DeadlineMillis, strconv.FormatInt(max(result.window.end.Sub(result.window.start).Milliseconds(), 1), 10))
-	if !req.execution.begin() {
+	use := connUse{number: c.Number(), reused: c.Reused(), again: req.execution.sentOn(c.Number())}
+	if !req.execution.begin(c.Number()) {
 		c.Release()
 		return nil, errors.Mark(errRejected, btconn.ErrUnsent)
 	}
+	result.conn = use
 	req.progress.sent(u.ID, req.h.Timer.Now())
 	x, err := c.Do(ctx, r)
 	if err != nil {
@@ -294,8 +306,8 @@
 
 func (req *activeRequest) logAttempt(r *attemptResult, started time.Time) {
 	req.noteLimit(r.upstream, r.err)
-	req.log(btevent.AttemptEnded).Str("upstream", string(r.upstream.ID)).Str("service", req.service).
-		Int("send", req.attempts).Int("status", r.status).Stringer("outcome", r.outcome).Str("basis", r.basis()).
+	req.log(btevent.AttemptEnded).Str("upstream", string(r.upstream.ID)).Stringer("addr", r.upstream.Addr).Str("service", req.service).
+		Uint64("conn", r.conn.number).Bool("reused", r.conn.reused).Bool("again", r.conn.again).Int("send", req.attempts).Int("status", r.status).Stringer("outcome", r.outcome).Str("basis", r.basis()).
 		Uint64("version", req.snapshot.Version).Dur("took", req.h.Timer.Now().Sub(started)).AnErr("cause", r.err).Send()
 }
 
--- a/internal/serve/btentry/execution.go
+++ b/internal/serve/btentry/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 )
 
@@ -20,25 +21,33 @@
 // It is safe for concurrent use.
 type execution struct {
 	mu sync.Mutex
-	// sent counts the sends, ruledOut those that did not run and will not.
-	sent     int
+	// conns are the numbers of the connections of all sends. ruledOut counts the sends that did
+	// not run and will not.
+	conns    []uint64
 	ruledOut int
 	// rejected is set once the caller is told that the request has not run.
 	rejected bool
 }
 
-// begin records that the request is sent to an upstream, which may run it from then on. It
-// reports false if it must not be sent, since its caller is told that it does not run.
-func (e *execution) begin() bool {
+// begin records that the request is sent on a connection to an upstream, which may run it from
+// then on. It reports false if it must not be sent, since its caller is told that it does not run.
+func (e *execution) begin(conn uint64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.rejected {
 		return false
 	}
-	e.sent++
+	e.conns = append(e.conns, conn)
 	return true
 }
 
+// sentOn reports whether the request was sent on a connection.
+func (e *execution) sentOn(conn uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.conns, conn)
+}
+
 // ruleOut records that one of the sends did not run and will not.
 func (e *execution) ruleOut() {
 	e.mu.Lock()
@@ -51,7 +60,7 @@
 func (e *execution) reject() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.sent > e.ruledOut {
+	if len(e.conns) > e.ruledOut {
 		return false
 	}
 	e.rejected = true
@@ -62,7 +71,7 @@
 func (e *execution) counts() (sent, open int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.sent, e.sent - e.ruledOut
+	return len(e.conns), len(e.conns) - e.ruledOut
 }
 
 // mayHaveRun reports whether one of the sends may have run or may still run.
--- a/internal/serve/btentry/execution_test.go
+++ b/internal/serve/btentry/execution_test.go
@@ -13,19 +13,23 @@
 	t.Run("not sent", func(t *testing.T) {
 		var e execution
 		assert.Assert(t, e.reject())
-		assert.Assert(t, !e.begin(), "sent after its rejection")
+		assert.Assert(t, !e.begin(1), "sent after its rejection")
 		assert.Assert(t, e.reject(), "rejected twice")
 	})
 	t.Run("one of two sends ruled out", func(t *testing.T) {
 		var e execution
-		assert.Assert(t, e.begin() && e.begin())
+		assert.Assert(t, e.begin(1) && e.begin(2))
 		e.ruleOut()
 		assert.Assert(t, e.mayHaveRun() && !e.reject())
-		assert.Assert(t, e.begin(), "a request that is not rejected may go on")
+		assert.Assert(t, e.begin(1), "a request that is not rejected may go on")
+	})
+	t.Run("connections of the sends", func(t *testing.T) {
+		var e execution
+		assert.Assert(t, !e.sentOn(1) && e.begin(1) && e.sentOn(1) && !e.sentOn(2))
 	})
 	t.Run("all sends ruled out", func(t *testing.T) {
 		var e execution
-		assert.Assert(t, e.begin())
+		assert.Assert(t, e.begin(1))
 		e.ruleOut()
 		assert.Assert(t, !e.mayHaveRun() && e.reject())
 	})
@@ -34,7 +38,7 @@
 			var e execution
 			var wg sync.WaitGroup
 			var sent, rejected bool
-			wg.Go(func() { sent = e.begin() })
+			wg.Go(func() { sent = e.begin(1) })
 			wg.Go(func() { rejected = e.reject() })
 			wg.Wait()
 			assert.Assert(t, sent != rejected)
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -79,6 +79,7 @@
 // Conn is a connection to an upstream. It carries one request at a time.
 type Conn struct {
 	pool   *Pool
+	number uint64
 	addr   netip.AddrPort
 	conn   net.Conn
 	r      *bufio.Reader
@@ -113,11 +114,14 @@
 }
 
 // newConn returns a connection of the pool.
-func newConn(p *Pool, addr netip.AddrPort, nc net.Conn) *Conn {
+func newConn(p *Pool, number uint64, addr netip.AddrPort, nc net.Conn) *Conn {
 	l := &headLimit{r: nc, left: -1}
-	return &Conn{pool: p, addr: addr, conn: nc, limit: l, r: bufio.NewReaderSize(l, readBufferBytes)}
+	return &Conn{pool: p, number: number, addr: addr, conn: nc, limit: l, r: bufio.NewReaderSize(l, readBufferBytes)}
 }
 
+// Number returns the number of the connection, which no other one of the pool has.
+func (c *Conn) Number() uint64 { return c.number }
+
 // Reused reports whether the connection carried a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
--- a/internal/upstream/btconn/pool.go
+++ b/internal/upstream/btconn/pool.go
@@ -67,12 +67,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	p.Opened.Add(1)
+	number := p.Opened.Add(1)
 	nc, err := dial(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", addr), ErrUnsent)
 	}
-	return newConn(p, addr, nc), nil
+	return newConn(p, number, addr, nc), nil
 }
 
 // Check opens a connection to addr and puts it into the pool. An error means that
