Test, red: copies of refusals on a connection that carries their request again

One address stands under two ids, and its upstream sends each refusal a second time once it has read the next request on the connection. The stand-in's upstreams can send copies of their refusals now.

--- /dev/null
+++ b/internal/serve/btentry/copies_test.go
@@ -0,0 +1,60 @@
+package btentry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bramleytack"
+	"bramleytack/internal/standin/btworker"
+)
+
+// registerAgain registers an upstream's address under one more id, as after a start under another id
+// while the registration of the earlier instance has not lapsed.
+func (h *harness) registerAgain(name, id string) {
+	old := *h.upstreams[name]
+	old.ID = bramleytack.UpstreamID(id)
+	h.upstreams[id] = &old
+	h.publish()
+}
+
+// checkPromises sends requests and checks that none that is answered as not run has run, and that none
+// that may not be repeated runs twice.
+func (h *harness) checkPromises(target string, count int, repeatable bool) {
+	h.t.Helper()
+	for range count {
+		got := h.generate(target)
+		assert.Check(h.t, got.err != nil || !btworker.PromisesNotRun(got.status) || h.pool.Runs(got.id) == 0, "%s: answered %d, but it ran", got.id, got.status)
+		// An upstream that answered for another instance is avoided for a while.
+		time.Sleep(500 * time.Millisecond)
+	}
+	assert.Check(h.t, repeatable || len(h.pool.RanTwice()) == 0, "ran twice: %v", h.pool.RanTwice())
+}
+
+// One address stands under two ids, and its upstream sends each refusal a second time after it has
+// read the next request on the connection. Guards against the copy of a refusal that is taken for the
+// answer to the next send of the same request, which runs.
+func TestCopyOfRefusalIsNoAnswerToNextSend(t *testing.T) {
+	for _, c := range []struct {
+		target     string
+		repeatable bool
+	}{{"/order/a", false}, {"/check/a", true}, {"/tag/a", true}, {"/guide/a", false}} {
+		for others := range 2 {
+			t.Run(fmt.Sprintf("%s %d others", c.target, others), func(t *testing.T) {
+				run(t, func(h *harness) {
+					h.startShop("s1").CopyRefusals(true)
+					h.startEngine("e1").CopyRefusals(true)
+					for i := range others {
+						h.startShop(fmt.Sprintf("s%d", i+2))
+						h.startEngine(fmt.Sprintf("e%d", i+2))
+					}
+					h.registerAgain("s1", "s0")
+					h.registerAgain("e1", "e0")
+					h.checkPromises(c.target, 200, c.repeatable)
+				})
+			})
+		}
+	}
+}
--- a/internal/standin/btworker/rejection.go
+++ b/internal/standin/btworker/rejection.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
+	"time"
 )
 
 // UndeclaredStatuses are those of rejections that upstreams have to declare.
@@ -19,11 +21,24 @@
 // SetRejection sets the status of undeclared rejections.
 func (w *Worker) SetRejection(status int) { w.rejection.Store(int32(status)) }
 
+// SetPause makes a full upstream ask for a pause in its rejections.
+func (w *Worker) SetPause(d time.Duration) {
+	if d <= 0 {
+		w.SetRetryAfter("")
+		return
+	}
+	w.SetRetryAfter(strconv.FormatFloat(d.Seconds(), 'f', -1, 64))
+}
+
+// SetRetryAfter sets the Retry-After value of rejections. An empty one ends it.
+func (w *Worker) SetRetryAfter(value string) { w.retryAfter.Store(&value) }
+
 // refuse answers a request that does not run.
-func (w *Worker) refuse(rw http.ResponseWriter, cause error) {
+func (w *Worker) refuse(rw http.ResponseWriter, r *http.Request, cause error) {
 	rw.Header().Set(w.pool.Dialect.NotRun, cause.Error())
 	w.nameLoad(rw.Header())
 	w.setRetryAfter(rw.Header())
+	w.copyRefusal(r, http.StatusServiceUnavailable, rw.Header())
 	rw.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -85,6 +85,8 @@
 	retryAfter atomic.Pointer[string]
 	// rejection is the status of undeclared rejections, zero for 503.
 	rejection atomic.Int32
+	// copyRefusals upstreams send refusals twice.
+	copyRefusals atomic.Bool
 	// leaving upstreams say so in all their responses.
 	leaving atomic.Bool
 	// limit is the value of the limit header, empty for none.
@@ -123,7 +125,7 @@
 	if err != nil {
 		panic(err)
 	}
-	w.server = &http.Server{Handler: w}
+	w.server = &http.Server{Handler: w, ConnContext: w.connContext}
 	go w.run(l)
 }
 
@@ -146,18 +148,6 @@
 // ends that.
 func (w *Worker) Deafen(on bool) { w.deaf.Store(on) }
 
-// SetPause makes a full upstream ask for a pause in its rejections.
-func (w *Worker) SetPause(d time.Duration) {
-	if d <= 0 {
-		w.SetRetryAfter("")
-		return
-	}
-	w.SetRetryAfter(strconv.FormatFloat(d.Seconds(), 'f', -1, 64))
-}
-
-// SetRetryAfter sets the Retry-After value of rejections. An empty one ends it.
-func (w *Worker) SetRetryAfter(value string) { w.retryAfter.Store(&value) }
-
 // SetLeaving makes the upstream say that it is leaving, or end that.
 func (w *Worker) SetLeaving(on bool) { w.leaving.Store(on) }
 
@@ -283,6 +273,7 @@
 	if err != nil {
 		return
 	}
+	sendCopies(r)
 	id := r.Header.Get(d.RequestID)
 	var caller netip.Addr
 	if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
@@ -301,6 +292,7 @@
 	}
 	if want := r.Header.Get(d.ExpectInstance); want != "" && want != w.cfg.ID {
 		w.misdirected.Add(1)
+		w.copyRefusal(r, http.StatusMisdirectedRequest, rw.Header())
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -309,13 +301,13 @@
 		from = w.use(handle)
 	}
 	if Fault(w.fault.Load()) == Full || from == nil && r.Header.Get(d.From) != "" {
-		w.refuse(rw, errFull)
+		w.refuse(rw, r, errFull)
 		return
 	}
 	ctx, done := w.workContext(r)
 	if err := w.places.take(ctx, from != nil); err != nil {
 		done()
-		w.refuse(rw, err)
+		w.refuse(rw, r, err)
 		return
 	}
 	defer w.places.leave()
