A request is sent on a connection once

Cause: a response is attributed to a request by its id, and connections are pooled by address. After a refusal the connection goes back to the pool; if the request's next upstream has the same address, as an instance that has started again under another id has until the earlier registration lapses, the same request is sent on the same connection. A late copy of the refusal has its id and was taken for the answer to the second send, which runs: that send was ruled out, and the request rejected or sent to a third upstream. Change: a request remembers the connections that it was sent on, and the pool gives it another one. An id then names one send on a connection, whatever the copy says: refusals, failures and whole answers alike. A second connection is opened only where a request comes to an address again.

--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -110,7 +111,7 @@
 	}
 	result.window = req.window(u)
 	r.Header.Set(req.h.Dialect.DeadlineMillis, strconv.FormatInt(max(result.window.end.Sub(result.window.start).Milliseconds(), 1), 10))
-	use := connUse{number: c.Number(), reused: c.Reused(), again: req.execution.sentOn(c.Number())}
+	use := connUse{number: c.Number(), reused: c.Reused(), again: slices.Contains(req.execution.sentOn(), c.Number())}
 	if !req.execution.begin(c.Number()) {
 		c.Release()
 		return nil, errors.Mark(errRejected, btconn.ErrUnsent)
@@ -151,14 +152,14 @@
 	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u)
 }
 
-// connect returns a connection to an upstream. A stream that may not be repeated
+// connect returns a connection to an upstream on which the request was not sent before. A stream that may not be repeated
 // gets a new connection: the upstream may have closed a pooled one unnoticed, and
 // it would then be unknown whether it executed a request sent on it.
 func (req *activeRequest) connect(ctx context.Context, u *bramleytack.Upstream) (*btconn.Conn, error) {
 	if req.route.Streaming && !req.route.Repeatable() {
 		return req.h.Pool.Open(ctx, u.Addr)
 	}
-	return req.h.Pool.Get(ctx, u.Addr)
+	return req.h.Pool.Get(ctx, u.Addr, req.execution.sentOn()...)
 }
 
 // observeLeaving takes an upstream's word that it is leaving. It gets no new work then,
--- a/internal/serve/btentry/execution.go
+++ b/internal/serve/btentry/execution.go
@@ -41,11 +41,11 @@
 	return true
 }
 
-// sentOn reports whether the request was sent on a connection.
-func (e *execution) sentOn(conn uint64) bool {
+// sentOn returns the numbers of the connections that the request was sent on.
+func (e *execution) sentOn() []uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Contains(e.conns, conn)
+	return slices.Clone(e.conns)
 }
 
 // ruleOut records that one of the sends did not run and will not.
--- a/internal/serve/btentry/execution_test.go
+++ b/internal/serve/btentry/execution_test.go
@@ -25,7 +25,8 @@
 	})
 	t.Run("connections of the sends", func(t *testing.T) {
 		var e execution
-		assert.Assert(t, !e.sentOn(1) && e.begin(1) && e.sentOn(1) && !e.sentOn(2))
+		assert.Assert(t, e.begin(1) && e.begin(2))
+		assert.DeepEqual(t, e.sentOn(), []uint64{1, 2})
 	})
 	t.Run("all sends ruled out", func(t *testing.T) {
 		var e execution
--- a/internal/upstream/btconn/pool.go
+++ b/internal/upstream/btconn/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,11 +46,13 @@
 	Opened atomic.Uint64
 }
 
-// Get returns a pooled connection to addr if one is usable, and opens one otherwise.
-// Every error wraps ErrUnsent.
-func (p *Pool) Get(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
+// Get returns a pooled connection to addr if one is usable, and opens one otherwise. It does not
+// return a connection whose number is in except: on a connection that has carried a request, a
+// late copy of its response has the same id as the response to another send of it. Every error
+// wraps ErrUnsent.
+func (p *Pool) Get(ctx context.Context, addr netip.AddrPort, except ...uint64) (*Conn, error) {
 	now := time.Now()
-	for c := p.takeIdle(addr); c != nil; c = p.takeIdle(addr) {
+	for c := p.takeIdle(addr, except); c != nil; c = p.takeIdle(addr, except) {
 		if now.Before(c.idleUntil) && c.usable() {
 			return c, nil
 		}
@@ -90,17 +93,19 @@
 // Release puts a connection on which nothing was sent back into its pool.
 func (c *Conn) Release() { c.release(nil) }
 
-// takeIdle removes an idle connection to addr from the pool, or returns nil.
-func (p *Pool) takeIdle(addr netip.AddrPort) *Conn {
+// takeIdle removes the idle connection to addr that was used last from the pool, without those
+// in except, or returns nil.
+func (p *Pool) takeIdle(addr netip.AddrPort, except []uint64) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[addr]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if !slices.Contains(except, c.number) {
+			p.idle[addr] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[addr] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // Drop closes the idle connections to addr.
