Responses to earlier requests on a connection are skipped, not taken for a failure

Callers saw (in fake time): requests answered 502, or sent again, because the copy of another request's refusal stood on their connection before their own response; their upstream was counted as failing and ejected. Cause: the first response that has not the request's id ended the attempt, although a response to an earlier request is told by its id and the own one follows. Change: a connection knows the ids of its last 8 requests; up to 4 responses to these are skipped (BT519), if they are framed and at most 64 KiB, and the connection is not used again. A response with any other id, or with none on a reused connection, fails the attempt as before.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -82,6 +82,7 @@
 	RequestCut              = Event{516, zerolog.WarnLevel, "request was cut by the end of the daemon"}
 	RequestPanicked         = Event{517, zerolog.ErrorLevel, "request ended by a panic"}
 	RejectionWithheld       = Event{518, zerolog.ErrorLevel, "request may have run and was not rejected as not run"}
+	ExtraResponse           = Event{519, zerolog.InfoLevel, "extra response to an earlier request was skipped"}
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
 	RequestSuspected        = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
 	RequestQuarantined      = Event{603, zerolog.ErrorLevel, "request is quarantined"}
@@ -161,6 +162,7 @@
 		RequestCut,
 		RequestPanicked,
 		RejectionWithheld,
+		ExtraResponse,
 		ClaimNotStored,
 		RequestSuspected,
 		RequestQuarantined,
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -85,7 +85,7 @@
 	d := req.h.Dialect
 	header := req.header.Clone()
 	header.Set(d.ExpectInstance, string(u.ID))
-	return &btconn.Request{Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body, Kept: kept}
+	return &btconn.Request{ID: req.id, Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body, Kept: kept}
 }
 
 // open sends a request to the result's upstream, if its limit allows that, and reads the
@@ -125,10 +125,10 @@
 		}
 		return nil, err
 	}
-	if id := x.Header.Get(req.h.Dialect.RequestID); id != req.id && (id != "" || c.Reused()) {
+	if err := req.skipExtra(c, x, r.Kept); err != nil {
 		x.Response.Close = true
 		x.Close()
-		return nil, errOtherRequest
+		return nil, err
 	}
 	if x.StatusCode != http.StatusMisdirectedRequest {
 		req.observeLoad(u, x.Header)
@@ -141,6 +141,27 @@
 	return x, nil
 }
 
+// maxExtraResponses bounds the responses to earlier requests that are skipped on a connection.
+const maxExtraResponses = 4
+
+// skipExtra reads on to the response to the request if responses to earlier requests on the
+// connection come first. Any other response that has not the request's id is an error.
+func (req *activeRequest) skipExtra(c *btconn.Conn, x *btconn.Exchange, kept *btmemory.Account) error {
+	for n := 0; ; n++ {
+		id := x.Header.Get(req.h.Dialect.RequestID)
+		if id == req.id || id == "" && !c.Reused() {
+			return nil
+		}
+		if n == maxExtraResponses || !x.IsExtra(id) {
+			return errOtherRequest
+		}
+		req.log(btevent.ExtraResponse).Uint64("conn", c.Number()).Str("other", id).Int("status", x.StatusCode).Send()
+		if err := x.Skip(kept); err != nil {
+			return err
+		}
+	}
+}
+
 // errLeft is returned for a request whose upstream accepts no more since it was chosen.
 var errLeft = errors.New("btentry: upstream accepts no work any more")
 
@@ -308,7 +329,8 @@
 func (req *activeRequest) logAttempt(r *attemptResult, started time.Time) {
 	req.noteLimit(r.upstream, r.err)
 	req.log(btevent.AttemptEnded).Str("upstream", string(r.upstream.ID)).Stringer("addr", r.upstream.Addr).Str("service", req.service).
-		Uint64("conn", r.conn.number).Bool("reused", r.conn.reused).Bool("again", r.conn.again).Int("send", req.attempts).Int("status", r.status).Stringer("outcome", r.outcome).Str("basis", r.basis()).
+		Uint64("conn", r.conn.number).Bool("reused", r.conn.reused).Bool("again", r.conn.again).
+		Int("send", req.attempts).Int("status", r.status).Stringer("outcome", r.outcome).Str("basis", r.basis()).
 		Uint64("version", req.snapshot.Version).Dur("took", req.h.Timer.Now().Sub(started)).AnErr("cause", r.err).Send()
 }
 
--- a/internal/serve/btentry/copies_test.go
+++ b/internal/serve/btentry/copies_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,3 +60,33 @@
 		}
 	}
 }
+
+// An upstream sends each refusal a second time after it has read the next request on the connection.
+// Guards against requests that fail, although their upstream answers them, because the copy of another
+// one's refusal comes first.
+func TestCopyOfRefusalFailsNoOtherRequest(t *testing.T) {
+	for _, target := range []string{"/order/a", "/check/a", "/tag/a"} {
+		t.Run(target, func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.startShop("s1").CopyRefusals(true)
+				h.startEngine("e1").CopyRefusals(true)
+				h.registerAgain("s1", "s0")
+				h.registerAgain("e1", "e0")
+				for range 100 {
+					// Requests that run at the same time use several connections.
+					var wg sync.WaitGroup
+					for range 3 {
+						wg.Go(func() {
+							got := h.generate(target)
+							// The retry budget may not allow another send after a refusal.
+							refused := got.status == http.StatusServiceUnavailable && h.pool.Runs(got.id) == 0
+							assert.Check(t, got.err == nil && (got.status == http.StatusOK || refused), "%s: status %d, %v, %s", got.id, got.status, got.err, got.body)
+						})
+					}
+					wg.Wait()
+					time.Sleep(500 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,11 @@
 	// and the strings of a field with a short name.
 	headerByteCost  = 2
 	headerFieldCost = 160
+	// maxCarried is the number of requests whose late responses a connection recognizes. An
+	// extra response comes where the next one or the one after it is due.
+	maxCarried = 8
+	// maxExtraBody is the largest body in bytes of an extra response that is skipped.
+	maxExtraBody = 64 << 10
 	// maxInlineBody is the largest request body in bytes that is written before the
 	// response is read. Larger ones are written concurrently.
 	maxInlineBody = 16 << 10
@@ -44,6 +50,8 @@
 	ErrUnsent = errors.New("btconn: request was not sent")
 	// ErrMalformed means that the received bytes are not an HTTP response.
 	ErrMalformed = errors.New("btconn: response is malformed")
+	// ErrExtraResponse means that an extra response cannot be skipped.
+	ErrExtraResponse = errors.New("btconn: extra response cannot be skipped")
 	// ErrHeadTooLarge means that the head of a response exceeds 64 KiB.
 	ErrHeadTooLarge = errors.New("btconn: response head exceeds 64 KiB")
 )
@@ -66,6 +74,8 @@
 // Request is one request to an upstream. Do adds the headers Host and
 // Content-Length.
 type Request struct {
+	// ID is the id that the upstream repeats in its response. It may be empty.
+	ID     string
 	Method string
 	// Target is the path and query as the caller sent them.
 	Target string
@@ -87,6 +97,8 @@
 	reused bool
 	// idleUntil is the time until which the connection may be reused.
 	idleUntil time.Time
+	// carried are the ids of the newest requests, at most maxCarried of them.
+	carried []string
 }
 
 // headLimit passes reads through while the head of a response may go on.
@@ -137,7 +149,10 @@
 	bodySent chan struct{}
 	writeErr atomic.Bool
 	complete bool
-	once     sync.Once
+	// method is that of the request. extra is set once a response was skipped.
+	method string
+	extra  bool
+	once   sync.Once
 	// body is the original body of the response.
 	body io.Reader
 }
@@ -146,7 +161,7 @@
 // the exchange is closed, the connection is closed. An error that wraps ErrUnsent
 // means that the upstream has not received any part of the request.
 func (c *Conn) Do(ctx context.Context, r *Request) (*Exchange, error) {
-	x := &Exchange{conn: c, bodySent: make(chan struct{})}
+	x := &Exchange{conn: c, method: r.Method, bodySent: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { c.conn.Close() })
 	if err := x.send(r); err != nil {
 		x.abandon()
@@ -160,12 +175,44 @@
 		}
 		return nil, err
 	}
-	x.Response = resp
-	x.body = resp.Body
-	resp.Body = x
+	x.take(resp)
+	if c.carried = append(c.carried, r.ID); len(c.carried) > maxCarried {
+		c.carried = c.carried[1:]
+	}
 	return x, nil
 }
 
+// take makes resp the response of the exchange.
+func (x *Exchange) take(resp *http.Response) {
+	x.Response, x.body, x.complete = resp, resp.Body, false
+	resp.Body = x
+}
+
+// IsExtra reports whether a response with an id other than that of the request is an extra one to
+// an earlier request on the connection.
+func (x *Exchange) IsExtra(id string) bool {
+	earlier := x.conn.carried[:len(x.conn.carried)-1]
+	return id != "" && slices.Contains(earlier, id)
+}
+
+// Skip drops an extra response and reads the head of the next one, which counts in kept. The
+// connection is not reused then. After an error the exchange has no usable response.
+func (x *Exchange) Skip(kept *btmemory.Account) error {
+	x.extra = true
+	if !x.Framed() {
+		return ErrExtraResponse
+	}
+	if _, err := io.CopyN(io.Discard, x, maxExtraBody+1); err == nil || !x.complete {
+		return errors.WithSecondaryError(ErrExtraResponse, err)
+	}
+	resp, err := x.conn.readHead(x.method, kept)
+	if err != nil {
+		return err
+	}
+	x.take(resp)
+	return nil
+}
+
 func (x *Exchange) send(r *Request) error {
 	head := r.appendHead(make([]byte, 0, 1024))
 	if len(r.Body) <= maxInlineBody {
@@ -280,7 +327,7 @@
 	default:
 		return false
 	}
-	return !x.writeErr.Load() && !x.Response.Close && x.conn.r.Buffered() == 0 && x.Framed()
+	return !x.extra && !x.writeErr.Load() && !x.Response.Close && x.conn.r.Buffered() == 0 && x.Framed()
 }
 
 // Framed reports whether the response has a length, chunks, or no body at all. If it has
