A reply to an earlier process grants no token

Daemons would see: a token for one upstream that allows a send to another one, or one given long before, so that upstreams with a limit get more than it allows. Cause: requests for tokens were numbered from 1 at each start, and a reply is attributed by its number alone. A daemon that starts again at its address has the numbers of its earlier process under way again; a reply to that one which arrives late, from a granting daemon that was slow or held up, was taken for the reply to the request with that number. Replies that come twice or late within one process were dropped before. Change: the numbers begin at the daemon's start in milliseconds, shifted by ten bits. The package passes with the race detector.

--- a/internal/fleet/btgossip/grant.go
+++ b/internal/fleet/btgossip/grant.go
@@ -23,6 +23,11 @@
 	// missingRetention is how long a daemon that is silent keeps its part of each limit. It
 	// may be cut off and grant too.
 	missingRetention = 15 * time.Second
+	// grantNumberBits are the lowest bits of a request's number, which count the requests. The
+	// bits above start as the daemon's start in milliseconds, so that the reply to a request of
+	// an earlier process at its address has the number of no other one, up to a million requests
+	// a second.
+	grantNumberBits = 10
 	// maxWords is the number of words in one datagram, which then stays within
 	// maxPacketSize.
 	maxWords = 16
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -99,7 +99,7 @@
 	// resumed is the time of the last ResetLiveness.
 	resumed atomic.Pointer[time.Time]
 	// grantReplies holds a channel for each grant request that waits for its reply, by
-	// number.
+	// number. grantNumber is the number of the last request.
 	grantReplies sync.Map
 	grantNumber  atomic.Uint64
 	// registered holds the daemons registered in the store, sorted by rank.
@@ -132,6 +132,7 @@
 	n.started = n.Timer.Now()
 	n.peers.domain = n.Self.FailureDomain
 	n.incarnation.Store(n.Self.Incarnation)
+	n.grantNumber.Store(n.Self.Incarnation << grantNumberBits)
 	return n
 }
 
