A service's rejection of another call is not taken for one's own

Callers would see: a call without an idempotency key that runs twice, or one that is reported as not run and ran. Cause: the request id of a service's response was compared after rejections had been sorted out, so a 429 or 503 with "notRun" counted whatever id it had. Each call has a connection of its own, on which no answer of an earlier call can be; a service that mixes up its answers, as one behind a shared connection may, can still send a rejection of another call. Change: an id that is there must be the call's, also in a rejection; otherwise the outcome is unknown. A rejection without an id counts as before, since the connection has carried nothing else.

--- a/btupstream/doc.go
+++ b/btupstream/doc.go
@@ -7,7 +7,8 @@
 // NotRun only if no byte of the request was written, or if the upstream sent a
 // typed rejection (status 429 or 503 with {"notRun":true}). A failure after
 // the first byte is Unknown, and Ran once the upstream responded with any other
-// status. A service response that lacks the call's request id is Unknown too.
+// status. A service response that lacks the call's request id is Unknown too; a
+// rejection may lack it, but one with the id of another call is not about this one.
 //
 // # Connections
 //
--- a/btupstream/service.go
+++ b/btupstream/service.go
@@ -45,7 +45,13 @@
 		return nil, failureError(ctx, err, x.outcome())
 	}
 	defer discardAndClose(resp.Body)
-	if canBeRejection(resp.StatusCode) {
+	// A rejection may lack the request id.
+	got := resp.Header.Get(headerRequestID)
+	rejection := canBeRejection(resp.StatusCode)
+	if got != string(c.ID) && (got != "" || !rejection) {
+		return nil, failureError(ctx, errors.Newf("btupstream: response has request id %q, want %q", got, c.ID), bramleytack.Unknown)
+	}
+	if rejection {
 		return nil, statusError(resp)
 	}
 	return s.readResponse(ctx, c, resp)
@@ -77,11 +83,8 @@
 	return req, nil
 }
 
-// readResponse reads and checks a response.
+// readResponse reads and checks a response that belongs to the call.
 func (s *Service) readResponse(ctx context.Context, c bramleytack.ServiceCall, resp *http.Response) (*bramleytack.Response, error) {
-	if got := resp.Header.Get(headerRequestID); got != string(c.ID) {
-		return nil, failureError(ctx, errors.Newf("btupstream: response has request id %q, want %q", got, c.ID), bramleytack.Unknown)
-	}
 	if c.Request.Method != http.MethodHead && !delimited(resp) {
 		return nil, failureError(ctx, errors.New("btupstream: response has no Content-Length and is not chunked"), bramleytack.Ran)
 	}
