A connection that was only checked counts as new

Callers would see: 502 instead of the upstream's answer, where the answer has no id and is the first on a connection that a check of the upstream left in the pool. Cause: a connection counted as one that carried a request from its release on, also when nothing had been sent on it; on such connections an answer without an id is taken for a late one of an earlier request. There is none on a connection that was only checked, or given back because the upstream had left or reached its limit. The log's "reused" was wrong for them too. Change: a connection counts as used once an exchange on it has ended.

--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -309,6 +309,7 @@
 		x.conn.conn.Close()
 		return
 	}
+	x.conn.reused = true
 	x.conn.release(x.Header)
 }
 
--- a/internal/upstream/btconn/conn_test.go
+++ b/internal/upstream/btconn/conn_test.go
@@ -190,3 +190,26 @@
 		assert.Equal(t, time.Since(started), 100*time.Millisecond)
 	}, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
 }
+
+// Guards against a connection that was only checked, or released unsent, and counts as one that
+// carried a request before: the response to its first request would need an id.
+func TestUnsentConnectionIsNew(t *testing.T) {
+	serve(t, false, func(ctx context.Context, p *Pool) {
+		assert.NilError(t, p.Check(ctx, addr))
+		c, err := p.Get(ctx, addr)
+		assert.NilError(t, err)
+		assert.Check(t, !c.Reused())
+		c.Release()
+		_, c, err = roundTrip(ctx, p, "x")
+		assert.NilError(t, err)
+		assert.Check(t, c.Reused(), "the connection has carried a request")
+		c, err = p.Get(ctx, addr)
+		assert.NilError(t, err)
+		c.Release()
+		c, err = p.Get(ctx, addr)
+		assert.NilError(t, err)
+		assert.Check(t, c.Reused(), "the connection has carried a request before its release")
+		c.Release()
+		assert.Equal(t, p.Opened.Load(), uint64(1))
+	}, okResponse)
+}
--- a/internal/upstream/btconn/pool.go
+++ b/internal/upstream/btconn/pool.go
@@ -78,7 +78,7 @@
 	return newConn(p, number, addr, nc), nil
 }
 
-// Check opens a connection to addr and puts it into the pool. An error means that
+// Check opens a connection to addr and puts it into the pool, unused. An error means that
 // addr accepts no connections; it wraps syscall.ECONNREFUSED if the host refused this
 // one.
 func (p *Pool) Check(ctx context.Context, addr netip.AddrPort) error {
@@ -146,7 +146,6 @@
 	if p.idle == nil {
 		p.idle = map[netip.AddrPort][]*Conn{}
 	}
-	c.reused = true
 	c.idleUntil = time.Now().Add(idle)
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
