Revisions are ordered across copies of the store

Cause: a replica drops what is not newer than the greatest revision it has seen, and the copy's revisions start lower: the list after the 410 was dropped, the next poll got 410 again, and changes below the old revision were never taken. Change: a Revision has an epoch above the store's number. The first list of a new epoch is logged (BT215) and announced to the other daemons. Revisions are logged as text now, 2:25 for number 25 of epoch 2. An unchanged registration is not decoded again with the new revision, since its cold time counts from when it was written.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -45,6 +45,7 @@
 	WatchEnded              = Event{212, zerolog.InfoLevel, "daemon has stopped watching a kind in the store"}
 	EntryRejected           = Event{213, zerolog.WarnLevel, "entry of the store cannot be read, the others hold"}
 	StoreLate               = Event{214, zerolog.InfoLevel, "store's answer is late, other daemons read it"}
+	StoreRestored           = Event{215, zerolog.WarnLevel, "store has come back from an older copy, kind is listed again"}
 	LeaseAcquired           = Event{300, zerolog.InfoLevel, "cell lease was acquired"}
 	LeaseLost               = Event{301, zerolog.WarnLevel, "cell lease was lost"}
 	ViewChanged             = Event{302, zerolog.InfoLevel, "view has changed"}
@@ -125,6 +126,7 @@
 		WatchEnded,
 		EntryRejected,
 		StoreLate,
+		StoreRestored,
 		LeaseAcquired,
 		LeaseLost,
 		ViewChanged,
--- a/identity.go
+++ b/identity.go
@@ -30,8 +30,5 @@
 // GrantID names one reservation of an upstream's capacity.
 type GrantID string
 
-// Revision counts the changes in the platform's store. It never decreases.
-type Revision uint64
-
 // Fence is the fencing token of a lease. A later holder has a higher one.
 type Fence uint64
--- a/internal/fleet/btgossip/pull.go
+++ b/internal/fleet/btgossip/pull.go
@@ -84,7 +84,7 @@
 			for _, r := range batch {
 				p.n.pulling.Delete(r.kind)
 				p.n.Log.Event(btevent.ReplicaPulled).Str("kind", r.kind).Stringer("from", r.from).
-					Uint64("upto", uint64(p.n.Table.Upto(r.kind))).Dur("took", p.n.Timer.Now().Sub(started)).AnErr("cause", err).Send()
+					Stringer("upto", p.n.Table.Upto(r.kind)).Dur("took", p.n.Timer.Now().Sub(started)).AnErr("cause", err).Send()
 			}
 		case <-ctx.Done():
 			return
--- /dev/null
+++ b/internal/fleet/btreplica/restore_test.go
@@ -0,0 +1,320 @@
+package btreplica
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"bramleytack"
+	"bramleytack/btevent"
+	"bramleytack/bttimer"
+)
+
+// inForceWithin is the time within which a confirmed change is in force at a daemon that reaches the
+// store: config_ms of the users' sheets.
+const inForceWithin = 4 * time.Second
+
+// copyStore is a store that may come back from an older copy of itself.
+type copyStore struct {
+	mu      sync.Mutex
+	epoch   uint64
+	state   copyState
+	changed chan struct{}
+	away    bool
+	calls   int
+}
+
+// copyState is what a copy has: the number of the last change and the last change of each name.
+type copyState struct {
+	number uint64
+	last   map[string]copyEntry
+}
+
+type copyEntry struct {
+	object bramleytack.Object
+	number uint64
+}
+
+func newCopyStore() *copyStore {
+	return &copyStore{changed: make(chan struct{}), state: copyState{number: 10, last: map[string]copyEntry{}}}
+}
+
+func (s *copyStore) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// write makes one change. No data removes the object.
+func (s *copyStore) write(kind, name string, data ...byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.number++
+	o := object(kind, name, 0, data...)
+	o.Deleted = len(data) == 0
+	s.state.last[kind+"/"+name] = copyEntry{object: o, number: s.state.number}
+	s.notify()
+}
+
+// copy returns a copy of the store.
+func (s *copyStore) copy() copyState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return copyState{number: s.state.number, last: maps.Clone(s.state.last)}
+}
+
+// setAway makes all calls fail, or ends that.
+func (s *copyStore) setAway(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = on
+	s.notify()
+}
+
+// restore makes a copy the store's state.
+func (s *copyStore) restore(c copyState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.away = false
+	s.state = copyState{number: c.number, last: maps.Clone(c.last)}
+	s.notify()
+}
+
+// since returns the objects that changed after a number, without removed ones if it is 0.
+func (s *copyStore) since(kind string, after uint64) (objects []bramleytack.Object) {
+	for _, e := range s.state.last {
+		if e.object.Kind != kind || e.number <= after || after == 0 && e.object.Deleted {
+			continue
+		}
+		o := e.object
+		o.Version = revision(s.epoch, e.number)
+		objects = append(objects, o)
+	}
+	return objects
+}
+
+func (s *copyStore) List(_ context.Context, kind string) ([]bramleytack.Object, bramleytack.Revision, error) {
+	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.away {
+		return nil, 0, bramleytack.ErrStoreDown
+	}
+	return s.since(kind, 0), revision(s.epoch, s.state.number), nil
+}
+
+func (s *copyStore) Changes(ctx context.Context, kind string, after bramleytack.Revision, wait time.Duration) ([]bramleytack.Object, bramleytack.Revision, error) {
+	time.Sleep(4 * time.Millisecond)
+	timeout := time.After(wait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	for waiting := true; ; {
+		objects, epoch, upto := s.since(kind, after.Number()), s.epoch, revision(s.epoch, s.state.number)
+		switch {
+		case s.away:
+			return nil, 0, bramleytack.ErrStoreDown
+		case after.Number() > s.state.number:
+			return nil, 0, bramleytack.ErrHistoryGone
+		case len(objects) > 0 || !waiting:
+			// As the client of the platform's store does.
+			if epoch != after.Epoch() {
+				return nil, 0, errors.Wrap(bramleytack.ErrHistoryGone, "other epoch")
+			}
+			return objects, upto, nil
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timeout:
+			waiting = false
+		case <-ctx.Done():
+		}
+		s.mu.Lock()
+		if ctx.Err() != nil {
+			return nil, 0, bramleytack.ErrStoreDown
+		}
+	}
+}
+
+func revision(epoch, number uint64) bramleytack.Revision {
+	r, err := bramleytack.NewRevision(epoch, number)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// replica is a daemon's replica of a copyStore.
+type replica struct {
+	t     *testing.T
+	store *copyStore
+	table *Table
+	log   *btevent.Logger
+	timer *bttimer.Service
+	stop  context.CancelFunc
+}
+
+// follow starts a daemon that follows the store.
+func follow(t *testing.T, s *copyStore) *replica {
+	timer := bttimer.New(1)
+	log := btevent.New(io.Discard, 0, "h")
+	r := &replica{t: t, store: s, log: log, timer: timer, table: NewTable(codec{}, timer, log)}
+	ctx, cancel := context.WithCancel(t.Context())
+	r.stop = func() {
+		cancel()
+		synctest.Wait()
+		timer.Close()
+	}
+	status, resync := &StoreStatus{}, &Resync{}
+	for _, kind := range bramleytack.ReplicatedKinds {
+		w := &Watcher{Feed: s, Table: r.table, Timer: timer, Log: log, Kind: kind, StoreStatus: status, Resync: resync}
+		go w.Run(ctx)
+	}
+	go (&expirer{r}).run(ctx)
+	return r
+}
+
+// expirer drops what has lapsed, as a daemon does.
+type expirer struct{ r *replica }
+
+func (e *expirer) run(ctx context.Context) {
+	for e.r.timer.Sleep(ctx, 250*time.Millisecond) == nil {
+		e.r.table.Expire()
+	}
+}
+
+// version returns the version of the configuration in force.
+func (r *replica) version() uint64 {
+	if s := r.table.Snapshot(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+// inCopyTime runs f in fake time with a store that holds configuration 4 and a daemon that follows it.
+func inCopyTime(t *testing.T, f func(t *testing.T, s *copyStore, r *replica)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCopyStore()
+		s.write(bramleytack.KindConfig, "main", 4)
+		r := follow(t, s)
+		// Goroutines must end before the synctest bubble does.
+		defer time.Sleep(time.Minute)
+		defer r.stop()
+		time.Sleep(time.Second)
+		assert.Equal(t, r.version(), uint64(4))
+		f(t, s, r)
+	})
+}
+
+// The store loses a configuration that was in force, which the operator writes again or replaces.
+// Guards against a replica that compares the revisions of the copy with those from before: confirmed
+// changes would not come into force.
+func TestChangesAfterTheStoreIsRestored(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// lost and again are the numbers of changes that the copy lacks and that are written after it.
+		lost, again int
+		away        time.Duration
+	}{
+		{"revision lower than before", 5, 1, 2 * time.Second},
+		{"same revision as before", 5, 5, 2 * time.Second},
+		{"revision higher than before", 5, 9, 2 * time.Second},
+		{"without an outage", 5, 1, 0},
+		{"without an outage, same revision", 5, 5, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inCopyTime(t, func(t *testing.T, s *copyStore, r *replica) {
+				copied := s.copy()
+				for i := range c.lost {
+					s.write(bramleytack.KindConfig, "main", byte(5+i))
+				}
+				time.Sleep(time.Second)
+				assert.Equal(t, r.version(), uint64(4+c.lost))
+				if c.away > 0 {
+					s.setAway(true)
+					time.Sleep(c.away)
+				}
+				s.restore(copied)
+				for i := range c.again {
+					// The last change is a new one, the others are written again.
+					s.write(bramleytack.KindConfig, "main", byte(5+c.lost-c.again+1+i))
+				}
+				time.Sleep(inForceWithin)
+				assert.Equal(t, r.version(), uint64(5+c.lost))
+				s.write(bramleytack.KindConfig, "main", 40)
+				s.write(bramleytack.KindUpstreams, "a", 1)
+				time.Sleep(inForceWithin)
+				assert.Equal(t, r.version(), uint64(40))
+				assert.Equal(t, len(r.table.Snapshot().Upstreams), 1)
+			})
+		})
+	}
+}
+
+// Guards against a second copy whose revisions are taken for those of the first one.
+func TestStoreIsRestoredTwice(t *testing.T) {
+	inCopyTime(t, func(t *testing.T, s *copyStore, r *replica) {
+		copied := s.copy()
+		version := byte(4)
+		for range 3 {
+			version += 2
+			s.write(bramleytack.KindConfig, "main", version-1)
+			s.write(bramleytack.KindConfig, "main", version)
+			time.Sleep(time.Second)
+			s.restore(copied)
+		}
+		version++
+		s.write(bramleytack.KindConfig, "main", version)
+		time.Sleep(inForceWithin)
+		assert.Equal(t, r.version(), uint64(version))
+	})
+}
+
+// Guards against calls to the store without a pause after it has been restored: each costs.
+func TestCallsAfterTheStoreIsRestored(t *testing.T) {
+	inCopyTime(t, func(t *testing.T, s *copyStore, _ *replica) {
+		copied := s.copy()
+		s.write(bramleytack.KindConfig, "main", 5)
+		time.Sleep(time.Second)
+		s.restore(copied)
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		s.calls = 0
+		s.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		// A poll is open for 2.4 s at most and the polls of the three kinds are spaced evenly.
+		assert.Assert(t, s.calls <= 30, "%d calls in 10 s", s.calls)
+	})
+}
+
+// Guards against epochs that come out of order: what a daemon of the earlier epoch sends late must not
+// replace what the later epoch has, and its changes must not be added to a replica of the later one.
+func TestBatchesOfAnEarlierEpoch(t *testing.T) {
+	inFakeTime(t, func(t *testing.T, table *Table, _ *bttimer.Service) {
+		kind := bramleytack.KindUpstreams
+		entry := func(epoch, number uint64, name string) bramleytack.Object {
+			return object(kind, name, revision(epoch, number), 1)
+		}
+		table.Apply(config(1, 1))
+		assert.Assert(t, table.Apply(Batch{Kind: kind, Full: true, Upto: revision(2, 5), Objects: []bramleytack.Object{entry(2, 5, "a")}}))
+		for epoch := range uint64(2) {
+			assert.Assert(t, table.Apply(Batch{Kind: kind, Full: true, Upto: revision(epoch, 90), Objects: []bramleytack.Object{entry(epoch, 90, "b")}}))
+			assert.Assert(t, table.Apply(Batch{Kind: kind, Base: revision(epoch, 3), Upto: revision(epoch, 91), Objects: []bramleytack.Object{entry(epoch, 91, "b")}}))
+		}
+		assert.Assert(t, !table.Apply(Batch{Kind: kind, Base: revision(3, 5), Upto: revision(3, 6), Objects: []bramleytack.Object{entry(3, 6, "b")}}), "a later epoch begins with a list")
+		assert.DeepEqual(t, fmt.Sprint(len(table.Snapshot().Upstreams), table.Upto(kind)), "1 2:5")
+	})
+}
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -1,6 +1,7 @@
 package btreplica
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
@@ -86,6 +87,7 @@
 // not be decoded.
 type decodedUpstream struct {
 	version  bramleytack.Revision
+	data     []byte
 	upstream *bramleytack.Upstream
 }
 
@@ -171,6 +173,9 @@
 		t.mu.Unlock()
 		return false
 	}
+	if k.restoredBy(b) {
+		t.log.Event(btevent.StoreRestored).Str("kind", b.Kind).Stringer("held", k.upto).Stringer("upto", b.Upto).Bool("fromStore", b.FromStore).Send()
+	}
 	changed := k.apply(b, t.timer.Now(), t.isLeaving)
 	if changed {
 		t.rebuild()
@@ -190,7 +195,7 @@
 	for _, o := range b.Objects {
 		if o.Err != nil {
 			if rejected++; rejected <= maxRejectedEntries {
-				t.log.Event(btevent.EntryRejected).Str("kind", b.Kind).Str("name", o.Name).Uint64("revision", uint64(o.Version)).Err(o.Err).Send()
+				t.log.Event(btevent.EntryRejected).Str("kind", b.Kind).Str("name", o.Name).Stringer("revision", o.Version).Err(o.Err).Send()
 			}
 		}
 		if o.Name != "" {
@@ -208,6 +213,10 @@
 // that of b. isLeaving tells the upstreams that were about to end.
 func (k *kindState) apply(b Batch, now time.Time, isLeaving func(name string) bool) bool {
 	changed := k.upto == 0
+	if k.restoredBy(b) {
+		// The other daemons have to list the kind, too.
+		k.lastChange, changed = b.Upto, true
+	}
 	k.upto = b.Upto
 	mayReturn := func(name string) bool {
 		return b.AfterOutage && b.Kind == bramleytack.KindUpstreams && !isLeaving(name)
@@ -251,6 +260,11 @@
 	return changed
 }
 
+// restoredBy reports whether the store was restored from an older copy between the replica and b.
+func (k *kindState) restoredBy(b Batch) bool {
+	return k.upto > 0 && b.Upto.Epoch() > k.upto.Epoch()
+}
+
 // remove drops an object. If its registration may have lapsed, it stays for lapseGrace.
 func (k *kindState) remove(name string, mayReturn bool, now time.Time) {
 	if mayReturn {
@@ -355,7 +369,7 @@
 			continue
 		}
 		if err := t.codec.Config(o.Data, s); err != nil {
-			t.log.Event(btevent.RecordUndecodable).Uint64("revision", uint64(o.Version)).Err(err).Send()
+			t.log.Event(btevent.RecordUndecodable).Stringer("revision", o.Version).Err(err).Send()
 			if old == nil {
 				return nil
 			}
@@ -368,7 +382,7 @@
 			continue
 		}
 		s.Revision = o.Version
-		t.log.Event(btevent.ConfigInForce).Uint64("version", s.Version).Uint64("revision", uint64(o.Version)).Int("routes", s.Routes.Len()).Send()
+		t.log.Event(btevent.ConfigInForce).Uint64("version", s.Version).Stringer("revision", o.Version).Int("routes", s.Routes.Len()).Send()
 	}
 	if s.Routes == nil {
 		return nil
@@ -416,7 +430,7 @@
 	}
 	for name := range t.decoded {
 		if _, ok := k.objects[name]; !ok {
-			t.log.Event(btevent.UpstreamRemoved).Str("upstream", name).Uint64("upto", uint64(k.upto)).Send()
+			t.log.Event(btevent.UpstreamRemoved).Str("upstream", name).Stringer("upto", k.upto).Send()
 			delete(t.decoded, name)
 		}
 	}
@@ -431,15 +445,16 @@
 // decodeUpstream returns the upstream of a registration, or nil if it cannot be
 // decoded.
 func (t *Table) decodeUpstream(name string, o bramleytack.Object) *bramleytack.Upstream {
-	if d, ok := t.decoded[name]; ok && d.version == o.Version {
+	if d, ok := t.decoded[name]; ok && (d.version == o.Version || d.version.Epoch() != o.Version.Epoch() && bytes.Equal(d.data, o.Data)) {
+		// A registration has durations that count from when it was written.
 		return d.upstream
 	}
 	u, err := t.codec.Upstream(name, o.Data, t.timer.Now())
 	if err != nil {
-		t.log.Event(btevent.RegistrationUndecodable).Str("upstream", name).Uint64("revision", uint64(o.Version)).Err(err).Send()
+		t.log.Event(btevent.RegistrationUndecodable).Str("upstream", name).Stringer("revision", o.Version).Err(err).Send()
 	} else {
-		t.log.Event(btevent.UpstreamRegistered).Str("upstream", name).Str("service", u.Service).Stringer("addr", u.Addr).Str("state", string(u.State)).Uint64("revision", uint64(o.Version)).Send()
+		t.log.Event(btevent.UpstreamRegistered).Str("upstream", name).Str("service", u.Service).Stringer("addr", u.Addr).Str("state", string(u.State)).Stringer("revision", o.Version).Send()
 	}
-	t.decoded[name] = decodedUpstream{version: o.Version, upstream: u}
+	t.decoded[name] = decodedUpstream{version: o.Version, data: o.Data, upstream: u}
 	return u
 }
--- a/internal/fleet/btreplica/watcher.go
+++ b/internal/fleet/btreplica/watcher.go
@@ -89,7 +89,7 @@
 		if following {
 			event = btevent.WatchStarted
 		}
-		w.Log.Event(event).Str("kind", w.Kind).Uint64("upto", uint64(w.Table.Upto(w.Kind))).Send()
+		w.Log.Event(event).Str("kind", w.Kind).Stringer("upto", w.Table.Upto(w.Kind)).Send()
 	}
 	return following
 }
@@ -130,7 +130,7 @@
 		case errors.Is(err, bramleytack.ErrHistoryGone):
 			relist, gone = true, true
 			w.Resync.All(w)
-			w.Log.Event(btevent.HistoryGone).Str("kind", w.Kind).Uint64("revision", uint64(w.Table.Upto(w.Kind))).Send()
+			w.Log.Event(btevent.HistoryGone).Str("kind", w.Kind).Stringer("revision", w.Table.Upto(w.Kind)).Send()
 		default:
 			if w.StoreStatus.recordFailure(w.Log, w.Timer.Now(), err) {
 				w.Resync.All(w)
--- a/internal/route/btsuspect/archive.go
+++ b/internal/route/btsuspect/archive.go
@@ -99,7 +99,7 @@
 		return err
 	}
 	a.version, a.stored = version, data
-	a.Log.Event(btevent.QuarantineStored).Int("keys", n).Uint64("revision", uint64(version)).Send()
+	a.Log.Event(btevent.QuarantineStored).Int("keys", n).Stringer("revision", version).Send()
 	return nil
 }
 
@@ -126,7 +126,7 @@
 		records = append(records, r.decode(now))
 	}
 	news := a.Table.Merge(records)
-	a.Log.Event(btevent.QuarantineLoaded).Int("keys", len(records)).Bool("news", news).Uint64("revision", uint64(a.version)).Send()
+	a.Log.Event(btevent.QuarantineLoaded).Int("keys", len(records)).Bool("news", news).Stringer("revision", a.version).Send()
 	if news && a.Table.Share != nil {
 		a.Table.Share(records)
 	}
