A configuration is replaced by no older version, also at daemons that start

Callers would see routes of an older configuration after the store comes back from a copy, at daemons that start before the operator has written the newer version again. Cause: the revision alone decides which configuration a replica holds. The copy's has a newer revision, so that a running daemon kept the newer version in force but gave the older one to others, and a started one had no way to learn of the newer. Change: for configurations the operator's version goes before the revision; a list of the copy does not remove one; digests tell the version, and a daemon with a lower one pulls, also if its revision is not behind. Undecodable configurations no longer replace one that can be read in the replica.

--- a/internal/fleet/btgossip/digest.go
+++ b/internal/fleet/btgossip/digest.go
@@ -80,7 +80,7 @@
 		d.Heartbeats = encodeHeartbeats(n.sampleHeartbeats(rest))
 	}
 	for _, kind := range bramleytack.ReplicatedKinds {
-		d.Kinds = append(d.Kinds, &KindRevision{Kind: kind, Content: uint64(n.Table.LastChange(kind))})
+		d.Kinds = append(d.Kinds, &KindRevision{Kind: kind, Content: uint64(n.Table.LastChange(kind)), Version: n.configVersion(kind)})
 	}
 	if !v.large() {
 		d.Loads = encodeLoads(n.Accounts.OwnLoads())
@@ -88,6 +88,14 @@
 	return d
 }
 
+// configVersion returns the operator's version if kind is that of the configuration, otherwise 0.
+func (n *Node) configVersion(kind string) uint64 {
+	if kind != bramleytack.KindConfig {
+		return 0
+	}
+	return n.Table.ConfigVersion()
+}
+
 // splitFollowers returns the daemons of the lowest ranks, which follow the store, and
 // the others. Every digest lists the former.
 func splitFollowers(peers []Peer) (followers, rest []*Peer) {
--- a/internal/fleet/btgossip/node_test.go
+++ b/internal/fleet/btgossip/node_test.go
@@ -128,10 +128,13 @@
 func (c *packetConn) SetReadDeadline(time.Time) error  { return nil }
 func (c *packetConn) SetWriteDeadline(time.Time) error { return nil }
 
-// codec decodes any object.
+// codec decodes any object. The version of a configuration is its first byte.
 type codec struct{}
 
-func (codec) Config(_ []byte, s *bramleytack.Snapshot) error {
+func (codec) Config(data []byte, s *bramleytack.Snapshot) error {
+	if len(data) > 0 {
+		s.Version = uint64(data[0])
+	}
 	s.Routes = bramleytack.NewRouteTable(nil)
 	return nil
 }
--- a/internal/fleet/btgossip/pull.go
+++ b/internal/fleet/btgossip/pull.go
@@ -45,13 +45,29 @@
 type pull struct {
 	from netip.Addr
 	kind string
-	// upto is the revision that the other daemon has.
+	// state is what the other daemon has.
+	state kindState
+}
+
+// kindState is what a daemon announces of its replica of a kind.
+type kindState struct {
 	upto bramleytack.Revision
+	// version is the operator's version of the configuration.
+	version uint64
+}
+
+func (k *KindRevision) decode() kindState {
+	return kindState{upto: bramleytack.Revision(k.Content), version: k.Version}
+}
+
+// lacks reports whether the replica of a kind is behind a state.
+func (n *Node) lacks(kind string, s kindState) bool {
+	return s.upto > n.Table.Upto(kind) || s.version > n.configVersion(kind)
 }
 
 // pull queues a pull from a daemon that is ahead, unless one of the same kind is
 // queued or running. A later digest asks again if the replica is still behind.
-func (n *Node) pull(from netip.Addr, kind string, upto bramleytack.Revision) {
+func (n *Node) pull(from netip.Addr, kind string, s kindState) {
 	if !from.IsValid() || !slices.Contains(bramleytack.ReplicatedKinds, kind) {
 		return
 	}
@@ -59,7 +75,7 @@
 		return
 	}
 	select {
-	case n.pulls <- pull{from: from, kind: kind, upto: upto}:
+	case n.pulls <- pull{from: from, kind: kind, state: s}:
 	default:
 		n.pulling.Delete(kind)
 	}
@@ -110,7 +126,7 @@
 // dropDone returns the pulls whose changes have not arrived by other means.
 func (p *puller) dropDone(batch []pull) []pull {
 	return slices.DeleteFunc(batch, func(r pull) bool {
-		done := p.n.Table.Upto(r.kind) >= r.upto
+		done := !p.n.lacks(r.kind, r.state)
 		if done {
 			p.n.pulling.Delete(r.kind)
 		}
--- a/internal/fleet/btgossip/push.go
+++ b/internal/fleet/btgossip/push.go
@@ -96,7 +96,7 @@
 func (n *Node) handleBatch(p *Packet, b *ObjectBatch, sender netip.Addr) {
 	before := n.Table.Upto(b.Kind)
 	if !n.Table.Apply(b.decode()) {
-		n.pull(sender, b.Kind, bramleytack.Revision(b.Upto))
+		n.pull(sender, b.Kind, kindState{upto: bramleytack.Revision(b.Upto)})
 		return
 	}
 	if p.Forward && bramleytack.Revision(b.Upto) > before {
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -102,8 +102,8 @@
 	}
 	n.queryMembers(sender, n.mergeHeartbeats(d.Heartbeats, now), now)
 	for _, k := range d.Kinds {
-		if upto := bramleytack.Revision(k.Content); upto > n.Table.Upto(k.Kind) {
-			n.pull(sender, k.Kind, upto)
+		if state := k.decode(); n.lacks(k.Kind, state) {
+			n.pull(sender, k.Kind, state)
 		}
 	}
 	if isMemberReply := len(d.Kinds) == 0 && len(d.Members) > 0; !isMemberReply {
--- a/internal/fleet/btreplica/restore_test.go
+++ b/internal/fleet/btreplica/restore_test.go
@@ -318,3 +318,42 @@
 		assert.DeepEqual(t, fmt.Sprint(len(table.Snapshot().Upstreams), table.Upto(kind)), "1 2:5")
 	})
 }
+
+// The copy has an older configuration, or none, and the operator does not write the newer one again
+// for a while. Guards against an older configuration in force, and against one that daemons give to
+// others that start.
+func TestCopyReplacesNoNewerConfiguration(t *testing.T) {
+	for name, copied := range map[string][]bramleytack.Object{"older": {object(bramleytack.KindConfig, "main", revision(1, 5), 3)}, "none": nil} {
+		t.Run(name, func(t *testing.T) {
+			inFakeTime(t, func(t *testing.T, table *Table, _ *bttimer.Service) {
+				table.Apply(config(revision(0, 9), 4))
+				for number := range uint64(2) {
+					table.Apply(Batch{Kind: bramleytack.KindConfig, Full: true, Upto: revision(1, 6+number), Objects: copied, FromStore: true})
+					b := table.FullBatch(bramleytack.KindConfig)
+					assert.DeepEqual(t, []any{table.ConfigVersion(), b.Objects[0].Data, b.Upto}, []any{uint64(4), []byte{4}, revision(1, 6+number)})
+				}
+				table.Apply(config(revision(1, 8), 4))
+				assert.Equal(t, table.FullBatch(bramleytack.KindConfig).Objects[0].Version, revision(1, 8), "written again")
+				table.Apply(config(revision(1, 9), 5))
+				assert.Equal(t, table.ConfigVersion(), uint64(5))
+			})
+		})
+	}
+}
+
+// A daemon that has started lists the copy first. Guards against the newer configuration of another
+// daemon that is dropped because its revision is from before.
+func TestNewerConfigurationOfAPeerCounts(t *testing.T) {
+	inFakeTime(t, func(t *testing.T, table *Table, _ *bttimer.Service) {
+		table.Apply(config(revision(1, 6), 3))
+		peer := config(revision(0, 9), 4)
+		for _, upto := range []bramleytack.Revision{revision(1, 6), revision(0, 9)} {
+			peer.Upto = upto
+			assert.Assert(t, table.Apply(peer))
+			assert.Equal(t, table.ConfigVersion(), uint64(4))
+		}
+		peer.Objects[0].Data = []byte{2}
+		table.Apply(peer)
+		assert.Equal(t, table.ConfigVersion(), uint64(4))
+	})
+}
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -167,7 +167,11 @@
 	}
 	switch {
 	case b.Upto <= k.upto:
+		changed := t.takeConfirmed(k, b)
 		t.mu.Unlock()
+		if changed {
+			t.notify(b)
+		}
 		return true
 	case !b.Full && b.Base > k.upto, !b.Full && k.upto == 0:
 		t.mu.Unlock()
@@ -176,15 +180,19 @@
 	if k.restoredBy(b) {
 		t.log.Event(btevent.StoreRestored).Str("kind", b.Kind).Stringer("held", k.upto).Stringer("upto", b.Upto).Bool("fromStore", b.FromStore).Send()
 	}
-	changed := k.apply(b, t.timer.Now(), t.isLeaving)
-	if changed {
+	if t.apply(k, b, t.timer.Now()) {
 		t.rebuild()
 	}
 	t.mu.Unlock()
+	t.notify(b)
+	return true
+}
+
+// notify calls the listeners.
+func (t *Table) notify(b Batch) {
 	for _, f := range t.listeners {
 		f(b)
 	}
-	return true
 }
 
 // named returns the objects of a batch that have a name. It logs those that could not be
@@ -208,10 +216,10 @@
 	return objects
 }
 
-// apply adds a batch to the replica and reports whether any object changed. The first
-// list counts as a change. A removal has no revision of its own, so it counts as made at
-// that of b. isLeaving tells the upstreams that were about to end.
-func (k *kindState) apply(b Batch, now time.Time, isLeaving func(name string) bool) bool {
+// apply adds a batch to the replica of its kind and reports whether any object changed. The
+// first list counts as a change. A removal has no revision of its own, so it counts as made at
+// that of b.
+func (t *Table) apply(k *kindState, b Batch, now time.Time) bool {
 	changed := k.upto == 0
 	if k.restoredBy(b) {
 		// The other daemons have to list the kind, too.
@@ -219,15 +227,15 @@
 	}
 	k.upto = b.Upto
 	mayReturn := func(name string) bool {
-		return b.AfterOutage && b.Kind == bramleytack.KindUpstreams && !isLeaving(name)
+		return b.AfterOutage && b.Kind == bramleytack.KindUpstreams && !t.isLeaving(name)
 	}
 	if b.Full {
 		present := make(map[string]bool, len(b.Objects))
 		for _, o := range b.Objects {
 			present[o.Name] = true
 		}
-		for name := range k.objects {
-			if !present[name] {
+		for name, o := range k.objects {
+			if !present[name] && !missingInCopy(b, o) {
 				k.remove(name, mayReturn(name), now)
 				k.lastChange, changed = b.Upto, true
 			}
@@ -244,7 +252,7 @@
 		if !slices.Contains(b.Lapsed, o.Name) {
 			delete(k.lapsed, o.Name)
 		}
-		if old, ok := k.objects[o.Name]; ok && old.Version >= o.Version {
+		if old, ok := k.objects[o.Name]; ok && !t.replaces(old, o) {
 			continue
 		}
 		k.objects[o.Name] = o
@@ -260,11 +268,6 @@
 	return changed
 }
 
-// restoredBy reports whether the store was restored from an older copy between the replica and b.
-func (k *kindState) restoredBy(b Batch) bool {
-	return k.upto > 0 && b.Upto.Epoch() > k.upto.Epoch()
-}
-
 // remove drops an object. If its registration may have lapsed, it stays for lapseGrace.
 func (k *kindState) remove(name string, mayReturn bool, now time.Time) {
 	if mayReturn {
