What a copy of the store lacks counts until it is written again

Callers would see requests in a failure domain that is out of service, and rejections for want of upstreams, after the store comes back from a copy: the copy lacks the operator's order and the registrations of upstreams that came since, and the first list removed them. Cause: a list decides alone what exists. Change: an object of an earlier epoch that a list lacks stays for a grace, 2 s for registrations as after an outage, 10 s for domains out of service; that is longer than the 5 s for which the store counts as disturbed and the 5 s within which an order is in force. Daemons that start get from the others which domains the store has lost. A daemon that has dropped an object does not take it from one where it still lapses, so that it does not go round. Evidence: TestDomainStaysOutAlthoughTheCopyLacksIt fails in 4 of 4 cases without the grace, TestRegistrationsThatACopyLacks and TestStartedDaemonLearnsWhatTheStoreLost fail without theirs; all pass with the change.

--- a/internal/fleet/btgossip/digest.go
+++ b/internal/fleet/btgossip/digest.go
@@ -55,6 +55,7 @@
 	if n.round%suspicionRounds == 0 {
 		n.sendSuspicions(targets)
 		n.sendWords(targets)
+		n.sendLost(targets)
 	}
 }
 
--- a/internal/fleet/btgossip/push.go
+++ b/internal/fleet/btgossip/push.go
@@ -58,6 +58,21 @@
 	n.writeAll(c, n.encode(p), n.remoteHubs(v))
 }
 
+// sendLost sends the failure domains that stay out of service although the store, restored from an
+// older copy, has lost that. A daemon that starts cannot read them there.
+func (n *Node) sendLost(to []netip.Addr) {
+	b := n.Table.Lost(bramleytack.KindEvacuations)
+	if len(b.Objects) == 0 {
+		return
+	}
+	p, err := packChanges(encodeBatch(b))
+	if err != nil {
+		n.Log.Event(btevent.PeerPacketDropped).Err(err).Send()
+		return
+	}
+	n.writeAll(CauseChange, n.encode(p), to)
+}
+
 // errChangesTooLarge is returned for changes that exceed maxCompressedSize.
 var errChangesTooLarge = errors.New("btgossip: changes are too large for a datagram")
 
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -133,10 +133,12 @@
 	n.Log.Event(btevent.PeerAlive).Str("peer", m.Host).Stringer("addr", peer.Addr).Uint64("incarnation", m.Incarnation).Send()
 	if direct {
 		// The peer may have just started: the digest shows it the daemons that follow
-		// the store, and it has lost the suspicions and the words of upstreams.
+		// the store, and it has lost the suspicions, the words of upstreams and what the store
+		// has lost.
 		n.write(CauseDigest, n.encode(&Packet{Digest: n.digest(n.view())}), peer.Addr)
 		n.sendSuspicions([]netip.Addr{peer.Addr})
 		n.sendWords([]netip.Addr{peer.Addr})
+		n.sendLost([]netip.Addr{peer.Addr})
 	}
 }
 
--- a/internal/fleet/btgossip/restore_test.go
+++ b/internal/fleet/btgossip/restore_test.go
@@ -57,3 +57,50 @@
 	t.Run("with loss", func(t *testing.T) { runCell(t, 12, 0.1, check) })
 	t.Run("with hubs", func(t *testing.T) { runHubs(t, 24, 0, check) })
 }
+
+// The store comes back from a copy that lacks a failure domain out of service, and daemons start before the
+// operator has written that again. Guards against requests that they send there.
+func TestStartedDaemonLearnsWhatTheStoreLost(t *testing.T) {
+	list := func(epoch, number uint64, names ...string) btreplica.Batch {
+		r, err := bramleytack.NewRevision(epoch, number)
+		assert.NilError(t, err)
+		b := btreplica.Batch{Kind: bramleytack.KindEvacuations, Full: true, Upto: r, FromStore: true}
+		for _, name := range names {
+			b.Objects = append(b.Objects, bramleytack.Object{Key: bramleytack.Key{Kind: b.Kind, Name: name}, Version: r, Data: []byte{1}})
+		}
+		return b
+	}
+	checkOut := func(c *cell, want bool) {
+		for i, n := range c.nodes {
+			d := n.Table.Snapshot().FailureDomains["d1"]
+			assert.Check(c.t, (d != nil && d.State == bramleytack.DomainOut) == want, "daemon %d", i)
+		}
+	}
+	check := func(c *cell) {
+		time.Sleep(3 * time.Second)
+		c.nodes[0].Table.Apply(listConfig(c.t, 0, 1, 1))
+		c.nodes[0].Table.Apply(list(0, 25, "d1"))
+		time.Sleep(2 * time.Second)
+		checkOut(c, true)
+		c.nodes[1].Table.Apply(list(1, 20))
+		time.Sleep(time.Second)
+		for _, i := range []int{2, 5} {
+			c.stops[i]()
+			c.start(i)
+			c.nodes[i].Table.Apply(listConfig(c.t, 1, 20, 1))
+			c.nodes[i].Table.Apply(list(1, 20))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		checkOut(c, true)
+		// Nobody writes it again: it must not go round between daemons for ever.
+		for range 60 {
+			for _, n := range c.nodes {
+				n.Table.Expire()
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		checkOut(c, false)
+	}
+	t.Run("small", func(t *testing.T) { runCell(t, 12, 0, check) })
+	t.Run("with hubs", func(t *testing.T) { runHubs(t, 24, 0, check) })
+}
--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -1,10 +1,25 @@
 package btreplica
 
 import (
+	"math"
+	"slices"
+	"time"
+
 	"bramleytack"
 	"bramleytack/btevent"
 )
 
+const (
+	// copyGrace is how long after the store has come back from an older copy what was confirmed
+	// before counts, until it is written again. It is longer than the time for which the store
+	// counts as disturbed after its return and the one within which a change is in force, 5 s each.
+	copyGrace = 10 * time.Second
+	// removedRetention is how long a removal is known. Copies of the store are some seconds old.
+	removedRetention = time.Minute
+	// forever keeps an object until the store reports it as removed.
+	forever = time.Duration(math.MaxInt64)
+)
+
 // restoredBy reports whether the store was restored from an older copy between the replica and b.
 func (k *kindState) restoredBy(b Batch) bool {
 	return k.upto > 0 && b.Upto.Epoch() > k.upto.Epoch()
@@ -47,29 +62,109 @@
 	return 0
 }
 
-// missingInCopy reports whether a list may lack an object because the store was restored from a
-// copy from before it. The operator removes no configuration.
-func missingInCopy(b Batch, o bramleytack.Object) bool {
-	return b.Kind == bramleytack.KindConfig && o.Version.Epoch() < b.Upto.Epoch()
+// graceOf returns how long an object stays that a list lacks. An object of an earlier epoch may be
+// missing because the copy is older than it: it is then written again. The operator removes no
+// configuration.
+func (t *Table) graceOf(b Batch, o bramleytack.Object) time.Duration {
+	lost := o.Version.Epoch() < b.Upto.Epoch()
+	switch b.Kind {
+	case bramleytack.KindConfig:
+		if lost {
+			return forever
+		}
+	case bramleytack.KindUpstreams:
+		if (lost || b.AfterOutage) && !t.isLeaving(o.Name) {
+			return lapseGrace
+		}
+	default:
+		if lost {
+			return copyGrace
+		}
+	}
+	return 0
 }
 
-// takeConfirmed takes newer versions of the configuration from an outdated list of another daemon.
-// That one has them from the store as it was before it was restored. It reports whether there
-// were any.
-func (t *Table) takeConfirmed(k *kindState, b Batch) bool {
-	if !b.Full || b.FromStore || b.Kind != bramleytack.KindConfig {
+// graceOfDeleted returns how long an object stays that the store reports as removed.
+func (t *Table) graceOfDeleted(b Batch, name string) time.Duration {
+	if b.AfterOutage && b.Kind == bramleytack.KindUpstreams && !t.isLeaving(name) {
+		return lapseGrace
+	}
+	return 0
+}
+
+// graceOfKind returns how long an object stays that another daemon has as lapsed.
+func graceOfKind(kind string) time.Duration {
+	if kind == bramleytack.KindUpstreams {
+		return lapseGrace
+	}
+	return copyGrace
+}
+
+// remove drops an object, after a grace if there is one. It reports whether the object is dropped
+// or begins to lapse.
+func (k *kindState) remove(name string, grace time.Duration, now time.Time) bool {
+	switch {
+	case grace == forever:
 		return false
+	case grace > 0:
+		return k.lapse(name, grace, now)
+	}
+	k.drop(name, now)
+	return true
+}
+
+// lapse keeps an object for a grace from the first time that it is missing, which lapse reports.
+func (k *kindState) lapse(name string, grace time.Duration, now time.Time) bool {
+	if _, ok := k.lapsed[name]; ok {
+		return false
+	}
+	k.lapsed[name] = now.Add(grace)
+	return true
+}
+
+// drop removes an object.
+func (k *kindState) drop(name string, now time.Time) {
+	k.removed[name] = formerObject{object: k.objects[name], at: now}
+	delete(k.objects, name)
+	delete(k.lapsed, name)
+}
+
+// hasLapsed reports whether an object that lapses at another daemon has done so here.
+func (k *kindState) hasLapsed(o bramleytack.Object) bool {
+	return o.Version > 0 && k.removed[o.Name].object.Version == o.Version
+}
+
+// Lost returns the objects of a kind that count although the copy from which the store was restored
+// lacks them, as a batch for daemons that start. It returns no objects if there are none.
+func (t *Table) Lost(kind string) Batch {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := Batch{Kind: kind}
+	k := t.kinds[kind]
+	if k == nil {
+		return b
 	}
+	b.Base, b.Upto = k.upto, k.upto
+	for name := range k.lapsed {
+		if o := k.objects[name]; o.Version.Epoch() < k.upto.Epoch() {
+			b.Objects, b.Lapsed = append(b.Objects, o), append(b.Lapsed, name)
+		}
+	}
+	return b
+}
+
+// takeConfirmed takes from an outdated batch of another daemon what was confirmed before the store
+// was restored: newer versions of the configuration, and objects that the store lacks. It reports
+// whether there were any.
+func (t *Table) takeConfirmed(k *kindState, b Batch) bool {
 	changed := false
 	for _, o := range b.Objects {
-		version, ok := t.configVersion(o)
-		if old, exists := k.objects[o.Name]; exists && ok {
-			held, readable := t.configVersion(old)
-			ok = !readable || version > held
-		}
-		if ok {
-			k.objects[o.Name] = o
-			changed = true
+		switch {
+		case b.FromStore:
+		case b.Kind == bramleytack.KindConfig:
+			changed = b.Full && t.takeVersion(k, o) || changed
+		case slices.Contains(b.Lapsed, o.Name):
+			changed = k.takeLost(o, t.timer.Now()) || changed
 		}
 	}
 	if changed {
@@ -77,3 +172,26 @@
 	}
 	return changed
 }
+
+// takeVersion takes a configuration if its version is newer.
+func (t *Table) takeVersion(k *kindState, o bramleytack.Object) bool {
+	version, ok := t.configVersion(o)
+	if old, exists := k.objects[o.Name]; exists && ok {
+		held, readable := t.configVersion(old)
+		ok = !readable || version > held
+	}
+	if ok {
+		k.objects[o.Name] = o
+	}
+	return ok
+}
+
+// takeLost takes an object of an earlier epoch that the store lacks, unless it has lapsed or been
+// removed here.
+func (k *kindState) takeLost(o bramleytack.Object, now time.Time) bool {
+	if _, ok := k.objects[o.Name]; ok || k.hasLapsed(o) || o.Version.Epoch() >= k.upto.Epoch() {
+		return false
+	}
+	k.objects[o.Name] = o
+	return k.lapse(o.Name, copyGrace, now)
+}
--- a/internal/fleet/btreplica/restore_test.go
+++ b/internal/fleet/btreplica/restore_test.go
@@ -330,6 +330,7 @@
 				for number := range uint64(2) {
 					table.Apply(Batch{Kind: bramleytack.KindConfig, Full: true, Upto: revision(1, 6+number), Objects: copied, FromStore: true})
 					b := table.FullBatch(bramleytack.KindConfig)
+					assert.Equal(t, len(b.Objects), 1)
 					assert.DeepEqual(t, []any{table.ConfigVersion(), b.Objects[0].Data, b.Upto}, []any{uint64(4), []byte{4}, revision(1, 6+number)})
 				}
 				table.Apply(config(revision(1, 8), 4))
@@ -357,3 +358,73 @@
 		assert.Equal(t, table.ConfigVersion(), uint64(4))
 	})
 }
+
+// isOut reports whether a failure domain is out of service.
+func (r *replica) isOut(name string) bool {
+	d := r.table.Snapshot().FailureDomains[bramleytack.FailureDomainID(name)]
+	return d != nil && d.State == bramleytack.DomainOut
+}
+
+// holds fails the test unless ok stays true for a time.
+func (r *replica) holds(d time.Duration, ok func() bool, text string) {
+	r.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if !ok() {
+			assert.Assert(r.t, false, "%s: %v before the end", text, time.Until(end))
+		}
+	}
+}
+
+// The copy is from before a failure domain was taken out of service. Guards against requests into it
+// until the operator has written that again, and against a domain that stays out for ever.
+func TestDomainStaysOutAlthoughTheCopyLacksIt(t *testing.T) {
+	for _, away := range []time.Duration{0, 2 * time.Second} {
+		for _, again := range []bool{true, false} {
+			t.Run(fmt.Sprintf("away %v, written again %v", away, again), func(t *testing.T) {
+				inCopyTime(t, func(t *testing.T, s *copyStore, r *replica) {
+					copied := s.copy()
+					s.write(bramleytack.KindEvacuations, "d", 1)
+					time.Sleep(time.Second)
+					s.setAway(away > 0)
+					time.Sleep(away)
+					s.restore(copied)
+					out := func() bool { return r.isOut("d") }
+					r.holds(inForceWithin, out, "out of service")
+					s.write(bramleytack.KindEvacuations, "e", 1)
+					r.holds(inForceWithin, out, "out of service")
+					if again {
+						s.write(bramleytack.KindEvacuations, "d", 1)
+						time.Sleep(time.Second)
+						r.holds(time.Minute, out, "written again")
+						s.write(bramleytack.KindEvacuations, "d")
+					}
+					time.Sleep(inForceWithin)
+					assert.Assert(t, !r.isOut("d") && r.isOut("e"))
+				})
+			})
+		}
+	}
+}
+
+// state returns the state of an upstream, empty without a registration.
+func (r *replica) state(name string) bramleytack.UpstreamState {
+	if u := r.table.Snapshot().Upstreams[bramleytack.UpstreamID(name)]; u != nil {
+		return u.State
+	}
+	return ""
+}
+
+// The copy lacks registrations that came later. Guards against live upstreams that are dropped until they
+// have registered again.
+func TestRegistrationsThatACopyLacks(t *testing.T) {
+	inCopyTime(t, func(_ *testing.T, s *copyStore, r *replica) {
+		kind := bramleytack.KindUpstreams
+		copied := s.copy()
+		s.write(kind, "new", 1, 2)
+		time.Sleep(time.Second)
+		s.restore(copied)
+		r.holds(lapseGrace-100*time.Millisecond, func() bool { return r.state("new") == bramleytack.UpstreamActive }, "as before")
+		s.write(kind, "new", 1, 2)
+		r.holds(time.Minute, func() bool { return r.state("new") == bramleytack.UpstreamActive }, "written again")
+	})
+}
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -45,9 +46,17 @@
 	// lastChange is the revision of the newest change.
 	lastChange bramleytack.Revision
 	objects    map[string]bramleytack.Object
-	// lapsed holds the names of registrations that disappeared during an outage, with
-	// the time at which they are dropped.
+	// lapsed holds the names of objects that the store no longer has because of an outage or
+	// of an older copy, with the time at which they are dropped.
 	lapsed map[string]time.Time
+	// removed holds objects that were removed lately.
+	removed map[string]formerObject
+}
+
+// formerObject is an object that is not part of the replica, with the time of its removal.
+type formerObject struct {
+	object bramleytack.Object
+	at     time.Time
 }
 
 // currentSnapshot is a snapshot with a channel that is closed when it is replaced.
@@ -162,7 +171,7 @@
 	t.mu.Lock()
 	k := t.kinds[b.Kind]
 	if k == nil {
-		k = &kindState{objects: map[string]bramleytack.Object{}, lapsed: map[string]time.Time{}}
+		k = &kindState{objects: map[string]bramleytack.Object{}, lapsed: map[string]time.Time{}, removed: map[string]formerObject{}}
 		t.kinds[b.Kind] = k
 	}
 	switch {
@@ -226,17 +235,13 @@
 		k.lastChange, changed = b.Upto, true
 	}
 	k.upto = b.Upto
-	mayReturn := func(name string) bool {
-		return b.AfterOutage && b.Kind == bramleytack.KindUpstreams && !t.isLeaving(name)
-	}
 	if b.Full {
 		present := make(map[string]bool, len(b.Objects))
 		for _, o := range b.Objects {
 			present[o.Name] = true
 		}
 		for name, o := range k.objects {
-			if !present[name] && !missingInCopy(b, o) {
-				k.remove(name, mayReturn(name), now)
+			if !present[name] && k.remove(name, t.graceOf(b, o), now) {
 				k.lastChange, changed = b.Upto, true
 			}
 		}
@@ -244,15 +249,16 @@
 	for _, o := range b.Objects {
 		if o.Deleted {
 			if old, ok := k.objects[o.Name]; ok && (o.Version == 0 || o.Version >= old.Version) {
-				k.remove(o.Name, mayReturn(o.Name), now)
+				k.remove(o.Name, t.graceOfDeleted(b, o.Name), now)
 				k.lastChange, changed = b.Upto, true
 			}
 			continue
 		}
-		if !slices.Contains(b.Lapsed, o.Name) {
+		lapsed := slices.Contains(b.Lapsed, o.Name)
+		if !lapsed {
 			delete(k.lapsed, o.Name)
 		}
-		if old, ok := k.objects[o.Name]; ok && !t.replaces(old, o) {
+		if old, ok := k.objects[o.Name]; ok && !t.replaces(old, o) || !ok && lapsed && k.hasLapsed(o) {
 			continue
 		}
 		k.objects[o.Name] = o
@@ -262,29 +268,12 @@
 		// Without the mark, a daemon that has just started would keep an upstream that
 		// has ended: the other daemons drop it without a change in the store.
 		if _, ok := k.objects[name]; ok {
-			k.lapse(name, now)
+			k.lapse(name, graceOfKind(b.Kind), now)
 		}
 	}
 	return changed
 }
 
-// remove drops an object. If its registration may have lapsed, it stays for lapseGrace.
-func (k *kindState) remove(name string, mayReturn bool, now time.Time) {
-	if mayReturn {
-		k.lapse(name, now)
-		return
-	}
-	delete(k.objects, name)
-	delete(k.lapsed, name)
-}
-
-// lapse keeps an object for lapseGrace from the first time that it is missing.
-func (k *kindState) lapse(name string, now time.Time) {
-	if _, ok := k.lapsed[name]; !ok {
-		k.lapsed[name] = now.Add(lapseGrace)
-	}
-}
-
 // isLeaving reports whether an upstream has announced, in the store or by itself, that it
 // is leaving. Its removal is no lapse.
 func (t *Table) isLeaving(name string) bool {
@@ -325,8 +314,7 @@
 	return marked
 }
 
-// Expire drops the lapsed registrations whose lapseGrace has ended. It must be called
-// periodically.
+// Expire drops the lapsed objects whose grace has ended. It must be called periodically.
 func (t *Table) Expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -334,11 +322,11 @@
 	for _, k := range t.kinds {
 		for name, until := range k.lapsed {
 			if now.After(until) {
-				delete(k.lapsed, name)
-				delete(k.objects, name)
+				k.drop(name, now)
 				changed = true
 			}
 		}
+		maps.DeleteFunc(k.removed, func(_ string, r formerObject) bool { return now.Sub(r.at) >= removedRetention })
 	}
 	if changed {
 		t.rebuild()
--- a/internal/fleet/btreplica/table_test.go
+++ b/internal/fleet/btreplica/table_test.go
@@ -17,9 +17,13 @@
 )
 
 // codec reads a configuration's version from one byte and accepts any registration that
-// is not empty.
+// is not empty. A registration's second byte is the start of its instance, and the first one
+// tells that it is leaving.
 type codec struct{}
 
+// leaving is the first byte of the registration of an upstream that is leaving.
+const leaving = 'l'
+
 func (codec) Config(data []byte, s *bramleytack.Snapshot) error {
 	if len(data) != 1 {
 		return errors.New("not a configuration")
@@ -33,7 +37,14 @@
 	if len(data) == 0 {
 		return nil, errors.New("not a registration")
 	}
-	return &bramleytack.Upstream{ID: bramleytack.UpstreamID(name), Service: "s", FailureDomain: "d"}, nil
+	u := &bramleytack.Upstream{ID: bramleytack.UpstreamID(name), Service: "s", FailureDomain: "d", State: bramleytack.UpstreamActive}
+	if data[0] == leaving {
+		u.State = bramleytack.UpstreamLeaving
+	}
+	if len(data) > 1 {
+		u.Started = time.UnixMilli(int64(data[1]))
+	}
+	return u, nil
 }
 
 func object(kind, name string, version bramleytack.Revision, data ...byte) bramleytack.Object {
