What was removed, or is leaving, does not come back with a copy of the store

Callers would see requests sent to upstreams that leave or have left, and a failure domain out of service again that the operator has returned, after the store comes back from a copy that has their earlier objects. Cause: a replica forgets what it removes, and takes the state of a registration from its newest revision only. That an instance is leaving is kept with the instance, whether it said so itself or its registration did; what registrations say of it is not sent to other daemons, which read the same. Evidence: TestReturnedDomainStaysInService and TestRegistrationsOfACopy fail without withholding, the latter also without the mark and without the grace; all pass with the change.

--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -1,6 +1,8 @@
 package btreplica
 
 import (
+	"bytes"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -129,6 +131,50 @@
 	delete(k.lapsed, name)
 }
 
+// withhold reports whether an object is one that was removed before the store came back from a copy
+// that still has it. What the operator or the upstream has removed is removed again, unless it is
+// still there after copyGrace.
+func (k *kindState) withhold(o bramleytack.Object, now time.Time) bool {
+	if w, ok := k.withheld[o.Name]; ok && w.object.Version == o.Version {
+		return true
+	}
+	delete(k.withheld, o.Name)
+	r, ok := k.removed[o.Name]
+	old := r.object.Version
+	if !ok || old.Epoch() >= o.Version.Epoch() || old.Number() != o.Version.Number() || !bytes.Equal(r.object.Data, o.Data) {
+		return false
+	}
+	k.withheld[o.Name] = formerObject{object: o, at: now.Add(copyGrace)}
+	return true
+}
+
+// expireFormer adds the withheld objects that the store still has after copyGrace, which it
+// reports, and forgets removals.
+func (k *kindState) expireFormer(now time.Time) (changed bool) {
+	for name, w := range k.withheld {
+		if now.After(w.at) {
+			k.objects[name] = w.object
+			delete(k.withheld, name)
+			delete(k.removed, name)
+			changed = true
+		}
+	}
+	maps.DeleteFunc(k.removed, func(_ string, r formerObject) bool { return now.Sub(r.at) >= removedRetention })
+	return changed
+}
+
+// keepLeaving marks an instance whose registration says that it is leaving. An instance that is
+// leaving does not return, although a copy of the store may have its earlier registration.
+func (t *Table) keepLeaving(u *bramleytack.Upstream) {
+	name := string(u.ID)
+	if u.State != bramleytack.UpstreamLeaving || u.Started.UnixMilli() <= 0 {
+		return
+	}
+	if m, ok := t.leaving[name]; !ok || m.started.Before(u.Started) {
+		t.leaving[name] = leavingMark{started: u.Started, at: t.timer.Now()}
+	}
+}
+
 // hasLapsed reports whether an object that lapses at another daemon has done so here.
 func (k *kindState) hasLapsed(o bramleytack.Object) bool {
 	return o.Version > 0 && k.removed[o.Name].object.Version == o.Version
--- a/internal/fleet/btreplica/restore_test.go
+++ b/internal/fleet/btreplica/restore_test.go
@@ -406,6 +406,34 @@
 	}
 }
 
+// The copy has a failure domain out of service that was returned since. Guards against a domain that is
+// out again without the operator's order, and against an order that is ignored.
+func TestReturnedDomainStaysInService(t *testing.T) {
+	inCopyTime(t, func(t *testing.T, s *copyStore, r *replica) {
+		s.write(bramleytack.KindEvacuations, "d", 1)
+		time.Sleep(time.Second)
+		copied := s.copy()
+		s.write(bramleytack.KindEvacuations, "d")
+		time.Sleep(time.Second)
+		s.restore(copied)
+		in := func() bool { return !r.isOut("d") }
+		r.holds(inForceWithin, in, "in service")
+		s.write(bramleytack.KindEvacuations, "d")
+		r.holds(time.Minute, in, "removed again")
+		s.write(bramleytack.KindEvacuations, "d", 1)
+		time.Sleep(inForceWithin)
+		assert.Assert(t, r.isOut("d"), "new order")
+		// A second copy has it, and the operator does not remove it.
+		copied = s.copy()
+		s.write(bramleytack.KindEvacuations, "d")
+		time.Sleep(time.Second)
+		s.restore(copied)
+		r.holds(inForceWithin, in, "in service")
+		time.Sleep(copyGrace)
+		assert.Assert(t, r.isOut("d"), "not removed again")
+	})
+}
+
 // state returns the state of an upstream, empty without a registration.
 func (r *replica) state(name string) bramleytack.UpstreamState {
 	if u := r.table.Snapshot().Upstreams[bramleytack.UpstreamID(name)]; u != nil {
@@ -414,17 +442,34 @@
 	return ""
 }
 
-// The copy lacks registrations that came later. Guards against live upstreams that are dropped until they
-// have registered again.
-func TestRegistrationsThatACopyLacks(t *testing.T) {
-	inCopyTime(t, func(_ *testing.T, s *copyStore, r *replica) {
+// The copy has earlier registrations of upstreams, and lacks later ones. Guards against new work for an
+// instance that is leaving or gone, and against live upstreams that are dropped until they have registered
+// again.
+func TestRegistrationsOfACopy(t *testing.T) {
+	inCopyTime(t, func(t *testing.T, s *copyStore, r *replica) {
 		kind := bramleytack.KindUpstreams
+		for _, name := range []string{"draining", "gone", "stays"} {
+			s.write(kind, name, 1, 1)
+		}
+		time.Sleep(time.Second)
 		copied := s.copy()
+		s.write(kind, "draining", leaving, 1)
+		s.write(kind, "gone")
 		s.write(kind, "new", 1, 2)
 		time.Sleep(time.Second)
 		s.restore(copied)
-		r.holds(lapseGrace-100*time.Millisecond, func() bool { return r.state("new") == bramleytack.UpstreamActive }, "as before")
+		r.holds(lapseGrace-100*time.Millisecond, func() bool {
+			return r.state("draining") == bramleytack.UpstreamLeaving && r.state("gone") == "" && r.state("stays") == bramleytack.UpstreamActive && r.state("new") == bramleytack.UpstreamActive
+		}, "as before")
 		s.write(kind, "new", 1, 2)
-		r.holds(time.Minute, func() bool { return r.state("new") == bramleytack.UpstreamActive }, "written again")
+		// The store drops the registration of an instance that does not write it again.
+		s.write(kind, "gone")
+		r.holds(time.Minute, func() bool {
+			return r.state("draining") == bramleytack.UpstreamLeaving && r.state("gone") == "" && r.state("new") == bramleytack.UpstreamActive
+		}, "written again")
+		s.write(kind, "draining", 1, 9)
+		s.write(kind, "gone", 1, 9)
+		time.Sleep(time.Second)
+		assert.Assert(t, r.state("draining") == bramleytack.UpstreamActive && r.state("gone") == bramleytack.UpstreamActive, "later instances")
 	})
 }
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -49,11 +49,14 @@
 	// lapsed holds the names of objects that the store no longer has because of an outage or
 	// of an older copy, with the time at which they are dropped.
 	lapsed map[string]time.Time
-	// removed holds objects that were removed lately.
-	removed map[string]formerObject
+	// removed holds objects that were removed lately, withheld those of them that came back
+	// with an older copy of the store.
+	removed  map[string]formerObject
+	withheld map[string]formerObject
 }
 
-// formerObject is an object that is not part of the replica, with the time of its removal.
+// formerObject is an object that is not part of the replica, with the time of its removal or
+// until which it is withheld.
 type formerObject struct {
 	object bramleytack.Object
 	at     time.Time
@@ -75,7 +78,7 @@
 	kinds map[string]*kindState
 	// decoded caches the decoded registrations by name.
 	decoded map[string]decodedUpstream
-	// leaving holds the instances that MarkLeaving marked.
+	// leaving holds the instances that are leaving, by their own word or the store's.
 	leaving   map[string]leavingMark
 	listeners []func(Batch)
 
@@ -158,6 +161,10 @@
 			b.Lapsed = append(b.Lapsed, name)
 		}
 	}
+	// Each daemon decides by what it has seen itself.
+	for _, w := range k.withheld {
+		b.Objects = append(b.Objects, w.object)
+	}
 	slices.Sort(b.Lapsed)
 	slices.SortFunc(b.Objects, func(a, b bramleytack.Object) int { return cmp.Compare(a.Name, b.Name) })
 	return b
@@ -171,7 +178,7 @@
 	t.mu.Lock()
 	k := t.kinds[b.Kind]
 	if k == nil {
-		k = &kindState{objects: map[string]bramleytack.Object{}, lapsed: map[string]time.Time{}, removed: map[string]formerObject{}}
+		k = &kindState{objects: map[string]bramleytack.Object{}, lapsed: map[string]time.Time{}, removed: map[string]formerObject{}, withheld: map[string]formerObject{}}
 		t.kinds[b.Kind] = k
 	}
 	switch {
@@ -245,9 +252,11 @@
 				k.lastChange, changed = b.Upto, true
 			}
 		}
+		maps.DeleteFunc(k.withheld, func(name string, _ formerObject) bool { return !present[name] })
 	}
 	for _, o := range b.Objects {
 		if o.Deleted {
+			delete(k.withheld, o.Name)
 			if old, ok := k.objects[o.Name]; ok && (o.Version == 0 || o.Version >= old.Version) {
 				k.remove(o.Name, t.graceOfDeleted(b, o.Name), now)
 				k.lastChange, changed = b.Upto, true
@@ -258,7 +267,7 @@
 		if !lapsed {
 			delete(k.lapsed, o.Name)
 		}
-		if old, ok := k.objects[o.Name]; ok && !t.replaces(old, o) || !ok && lapsed && k.hasLapsed(o) {
+		if old, ok := k.objects[o.Name]; ok && !t.replaces(old, o) || !ok && (lapsed && k.hasLapsed(o) || k.withhold(o, now)) {
 			continue
 		}
 		k.objects[o.Name] = o
@@ -301,20 +310,22 @@
 	return true
 }
 
-// Leaving returns registered instances that MarkLeaving marked, at most limit of them.
+// Leaving returns instances that are marked as leaving and whose registrations do not say so, at
+// most limit of them.
 func (t *Table) Leaving(limit int) []*bramleytack.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var marked []*bramleytack.Upstream
 	for name, m := range t.leaving {
-		if u := t.decoded[name].upstream; u != nil && u.Started.Equal(m.started) && len(marked) < limit {
+		if u := t.decoded[name].upstream; u != nil && u.State != bramleytack.UpstreamLeaving && u.Started.Equal(m.started) && len(marked) < limit {
 			marked = append(marked, u)
 		}
 	}
 	return marked
 }
 
-// Expire drops the lapsed objects whose grace has ended. It must be called periodically.
+// Expire drops the lapsed objects whose grace has ended, and adds the withheld ones that the
+// store still has. It must be called periodically.
 func (t *Table) Expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -326,7 +337,7 @@
 				changed = true
 			}
 		}
-		maps.DeleteFunc(k.removed, func(_ string, r formerObject) bool { return now.Sub(r.at) >= removedRetention })
+		changed = k.expireFormer(now) || changed
 	}
 	if changed {
 		t.rebuild()
@@ -405,6 +416,7 @@
 		if u == nil {
 			continue
 		}
+		t.keepLeaving(u)
 		if m, ok := t.leaving[name]; ok && m.started.Equal(u.Started) {
 			leaving := *u
 			leaving.State = bramleytack.UpstreamLeaving
