The archive of quarantined requests is written again after a copy of the store

Callers would see, after a restart of all daemons that follows a restored store, engines that crash again on requests that were in quarantine, or sound ones rejected that no longer are. Cause: a daemon takes what it has written to the archive as stored, and the copy is from before. Change: in a later epoch of the store the archive is read again, and written if it differs. Evidence: without the change TestArchiveIsWrittenAgainAfterACopy and TestCopyOfArchiveRestoresNoQuarantine fail; both pass with it.

--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -64,6 +64,17 @@
 	return 0
 }
 
+// Epoch returns the epoch of the store as far as this daemon knows. What daemons wrote to the store
+// in an earlier one may be lost.
+func (t *Table) Epoch() (epoch uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, k := range t.kinds {
+		epoch = max(epoch, k.upto.Epoch())
+	}
+	return epoch
+}
+
 // graceOf returns how long an object stays that a list lacks. An object of an earlier epoch may be
 // missing because the copy is older than it: it is then written again. The operator removes no
 // configuration.
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -271,7 +271,7 @@
 	go n.suspects.Run(ctx)
 	go (&btsuspect.Archive{
 		Table: n.suspects, Feed: n.adapter.Feed, Registry: n.adapter.Registry, Timer: n.timer, Log: n.log,
-		Reads: n.gossip.ReadsArchive, Writes: n.gossip.WritesArchive,
+		Reads: n.gossip.ReadsArchive, Writes: n.gossip.WritesArchive, Epoch: n.table.Epoch,
 	}).Run(ctx)
 	n.startStoreTasks(ctx)
 	mux := n.infoMux()
--- a/internal/route/btsuspect/archive.go
+++ b/internal/route/btsuspect/archive.go
@@ -38,8 +38,13 @@
 	// records from it. Writes reports whether it keeps the archive up to date.
 	Reads  func() bool
 	Writes func() bool
+	// Epoch returns the epoch of the store. In a later one the archive may be an older copy, or
+	// lost, and is read and written again. Nil means that there is one epoch.
+	Epoch func() uint64
 
-	loaded  bool
+	loaded bool
+	// epoch is that of the store when the archive was read.
+	epoch   uint64
 	version bramleytack.Revision
 	// stored is the content of the archive in the store as far as known.
 	stored []byte
@@ -60,7 +65,7 @@
 	Records []archivedRecord `json:"records"`
 }
 
-// Run reads the archive once and then writes changes to it until ctx ends.
+// Run reads the archive and then writes changes to it until ctx ends.
 func (a *Archive) Run(ctx context.Context) {
 	for {
 		wait := archivePeriod
@@ -76,6 +81,9 @@
 
 // sync does what is due at the store.
 func (a *Archive) sync(ctx context.Context) error {
+	if a.Epoch != nil && a.Epoch() > a.epoch {
+		a.loaded = false
+	}
 	if !a.loaded {
 		if !a.Reads() {
 			return nil
@@ -105,11 +113,11 @@
 
 // load merges the archive into the table and passes it on to the other daemons.
 func (a *Archive) load(ctx context.Context) error {
-	objects, _, err := a.Feed.List(ctx, bramleytack.KindQuarantine)
+	objects, upto, err := a.Feed.List(ctx, bramleytack.KindQuarantine)
 	if err != nil {
 		return err
 	}
-	a.loaded, a.version, a.stored = true, 0, nil
+	a.loaded, a.epoch, a.version, a.stored = true, upto.Epoch(), 0, nil
 	i := slices.IndexFunc(objects, func(o bramleytack.Object) bool { return o.Name == archiveName })
 	if i < 0 {
 		return nil
--- a/internal/route/btsuspect/archive_test.go
+++ b/internal/route/btsuspect/archive_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,16 @@
 	object bramleytack.Object
 	down   bool
 	puts   int
+	// epoch is the number of times that the store was restored from a copy.
+	epoch atomic.Uint64
+}
+
+// restore makes a copy the store's content.
+func (s *archiveStore) restore(o bramleytack.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.object = o
+	s.epoch.Add(1)
 }
 
 func (s *archiveStore) List(context.Context, string) ([]bramleytack.Object, bramleytack.Revision, error) {
@@ -25,7 +36,8 @@
 	if s.down {
 		return nil, 0, bramleytack.ErrStoreDown
 	}
-	return []bramleytack.Object{s.object}, s.object.Version, nil
+	upto, err := bramleytack.NewRevision(s.epoch.Load(), s.object.Version.Number())
+	return []bramleytack.Object{s.object}, upto, err
 }
 
 func (s *archiveStore) Put(_ context.Context, o bramleytack.Object, expected bramleytack.Revision) (bramleytack.Revision, error) {
@@ -61,7 +73,7 @@
 func archiveOf(t *Table, s *archiveStore) context.CancelFunc {
 	ctx, cancel := context.WithCancel(context.Background())
 	always := func() bool { return true }
-	go (&Archive{Table: t, Feed: s, Registry: s, Timer: t.Timer, Reads: always, Writes: always}).Run(ctx)
+	go (&Archive{Table: t, Feed: s, Registry: s, Timer: t.Timer, Reads: always, Writes: always, Epoch: s.epoch.Load}).Run(ctx)
 	return cancel
 }
 
@@ -116,3 +128,45 @@
 		})
 	}
 }
+
+// The store comes back from a copy that is older than the quarantine. Guards against a quarantine that
+// ends with the next restart of all daemons, because nobody has written it again.
+func TestArchiveIsWrittenAgainAfterACopy(t *testing.T) {
+	run(t, func(table *Table, _ *recorder) {
+		s := &archiveStore{}
+		stop := archiveOf(table, s)
+		time.Sleep(time.Second)
+		copied := s.object
+		crash(table, 1, 2, 3)
+		time.Sleep(time.Second)
+		s.restore(copied)
+		time.Sleep(time.Second)
+		stop()
+		next := New(&Table{Timer: table.Timer})
+		defer archiveOf(next, s)()
+		time.Sleep(time.Second)
+		assert.Assert(t, next.Len() == 1 && next.State()[0].Quarantined)
+	})
+}
+
+// The copy has a key in quarantine whose quarantine has ended since. Guards against sound requests that are
+// rejected again.
+func TestCopyOfArchiveRestoresNoQuarantine(t *testing.T) {
+	run(t, func(table *Table, _ *recorder) {
+		s := &archiveStore{}
+		defer archiveOf(table, s)()
+		crash(table, 1, 2, 3)
+		time.Sleep(time.Second)
+		copied := s.object
+		table.ReportExecuted(fatal)
+		time.Sleep(5 * time.Second)
+		s.restore(copied)
+		time.Sleep(time.Second)
+		quarantined := func(t *Table) bool { return t.Len() > 0 && t.State()[0].Quarantined }
+		assert.Assert(t, !quarantined(table))
+		next := New(&Table{Timer: table.Timer})
+		defer archiveOf(next, s)()
+		time.Sleep(time.Second)
+		assert.Assert(t, !quarantined(next), "the archive was not cleared again")
+	})
+}
