Daemons write their addresses again after a copy of the store

Callers would see 503 for long at daemons that start after a restored store while all seeds are down: the store has lost the addresses by which daemons find each other. Cause: a daemon registers once. Change: it checks its record when the store has a later epoch; that costs the registered daemons, five at most, one or two calls.

--- a/internal/node/btnode/registration.go
+++ b/internal/node/btnode/registration.go
@@ -22,7 +22,13 @@
 // registration writes this daemon's address to the store if it is one of the few
 // that should be listed there or knows no other daemon. Daemons whose seeds are all
 // down, or start later than they do, find their peers by these addresses.
-type registration struct{ node *Node }
+type registration struct {
+	node *Node
+	// registered is set while the store has the address, as far as known. epoch is that of the
+	// store then: an older copy of it may lack the address.
+	registered bool
+	epoch      uint64
+}
 
 // errDaemonAddr is logged for a record of a daemon that cannot be reached.
 var errDaemonAddr = errors.New("btnode: address of the daemon is not IPv4")
@@ -37,10 +43,9 @@
 		n.log.Event(btevent.StoreDown).Str("call", "daemons").Err(err).Send()
 	} else if current {
 		n.log.Event(btevent.DaemonRegistered).Bool("before", true).Send()
-		return
 	}
 	for n.timer.Sleep(ctx, registerInterval) == nil {
-		if n.storeStatus.Down() || !n.gossip.ShouldRegister() && len(n.gossip.Alive()) > 0 {
+		if !r.due() {
 			continue
 		}
 		if err := r.register(ctx); err != nil {
@@ -48,18 +53,27 @@
 			continue
 		}
 		n.log.Event(btevent.DaemonRegistered).Send()
-		return
 	}
 }
 
+// due reports whether the store should have the address and may lack it.
+func (r *registration) due() bool {
+	n := r.node
+	if r.registered && n.table.Epoch() <= r.epoch || n.storeStatus.Down() {
+		return false
+	}
+	return r.registered || n.gossip.ShouldRegister() || len(n.gossip.Alive()) == 0
+}
+
 // joinRegistered passes the registered daemons to the gossip. It returns the version
 // of this daemon's own record, zero without one, and whether its address is current.
 func (r *registration) joinRegistered(ctx context.Context) (own bramleytack.Revision, current bool, err error) {
 	n := r.node
-	objects, _, err := n.adapter.Feed.List(ctx, bramleytack.KindDaemons)
+	objects, upto, err := n.adapter.Feed.List(ctx, bramleytack.KindDaemons)
 	if err != nil {
 		return 0, false, err
 	}
+	r.epoch = upto.Epoch()
 	var registered []btgossip.RegisteredDaemon
 	for _, o := range objects {
 		var d daemonRecord
@@ -80,6 +94,7 @@
 		}
 	}
 	n.gossip.Join(registered)
+	r.registered = current
 	return own, current, nil
 }
 
@@ -95,6 +110,9 @@
 		return err
 	}
 	key := bramleytack.Key{Kind: bramleytack.KindDaemons, Name: string(n.settings.Host)}
-	_, err = n.adapter.Registry.Put(ctx, bramleytack.Object{Key: key, Data: data}, own)
+	version, err := n.adapter.Registry.Put(ctx, bramleytack.Object{Key: key, Data: data}, own)
+	if err == nil {
+		r.registered, r.epoch = true, version.Epoch()
+	}
 	return err
 }
