Extra responses beside a HEAD are not skipped

Cause: an extra response is read with the method of the request that is due. Before a HEAD the body of a refusal's copy was taken for the next head; as a copy of a response to a HEAD it took a part of the next response for its body. Change: a connection remembers which of its requests were HEADs, and nothing is skipped where one of the two is; the attempt fails as before, with an unknown outcome.

--- /dev/null
+++ b/internal/serve/btentry/extra_test.go
@@ -0,0 +1,84 @@
+package btentry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bramleytack/internal/standin/btworker"
+)
+
+// refusalOf is the refusal of a request.
+func refusalOf(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 503 No\r\n%s: %s\r\n%s: full\r\nContent-Length: %d\r\n\r\n%s", dialect.RequestID, id, dialect.NotRun, len(body), body)
+}
+
+// A resumable stream whose engine leaves goes on from its copy at the backup engine, which refuses it
+// once, since the copy has not arrived, and sends the refusal twice. Guards against the second one that
+// is taken for the answer to the repeat: the stream would break. No address has two ids here.
+func TestCopyOfRefusalIsNoAnswerToRepeatedHandover(t *testing.T) {
+	for d := 1301 * time.Millisecond; d < 1315*time.Millisecond; d += time.Millisecond {
+		run(t, func(h *harness) {
+			h.pool.CopyDelay = d
+			for _, n := range []string{"e1", "e2"} {
+				h.startEngine(n).CopyRefusals(true)
+			}
+			time.Sleep(time.Second)
+			after(1300*time.Millisecond, func() {
+				for n, w := range h.workers {
+					if w.Active() > 0 {
+						h.setLeaving(n)
+						return
+					}
+				}
+			})
+			got := h.generate("/tag/a")
+			assert.Check(t, got.err == nil && len(got.events) == streamEvents, "copy after %v: %v, %d events", d, got.err, len(got.events))
+			assert.Check(t, h.pool.Runs(got.id) == 1, "copy after %v: run anew", d)
+		})
+	}
+}
+
+// An upstream runs a HEAD request and answers it, after the copy of an earlier refusal whose body looks
+// like a refusal of the HEAD. Guards against the body that is taken for the answer.
+func TestBodyOfCopyIsNoAnswerToHead(t *testing.T) {
+	run(t, func(h *harness) {
+		refusal := refusalOf("first", refusalOf("second", ""))
+		u := h.startRaw("r1", callService, func(w io.Writer, id string, _ int) bool {
+			_, _ = io.WriteString(w, refusal)
+			if id != "first" {
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(w, head(id, "Content-Length: 5\r\n"))
+			}
+			return true
+		})
+		defer u.l.Close()
+		h.send("first", http.MethodPost, "/order/a", nil, 5*time.Second)
+		got := h.send("second", http.MethodHead, "/order/a", nil, 5*time.Second)
+		assert.Check(t, !btworker.PromisesNotRun(got.status), "answered %d, but it ran", got.status)
+	})
+}
+
+// An upstream repeats the refusal of an earlier request without end. Guards against a daemon that reads
+// copies, and logs them, until the deadline.
+func TestCopiesWithoutEnd(t *testing.T) {
+	run(t, func(h *harness) {
+		u := h.startRaw("r1", callService, func(w io.Writer, id string, before int) bool {
+			if before == 0 {
+				_, err := io.WriteString(w, refusalOf(id, ""))
+				return err == nil
+			}
+			return repeat(w, refusalOf("first", ""), time.Millisecond)
+		})
+		defer u.l.Close()
+		h.send("first", http.MethodPost, "/order/a", nil, 5*time.Second)
+		started := time.Now()
+		got := h.send("second", http.MethodPost, "/order/a", nil, 5*time.Second)
+		assert.Check(t, got.status == http.StatusBadGateway, "status %d", got.status)
+		assert.Check(t, time.Since(started) < 50*time.Millisecond, "after %v", time.Since(started))
+	})
+}
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -97,8 +97,14 @@
 	reused bool
 	// idleUntil is the time until which the connection may be reused.
 	idleUntil time.Time
-	// carried are the ids of the newest requests, at most maxCarried of them.
-	carried []string
+	// carried are the newest requests, at most maxCarried of them.
+	carried []carriedRequest
+}
+
+// carriedRequest is a request to which a late response may come.
+type carriedRequest struct {
+	id   string
+	head bool
 }
 
 // headLimit passes reads through while the head of a response may go on.
@@ -176,7 +182,7 @@
 		return nil, err
 	}
 	x.take(resp)
-	if c.carried = append(c.carried, r.ID); len(c.carried) > maxCarried {
+	if c.carried = append(c.carried, carriedRequest{id: r.ID, head: r.Method == http.MethodHead}); len(c.carried) > maxCarried {
 		c.carried = c.carried[1:]
 	}
 	return x, nil
@@ -189,10 +195,11 @@
 }
 
 // IsExtra reports whether a response with an id other than that of the request is an extra one to
-// an earlier request on the connection.
+// an earlier request on the connection that can be skipped. Where one of the two requests is a
+// HEAD it is not known whether a body follows the head.
 func (x *Exchange) IsExtra(id string) bool {
 	earlier := x.conn.carried[:len(x.conn.carried)-1]
-	return id != "" && slices.Contains(earlier, id)
+	return id != "" && x.method != http.MethodHead && slices.Contains(earlier, carriedRequest{id: id})
 }
 
 // Skip drops an extra response and reads the head of the next one, which counts in kept. The
