Connections remember hashes of the ids that they carried

Found by the review: callers choose the ids, and 8 of them a connection were kept as text, counted nowhere: 48 connections with ids of 14 KiB grew the heap by 4.5 to 5.3 MB. A hash of 8 bytes stands for each now. TestLongIDsAreNotKept was red before.

--- a/internal/serve/btentry/extra_test.go
+++ b/internal/serve/btentry/extra_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -82,3 +85,43 @@
 		assert.Check(t, time.Since(started) < 50*time.Millisecond, "after %v", time.Since(started))
 	})
 }
+
+// Connections remember the newest requests, whose ids callers choose. Guards against ids that take memory
+// which is counted nowhere.
+func TestLongIDsAreNotKept(t *testing.T) {
+	run(t, func(h *harness) {
+		const upstreams, conns, long = 8, 6, 14 << 10
+		for i := range upstreams {
+			u := h.startRaw(fmt.Sprintf("r%d", i), callService, func(w io.Writer, id string, _ int) bool {
+				time.Sleep(10 * time.Millisecond)
+				_, err := io.WriteString(w, head(id, "Content-Length: 0\r\nKeep-Alive: timeout=60\r\n"))
+				return err == nil
+			})
+			defer u.l.Close()
+		}
+		heap := func() int64 {
+			var m runtime.MemStats
+			runtime.GC()
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			return int64(m.HeapAlloc)
+		}
+		requests := func(rounds int, pad string) {
+			for n := range rounds {
+				var wg sync.WaitGroup
+				for i := range upstreams * conns {
+					wg.Go(func() {
+						h.send(fmt.Sprintf("%d-%d-%s", n, i, pad), http.MethodPost, "/order/a", nil, 5*time.Second)
+					})
+				}
+				wg.Wait()
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		requests(10, "")
+		before := heap()
+		requests(10, strings.Repeat("i", long))
+		grown := heap() - before
+		assert.Check(t, grown < 1<<20, "heap grew by %d KiB, counted %d", grown>>10, h.handler.Memory.Kept())
+	})
+}
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
@@ -101,12 +102,19 @@
 	carried []carriedRequest
 }
 
-// carriedRequest is a request to which a late response may come.
+// carriedRequest is a request to which a late response may come. Its id may be long, since callers
+// choose it, so that a hash stands for it.
 type carriedRequest struct {
-	id   string
+	id   uint64
 	head bool
 }
 
+// idSeed is the seed of the hashes of ids.
+var idSeed = maphash.MakeSeed()
+
+// hashID returns the hash of a request's id.
+func hashID(id string) uint64 { return maphash.String(idSeed, id) }
+
 // headLimit passes reads through while the head of a response may go on.
 type headLimit struct {
 	r io.Reader
@@ -182,7 +190,7 @@
 		return nil, err
 	}
 	x.take(resp)
-	if c.carried = append(c.carried, carriedRequest{id: r.ID, head: r.Method == http.MethodHead}); len(c.carried) > maxCarried {
+	if c.carried = append(c.carried, carriedRequest{id: hashID(r.ID), head: r.Method == http.MethodHead}); len(c.carried) > maxCarried {
 		c.carried = c.carried[1:]
 	}
 	return x, nil
@@ -199,7 +207,7 @@
 // HEAD it is not known whether a body follows the head.
 func (x *Exchange) IsExtra(id string) bool {
 	earlier := x.conn.carried[:len(x.conn.carried)-1]
-	return id != "" && x.method != http.MethodHead && slices.Contains(earlier, carriedRequest{id: id})
+	return id != "" && x.method != http.MethodHead && slices.Contains(earlier, carriedRequest{id: hashID(id)})
 }
 
 // Skip drops an extra response and reads the head of the next one, which counts in kept. The
