A connection is not used for a request with an id that it has carried

The connections of a request are known to that request only. Change: the pool does not give out a connection on which one of the newest eight requests had the id. Evidence: 3 of 3 cases of TestCopyOfRefusalIsNoAnswerToRequestWithItsID and the case 'id' of TestConnectionsOfARequestAreNotReusedForIt fail without the change and pass with it.

--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -180,7 +180,7 @@
 	if req.route.Streaming && !req.route.Repeatable() {
 		return req.h.Pool.Open(ctx, u.Addr)
 	}
-	return req.h.Pool.Get(ctx, u.Addr, req.execution.sentOn()...)
+	return req.h.Pool.Get(ctx, u.Addr, req.id, req.execution.sentOn()...)
 }
 
 // observeLeaving takes an upstream's word that it is leaving. It gets no new work then,
--- a/internal/serve/btentry/extra_test.go
+++ b/internal/serve/btentry/extra_test.go
@@ -125,3 +125,33 @@
 		assert.Check(t, grown < 1<<20, "heap grew by %d KiB, counted %d", grown>>10, h.handler.Memory.Kept())
 	})
 }
+
+// A caller sends a request again with the same id, at the same daemon, after a refusal. Guards against
+// the copy of the first one's refusal that is taken for the answer to the second one, which runs.
+func TestCopyOfRefusalIsNoAnswerToRequestWithItsID(t *testing.T) {
+	for _, target := range []string{"/order/a", "/check/a", "/tag/a"} {
+		t.Run(target, func(t *testing.T) {
+			run(t, func(h *harness) {
+				workers := []*btworker.Worker{h.startShop("s1"), h.startEngine("e1")}
+				wrong := 0
+				for n := range 20 {
+					id := fmt.Sprintf("same-%d", n)
+					for _, w := range workers {
+						w.CopyRefusals(true)
+						w.Set(btworker.Full)
+					}
+					h.send(id, http.MethodPost, target, nil, 10*time.Second)
+					for _, w := range workers {
+						w.Set(btworker.Healthy)
+					}
+					got := h.send(id, http.MethodPost, target, nil, 10*time.Second)
+					if got.err == nil && btworker.PromisesNotRun(got.status) && h.pool.Runs(id) > 0 {
+						wrong++
+					}
+					time.Sleep(time.Second)
+				}
+				assert.Check(t, wrong == 0, "%d of 20 answered as not run, and ran", wrong)
+			})
+		})
+	}
+}
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -145,6 +145,12 @@
 	return &Conn{pool: p, number: number, addr: addr, conn: nc, limit: l, r: bufio.NewReaderSize(l, readBufferBytes)}
 }
 
+// hasCarried reports whether one of the newest requests had an id, which is not empty.
+func (c *Conn) hasCarried(id string) bool {
+	hash := hashID(id)
+	return id != "" && slices.ContainsFunc(c.carried, func(r carriedRequest) bool { return r.id == hash })
+}
+
 // Number returns the number of the connection, which no other one of the pool has.
 func (c *Conn) Number() uint64 { return c.number }
 
--- a/internal/upstream/btconn/conn_test.go
+++ b/internal/upstream/btconn/conn_test.go
@@ -87,7 +87,7 @@
 
 // roundTrip sends a request and reads the response.
 func roundTrip(ctx context.Context, p *Pool, body string) (string, *Conn, error) {
-	c, err := p.Get(ctx, addr)
+	c, err := p.Get(ctx, addr, "")
 	if err != nil {
 		return "", nil, err
 	}
@@ -157,7 +157,7 @@
 // possible.
 func TestUnreachableIsUnsent(t *testing.T) {
 	serve(t, false, func(ctx context.Context, p *Pool) {
-		_, err := p.Get(ctx, netip.MustParseAddrPort("10.1.0.9:80"))
+		_, err := p.Get(ctx, netip.MustParseAddrPort("10.1.0.9:80"), "")
 		assert.Assert(t, errors.Is(err, ErrUnsent))
 		assert.Assert(t, p.Check(ctx, netip.MustParseAddrPort("10.1.0.9:80")) != nil)
 		assert.NilError(t, p.Check(ctx, addr))
@@ -196,17 +196,17 @@
 func TestUnsentConnectionIsNew(t *testing.T) {
 	serve(t, false, func(ctx context.Context, p *Pool) {
 		assert.NilError(t, p.Check(ctx, addr))
-		c, err := p.Get(ctx, addr)
+		c, err := p.Get(ctx, addr, "")
 		assert.NilError(t, err)
 		assert.Check(t, !c.Reused())
 		c.Release()
 		_, c, err = roundTrip(ctx, p, "x")
 		assert.NilError(t, err)
 		assert.Check(t, c.Reused(), "the connection has carried a request")
-		c, err = p.Get(ctx, addr)
+		c, err = p.Get(ctx, addr, "")
 		assert.NilError(t, err)
 		c.Release()
-		c, err = p.Get(ctx, addr)
+		c, err = p.Get(ctx, addr, "")
 		assert.NilError(t, err)
 		assert.Check(t, c.Reused(), "the connection has carried a request before its release")
 		c.Release()
--- a/internal/upstream/btconn/doc.go
+++ b/internal/upstream/btconn/doc.go
@@ -11,7 +11,7 @@
 // # Usage
 //
 //	var pool btconn.Pool
-//	c, err := pool.Get(ctx, addr, sentOn...)
+//	c, err := pool.Get(ctx, addr, id, sentOn...)
 //	...
 //	x, err := c.Do(ctx, &btconn.Request{Method: "GET", Target: "/a/b", Host: "h", Header: h})
 //	...
--- a/internal/upstream/btconn/extra_test.go
+++ b/internal/upstream/btconn/extra_test.go
@@ -19,7 +19,7 @@
 // exchange sends a request with an id and returns the exchange.
 func exchange(ctx context.Context, t *testing.T, p *Pool, id string, except ...uint64) (*Conn, *Exchange) {
 	t.Helper()
-	c, err := p.Get(ctx, addr, except...)
+	c, err := p.Get(ctx, addr, id, except...)
 	assert.NilError(t, err)
 	x, err := c.Do(ctx, &Request{ID: id, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
 	assert.NilError(t, err)
@@ -73,20 +73,28 @@
 	}
 }
 
-// Guards against a request that gets a connection which has carried it before, and against other
-// requests that do not get that connection.
+// Guards against a request that gets a connection which has carried it, or one with its id, before, and
+// against other requests that do not get that connection.
 func TestConnectionsOfARequestAreNotReusedForIt(t *testing.T) {
-	serve(t, false, func(ctx context.Context, p *Pool) {
-		first, x := exchange(ctx, t, p, "a")
-		finish(t, x)
-		second, x := exchange(ctx, t, p, "a", first.Number())
-		assert.Assert(t, second != first)
-		finish(t, x)
-		third, x := exchange(ctx, t, p, "a", first.Number(), second.Number())
-		assert.Assert(t, third != first && third != second)
-		finish(t, x)
-		c, x := exchange(ctx, t, p, "b", third.Number(), second.Number())
-		assert.Equal(t, c, first)
-		finish(t, x)
-	}, response("a", "one"), response("b", "two"))
+	for name, c := range map[string]struct {
+		id     string
+		except func(*Conn) []uint64
+	}{
+		"number":   {"b", func(c *Conn) []uint64 { return []uint64{c.Number()} }},
+		"id":       {"a", func(*Conn) []uint64 { return nil }},
+		"number 2": {"a", func(c *Conn) []uint64 { return []uint64{c.Number()} }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			serve(t, false, func(ctx context.Context, p *Pool) {
+				first, x := exchange(ctx, t, p, "a")
+				finish(t, x)
+				second, x := exchange(ctx, t, p, c.id, c.except(first)...)
+				assert.Check(t, second != first)
+				finish(t, x)
+				got, x := exchange(ctx, t, p, "c", second.Number())
+				assert.Check(t, got == first)
+				finish(t, x)
+			}, response("a", "one"), response("b", "two"))
+		})
+	}
 }
--- a/internal/upstream/btconn/pool.go
+++ b/internal/upstream/btconn/pool.go
@@ -47,12 +47,12 @@
 }
 
 // Get returns a pooled connection to addr if one is usable, and opens one otherwise. It does not
-// return a connection whose number is in except: on a connection that has carried a request, a
-// late copy of its response has the same id as the response to another send of it. Every error
-// wraps ErrUnsent.
-func (p *Pool) Get(ctx context.Context, addr netip.AddrPort, except ...uint64) (*Conn, error) {
+// return a connection whose number is in except, nor one that has carried a request with the same
+// id a short while ago: a late copy of that one's response has the id of the response that is due.
+// Every error wraps ErrUnsent.
+func (p *Pool) Get(ctx context.Context, addr netip.AddrPort, id string, except ...uint64) (*Conn, error) {
 	now := time.Now()
-	for c := p.takeIdle(addr, except); c != nil; c = p.takeIdle(addr, except) {
+	for c := p.takeIdle(addr, id, except); c != nil; c = p.takeIdle(addr, id, except) {
 		if now.Before(c.idleUntil) && c.usable() {
 			return c, nil
 		}
@@ -94,13 +94,13 @@
 func (c *Conn) Release() { c.release(nil) }
 
 // takeIdle removes the idle connection to addr that was used last from the pool, without those
-// in except, or returns nil.
-func (p *Pool) takeIdle(addr netip.AddrPort, except []uint64) *Conn {
+// that Get does not return, or returns nil.
+func (p *Pool) takeIdle(addr netip.AddrPort, id string, except []uint64) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[addr]
 	for i, c := range slices.Backward(conns) {
-		if !slices.Contains(except, c.number) {
+		if !slices.Contains(except, c.number) && !c.hasCarried(id) {
 			p.idle[addr] = slices.Delete(conns, i, i+1)
 			return c
 		}
--- a/internal/upstream/btconn/skip_test.go
+++ b/internal/upstream/btconn/skip_test.go
@@ -14,7 +14,7 @@
 // sendAs sends a request with a method, an id and a body and returns the exchange.
 func sendAs(ctx context.Context, t *testing.T, p *Pool, method, id, body string) *Exchange {
 	t.Helper()
-	c, err := p.Get(ctx, addr)
+	c, err := p.Get(ctx, addr, "")
 	assert.NilError(t, err)
 	x, err := c.Do(ctx, &Request{ID: id, Method: method, Target: "/", Host: "h", Header: http.Header{}, Body: []byte(body)})
 	assert.NilError(t, err)
