A response that finds no memory after an extra one is reported as such

Found by the review: full memory while the next head is read after a skipped response was reported as a malformed response, so that the limit was neither logged nor counted. The read of a head returns ErrFull in all cases now. TestSkipFindsNoMemory was red before.

--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -190,9 +190,6 @@
 	resp, err := c.readHead(r.Method, r.Kept)
 	if err != nil {
 		x.abandon()
-		if r.Kept.Ended() {
-			err = btmemory.ErrFull
-		}
 		return nil, err
 	}
 	x.take(resp)
@@ -281,10 +278,19 @@
 	return w.Bytes()
 }
 
-// readHead reads the head of the final response and skips interim responses.
+// readHead reads the head of the final response and skips interim responses. It returns ErrFull
+// if the memory that the head needs in kept is not there.
 func (c *Conn) readHead(method string, kept *btmemory.Account) (*http.Response, error) {
 	c.limit.left, c.limit.kept = maxHeadBytes, kept
 	defer func() { c.limit.left, c.limit.kept = -1, nil }()
+	resp, err := c.readFinal(method)
+	if err != nil && kept.Ended() {
+		return nil, btmemory.ErrFull
+	}
+	return resp, err
+}
+
+func (c *Conn) readFinal(method string) (*http.Response, error) {
 	for {
 		if _, err := c.r.Peek(1); err != nil {
 			return nil, errors.Wrap(err, "btconn: no response")
--- a/internal/upstream/btconn/skip_test.go
+++ b/internal/upstream/btconn/skip_test.go
@@ -8,7 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"bramleytack/internal/node/btmemory"
 )
 
 // sendAs sends a request with a method, an id and a body and returns the exchange.
@@ -93,3 +96,25 @@
 		}
 	}, texts...)
 }
+
+// Guards against a response that finds no memory after an extra one, and is reported as malformed.
+func TestSkipFindsNoMemory(t *testing.T) {
+	big := "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n" + strings.Repeat("a:\r\n", 4000) + "\r\n"
+	serve(t, false, func(ctx context.Context, p *Pool) {
+		_, x := exchange(ctx, t, p, "a")
+		finish(t, x)
+		b := &btmemory.Budget{Limit: 1 << 20}
+		ctx, cancel := context.WithCancel(ctx)
+		kept := b.Open(btmemory.Control(addr), cancel)
+		defer kept.Close()
+		c, err := p.Get(ctx, addr, "b")
+		assert.NilError(t, err)
+		x, err = c.Do(ctx, &Request{ID: "b", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Kept: kept})
+		assert.NilError(t, err)
+		for n := 0; err == nil && n < 4; n++ {
+			err = x.Skip(kept)
+		}
+		x.Close()
+		assert.Check(t, errors.Is(err, btmemory.ErrFull), "%v", err)
+	}, response("a", "one"), strings.Repeat(big, 4)+response("b", "two"))
+}
