A copy's registration makes no upstream warm

Found by the review. Callers would see a cold upstream overrun after the store comes back from a copy from before it became cold or started again under its id, until it writes again, and its pauses and limits forgotten meanwhile. Cause: the copy's registration has the newer revision. Change: across epochs the later instance holds, and for the same instance the later end of the cold time.

--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -186,6 +186,21 @@
 	}
 }
 
+// newestOf returns what holds of an upstream that is registered again after the store was restored.
+// The registration may be older than the held one: of an earlier instance, or from before the
+// instance became cold.
+func newestOf(held, u *bramleytack.Upstream) *bramleytack.Upstream {
+	switch {
+	case held == nil || u == nil:
+		return u
+	case u.Started.Before(held.Started):
+		return held
+	case u.Started.Equal(held.Started) && u.ColdUntil.Before(held.ColdUntil):
+		u.ColdUntil = held.ColdUntil
+	}
+	return u
+}
+
 // hasLapsed reports whether an object that lapses at another daemon has done so here.
 func (k *kindState) hasLapsed(o bramleytack.Object) bool {
 	return o.Version > 0 && k.removed[o.Name].object.Version == o.Version
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -453,6 +453,9 @@
 		return d.upstream
 	}
 	u, err := t.codec.Upstream(name, o.Data, t.timer.Now())
+	if d, ok := t.decoded[name]; ok && d.version.Epoch() < o.Version.Epoch() {
+		u = newestOf(d.upstream, u)
+	}
 	if err != nil {
 		t.log.Event(btevent.RegistrationUndecodable).Str("upstream", name).Stringer("revision", o.Version).Err(err).Send()
 	} else {
