Only the first list of a copy shows what the copy has again

Found by the review. Callers would see requests in a failure domain that was taken out of service anew, if the order got the number of one that was taken back: it was ignored for 10 s. And new work for an upstream whose registration changed between the copy and its removal. Cause: what a copy brings back was recognized by number and content alone, at any time. Change: only the first list of an epoch is looked through, and registrations are recognized by their instance. TestNewOrderWithAFormerNumber and TestEarlierRegistrationOfRemovedUpstream were red before.

--- a/internal/fleet/btreplica/copy_test.go
+++ b/internal/fleet/btreplica/copy_test.go
@@ -50,3 +50,65 @@
 		})
 	}
 }
+
+// A failure domain is taken out of service again after the store was restored, and the order gets the number
+// of one that was taken back. Guards against a confirmed order that is ignored.
+func TestNewOrderWithAFormerNumber(t *testing.T) {
+	inCopyTime(t, func(t *testing.T, s *copyStore, r *replica) {
+		copied := s.copy()
+		s.write(bramleytack.KindEvacuations, "d", 1)
+		s.write(bramleytack.KindConfig, "main", 5)
+		time.Sleep(time.Second)
+		s.write(bramleytack.KindEvacuations, "d")
+		time.Sleep(time.Second)
+		s.restore(copied)
+		time.Sleep(100 * time.Millisecond)
+		s.write(bramleytack.KindEvacuations, "d", 1)
+		time.Sleep(inForceWithin)
+		assert.Assert(t, r.isOut("d"), "confirmed order is in force")
+	})
+}
+
+// The copy has an earlier version of a registration that changed and was removed since. Guards against new work
+// for an upstream that has left.
+func TestEarlierRegistrationOfRemovedUpstream(t *testing.T) {
+	inCopyTime(t, func(t *testing.T, s *copyStore, r *replica) {
+		kind := bramleytack.KindUpstreams
+		s.write(kind, "w", 1, 1)
+		time.Sleep(time.Second)
+		copied := s.copy()
+		s.write(kind, "w", 2, 1)
+		time.Sleep(time.Second)
+		s.write(kind, "w")
+		time.Sleep(time.Second)
+		assert.Equal(t, r.state("w"), bramleytack.UpstreamState(""))
+		s.restore(copied)
+		r.holds(2*time.Second, func() bool { return r.state("w") != bramleytack.UpstreamActive }, "removed")
+	})
+}
+
+// Daemons pull from one that withholds an object. Guards against an object that stays withheld for ever, or
+// is lost.
+func TestPulledFromADaemonThatWithholds(t *testing.T) {
+	inFakeTime(t, func(t *testing.T, table *Table, timer *bttimer.Service) {
+		kind := bramleytack.KindUpstreams
+		table.Apply(config(revision(1, 1), 1))
+		w := object(kind, "w", revision(0, 9), 1, 1)
+		table.Apply(Batch{Kind: kind, Full: true, Upto: revision(0, 9), Objects: []bramleytack.Object{w}})
+		table.Apply(Batch{Kind: kind, Full: true, Upto: revision(0, 10)})
+		w.Version = revision(1, 9)
+		table.Apply(Batch{Kind: kind, Full: true, Upto: revision(1, 9), Objects: []bramleytack.Object{w}, FromStore: true})
+		assert.Equal(t, len(table.Snapshot().Upstreams), 0)
+		other := NewTable(codec{}, timer, btevent.New(io.Discard, 0, "h"))
+		other.Apply(config(revision(1, 1), 1))
+		other.Apply(table.FullBatch(kind))
+		assert.Equal(t, len(other.Snapshot().Upstreams), 1)
+		time.Sleep(copyGrace + time.Second)
+		table.Expire()
+		assert.Equal(t, len(table.Snapshot().Upstreams), 1)
+		time.Sleep(2 * removedRetention)
+		table.Expire()
+		k := table.kinds[kind]
+		assert.Equal(t, len(k.removed)+len(k.withheld)+len(k.lapsed), 0, "leak")
+	})
+}
--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -144,21 +144,37 @@
 
 // withhold reports whether an object is one that was removed before the store came back from a copy
 // that still has it. What the operator or the upstream has removed is removed again, unless it is
-// still there after copyGrace.
-func (k *kindState) withhold(o bramleytack.Object, now time.Time) bool {
+// still there after copyGrace. Only the first list of a copy, for which restored is set, shows what
+// the copy has: later on the same name may be used anew.
+func (t *Table) withhold(k *kindState, o bramleytack.Object, restored bool, now time.Time) bool {
 	if w, ok := k.withheld[o.Name]; ok && w.object.Version == o.Version {
 		return true
 	}
 	delete(k.withheld, o.Name)
 	r, ok := k.removed[o.Name]
-	old := r.object.Version
-	if !ok || old.Epoch() >= o.Version.Epoch() || old.Number() != o.Version.Number() || !bytes.Equal(r.object.Data, o.Data) {
+	if !restored || !ok || !t.isFormer(r.object, o) {
 		return false
 	}
 	k.withheld[o.Name] = formerObject{object: o, at: now.Add(copyGrace)}
 	return true
 }
 
+// isFormer reports whether an object is one that was removed, or an earlier version of it. For
+// registrations the instance tells. Another object must be the same in number and content: an
+// order that was given anew may have a lower number.
+func (t *Table) isFormer(removed, o bramleytack.Object) bool {
+	if removed.Version.Epoch() >= o.Version.Epoch() {
+		return false
+	}
+	if o.Kind != bramleytack.KindUpstreams {
+		return removed.Version.Number() == o.Version.Number() && bytes.Equal(removed.Data, o.Data)
+	}
+	now := t.timer.Now()
+	former, err := t.codec.Upstream(o.Name, removed.Data, now)
+	u, err2 := t.codec.Upstream(o.Name, o.Data, now)
+	return err == nil && err2 == nil && !u.Started.After(former.Started)
+}
+
 // expireFormer adds the withheld objects that the store still has after copyGrace, which it
 // reports, and forgets removals.
 func (k *kindState) expireFormer(now time.Time) (changed bool) {
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -236,8 +236,8 @@
 // first list counts as a change. A removal has no revision of its own, so it counts as made at
 // that of b.
 func (t *Table) apply(k *kindState, b Batch, now time.Time) bool {
-	changed := k.upto == 0
-	if k.restoredBy(b) {
+	changed, restored := k.upto == 0, k.restoredBy(b)
+	if restored {
 		// The other daemons have to list the kind, too.
 		k.lastChange, changed = b.Upto, true
 	}
@@ -267,7 +267,7 @@
 		if !lapsed {
 			delete(k.lapsed, o.Name)
 		}
-		if old, ok := k.objects[o.Name]; ok && !t.replaces(old, o) || !ok && (lapsed && k.hasLapsed(o) || k.withhold(o, now)) {
+		if old, ok := k.objects[o.Name]; ok && !t.replaces(old, o) || !ok && (lapsed && k.hasLapsed(o) || t.withhold(k, o, restored, now)) {
 			continue
 		}
 		k.objects[o.Name] = o
