What lapses or is withheld waits while no daemon reads the store

Callers would see work sent to an upstream that has left, or into a failure domain that is out of service, if the store is away again soon after it was restored: the times ran on although nobody could write anything again. Change: daemons postpone them while neither they nor another one reads the store. TestWithheldWhileTheStoreIsAway and TestLostOrderWhileTheStoreIsAway were red before.

--- a/internal/fleet/btreplica/copy_test.go
+++ b/internal/fleet/btreplica/copy_test.go
@@ -112,3 +112,37 @@
 		assert.Equal(t, len(k.removed)+len(k.withheld)+len(k.lapsed), 0, "leak")
 	})
 }
+
+// The store is away again soon after it was restored. Guards against an upstream that comes back without an
+// answer of the store.
+func TestWithheldWhileTheStoreIsAway(t *testing.T) {
+	inCopyTime(t, func(_ *testing.T, s *copyStore, r *replica) {
+		kind := bramleytack.KindUpstreams
+		s.write(kind, "w", 1, 1)
+		time.Sleep(time.Second)
+		copied := s.copy()
+		s.write(kind, "w")
+		time.Sleep(time.Second)
+		s.restore(copied)
+		time.Sleep(500 * time.Millisecond)
+		s.setAway(true)
+		r.holds(20*time.Second, func() bool { return r.state("w") == "" }, "gone")
+	})
+}
+
+// The same, with a failure domain out of service that the copy lacks. Guards against a grace that ends while
+// nobody can write the order again.
+func TestLostOrderWhileTheStoreIsAway(t *testing.T) {
+	inCopyTime(t, func(_ *testing.T, s *copyStore, r *replica) {
+		kind := bramleytack.KindEvacuations
+		copied := s.copy()
+		s.write(kind, "d", 1)
+		time.Sleep(time.Second)
+		s.restore(copied)
+		time.Sleep(500 * time.Millisecond)
+		s.setAway(true)
+		time.Sleep(9 * time.Second)
+		s.restore(copied)
+		r.holds(2*time.Second, func() bool { return r.isOut("d") }, "confirmed order")
+	})
+}
--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -190,6 +190,22 @@
 	return changed
 }
 
+// Postpone keeps what lapses or is withheld as it is for d more. It must be called instead of Expire
+// while no daemon reads the store, which cannot tell then what it has.
+func (t *Table) Postpone(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, k := range t.kinds {
+		for name, until := range k.lapsed {
+			k.lapsed[name] = until.Add(d)
+		}
+		for name, w := range k.withheld {
+			w.at = w.at.Add(d)
+			k.withheld[name] = w
+		}
+	}
+}
+
 // keepLeaving marks an instance whose registration says that it is leaving. An instance that is
 // leaving does not return, although a copy of the store may have its earlier registration.
 func (t *Table) keepLeaving(u *bramleytack.Upstream) {
--- a/internal/fleet/btreplica/restore_test.go
+++ b/internal/fleet/btreplica/restore_test.go
@@ -181,16 +181,24 @@
 		w := &Watcher{Feed: s, Table: r.table, Timer: timer, Log: log, Kind: kind, StoreStatus: status, Resync: resync}
 		go w.Run(ctx)
 	}
-	go (&expirer{r}).run(ctx)
+	go (&expirer{r, status}).run(ctx)
 	return r
 }
 
-// expirer drops what has lapsed, as a daemon does.
-type expirer struct{ r *replica }
+// expirer drops what has lapsed while the store is read, as a daemon does.
+type expirer struct {
+	r      *replica
+	status *StoreStatus
+}
 
 func (e *expirer) run(ctx context.Context) {
-	for e.r.timer.Sleep(ctx, 250*time.Millisecond) == nil {
-		e.r.table.Expire()
+	const period = 250 * time.Millisecond
+	for e.r.timer.Sleep(ctx, period) == nil {
+		if e.status.ReadsUpstreams(e.r.timer.Now()) {
+			e.r.table.Expire()
+		} else {
+			e.r.table.Postpone(period)
+		}
 	}
 }
 
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -367,7 +367,7 @@
 	tick := n.timer.Every(housekeepingPeriod, 0)
 	defer tick.Stop()
 	clock := newSuspendClock()
-	for {
+	for last := n.timer.Now(); ; {
 		select {
 		case <-tick.C():
 		case <-ctx.Done():
@@ -377,7 +377,13 @@
 			n.log.Event(btevent.ProcessSuspended).Dur("away", d).Send()
 			n.dropStaleState()
 		}
-		n.table.Expire()
+		now := n.timer.Now()
+		if n.storeStatus.ReadsUpstreams(now) || n.gossip.PeerReadsStore() {
+			n.table.Expire()
+		} else {
+			n.table.Postpone(now.Sub(last))
+		}
+		last = now
 		if s := n.table.Snapshot(); s != nil {
 			n.accounts.Retain(s, n.gossip.ValidSource())
 			n.grants.Retain(s)
