An order that was taken back does not return from a daemon that is behind

Found by the review: a daemon that had lost a datagram sent an order of before the copy as one that the store lacks, although it was given again and taken back since; the domain was out of service for 10 s more at the others. Change: what is known as removed at any later revision is not taken. TestLostOrderOfADaemonThatIsBehind was red before.

--- a/internal/fleet/btreplica/copy_test.go
+++ b/internal/fleet/btreplica/copy_test.go
@@ -146,3 +146,27 @@
 		r.holds(2*time.Second, func() bool { return r.isOut("d") }, "confirmed order")
 	})
 }
+
+// A daemon that is behind sends an order that the store lost, that was given again and taken back. Guards against
+// a failure domain that is out of service again.
+func TestLostOrderOfADaemonThatIsBehind(t *testing.T) {
+	inFakeTime(t, func(t *testing.T, table *Table, _ *bttimer.Service) {
+		kind := bramleytack.KindEvacuations
+		out := func() bool {
+			d := table.Snapshot().FailureDomains["d"]
+			return d != nil && d.State == bramleytack.DomainOut
+		}
+		table.Apply(config(revision(1, 1), 1))
+		lost := object(kind, "d", revision(0, 9), 1)
+		table.Apply(Batch{Kind: kind, Full: true, Upto: revision(0, 9), Objects: []bramleytack.Object{lost}})
+		table.Apply(Batch{Kind: kind, Full: true, Upto: revision(1, 5), FromStore: true})
+		assert.Assert(t, out())
+		table.Apply(Batch{Kind: kind, Base: revision(1, 5), Upto: revision(1, 6), FromStore: true, Objects: []bramleytack.Object{object(kind, "d", revision(1, 6), 1)}})
+		gone := object(kind, "d", revision(1, 7))
+		gone.Deleted = true
+		table.Apply(Batch{Kind: kind, Base: revision(1, 6), Upto: revision(1, 7), FromStore: true, Objects: []bramleytack.Object{gone}})
+		assert.Assert(t, !out())
+		table.Apply(Batch{Kind: kind, Base: revision(1, 5), Upto: revision(1, 5), Objects: []bramleytack.Object{lost}, Lapsed: []string{"d"}})
+		assert.Assert(t, !out(), "returned by the operator")
+	})
+}
--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -233,9 +233,11 @@
 	return u
 }
 
-// hasLapsed reports whether an object that lapses at another daemon has done so here.
+// hasLapsed reports whether an object that lapses at another daemon has done so here, or a later one
+// of its name was removed.
 func (k *kindState) hasLapsed(o bramleytack.Object) bool {
-	return o.Version > 0 && k.removed[o.Name].object.Version == o.Version
+	r, ok := k.removed[o.Name]
+	return ok && r.object.Version >= o.Version
 }
 
 // Lost returns the objects of a kind that count although the copy from which the store was restored
