--- a/internal/fleet/btreplica/copy_test.go
+++ b/internal/fleet/btreplica/copy_test.go
@@ -170,3 +170,17 @@
 		assert.Assert(t, !out(), "returned by the operator")
 	})
 }
+
+// A list of another daemon with a registration that the store lacks is overtaken by a change. Guards against an
+// upstream that is kept for longer than registrations are.
+func TestLostUpstreamOfAPeer(t *testing.T) {
+	inFakeTime(t, func(t *testing.T, table *Table, _ *bttimer.Service) {
+		kind := bramleytack.KindUpstreams
+		table.Apply(config(revision(1, 1), 1))
+		table.Apply(Batch{Kind: kind, Full: true, Upto: revision(1, 8), FromStore: true})
+		table.Apply(Batch{Kind: kind, Full: true, Upto: revision(1, 8), Lapsed: []string{"w"}, Objects: []bramleytack.Object{object(kind, "w", revision(0, 9), 1, 1)}})
+		time.Sleep(lapseGrace + time.Second)
+		table.Expire()
+		assert.Equal(t, len(table.Snapshot().Upstreams), 0)
+	})
+}
--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -270,7 +270,7 @@
 		case b.Kind == bramleytack.KindConfig:
 			changed = b.Full && t.takeVersion(k, o) || changed
 		case slices.Contains(b.Lapsed, o.Name):
-			changed = k.takeLost(o, t.timer.Now()) || changed
+			changed = k.takeLost(o, graceOfKind(b.Kind), t.timer.Now()) || changed
 		}
 	}
 	if changed {
@@ -294,10 +294,10 @@
 
 // takeLost takes an object of an earlier epoch that the store lacks, unless it has lapsed or been
 // removed here.
-func (k *kindState) takeLost(o bramleytack.Object, now time.Time) bool {
+func (k *kindState) takeLost(o bramleytack.Object, grace time.Duration, now time.Time) bool {
 	if _, ok := k.objects[o.Name]; ok || k.hasLapsed(o) || o.Version.Epoch() >= k.upto.Epoch() {
 		return false
 	}
 	k.objects[o.Name] = o
-	return k.lapse(o.Name, copyGrace, now)
+	return k.lapse(o.Name, grace, now)
 }
