An unchanged configuration is not decoded again

Found by the review: each list decoded the configuration twice under the table's lock to compare the versions, also where nothing changed. The same revision is the same version. TestUnchangedConfigurationIsNotDecoded was red before (5 decodes after two such lists, 1 before them).

--- a/internal/fleet/btreplica/copy_test.go
+++ b/internal/fleet/btreplica/copy_test.go
@@ -184,3 +184,32 @@
 		assert.Equal(t, len(table.Snapshot().Upstreams), 0)
 	})
 }
+
+// countingCodec counts the configurations that it decodes.
+type countingCodec struct {
+	codec
+	n *int
+}
+
+func (c countingCodec) Config(data []byte, s *bramleytack.Snapshot) error {
+	*c.n++
+	return c.codec.Config(data, s)
+}
+
+// Guards against configurations that are decoded, under the table's lock, although nothing changed.
+func TestUnchangedConfigurationIsNotDecoded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := bttimer.New(1)
+		defer timer.Close()
+		n := 0
+		table := NewTable(countingCodec{n: &n}, timer, btevent.New(io.Discard, 0, "h"))
+		table.Apply(config(revision(1, 5), 4))
+		before := n
+		b := config(revision(1, 5), 4)
+		b.Upto = revision(1, 6)
+		table.Apply(b)
+		b.FromStore = false
+		table.Apply(b)
+		assert.Equal(t, n, before)
+	})
+}
--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -34,6 +34,9 @@
 	if o.Kind != bramleytack.KindConfig {
 		return o.Version > old.Version
 	}
+	if o.Version == old.Version {
+		return false
+	}
 	held, ok := t.configVersion(old)
 	if !ok {
 		return o.Version > old.Version
@@ -281,8 +284,12 @@
 
 // takeVersion takes a configuration if its version is newer.
 func (t *Table) takeVersion(k *kindState, o bramleytack.Object) bool {
+	old, exists := k.objects[o.Name]
+	if exists && old.Version == o.Version {
+		return false
+	}
 	version, ok := t.configVersion(o)
-	if old, exists := k.objects[o.Name]; exists && ok {
+	if exists && ok {
 		held, readable := t.configVersion(old)
 		ok = !readable || version > held
 	}
