A lost order is handed on once only

Found by the review: daemons that start got a failure domain that the store has lost from the others and handed it on to the next ones, each for 10 s, so that it stayed out of service for as long as daemons started. Change: what another daemon has handed on is not handed on again.

--- a/internal/fleet/btgossip/restore_test.go
+++ b/internal/fleet/btgossip/restore_test.go
@@ -19,6 +19,16 @@
 	return btreplica.Batch{Kind: bramleytack.KindConfig, Full: true, Upto: r, Objects: []bramleytack.Object{o}, FromStore: true}
 }
 
+// listDomains is the list of a store that was restored epoch times and has failure domains out of service.
+func listDomains(t *testing.T, epoch, number uint64, names ...string) btreplica.Batch {
+	b := listConfig(t, epoch, number, 1)
+	b.Kind, b.Objects = bramleytack.KindEvacuations, nil
+	for _, name := range names {
+		b.Objects = append(b.Objects, bramleytack.Object{Key: bramleytack.Key{Kind: b.Kind, Name: name}, Version: b.Upto, Data: []byte{1}})
+	}
+	return b
+}
+
 // checkVersion fails unless daemons have a version of the configuration in force.
 func (c *cell) checkVersion(want uint64) {
 	c.t.Helper()
@@ -62,13 +72,7 @@
 // operator has written that again. Guards against requests that they send there.
 func TestStartedDaemonLearnsWhatTheStoreLost(t *testing.T) {
 	list := func(epoch, number uint64, names ...string) btreplica.Batch {
-		r, err := bramleytack.NewRevision(epoch, number)
-		assert.NilError(t, err)
-		b := btreplica.Batch{Kind: bramleytack.KindEvacuations, Full: true, Upto: r, FromStore: true}
-		for _, name := range names {
-			b.Objects = append(b.Objects, bramleytack.Object{Key: bramleytack.Key{Kind: b.Kind, Name: name}, Version: r, Data: []byte{1}})
-		}
-		return b
+		return listDomains(t, epoch, number, names...)
 	}
 	checkOut := func(c *cell, want bool) {
 		for i, n := range c.nodes {
@@ -104,3 +108,34 @@
 	t.Run("small", func(t *testing.T) { runCell(t, 12, 0, check) })
 	t.Run("with hubs", func(t *testing.T) { runHubs(t, 24, 0, check) })
 }
+
+// Daemons start one after another while nobody writes an order again that the store has lost. Guards against a
+// failure domain that stays out of service because each daemon hands the order on to the next.
+func TestLostOrderEndsAlthoughDaemonsStart(t *testing.T) {
+	runCell(t, 12, 0, func(c *cell) {
+		time.Sleep(3 * time.Second)
+		c.nodes[0].Table.Apply(listConfig(t, 0, 1, 1))
+		c.nodes[0].Table.Apply(listDomains(t, 0, 25, "d1"))
+		time.Sleep(2 * time.Second)
+		c.nodes[1].Table.Apply(listDomains(t, 1, 20))
+		restored, last := time.Now(), time.Duration(0)
+		for round := range 120 {
+			if round%8 == 7 {
+				i := 2 + round/8%10
+				c.stops[i]()
+				c.start(i)
+				c.nodes[i].Table.Apply(listConfig(t, 1, 20, 1))
+				c.nodes[i].Table.Apply(listDomains(t, 1, 20))
+			}
+			time.Sleep(time.Second)
+			for _, n := range c.nodes {
+				n.Table.Expire()
+				if d := n.Table.Snapshot().FailureDomains["d1"]; d != nil && d.State == bramleytack.DomainOut {
+					last = time.Since(restored)
+				}
+			}
+		}
+		// A daemon that starts at the end of the grace keeps the order for as long again.
+		assert.Check(t, last < 25*time.Second, "out of service for %v", last)
+	})
+}
--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -143,6 +143,7 @@
 	k.removed[name] = formerObject{object: k.objects[name], at: now}
 	delete(k.objects, name)
 	delete(k.lapsed, name)
+	delete(k.handed, name)
 }
 
 // withhold reports whether an object is one that was removed before the store came back from a copy
@@ -255,7 +256,7 @@
 	}
 	b.Base, b.Upto = k.upto, k.upto
 	for name := range k.lapsed {
-		if o := k.objects[name]; o.Version.Epoch() < k.upto.Epoch() {
+		if o := k.objects[name]; o.Version.Epoch() < k.upto.Epoch() && !k.handed[name] {
 			b.Objects, b.Lapsed = append(b.Objects, o), append(b.Lapsed, name)
 		}
 	}
@@ -306,5 +307,6 @@
 		return false
 	}
 	k.objects[o.Name] = o
+	k.handed[o.Name] = o.Kind == bramleytack.KindEvacuations
 	return k.lapse(o.Name, grace, now)
 }
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -49,6 +49,9 @@
 	// lapsed holds the names of objects that the store no longer has because of an outage or
 	// of an older copy, with the time at which they are dropped.
 	lapsed map[string]time.Time
+	// handed holds those of lapsed that another daemon has handed on, and that are not handed on
+	// again: a chain of daemons that start would keep them for ever.
+	handed map[string]bool
 	// removed holds objects that were removed lately, withheld those of them that came back
 	// with an older copy of the store.
 	removed  map[string]formerObject
@@ -156,6 +159,9 @@
 	}
 	b.Upto = k.upto
 	for name, o := range k.objects {
+		if k.handed[name] {
+			continue
+		}
 		b.Objects = append(b.Objects, o)
 		if _, ok := k.lapsed[name]; ok {
 			b.Lapsed = append(b.Lapsed, name)
@@ -178,7 +184,7 @@
 	t.mu.Lock()
 	k := t.kinds[b.Kind]
 	if k == nil {
-		k = &kindState{objects: map[string]bramleytack.Object{}, lapsed: map[string]time.Time{}, removed: map[string]formerObject{}, withheld: map[string]formerObject{}}
+		k = &kindState{objects: map[string]bramleytack.Object{}, lapsed: map[string]time.Time{}, handed: map[string]bool{}, removed: map[string]formerObject{}, withheld: map[string]formerObject{}}
 		t.kinds[b.Kind] = k
 	}
 	switch {
@@ -266,10 +272,14 @@
 		lapsed := slices.Contains(b.Lapsed, o.Name)
 		if !lapsed {
 			delete(k.lapsed, o.Name)
+			delete(k.handed, o.Name)
 		}
 		if old, ok := k.objects[o.Name]; ok && !t.replaces(old, o) || !ok && (lapsed && k.hasLapsed(o) || t.withhold(k, o, restored, now)) {
 			continue
 		}
+		if _, ok := k.objects[o.Name]; !ok && lapsed && b.Kind == bramleytack.KindEvacuations {
+			k.handed[o.Name] = true
+		}
 		k.objects[o.Name] = o
 		k.lastChange, changed = max(k.lastChange, o.Version), true
 	}
