A removed configuration is not announced

Found by the review: digests went on to name the version of a configuration that was removed, and a started daemon pulled it at each of them in vain. TestRemovedConfigIsNotAnnounced was red before.

--- a/internal/fleet/btgossip/restore_test.go
+++ b/internal/fleet/btgossip/restore_test.go
@@ -139,3 +139,23 @@
 		assert.Check(t, last < 25*time.Second, "out of service for %v", last)
 	})
 }
+
+// The operator removes the configuration. Guards against pulls at each digest of what no daemon can give.
+func TestRemovedConfigIsNotAnnounced(t *testing.T) {
+	runCell(t, 4, 0, func(c *cell) {
+		time.Sleep(3 * time.Second)
+		c.nodes[0].Table.Apply(listConfig(t, 1, 20, 8))
+		time.Sleep(time.Second)
+		gone := listConfig(t, 1, 21, 8)
+		gone.Full, gone.Base = false, listConfig(t, 1, 20, 8).Upto
+		gone.Objects[0].Deleted = true
+		for _, n := range c.nodes {
+			n.Table.Apply(gone)
+		}
+		c.stops[2]()
+		c.start(2)
+		time.Sleep(2 * time.Second)
+		n := c.nodes[2]
+		assert.Check(t, !n.lacks(bramleytack.KindConfig, kindState{upto: c.nodes[0].Table.LastChange(bramleytack.KindConfig), version: c.nodes[0].Table.ConfigVersion()}), "has version %d, others announce %d", n.Table.ConfigVersion(), c.nodes[0].Table.ConfigVersion())
+	})
+}
--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -59,12 +59,16 @@
 	return s.Version, true
 }
 
-// ConfigVersion returns the operator's version of the configuration in force, 0 without one.
+// ConfigVersion returns the operator's version of the configuration in force, 0 if there is none that
+// other daemons can get.
 func (t *Table) ConfigVersion() uint64 {
-	if s := t.Snapshot(); s != nil {
-		return s.Version
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k, s := t.kinds[bramleytack.KindConfig], t.Snapshot()
+	if s == nil || k == nil || len(k.objects) == 0 {
+		return 0
 	}
-	return 0
+	return s.Version
 }
 
 // Epoch returns the epoch of the store as far as this daemon knows. What daemons wrote to the store
