What a copy lacks or brings back counts for 5 s, not 10

The first list came after its order and the end of it had been written again, and lacks both. Change: what was confirmed before counts for the 5 s for which the store counts as disturbed, no longer.

--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -13,9 +13,10 @@
 
 const (
 	// copyGrace is how long after the store has come back from an older copy what was confirmed
-	// before counts, until it is written again. It is longer than the time for which the store
-	// counts as disturbed after its return and the one within which a change is in force, 5 s each.
-	copyGrace = 10 * time.Second
+	// before counts, until it is written again. It is the time for which the store counts as
+	// disturbed after its return. A failure domain that was returned meanwhile is out of service
+	// for as long.
+	copyGrace = 5 * time.Second
 	// removedRetention is how long a removal is known. Copies of the store are some seconds old.
 	removedRetention = time.Minute
 	// forever keeps an object until the store reports it as removed.
