--- a/internal/route/btsuspect/archive_test.go
+++ b/internal/route/btsuspect/archive_test.go
@@ -22,6 +22,13 @@
 	epoch atomic.Uint64
 }
 
+// content returns a copy of the store's content.
+func (s *archiveStore) content() bramleytack.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.object
+}
+
 // restore makes a copy the store's content.
 func (s *archiveStore) restore(o bramleytack.Object) {
 	s.mu.Lock()
@@ -136,7 +143,7 @@
 		s := &archiveStore{}
 		stop := archiveOf(table, s)
 		time.Sleep(time.Second)
-		copied := s.object
+		copied := s.content()
 		crash(table, 1, 2, 3)
 		time.Sleep(time.Second)
 		s.restore(copied)
@@ -157,7 +164,7 @@
 		defer archiveOf(table, s)()
 		crash(table, 1, 2, 3)
 		time.Sleep(time.Second)
-		copied := s.object
+		copied := s.content()
 		table.ReportExecuted(fatal)
 		time.Sleep(5 * time.Second)
 		s.restore(copied)
