--- a/internal/fleet/btreplica/restore.go
+++ b/internal/fleet/btreplica/restore.go
@@ -190,7 +190,7 @@
 	return err == nil && err2 == nil && !u.Started.After(former.Started)
 }
 
-// expireFormer adds the withheld objects that the store still has after copyGrace, which it
+// expireFormer adds the withheld objects that the store still has after their grace, which it
 // reports, and forgets removals.
 func (k *kindState) expireFormer(now time.Time) (changed bool) {
 	for name, w := range k.withheld {
