Heads and connections of callers are bounded before net/http parses them

Cause: the server bounded a head by 64 KiB, but net/http's map of its lines takes many times its bytes, and btmemory counted neither heads nor connections; max_header_bytes, header_timeout_ms, idle_timeout_ms and max_fds were not in force.

Change: internal/node/btlistener. A Gate counts callers' connections and, as their bytes arrive, the bytes and lines of heads in the same btmemory.Budget as bodies, on the entry, readiness, directory, control and metrics ports. The largest head makes room (503 with Retry-After, not run) until the handler takes it over, once the body has come; a request that was taken over is never cut for want of room. Heads over max_header_bytes (+4 KiB) get 431, late ones 408. Too many connections: the oldest idle one closes, then the oldest incomplete head. Other daemons' pulls have a share of the descriptors of their own. Metrics and the state dump are made two at a time. The request's header is no longer copied deeply twice. BT540, bramleytack_heads_refused_total, bramleytack_caller_connections; BRAMLEYTACK_MAX_HEADER_LINES bounds lines, by default none.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -84,6 +84,7 @@
 	RequestPanicked         = Event{517, zerolog.ErrorLevel, "request ended by a panic"}
 	RejectionWithheld       = Event{518, zerolog.ErrorLevel, "request may have run and was not rejected as not run"}
 	ExtraResponse           = Event{519, zerolog.InfoLevel, "extra response to an earlier request was skipped"}
+	CallerRefused           = Event{540, zerolog.WarnLevel, "head of a request or connection of a caller was refused"}
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
 	RequestSuspected        = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
 	RequestQuarantined      = Event{603, zerolog.ErrorLevel, "request is quarantined"}
@@ -165,6 +166,7 @@
 		RequestPanicked,
 		RejectionWithheld,
 		ExtraResponse,
+		CallerRefused,
 		ClaimNotStored,
 		RequestSuspected,
 		RequestQuarantined,
--- a/cmd/bramleytack-fleet/doc.go
+++ b/cmd/bramleytack-fleet/doc.go
@@ -1,7 +1,8 @@
 // Command bramleytack-fleet runs one daemon on the users' platform.
 //
 // It reads the settings file that the environment variable BRAMLEYTACK_BOOT
-// names, and the bound of pauses in BRAMLEYTACK_MAX_PAUSE if it is set, logs JSON
+// names, and the bounds of pauses in BRAMLEYTACK_MAX_PAUSE and of the lines of heads
+// in BRAMLEYTACK_MAX_HEADER_LINES if they are set, logs JSON
 // lines to standard output and serves until it receives SIGTERM or SIGINT. On
 // SIGHUP it reads the settings again.
 //
--- /dev/null
+++ b/internal/node/btlistener/conn.go
@@ -0,0 +1,335 @@
+package btlistener
+
+import (
+	"bytes"
+	"container/list"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bramleytack/internal/node/btmemory"
+)
+
+const (
+	// byteCost and lineCost are what net/http and a handler keep of a head, for each byte and
+	// for each line: the line while it grows, its place in the map, the list of its values,
+	// its strings, and the same once more in the header for an upstream.
+	byteCost = 2
+	lineCost = 160
+	// bufferBytes is the size of net/http's read buffer. A following head may be in it when a
+	// handler ends.
+	bufferBytes = 4 << 10
+	// lastLook is how long a read waits again after its deadline. Bytes that arrived while the
+	// process was paused are read.
+	lastLook = 10 * time.Millisecond
+)
+
+// errRefused ends the read of a head that was refused.
+var errRefused = errors.New("btlistener: connection was refused")
+
+type state uint8
+
+const (
+	// stateIdle connections have no request.
+	stateIdle state = iota
+	// stateReading connections have sent a part of a head.
+	stateReading
+	// stateServing connections have a request whose head was read.
+	stateServing
+)
+
+// Conn is a connection of a caller. net/http reads from it in one goroutine at a time.
+type Conn struct {
+	net.Conn
+	gate *Gate
+	raw  bool
+	// account counts the head until it is handed over.
+	account *btmemory.Account
+	state   state
+	// head and lines are the bytes and lines of the head so far, and charged what counts for
+	// them in account.
+	head    int
+	lines   int
+	charged int
+	// recent counts the lines that net/http may have in its buffer, and early those that may
+	// belong to a head that it has read before the request in front of it was served.
+	recent recentLines
+	early  int
+	// dropped is set if the connection must not serve another request, for the reason in why.
+	dropped atomic.Bool
+	why     atomic.Uint32
+	once    sync.Once
+	// refused is set once nothing may be written any more.
+	refused bool
+	// closed is closed after the connection.
+	closed chan struct{}
+	// The gate's mutex guards the rest. list has the connection as elem while it may be dropped
+	// for another one; counted is set until then.
+	list    *list.List
+	elem    *list.Element
+	counted bool
+}
+
+type connKey struct{}
+
+// HandOver moves the head of a request from its connection to the request's account, after
+// which the connection is not dropped for want of memory. It reports false if there is no
+// memory: the request must not be passed on. A request that came by no Gate has nothing to
+// hand over; ok is false then.
+func HandOver(ctx context.Context, to *btmemory.Account) (fits, ok bool) {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return true, false
+	}
+	if c.dropped.Load() || !c.account.MoveToRequest(to) {
+		c.gate.note(NoMemory, c.RemoteAddr().String())
+		return false, true
+	}
+	c.charged = 0
+	return true, true
+}
+
+// Dropped reports whether a request's connection has been dropped before HandOver.
+func Dropped(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	return ok && c.dropped.Load()
+}
+
+// stateChanged is called by net/http. A connection becomes active once a head was read.
+func stateChanged(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*Conn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateActive:
+		c.serve()
+	case http.StateIdle:
+		c.rest()
+	}
+}
+
+// place puts the connection into a list. The gate's mutex must be locked.
+func (c *Conn) place(l *list.List) {
+	c.unplace()
+	c.list, c.elem = l, l.PushBack(c)
+}
+
+func (c *Conn) unplace() {
+	if c.elem != nil {
+		c.list.Remove(c.elem)
+		c.elem = nil
+	}
+}
+
+// drop makes the connection close instead of reading or serving another request. It neither
+// blocks nor uses the budget.
+func (c *Conn) drop(r Reason) {
+	c.why.Store(uint32(r))
+	c.dropped.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// setDeadline ends reads after a time, zero for never.
+func (c *Conn) setDeadline(d time.Duration) {
+	var at time.Time
+	if d > 0 {
+		at = c.gate.Timer.Now().Add(d)
+	}
+	c.bound(at)
+}
+
+// bound sets the time until which reads wait, unless the connection is dropped.
+func (c *Conn) bound(at time.Time) {
+	_ = c.Conn.SetReadDeadline(at)
+	if c.dropped.Load() {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// SetReadDeadline implements net.Conn. Deadlines that net/http sets for heads and idle
+// connections are ignored: those of Limits hold.
+func (c *Conn) SetReadDeadline(at time.Time) error {
+	if c.raw || c.state == stateServing {
+		c.bound(at)
+	}
+	return nil
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.raw {
+		return c.Conn.Read(p)
+	}
+	if c.state == stateServing {
+		n, err := c.Conn.Read(p)
+		c.recent.add(len(p), p[:n])
+		return n, err
+	}
+	// net/http has used up all bytes of the head that it has got, and needs more.
+	l := c.gate.Limits()
+	switch {
+	case c.dropped.Load():
+		return 0, c.refuse()
+	case l.HeadBytes > 0 && c.head >= l.HeadBytes:
+		c.drop(TooLarge)
+		return 0, c.refuse()
+	case l.HeadLines > 0 && c.lines > l.HeadLines:
+		c.drop(TooManyLines)
+		return 0, c.refuse()
+	}
+	n, err := c.read(p)
+	c.recent.add(len(p), p[:n])
+	if n > 0 {
+		c.begin(l)
+		if !c.count(n, bytes.Count(p[:n], []byte{'\n'})) {
+			c.drop(NoMemory)
+		}
+	}
+	if c.dropped.Load() {
+		return 0, c.refuse()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.state == stateReading {
+		c.drop(Late)
+		return n, c.refuse()
+	}
+	return n, err
+}
+
+// Write implements net.Conn. net/http answers 400 where a line of a head is cut off, although
+// the head was refused already.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.refused {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// read waits once more for a moment after its deadline.
+func (c *Conn) read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.dropped.Load() {
+		return n, err
+	}
+	c.setDeadline(lastLook)
+	return c.Conn.Read(p)
+}
+
+// begin notes the first byte of a head.
+func (c *Conn) begin(l Limits) {
+	if c.state != stateIdle {
+		return
+	}
+	c.state = stateReading
+	c.gate.mu.Lock()
+	if c.elem != nil {
+		c.place(&c.gate.reading)
+	}
+	c.gate.mu.Unlock()
+	c.setDeadline(l.HeadTimeout)
+}
+
+// count adds bytes and lines to the head. It reports false if there is no memory for them.
+func (c *Conn) count(n, lines int) bool {
+	lines += c.early
+	c.early = 0
+	c.head += n
+	c.lines += lines
+	cost := byteCost*n + lineCost*lines
+	if !c.account.Take(cost) {
+		return false
+	}
+	c.charged += cost
+	return true
+}
+
+// serve notes that a head was read, or could not be.
+func (c *Conn) serve() {
+	if c.state == stateServing {
+		return
+	}
+	if c.early > 0 && !c.count(0, 0) {
+		c.drop(NoMemory)
+	}
+	c.gate.mu.Lock()
+	c.unplace()
+	c.gate.mu.Unlock()
+	c.state = stateServing
+	c.bound(time.Time{})
+}
+
+// rest notes that a request was served.
+func (c *Conn) rest() {
+	c.account.Release(c.charged)
+	c.state, c.head, c.lines, c.charged = stateIdle, 0, 0, 0
+	c.early, c.recent = c.recent.lines(), recentLines{}
+	c.gate.mu.Lock()
+	if c.counted {
+		c.place(&c.gate.idle)
+	}
+	c.gate.mu.Unlock()
+	c.setDeadline(c.gate.Limits().IdleTimeout)
+}
+
+// refuse answers a head, unless the connection is idle, and returns the error with which
+// net/http closes the connection without another answer. net/http may read once more after it.
+func (c *Conn) refuse() error {
+	if !c.refused {
+		c.refused = true
+		r := Reason(c.why.Load())
+		c.gate.note(r, c.RemoteAddr().String())
+		if c.state == stateReading {
+			c.answer(r)
+		}
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errRefused}
+}
+
+// answer writes a refusal. The caller may not read it.
+func (c *Conn) answer(r Reason) {
+	_ = c.Conn.SetWriteDeadline(c.gate.Timer.Now().Add(refusalTime))
+	_, _ = io.WriteString(c.Conn, response(r))
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() {
+		c.account.Close()
+		c.gate.leave(c)
+		close(c.closed)
+	})
+	return err
+}
+
+// recentLines counts the lines in the bytes that may be left in net/http's read buffer.
+type recentLines struct {
+	bytes, newest int
+	// older are the lines of the bytes before the newest ones.
+	older int
+}
+
+// add counts bytes that were read into a buffer of a size. A read into a larger buffer than
+// net/http's own happens only while that one is empty.
+func (r *recentLines) add(size int, p []byte) {
+	switch {
+	case len(p) == 0:
+		return
+	case size > bufferBytes:
+		*r = recentLines{}
+		return
+	case r.bytes >= bufferBytes:
+		r.older, r.newest, r.bytes = r.newest, 0, 0
+	}
+	r.bytes += len(p)
+	r.newest += bytes.Count(p, []byte{'\n'})
+}
+
+func (r *recentLines) lines() int { return min(r.newest+r.older, bufferBytes) }
--- a/internal/node/btmemory/budget.go
+++ b/internal/node/btmemory/budget.go
@@ -52,8 +52,10 @@
 	// Limit would exceed it, a lower limit holds. A request that would leave less than the
 	// reserve for bytes is not opened. Zero means no bound.
 	Total int64
-	// RequestCost is the memory that a request takes besides what it keeps, in bytes.
+	// RequestCost is the memory that a request takes besides what it keeps, in bytes, and
+	// ConnCost that of a caller's connection.
 	RequestCost int64
+	ConnCost    int64
 	// Timer bounds waits. Nil means that no account waits.
 	Timer bramleytack.Timer
 
@@ -61,7 +63,9 @@
 	// open is the number of open requests, and requests their bytes.
 	open     int64
 	requests int64
-	sources  map[Source]*source
+	// conns is the number of callers' connections.
+	conns   int64
+	sources map[Source]*source
 	// others is the sum of all accounts but those of requests.
 	others int64
 	// ending is the sum of what accounts held that have ended and are not closed.
@@ -119,7 +123,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.Total > 0 && (b.open+1)*b.RequestCost+b.reserve() > b.Total {
+	if b.Total > 0 && (b.open+1)*b.RequestCost+b.conns*b.ConnCost+b.reserve() > b.Total {
 		return &Account{budget: b, closed: true}, false
 	}
 	b.open++
@@ -131,7 +135,23 @@
 	if b.Total == 0 {
 		return b.Limit
 	}
-	return min(b.Limit, b.Total-b.open*b.RequestCost)
+	return min(b.Limit, b.Total-b.open*b.RequestCost-b.conns*b.ConnCost)
+}
+
+// OpenConn counts a caller's connection, until CloseConn. Whoever accepts connections bounds
+// their number.
+func (b *Budget) OpenConn() { b.addConns(1) }
+
+// CloseConn ends the count of a connection.
+func (b *Budget) CloseConn() { b.addConns(-1) }
+
+func (b *Budget) addConns(n int64) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.conns += n
 }
 
 // Kept returns the number of bytes in all accounts.
@@ -322,6 +342,21 @@
 	return a.budget.move(a, to, int64(n))
 }
 
+// MoveToRequest moves all bytes to the account of a request, which is never ended. It reports
+// false and moves nothing if requests have no memory for them, or if either account has ended.
+func (a *Account) MoveToRequest(to *Account) bool {
+	if a == nil {
+		return true
+	}
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if to.closed || b.requests+a.bytes > b.limit()-b.reserve() {
+		return false
+	}
+	return b.move(a, to, a.bytes)
+}
+
 // MoveAllTo is MoveTo with all bytes.
 func (a *Account) MoveAllTo(to *Account) bool {
 	if a == nil {
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -26,6 +26,7 @@
 	"bramleytack/internal/fleet/btgossip"
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/node/btdrain"
+	"bramleytack/internal/node/btlistener"
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
@@ -52,13 +53,14 @@
 	requestCost      = 25 << 10
 	// defaultKeptMemory replaces it without a limit on the process.
 	defaultKeptMemory = 24 << 20
-	// maxRequestHead bounds the head of a caller's request in bytes.
+	// maxRequestHead bounds the head of a caller's request in bytes where the configuration
+	// does not.
 	maxRequestHead = 64 << 10
 	// gcPercent is below Go's default of 100 because memory is scarcer than
 	// processor time here.
 	gcPercent = 60
-	// headerTimeout and idleTimeout limit slow and idle callers. They exceed the
-	// limits in all known configurations, since callers rely on those.
+	// headerTimeout and idleTimeout limit slow and idle callers where the configuration does
+	// not. They exceed the limits in all known configurations, since callers rely on those.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
 	// retryBudgetShare is the share of the retry bounds that the daemons together
@@ -82,7 +84,8 @@
 		return &btmemory.Budget{Limit: defaultKeptMemory}
 	}
 	return &btmemory.Budget{
-		Limit: int64(keptMemoryShare * float64(s.MemoryBytes)), Total: int64(totalMemoryShare * float64(s.MemoryBytes)), RequestCost: requestCost,
+		Limit: int64(keptMemoryShare * float64(s.MemoryBytes)), Total: int64(totalMemoryShare * float64(s.MemoryBytes)),
+		RequestCost: requestCost, ConnCost: connCost,
 	}
 }
 
@@ -130,6 +133,10 @@
 	registry    *prometheus.Registry
 	leaving     btdrain.Drain
 	resync      btreplica.Resync
+	// gate bounds the connections and the heads of callers, peerGate the connections of other
+	// daemons.
+	gate     *btlistener.Gate
+	peerGate *btlistener.Gate
 	// entry serves callers. It is set by start.
 	entry *btdrain.HTTPServer
 }
@@ -174,7 +181,9 @@
 	n.handler.ShareLeaving = n.gossip.ShareLeaving
 	n.leaving = btdrain.Drain{Timer: n.timer, Grace: s.Bounds.Grace, Active: n.handler.Active, Changed: n.phaseChanged}
 	n.handler.FinishAt, n.handler.Finish = n.leaving.FinishAt, n.leaving.Finish()
+	n.newGates()
 	n.registerMetrics()
+	n.registerCallerMetrics()
 	return n
 }
 
@@ -267,7 +276,7 @@
 	if err != nil {
 		return errors.Wrap(err, "btnode: listen on peer address")
 	}
-	n.gossip.Start(ctx, packets, pulls)
+	n.gossip.Start(ctx, packets, n.peerGate.ListenRaw(pulls))
 	go n.suspects.Run(ctx)
 	go (&btsuspect.Archive{
 		Table: n.suspects, Feed: n.adapter.Feed, Registry: n.adapter.Registry, Timer: n.timer, Log: n.log,
@@ -286,11 +295,10 @@
 		if err != nil {
 			return errors.Wrapf(err, "btnode: listen on %s", s.addr)
 		}
-		server := newServer(s.handler)
+		server, l := n.serve(s.handler, l)
 		if s.addr == n.settings.Entry {
 			n.entry = &btdrain.HTTPServer{Server: server, Listener: l}
 		}
-		go (&listener{node: n, server: server, l: l}).run()
 	}
 	return nil
 }
@@ -324,9 +332,9 @@
 		Ready: n.Ready, Encode: n.adapter.EncodeAddrs,
 		MaxValidity: n.settings.Bounds.DirectoryValidity, Log: n.log,
 	})
-	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
-	mux.Handle("GET /debug/state", &n.dump)
-	return mux
+	mux.Handle("GET /metrics", limited(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
+	mux.Handle("GET /debug/state", limited(&n.dump))
+	return n.gate.Handler(mux)
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/btnode/settings.go
+++ b/internal/node/btnode/settings.go
@@ -29,6 +29,11 @@
 	Store netip.AddrPort
 	// MemoryBytes is the memory limit of the process. Zero means none.
 	MemoryBytes int64
+	// MaxFiles is the limit on the process's descriptors. Zero means none.
+	MaxFiles int
+	// MaxHeadLines bounds the lines of a request's head. Zero means no bound but that of its
+	// bytes.
+	MaxHeadLines int
 	// ProcessorMillis is the processor share in thousandths of a core. Zero means
 	// unknown. The daemons with the most do work for others.
 	ProcessorMillis uint32
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -83,7 +84,7 @@
 // counts in kept.
 func (req *activeRequest) upstreamRequest(u *bramleytack.Upstream, kept *btmemory.Account) *btconn.Request {
 	d := req.h.Dialect
-	header := req.header.Clone()
+	header := maps.Clone(req.header)
 	header.Set(d.ExpectInstance, string(u.ID))
 	return &btconn.Request{ID: req.id, Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body, Kept: kept}
 }
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -21,6 +22,7 @@
 	"bramleytack/btidentity"
 	"bramleytack/btretry"
 	"bramleytack/internal/fleet/btreplica"
+	"bramleytack/internal/node/btlistener"
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
@@ -200,10 +202,6 @@
 		req.reject(http.StatusServiceUnavailable, req.configRetryAfter(r), "no configuration yet")
 		return false
 	}
-	if !req.kept.Take(headerSize(r.Header)) {
-		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many requests in memory")
-		return false
-	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	req.route = req.snapshot.Routes.Find(r.Host, path)
 	if req.route == nil {
@@ -220,7 +218,15 @@
 	req.setHeader(r)
 	req.need = req.readNeed(r.Header)
 	req.parts = readParts(r.Header.Get(h.Dialect.PromptParts))
-	if !req.readBody(r) || !req.endsInTime() {
+	if !req.readBody(r) {
+		return false
+	}
+	// Until here the request may make room for others.
+	if !req.takeHead(r) {
+		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many requests in memory")
+		return false
+	}
+	if !req.endsInTime() {
 		return false
 	}
 	if req.quarantined() {
@@ -297,7 +303,8 @@
 // setHeader prepares the header for the upstream. Headers that are reserved for
 // the daemon are removed, so that callers cannot forge them.
 func (req *activeRequest) setHeader(r *http.Request) {
-	req.header = r.Header.Clone()
+	// The lists of values are never changed, and a copy would take as much again.
+	req.header = maps.Clone(r.Header)
 	removeHopByHopHeaders(req.header)
 	for _, name := range req.h.Dialect.Reserved {
 		req.header.Del(name)
@@ -363,6 +370,9 @@
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err != nil && btlistener.Dropped(r.Context()):
+		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many requests in memory")
+		return false
 	case errors.As(err, &tooLarge):
 		req.reject(http.StatusRequestEntityTooLarge, 0, "body is too large")
 		return false
