Only final and interim responses of HTTP/1.0 and 1.1 count as responses

Cause: net/http's ReadResponse takes any three characters that Atoi reads and any version; btconn skipped all under 200 as interim, so that bytes behind a 000 became the answer. 600 to 999 and other versions were passed on, their Not-Executed was believed, and the clients of both stores and btupstream did the same.

Change: btstatus checks the status line, in btconn before the head is read (new and reused connections, behind interim and extra responses), and as a transport of the store clients and btupstream. Anything else drops the connection and is no answer: the request may have run, so 502 or a repeat where the route allows it. btupstream counts bytes before they are written: an upstream that answers before the write returns made a failed call notRun.

--- a/btstore/client.go
+++ b/btstore/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bramleytack"
+	"bramleytack/internal/upstream/btstatus"
 )
 
 const (
@@ -72,7 +73,7 @@
 		base:      strings.TrimRight(u.String(), "/"),
 		timeout:   cfg.CallTimeout,
 		timer:     cfg.Timer,
-		http:      &http.Client{Transport: t, CheckRedirect: noRedirect},
+		http:      &http.Client{Transport: btstatus.Transport{Transport: t}, CheckRedirect: noRedirect},
 		transport: t,
 		budget:    newRetryBudget(cfg.Seed),
 	}, nil
--- a/btupstream/conn.go
+++ b/btupstream/conn.go
@@ -19,10 +19,12 @@
 	readDeadline time.Time
 }
 
-// Write counts the bytes that the kernel accepted, also in a write that fails.
+// Write counts the bytes that the kernel accepted, also in a write that fails. All count while
+// they are written: the upstream may answer before the write returns.
 func (c *countingConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
-	c.written.Add(int64(n))
+	c.written.Add(int64(n - len(p)))
 	return n, err
 }
 
--- a/btupstream/pool.go
+++ b/btupstream/pool.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bramleytack"
+	"bramleytack/internal/upstream/btstatus"
 )
 
 // Default limits of a Pool.
@@ -67,11 +68,11 @@
 	}
 	p.pollClient = &http.Client{
 		Timeout: opts.PollTimeout,
-		Transport: &http.Transport{
+		Transport: btstatus.Transport{Transport: &http.Transport{
 			DialContext:         p.dialPoll,
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     time.Minute,
-		},
+		}},
 	}
 	return p
 }
@@ -147,7 +148,7 @@
 		return &countingConn{Conn: c, written: &x.written, readTimeout: readTimeout}, nil
 	}
 	x.client = &http.Client{
-		Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+		Transport:     btstatus.Transport{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}},
 		CheckRedirect: returnRedirect,
 	}
 	return x
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bramleytack/internal/node/btmemory"
+	"bramleytack/internal/upstream/btstatus"
 )
 
 const (
@@ -295,23 +296,39 @@
 		if _, err := c.r.Peek(1); err != nil {
 			return nil, errors.Wrap(err, "btconn: no response")
 		}
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		interim, err := c.peekStatus()
+		var resp *http.Response
+		if err == nil {
+			resp, err = http.ReadResponse(c.r, &http.Request{Method: method})
+		}
 		switch {
 		case c.limit.left == 0 && err != nil:
 			return nil, ErrHeadTooLarge
 		case err != nil:
 			return nil, errors.Wrapf(ErrMalformed, "%v", err)
-		}
-		switch {
-		case resp.StatusCode == http.StatusSwitchingProtocols:
-			// No request asks for another protocol, and no response follows.
-			return nil, errors.Wrap(ErrMalformed, "other protocol")
-		case resp.StatusCode >= http.StatusOK:
+		case !interim:
 			return resp, nil
 		}
 	}
 }
 
+// peekStatus checks the status line of the next response, which is not read. net/http also
+// takes lines that are none.
+func (c *Conn) peekStatus() (interim bool, err error) {
+	for {
+		got, err := c.r.Peek(c.r.Buffered())
+		if err != nil {
+			return false, err
+		}
+		if line, _, ok := bytes.Cut(got, []byte{'\n'}); ok {
+			return btstatus.Parse(string(bytes.TrimSuffix(line, []byte{'\r'})))
+		}
+		if _, err := c.r.Peek(len(got) + 1); err != nil {
+			return false, err
+		}
+	}
+}
+
 // Read reads the response body.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.body.Read(p)
