--- a/btdaemon/daemon.go
+++ b/btdaemon/daemon.go
@@ -31,6 +31,7 @@
 	"bramleytack/bttimer"
 	"bramleytack/bttoken"
 	"bramleytack/btupstream"
+	"bramleytack/internal/node/btlistener"
 )
 
 // Daemon is one serving process. It is built by New and can run once.
@@ -59,7 +60,11 @@
 	front     *btfront.Front
 	admin     *btadmin.Admin
 	metrics   *btmetric.Metrics
-	dumps     btdump.Registry
+	// gate bounds the connections and heads of callers and operators, peerGate the connections
+	// of other daemons.
+	gate     *btlistener.Gate
+	peerGate *btlistener.Gate
+	dumps    btdump.Registry
 
 	started    time.Time
 	draining   atomic.Bool
@@ -94,6 +99,7 @@
 	}
 	d.buildRequestPath()
 	d.buildPlacement()
+	d.buildGates()
 	d.admin = &btadmin.Admin{Store: store, Config: d.config, Timer: d.timers, Changed: d.recordChanged}
 	d.registerDiagnostics()
 	return d, nil
@@ -133,7 +139,7 @@
 // start runs the daemon's parts until the context ends.
 func (d *Daemon) start(ctx context.Context, l listeners) {
 	c := &d.cluster
-	d.spawn(func() { _ = c.node.Serve(ctx, l.peers) })
+	d.spawn(func() { _ = c.node.Serve(ctx, d.peerGate.ListenRaw(l.peers)) })
 	d.spawn(func() { c.lease.Run(ctx) })
 	d.spawn(func() { c.cell.Run(ctx) })
 	d.spawn(func() { c.configSync.Run(ctx) })
--- a/btdaemon/serve.go
+++ b/btdaemon/serve.go
@@ -59,8 +59,10 @@
 func (d *Daemon) serve(l listeners, failed chan<- error) []*http.Server {
 	callers := d.front.Server()
 	admin := &http.Server{Handler: d.adminMux(), ReadHeaderTimeout: adminHeaderTimeout}
-	d.runServer(callers, l.callers, failed)
-	d.runServer(admin, l.admin, failed)
+	d.bind(callers)
+	d.bind(admin)
+	d.runServer(callers, d.gate.Listen(l.callers), failed)
+	d.runServer(admin, d.gate.Listen(l.admin), failed)
 	return []*http.Server{callers, admin}
 }
 
@@ -153,6 +155,7 @@
 	d.metrics.Counter("store_reads_total", "Reads of the platform's store.", func() float64 { return float64(d.store.Counts().Reads) })
 	d.metrics.Counter("store_writes_total", "Writes to the platform's store.", func() float64 { return float64(d.store.Counts().Writes) })
 	d.registerTrafficMetrics()
+	d.registerGateMetrics()
 }
 
 // registerTrafficMetrics adds the metrics of the peer links, the configuration,
