--- /dev/null
+++ b/internal/serve/btentry/head_test.go
@@ -0,0 +1,130 @@
+package btentry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bramleytack/internal/node/btlistener"
+	"bramleytack/internal/node/btmemory"
+)
+
+// serveBehindGate starts the harness's first daemon once more, behind a gate.
+func (h *harness) serveBehindGate(limit int64, maxConns int) {
+	d := h.daemons[0]
+	_ = d.server.Close()
+	d.handler.Memory = &btmemory.Budget{Limit: limit, Timer: h.timer}
+	gate := &btlistener.Gate{Memory: d.handler.Memory, Timer: h.timer, MaxConns: maxConns, Limits: func() btlistener.Limits { return btlistener.Limits{HeadBytes: 20_000} }}
+	d.server = &http.Server{Handler: d.handler}
+	gate.Bind(d.server)
+	d.listener = gate.Listen(h.net.Listen(h.entryAddr))
+	go (&entryServer{d.server, d.listener}).run()
+}
+
+// headWriter writes a request on a connection.
+type headWriter struct {
+	c    net.Conn
+	text string
+}
+
+func (w *headWriter) run() { _, _ = io.WriteString(w.c, w.text) }
+
+// lineRequest is a request with many header lines and a part of its body.
+func lineRequest(id string, lines int, body string) string {
+	return fmt.Sprintf("POST /order/a HTTP/1.1\r\nHost: h\r\n%s: %s\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\n%s\r\n%s",
+		dialect.RequestID, id, apiKey, strings.Repeat("a:\r\n", lines), body)
+}
+
+// answer returns the status of the response to what was written on a connection, zero without
+// one.
+func answer(c net.Conn) int {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
+		return -1
+	}
+	return resp.StatusCode
+}
+
+// headReader reads the answer on a connection.
+type headReader struct {
+	c      net.Conn
+	status chan int
+}
+
+func (r *headReader) run() { r.status <- answer(r.c) }
+
+// Many requests of legal size with thousands of header lines, whose bodies do not come. Guards
+// against a sound request that finds no memory beside them, against one of them that is
+// refused in calm, and against a refusal as not run of one that runs.
+func TestHeadsOfManyLinesMakeRoom(t *testing.T) {
+	run(t, func(h *harness) {
+		h.startShop("s1")
+		h.serveBehindGate(2<<20, 100)
+		for n := range 5 {
+			c, err := h.dialEntry(h.entryAddr)
+			assert.NilError(t, err)
+			go (&headWriter{c, lineRequest(fmt.Sprint("calm-", n), 4000, "body")}).run()
+			assert.Check(t, answer(c) == http.StatusOK, "a single request in calm")
+			c.Close()
+		}
+		var waiting []*headReader
+		for n := range 20 {
+			c, err := h.dialEntry(h.entryAddr)
+			assert.NilError(t, err)
+			go (&headWriter{c, lineRequest(fmt.Sprint("waits-", n), 4000, "")}).run()
+			r := &headReader{c, make(chan int, 1)}
+			waiting = append(waiting, r)
+			go r.run()
+			time.Sleep(time.Millisecond)
+			got := h.request(http.MethodPost, "/order/a", nil, 5*time.Second)
+			assert.Check(t, got.status == http.StatusOK, "beside %d heads: status %d %q", n+1, got.status, got.body)
+			assert.Check(t, h.handler.Memory.Kept() <= 2<<20)
+		}
+		refused := 0
+		for _, r := range waiting {
+			if status := <-r.status; status == http.StatusServiceUnavailable {
+				refused++
+			} else {
+				assert.Check(t, status == http.StatusRequestTimeout, "status %d", status)
+			}
+			r.c.Close()
+		}
+		assert.Check(t, refused >= 17, "%d refused", refused)
+		for n := range 20 {
+			assert.Check(t, h.pool.Runs(fmt.Sprint("waits-", n)) == 0)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Check(t, h.handler.Memory.Kept() == 0, "%d bytes are still counted", h.handler.Memory.Kept())
+	})
+}
+
+// Connections come without end while requests run. Guards against a request that was passed on
+// and is cut for them: it has to be answered.
+func TestRunningRequestOutlastsNewConnections(t *testing.T) {
+	run(t, func(h *harness) {
+		h.startEngine("e1")
+		h.serveBehindGate(2<<20, 4)
+		after(500*time.Millisecond, func() {
+			for range 100 {
+				c, err := h.dialEntry(h.entryAddr)
+				if err != nil {
+					return
+				}
+				after(time.Second, func() { c.Close() })
+				go (&headWriter{c, lineRequest("x", 4000, "")[:10_000]}).run()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+		h.checkComplete(h.generate("/guide/a"))
+	})
+}
