Roll-outs by version: orders, shares, evidence, status

Orders at rollouts/SERVICE were not read, so upstreams of a new version got requests like all others.

internal/route/btrollout places requests by version and judges the version from the counts of all daemons, which three judges add up. The part is on where the settings have expose_share. Digests name the kind only after its first change, so other deployments send the same bytes.

TestRolloutVerdictSpreads (8 daemons, 8 with loss 0.3, 20 with hubs), TestBadVersionIsTakenBack and TestGenerationsLeaveTheOldVersion pass.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -64,6 +64,11 @@
 	UpstreamInspected       = Event{409, zerolog.InfoLevel, "connection broke and its upstream was checked"}
 	UpstreamPaused          = Event{410, zerolog.InfoLevel, "upstream has asked for a pause"}
 	UpstreamLimited         = Event{411, zerolog.InfoLevel, "limit that an upstream names has changed"}
+	RolloutOrdered          = Event{420, zerolog.InfoLevel, "version of a service was ordered"}
+	RolloutAdvanced         = Event{421, zerolog.InfoLevel, "roll-out has entered a stage"}
+	RolloutRejected         = Event{422, zerolog.WarnLevel, "version was rolled back"}
+	RolloutWithdrawn        = Event{423, zerolog.InfoLevel, "order of a version was taken back"}
+	RolloutStored           = Event{424, zerolog.InfoLevel, "status of a roll-out was written to the store"}
 	RequestFailed           = Event{500, zerolog.WarnLevel, "request failed"}
 	RequestNotRun           = Event{501, zerolog.DebugLevel, "request was rejected before it ran"}
 	RequestRejected         = Event{502, zerolog.InfoLevel, "request was rejected"}
@@ -145,6 +150,11 @@
 		UpstreamInspected,
 		UpstreamPaused,
 		UpstreamLimited,
+		RolloutOrdered,
+		RolloutAdvanced,
+		RolloutRejected,
+		RolloutWithdrawn,
+		RolloutStored,
 		RequestFailed,
 		RequestNotRun,
 		RequestRejected,
--- a/fleet.go
+++ b/fleet.go
@@ -20,11 +20,18 @@
 	KindDaemons = "daemons"
 	// KindQuarantine holds what daemons know of requests that crash upstreams.
 	KindQuarantine = "quarantine"
+	// KindRollouts holds the operator's orders to move services to other versions, with
+	// their status.
+	KindRollouts = "rollouts"
 )
 
 // ReplicatedKinds are the kinds of which every daemon keeps a replica.
 var ReplicatedKinds = []string{KindConfig, KindUpstreams, KindEvacuations}
 
+// OptionalKinds are the kinds of which every daemon keeps a replica where the settings call for
+// them. Digests name one only after its first change.
+var OptionalKinds = []string{KindRollouts}
+
 // ErrHistoryGone means that the store no longer has the requested changes.
 var ErrHistoryGone = errors.New("bramleytack: history of the store is gone")
 
--- a/internal/fleet/btgossip/digest.go
+++ b/internal/fleet/btgossip/digest.go
@@ -83,6 +83,11 @@
 	for _, kind := range bramleytack.ReplicatedKinds {
 		d.Kinds = append(d.Kinds, &KindRevision{Kind: kind, Content: uint64(n.Table.LastChange(kind)), Version: n.configVersion(kind)})
 	}
+	for _, kind := range bramleytack.OptionalKinds {
+		if content := n.Table.LastChange(kind); content > 0 {
+			d.Kinds = append(d.Kinds, &KindRevision{Kind: kind, Content: uint64(content)})
+		}
+	}
 	if !v.large() {
 		d.Loads = encodeLoads(n.Accounts.OwnLoads())
 	}
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -21,6 +21,7 @@
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btgrant"
+	"bramleytack/internal/route/btrollout"
 	"bramleytack/internal/route/btsuspect"
 )
 
@@ -65,9 +66,10 @@
 	Table       *btreplica.Table
 	Accounts    *btaccount.Table
 	StoreStatus *btreplica.StoreStatus
-	// Suspects and Grants may be nil.
+	// Suspects, Grants and Rollouts may be nil.
 	Suspects *btsuspect.Table
 	Grants   *btgrant.Table
+	Rollouts *btrollout.Table
 	Timer    bramleytack.Timer
 	Log      *btevent.Logger
 	// Ready and Leaving return the state that digests announce to the other daemons.
@@ -126,7 +128,7 @@
 // New prepares n for Start and returns it. All exported fields but Dial, Memory,
 // Log and Seeds must be set.
 func New(n *Node) *Node {
-	n.pulls = make(chan pull, len(bramleytack.ReplicatedKinds))
+	n.pulls = make(chan pull, len(bramleytack.ReplicatedKinds)+len(bramleytack.OptionalKinds))
 	n.digestSignal = make(chan struct{}, 1)
 	n.loadSignal = make(chan struct{}, 1)
 	n.started = n.Timer.Now()
--- a/internal/fleet/btgossip/pull.go
+++ b/internal/fleet/btgossip/pull.go
@@ -68,7 +68,7 @@
 // pull queues a pull from a daemon that is ahead, unless one of the same kind is
 // queued or running. A later digest asks again if the replica is still behind.
 func (n *Node) pull(from netip.Addr, kind string, s kindState) {
-	if !from.IsValid() || !slices.Contains(bramleytack.ReplicatedKinds, kind) {
+	if !from.IsValid() || !slices.Contains(bramleytack.ReplicatedKinds, kind) && !slices.Contains(bramleytack.OptionalKinds, kind) {
 		return
 	}
 	if _, pending := n.pulling.LoadOrStore(kind, true); pending {
--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -401,6 +401,7 @@
 	}
 	t.decodeDomains(s)
 	t.decodeUpstreams(s)
+	t.decodeRollouts(s)
 	return s
 }
 
--- a/internal/node/btnode/settings.go
+++ b/internal/node/btnode/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bramleytack"
+	"bramleytack/internal/route/btrollout"
 )
 
 // Settings configure one daemon. They do not change while it runs.
@@ -50,4 +51,7 @@
 	// DirectoryValidity is the longest validity of a directory response. Zero means
 	// no limit.
 	DirectoryValidity time.Duration
+	// Rollout bounds what versions on trial get. The zero value means that there are no
+	// roll-outs.
+	Rollout btrollout.Bounds
 }
--- a/internal/route/btaccount/health.go
+++ b/internal/route/btaccount/health.go
@@ -16,13 +16,19 @@
 // maxCandidates upstreams it considers those of this failure domain and a sample of the
 // others, as long as one of them may get work.
 func (t *Table) Eligible(s *bramleytack.Snapshot, service string, tried map[bramleytack.UpstreamID]bool) []*bramleytack.Upstream {
+	return t.EligibleOf(s, service, tried, nil)
+}
+
+// EligibleOf is Eligible for the upstreams that are allowed. A nil allowed allows all. The table is
+// locked during its calls.
+func (t *Table) EligibleOf(s *bramleytack.Snapshot, service string, tried map[bramleytack.UpstreamID]bool, allowed func(*bramleytack.Upstream) bool) []*bramleytack.Upstream {
 	all := s.ByService[service]
 	if len(all) > maxCandidates && t.RemoteLate != nil && t.RemoteLate() {
-		if list := t.eligible(s, service, t.sampleCandidates(all), tried); len(list) > 0 {
+		if list := t.eligible(s, service, t.sampleCandidates(all), tried, allowed); len(list) > 0 {
 			return list
 		}
 	}
-	return t.eligible(s, service, all, tried)
+	return t.eligible(s, service, all, tried, allowed)
 }
 
 // sampleCandidates returns the upstreams of this daemon's failure domain and, starting at
@@ -44,14 +50,14 @@
 }
 
 // eligible is Eligible for some of the service's upstreams.
-func (t *Table) eligible(s *bramleytack.Snapshot, service string, from []*bramleytack.Upstream, tried map[bramleytack.UpstreamID]bool) []*bramleytack.Upstream {
+func (t *Table) eligible(s *bramleytack.Snapshot, service string, from []*bramleytack.Upstream, tried map[bramleytack.UpstreamID]bool, allowed func(*bramleytack.Upstream) bool) []*bramleytack.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	var healthy, peerEjected, avoided []*bramleytack.Upstream
 	accepted := 0
 	for _, u := range from {
-		if !s.Accepts(u.ID) {
+		if !s.Accepts(u.ID) || allowed != nil && !allowed(u) {
 			continue
 		}
 		accepted++
@@ -120,7 +126,7 @@
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	for _, u := range s.ByService[service] {
-		if tried[u.ID] || !s.Accepts(u.ID) || t.account(u.ID).paused(u, now) || t.account(u.ID).avoided(now) {
+		if tried[u.ID] || !s.Accepts(u.ID) || t.account(u.ID).paused(u, now) || t.account(u.ID).avoided(now) || !t.admits(u) {
 			continue
 		}
 		if d := t.HeldUntil(u).Sub(now); d > 0 && (next == nil || d < left) {
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -74,6 +74,9 @@
 	// HeldUntil returns the time until which this daemon gets no permission to send to an
 	// upstream that limits its requests. Nil means that there is no such upstream.
 	HeldUntil func(u *bramleytack.Upstream) time.Time
+	// Admits reports whether an upstream may take generations of others and requests that wait for
+	// its limit. The table is locked during the call. Nil means that all may.
+	Admits func(u *bramleytack.Upstream) bool
 	// MaxPause bounds the pause that an upstream can ask for. Zero means an hour.
 	MaxPause time.Duration
 	// Changed is called when this daemon's load at a model engine changes, or when
--- a/internal/route/btaccount/target.go
+++ b/internal/route/btaccount/target.go
@@ -97,7 +97,7 @@
 	var targets []target
 	sum := 0.0
 	for _, u := range s.ByService[primary.Service] {
-		if u.ID == primary.ID || !s.Accepts(u.ID) {
+		if u.ID == primary.ID || !s.Accepts(u.ID) || !t.admits(u) {
 			continue
 		}
 		if a := t.account(u.ID); a.avoided(now) || a.paused(u, now) || t.held(u, now) {
--- /dev/null
+++ b/internal/route/btrollout/table.go
@@ -0,0 +1,518 @@
+package btrollout
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bramleytack"
+	"bramleytack/btevent"
+)
+
+const (
+	// TickPeriod is the period of Table.Tick.
+	TickPeriod = 250 * time.Millisecond
+	// blindAfter is the time without a decision after which a daemon sends nothing to a version
+	// on trial.
+	blindAfter = 2 * time.Second
+	// formerRetention is how long an order that has gone is known. It may be written again after
+	// the store was restored from an older copy.
+	formerRetention = time.Minute
+	// afterComplete is how long the old version's upstreams are left out after the completion.
+	// They have stopped, but are registered for some seconds.
+	afterComplete = 30 * time.Second
+	// startPeriod is how long the durations of a new upstream do not count.
+	startPeriod = 6 * time.Second
+)
+
+// Bounds are the operator's limits on versions on trial. The zero value switches the package off.
+type Bounds struct {
+	// A bad version may get Share of the requests of its service, and Slack more.
+	Share float64
+	Slack float64
+	// Rollback is the time after its 50th bad answer from which on it may get none.
+	Rollback time.Duration
+}
+
+// Enabled reports whether roll-outs are carried out.
+func (b Bounds) Enabled() bool { return b.Share > 0 }
+
+// Table holds the orders and the counts of a daemon. The exported fields are set before its
+// first use. It is safe for concurrent use; a nil Table has no orders.
+type Table struct {
+	Timer  bramleytack.Timer
+	Bounds Bounds
+	// Log may be nil.
+	Log *btevent.Logger
+	// Draw returns a random number from 0 to below 1. Nil means math/rand.
+	Draw func() float64
+	// Judges reports whether this daemon judges, and Reach returns the share of the fleet that it
+	// reaches. Daemons returns the number of daemons that it knows to be alive.
+	Judges  func() bool
+	Reach   func() float64
+	Daemons func() int
+	// StoreAway reports whether no daemon reads the store.
+	StoreAway func() bool
+	// Running returns the number of this daemon's requests at an upstream.
+	Running func(bramleytack.UpstreamID) int
+
+	// active is the number of services with an order or a withdrawn version.
+	active atomic.Int32
+
+	mu       sync.Mutex
+	snapshot *bramleytack.Snapshot
+	orders   map[string]*order
+	former   map[string]*order
+	// withdrawn holds, by service, the targets of orders that have gone before they completed.
+	withdrawn map[string]map[string]bool
+}
+
+// order is the state of one order.
+type order struct {
+	rollout *bramleytack.Rollout
+	id      uint64
+	// began is the time of the order by this daemon's clock.
+	began time.Time
+	stage Stage
+	// trial is the age at which the trial began, and staged that at which the stage did.
+	trial, staged time.Duration
+	// share is the share of the requests in a trial, by the judges.
+	share float64
+	// rejected is set with a verdict against the version, and complete once it has completed.
+	rejected   bool
+	complete   bool
+	completeAt time.Time
+	// completing is set if a judge of this daemon has decided to complete.
+	completing bool
+	// heard is when this daemon last judged or heard a judge.
+	heard time.Time
+	gone  time.Time
+
+	// own are this daemon's counts. sent counts the requests sent to the service, exposed
+	// those of them to the new version.
+	own           counts
+	sent, exposed uint64
+	number        uint64
+	judge         judge
+	writer        writerState
+
+	// chosen are the upstreams of the new version that get requests, for chosenFor.
+	chosen    map[bramleytack.UpstreamID]bool
+	chosenFor chosenKey
+}
+
+type chosenKey struct {
+	snapshot *bramleytack.Snapshot
+	slot     int64
+	n        int
+}
+
+// idOf identifies an order. An order of the same content that is created anew is another one.
+func idOf(r *bramleytack.Rollout) uint64 {
+	text := r.Service + "\x00" + r.Target + "\x00" + strconv.FormatInt(int64(r.Duration), 10)
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(text), r.Created.Number()))
+}
+
+// Update takes the orders of a snapshot.
+func (t *Table) Update(s *bramleytack.Snapshot) {
+	if t == nil || s == nil || len(s.Rollouts) == 0 && t.active.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	t.snapshot = s
+	if t.orders == nil {
+		t.orders, t.former, t.withdrawn = map[string]*order{}, map[string]*order{}, map[string]map[string]bool{}
+	}
+	for service, o := range t.orders {
+		if s.Rollouts[service] == nil {
+			t.remove(service, o, now)
+		}
+	}
+	for service, o := range t.former {
+		if now.Sub(o.gone) >= formerRetention {
+			delete(t.former, service)
+		}
+	}
+	for service, r := range s.Rollouts {
+		t.take(service, r, now)
+	}
+	t.active.Store(int32(len(t.orders) + len(t.withdrawn)))
+}
+
+// remove drops an order. The caller holds the lock.
+func (t *Table) remove(service string, o *order, now time.Time) {
+	delete(t.orders, service)
+	o.gone = now
+	t.former[service] = o
+	if !o.complete {
+		t.withdraw(service, o.rollout.Target)
+		t.Log.Event(btevent.RolloutWithdrawn).Str("service", service).Str("target", o.rollout.Target).Stringer("stage", o.stage).Send()
+	}
+}
+
+func (t *Table) withdraw(service string, versions ...string) {
+	for _, v := range versions {
+		if t.withdrawn[service] == nil {
+			t.withdrawn[service] = map[string]bool{}
+		}
+		t.withdrawn[service][v] = true
+	}
+}
+
+// take brings the order of a service up to date. The caller holds the lock.
+func (t *Table) take(service string, r *bramleytack.Rollout, now time.Time) {
+	o, id := t.orders[service], idOf(r)
+	if o != nil && o.rollout == r {
+		return
+	}
+	if o != nil && o.id != id {
+		if !o.again(r) {
+			t.remove(service, o, now)
+			o = nil
+		}
+	}
+	if o == nil {
+		if f := t.former[service]; f != nil && f.again(r) {
+			o = f
+		} else {
+			o = &order{began: now, own: counts{}}
+			t.Log.Event(btevent.RolloutOrdered).Str("service", service).Str("target", r.Target).Dur("duration", r.Duration).Stringer("revision", r.Revision).Str("state", string(r.Status.State)).Send()
+		}
+		t.orders[service] = o
+		delete(t.former, service)
+	}
+	o.rollout, o.id = r, id
+	delete(t.withdrawn[service], r.Target)
+	for _, v := range r.Status.Withdrawn {
+		if v != r.Target {
+			t.withdraw(service, v)
+		}
+	}
+	if len(t.withdrawn[service]) == 0 {
+		delete(t.withdrawn, service)
+	}
+	if st := r.Status; st.Target == r.Target && (st.Order == id || st.Order == 0) {
+		o.follow(st, now)
+	}
+}
+
+// again reports whether r is the same order, written again after the store was restored.
+func (o *order) again(r *bramleytack.Rollout) bool {
+	return o.rollout.Target == r.Target && o.rollout.Duration == r.Duration && r.Created.Epoch() > o.rollout.Created.Epoch()
+}
+
+// follow takes over what the status in the store says. Its last state holds, whatever this daemon
+// thinks: the operator acts on it.
+func (o *order) follow(s bramleytack.RolloutStatus, now time.Time) {
+	if !s.Written.IsZero() {
+		elapsed := s.Elapsed + min(max(now.Sub(s.Written), 0), max(o.rollout.Duration-s.Elapsed, 0))
+		o.older(elapsed, now)
+	}
+	switch s.State {
+	case bramleytack.RolloutComplete:
+		o.finish(now)
+	case bramleytack.RolloutRolledBack:
+		o.rejected, o.complete = true, false
+	}
+	if s.Stage > 0 && s.Stage <= int(Full) {
+		o.enter(Stage(s.Stage), now)
+	}
+}
+
+// finish marks the order as complete.
+func (o *order) finish(now time.Time) {
+	if !o.complete {
+		o.complete, o.rejected, o.completeAt = true, false, now
+	}
+}
+
+// older makes the order at least as old as age.
+func (o *order) older(age time.Duration, now time.Time) {
+	if began := now.Add(-age); began.Before(o.began) {
+		o.began = began
+	}
+}
+
+// enter moves on to a stage, if that is later than the present one.
+func (o *order) enter(s Stage, now time.Time) {
+	if s <= o.stage {
+		return
+	}
+	age := now.Sub(o.began)
+	if o.stage == Waiting {
+		o.trial = age
+	}
+	o.stage, o.staged = s, age
+}
+
+// isTarget reports whether an upstream runs the version that is rolled out.
+func (o *order) isTarget(u *bramleytack.Upstream) bool { return u.Version == o.rollout.Target }
+
+// blind reports whether this daemon does not know what the judges have decided.
+func (o *order) blind(now time.Time) bool { return now.Sub(o.heard) >= blindAfter }
+
+// Choice is where one request may go. A nil Choice allows all upstreams.
+type Choice struct {
+	table   *Table
+	service string
+	// target is set if the request goes to the new version while that is on trial.
+	target atomic.Bool
+	drawn  bool
+}
+
+// Choose returns the choice for a request to a service. It draws when it is first used.
+func (t *Table) Choose(service string) *Choice {
+	if t == nil || t.active.Load() == 0 {
+		return nil
+	}
+	return &Choice{table: t, service: service}
+}
+
+// Allows reports whether the request may go to an upstream now.
+func (c *Choice) Allows(u *bramleytack.Upstream) bool {
+	if c == nil {
+		return true
+	}
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	o := t.orders[c.service]
+	if o == nil || o.settled() {
+		return t.admits(u, now)
+	}
+	d := o.dose(t.snapshot, now)
+	if !c.drawn {
+		c.drawn = true
+		c.target.Store(t.draw() < d.share)
+	}
+	if target := c.target.Load(); !target || d.share == 0 || !o.isTarget(u) {
+		return !target && !o.isTarget(u) && t.admits(u, now)
+	}
+	return o.picks(t.snapshot, d.upstreams, now)[u.ID]
+}
+
+// Fall sends a request to the old version that was drawn for the new one, and reports whether
+// that changes anything: the new version has no upstream for it, or has failed it. A request
+// is never carried from one upstream of a bad version to another.
+func (c *Choice) Fall() bool { return c != nil && c.target.CompareAndSwap(true, false) }
+
+func (t *Table) draw() float64 {
+	if t.Draw != nil {
+		return t.Draw()
+	}
+	return rand.Float64()
+}
+
+// settled reports whether requests are not drawn: all go to one version.
+func (o *order) settled() bool { return o.rejected || o.complete || o.stage >= Full }
+
+// dose returns the dose at this daemon. The caller holds the lock.
+func (o *order) dose(s *bramleytack.Snapshot, now time.Time) dose {
+	if o.settled() || o.stage == Waiting || o.blind(now) {
+		return dose{}
+	}
+	share := o.share
+	if o.stage > Trial && share > 0 {
+		share = o.stage.shareOf()
+	}
+	n, _ := o.upstreams(s)
+	return doseOf(o.stage, share, len(n), now.Sub(o.began))
+}
+
+// upstreams returns the upstreams that accept work, of the new version and of the others.
+func (o *order) upstreams(s *bramleytack.Snapshot) (target, others []*bramleytack.Upstream) {
+	for _, u := range s.ByService[o.rollout.Service] {
+		switch {
+		case !s.Accepts(u.ID):
+		case o.isTarget(u):
+			target = append(target, u)
+		default:
+			others = append(others, u)
+		}
+	}
+	return target, others
+}
+
+// picks returns the n upstreams of the new version that get requests now, the same at all
+// daemons as far as their snapshots agree. The caller holds the lock.
+func (o *order) picks(s *bramleytack.Snapshot, n int, now time.Time) map[bramleytack.UpstreamID]bool {
+	k := chosenKey{s, int64(now.Sub(o.began) / o.slot(n)), n}
+	if o.chosen != nil && o.chosenFor == k {
+		return o.chosen
+	}
+	list, _ := o.upstreams(s)
+	weight := func(u *bramleytack.Upstream) uint64 {
+		return xxhash.Sum64String(string(u.ID) + "/" + strconv.FormatInt(k.slot, 10))
+	}
+	slices.SortFunc(list, func(a, b *bramleytack.Upstream) int { return cmp.Compare(weight(a), weight(b)) })
+	o.chosen, o.chosenFor = map[bramleytack.UpstreamID]bool{}, k
+	for _, u := range list[:min(n, len(list))] {
+		o.chosen[u.ID] = true
+	}
+	return o.chosen
+}
+
+// Admits reports whether an upstream may get work that was not drawn, such as a generation that
+// is handed over. Such work stays away from a version on trial.
+func (t *Table) Admits(u *bramleytack.Upstream) bool {
+	if t == nil || t.active.Load() == 0 {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.admits(u, t.Timer.Now())
+}
+
+// admits is Admits. The caller holds the lock.
+func (t *Table) admits(u *bramleytack.Upstream, now time.Time) bool {
+	o := t.orders[u.Service]
+	switch {
+	case o == nil, o.complete && now.Sub(o.completeAt) >= afterComplete:
+		return !t.withdrawn[u.Service][u.Version]
+	case o.complete, o.stage >= Full && !o.rejected:
+		return o.isTarget(u)
+	}
+	return !o.isTarget(u) && !t.withdrawn[u.Service][u.Version]
+}
+
+// Refuses reports whether an upstream may get no request at all now, drawn or not.
+func (t *Table) Refuses(u *bramleytack.Upstream) bool {
+	if t == nil || t.active.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	o := t.orders[u.Service]
+	if o != nil && o.isTarget(u) && !o.settled() {
+		return o.dose(t.snapshot, now).share == 0
+	}
+	return !t.admits(u, now)
+}
+
+// Vacates reports whether generations that run at an upstream are to go on elsewhere: at the old
+// version's before the completion, or at a version that was rolled back.
+func (t *Table) Vacates(u *bramleytack.Upstream) bool {
+	if t == nil || t.active.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.orders[u.Service]
+	return o != nil && o.settled() && !t.admits(u, t.Timer.Now())
+}
+
+// Sent counts a request that is sent to an upstream.
+func (t *Table) Sent(u *bramleytack.Upstream) {
+	if t == nil || t.active.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o := t.orders[u.Service]; o != nil {
+		o.sent++
+		if o.isTarget(u) {
+			o.exposed++
+		}
+	}
+}
+
+// Counts reports whether answers of a service are counted.
+func (t *Table) Counts(service string) bool {
+	if t == nil || t.active.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.orders[service]
+	return o != nil && !o.complete
+}
+
+// Answered counts an answer.
+func (t *Table) Answered(a Answer) {
+	if t == nil || t.active.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.orders[a.Upstream.Service]
+	if o == nil || o.complete {
+		return
+	}
+	group := o.groupOf(t.snapshot, a.Upstream)
+	now := t.Timer.Now()
+	timed := now.Sub(a.Upstream.Started) >= startPeriod && !now.Before(a.Upstream.ColdUntil)
+	o.own.record(a, group, timed)
+}
+
+// State is what the state dump and the metrics tell of one order.
+type State struct {
+	Service    string        `json:"service"`
+	Target     string        `json:"target"`
+	Stage      string        `json:"stage"`
+	Share      float64       `json:"share"`
+	Age        time.Duration `json:"age"`
+	Duration   time.Duration `json:"duration"`
+	RolledBack bool          `json:"rolledBack"`
+	Complete   bool          `json:"complete"`
+	Blind      bool          `json:"blind"`
+	// Sent, Exposed, Answers and Bad are this daemon's. Answers and Bad are of the new version.
+	Sent    uint64 `json:"sent"`
+	Exposed uint64 `json:"exposed"`
+	Answers uint64 `json:"answers"`
+	Bad     uint64 `json:"bad"`
+	// FleetSent and FleetExposed are those of all daemons, at judges.
+	FleetSent    uint64   `json:"fleetSent"`
+	FleetExposed uint64   `json:"fleetExposed"`
+	Withdrawn    []string `json:"withdrawn"`
+}
+
+// States returns the state of all orders, sorted by service.
+func (t *Table) States() []State {
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	list := make([]State, 0, len(t.orders))
+	for service, o := range t.orders {
+		s := State{
+			Service: service, Target: o.rollout.Target, Stage: o.stage.String(), Share: o.dose(t.snapshot, now).share, Age: now.Sub(o.began),
+			Duration: o.rollout.Duration, RolledBack: o.rejected, Complete: o.complete, Blind: o.blind(now), Sent: o.sent, Exposed: o.exposed,
+			Withdrawn: t.withdrawnOf(service),
+		}
+		if o.settled() && !o.rejected {
+			s.Share = 1
+		}
+		for k, c := range o.own {
+			if !k.old() {
+				s.Answers += uint64(c.Answers)
+				s.Bad += uint64(c.Failures + c.Broken)
+			}
+		}
+		s.FleetSent, s.FleetExposed = o.judge.totals()
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b State) int { return cmp.Compare(a.Service, b.Service) })
+	return list
+}
+
+func (t *Table) withdrawnOf(service string) []string {
+	var list []string
+	for v := range t.withdrawn[service] {
+		list = append(list, v)
+	}
+	slices.Sort(list)
+	return list
+}
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -118,6 +118,7 @@
 	}
 	result.conn = use
 	req.progress.sent(u.ID, req.h.Timer.Now())
+	req.sentTo(u)
 	x, err := c.Do(ctx, r)
 	if err != nil {
 		if errors.Is(err, btconn.ErrUnsent) {
@@ -170,7 +171,7 @@
 
 // stillAccepts reports whether an upstream that was chosen before accepts work now.
 func (req *activeRequest) stillAccepts(u *bramleytack.Upstream) bool {
-	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u)
+	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u) && !req.h.Rollouts.Refuses(u)
 }
 
 // connect returns a connection to an upstream on which the request was not sent before. A stream that may not be repeated
@@ -238,6 +239,7 @@
 func (req *activeRequest) attempt(ctx context.Context, u *bramleytack.Upstream, terms btgrant.Terms, timeout time.Duration) *attemptResult {
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	check := req.checkVersion(u)
 	lease := req.h.Accounts.Begin(u.ID, req.need)
 	started := req.h.Timer.Now()
 	r := req.exchange(limited, u, terms)
@@ -251,6 +253,7 @@
 		health = btaccount.Abandoned
 	}
 	lease.End(health)
+	check.ended(r, health)
 	req.logAttempt(r, started)
 	if r.err != nil && !r.unsent && limited.Err() == nil {
 		(&breakCheck{req: req, upstream: u, sends: req.attempts, cause: r.err}).run(ctx)
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -105,7 +105,7 @@
 func (req *activeRequest) pickUpstream(tried map[bramleytack.UpstreamID]bool) *bramleytack.Upstream {
 	req.snapshot = req.h.Table.Snapshot()
 	var u *bramleytack.Upstream
-	u, req.expectedDelay = req.h.Accounts.Pick(req.snapshot, req.h.Accounts.Eligible(req.snapshot, req.service, tried), req.need)
+	u, req.expectedDelay = req.h.Accounts.Pick(req.snapshot, req.eligible(tried), req.need)
 	return u
 }
 
@@ -125,7 +125,7 @@
 func (req *activeRequest) attemptTimeout(tried map[bramleytack.UpstreamID]bool) time.Duration {
 	remaining := req.remaining()
 	if !req.route.Repeatable() || req.attempts+1 >= req.route.MaxAttempts ||
-		len(req.h.Accounts.Eligible(req.snapshot, req.service, tried)) == 0 {
+		len(req.eligible(tried)) == 0 {
 		return remaining
 	}
 	return min(remaining, req.lateThreshold())
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -25,6 +25,7 @@
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
+	"bramleytack/internal/route/btrollout"
 	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/upstream/btconn"
 )
@@ -46,12 +47,13 @@
 )
 
 // Handler serves callers over HTTP. Its fields are set before the first request.
-// Suspects, Grants, Mover, Log, Metrics, Memory, Leaving and Accepts may be nil.
+// Suspects, Grants, Rollouts, Mover, Log, Metrics, Memory, Leaving and Accepts may be nil.
 type Handler struct {
 	Table    *btreplica.Table
 	Accounts *btaccount.Table
 	Suspects *btsuspect.Table
 	Grants   *btgrant.Table
+	Rollouts *btrollout.Table
 	Pool     *btconn.Pool
 	Dialect  bramleytack.FleetDialect
 	Mover    bramleytack.EngineMover
@@ -181,6 +183,8 @@
 	quarantinedKey string
 	// expectedDelay is the delay that was expected of the last chosen upstream.
 	expectedDelay time.Duration
+	// choice is which versions of the upstreams the request may go to. It is set by eligible.
+	choice *btrollout.Choice
 	// limitedSends counts the sends that an upstream's limit did not allow.
 	limitedSends int
 	// answered is set once the caller may have got a part of the response.
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -46,11 +46,11 @@
 	err  error
 }
 
-// checkLeaving hands the stream over if the current engine is leaving: to the
+// checkLeaving hands the stream over if the current engine is leaving, or its version is: to the
 // backup engine if its copy is complete, and by a move otherwise.
 func (s *relay) checkLeaving() {
 	s.req.snapshot = s.req.h.Table.Snapshot()
-	if s.moving != nil || s.next != nil || s.cur.cancel == nil || s.cur.eventCount == 0 || !isLeaving(s.req.snapshot, s.cur.upstream) {
+	if s.moving != nil || s.next != nil || s.cur.cancel == nil || s.cur.eventCount == 0 || !isLeaving(s.req.snapshot, s.cur.upstream) && !s.req.h.Rollouts.Vacates(s.cur.upstream) {
 		return
 	}
 	if s.req.need.MaxOutput < minBackupOutput {
@@ -181,7 +181,7 @@
 
 // mayHandOver reports whether an upstream now takes a generation from another one.
 func (req *activeRequest) mayHandOver(u *bramleytack.Upstream) bool {
-	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u)
+	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u) && req.h.Rollouts.Admits(u)
 }
 
 // startNext starts the next segment. Nothing else does, and what the segment replaces is
--- a/internal/serve/btentry/memory.go
+++ b/internal/serve/btentry/memory.go
@@ -39,7 +39,7 @@
 			return req.pickUpstream(tried)
 		}
 		req.snapshot = req.h.Table.Snapshot()
-		u, expected, full := req.h.Accounts.PickWithMemoryLimit(req.snapshot, req.h.Accounts.Eligible(req.snapshot, req.service, tried), req.need, req.memoryLimit(waited, maxWait))
+		u, expected, full := req.h.Accounts.PickWithMemoryLimit(req.snapshot, req.eligible(tried), req.need, req.memoryLimit(waited, maxWait))
 		if u != nil || !full {
 			req.expectedDelay = expected
 			return u
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -47,7 +47,9 @@
 	copyLease *btaccount.CopyLease
 	// backup is the engine that keeps a copy of the generation's memory, or nil.
 	backup *bramleytack.Upstream
-	origin origin
+	// version is what the segment shows of the upstream's version, or nil.
+	version *versionCheck
+	origin  origin
 	// after is the number of events that the caller had got when the segment began.
 	after int
 	// head is the first response header of the run, or nil.
@@ -109,6 +111,7 @@
 	connCtx, drop := context.WithCancel(ctx)
 	seg.kept = seg.req.h.Memory.Open(btmemory.Upstream(seg.upstream.ID), drop)
 	seg.request.Kept = seg.kept
+	seg.version = seg.req.checkVersion(seg.upstream)
 	seg.lease = seg.req.h.Accounts.Begin(seg.upstream.ID, seg.need)
 	if seg.backup != nil {
 		seg.copyLease = seg.req.h.Accounts.BeginCopy(seg.backup.ID, seg.need)
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -115,6 +115,7 @@
 			s.checkLeaving()
 		case <-timer.C():
 			s.checkLeaving()
+			s.cur.version.overdue()
 			s.checkSilence()
 			s.checkQuarantine()
 			timer = s.req.h.Timer.After(s.silenceLimit())
@@ -254,6 +255,7 @@
 		seg.lease.PrefillDone()
 		seg.firstEventAt = now
 	}
+	seg.version.event(seg, now)
 	if !s.headSent && !s.req.mayBegin() {
 		s.req.daemonEnds()
 		s.fail()
@@ -353,7 +355,9 @@
 // headFailed handles a segment whose upstream did not open a stream.
 func (s *relay) headFailed(seg *segment, r *attemptResult) {
 	s.req.logAttempt(r, seg.started)
-	seg.close(s.req.health(r))
+	health := s.req.health(r)
+	seg.close(health)
+	seg.version.ended(r, health)
 	if r.err != nil && !r.unsent && !r.window.cutShort(s.req.h.Timer.Now()) {
 		s.inspectBreak(seg, r.err)
 	}
@@ -411,6 +415,7 @@
 		seg.close(btaccount.Abandoned)
 	} else {
 		seg.close(btaccount.Failed)
+		seg.version.broken()
 		s.inspectBreak(seg, err)
 	}
 	if seg == s.next {
--- a/snapshot.go
+++ b/snapshot.go
@@ -96,6 +96,8 @@
 	Cell CellID
 	// Service is the plain service that the upstream runs.
 	Service string
+	// Version is the version of the upstream's software, empty if unknown.
+	Version string
 	// Models are the names of the models that the upstream may load.
 	Models []string
 	State  UpstreamState
@@ -133,6 +135,8 @@
 	FailureDomains map[FailureDomainID]*FailureDomain
 	Upstreams      map[UpstreamID]*Upstream
 	Commitments    map[string]*Commitment
+	// Rollouts holds the operator's orders to move services to other versions, by service.
+	Rollouts map[string]*Rollout
 	// ByKeyHash maps the hash of an API key to its workspace.
 	ByKeyHash map[string]*Workspace
 	// ByModel and ByService list upstreams in the order of their ids.
