--- a/btevent/event.go
+++ b/btevent/event.go
@@ -84,6 +84,7 @@
 	RequestPanicked         = Event{517, zerolog.ErrorLevel, "request ended by a panic"}
 	RejectionWithheld       = Event{518, zerolog.ErrorLevel, "request may have run and was not rejected as not run"}
 	ExtraResponse           = Event{519, zerolog.InfoLevel, "extra response to an earlier request was skipped"}
+	CallsWait               = Event{530, zerolog.InfoLevel, "calls wait for places of a full service"}
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
 	RequestSuspected        = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
 	RequestQuarantined      = Event{603, zerolog.ErrorLevel, "request is quarantined"}
--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -133,6 +133,8 @@
 	// Ejections is the number of daemons that eject the upstream, or that it asked for a
 	// pause.
 	Ejections int
+	// Waiting is the number of requests that wait in daemons for the upstream's service.
+	Waiting int
 }
 
 // Plus returns the sum of two loads.
@@ -146,6 +148,7 @@
 	return Load{
 		Running: l.Running + sign*o.Running, Unread: l.Unread + sign*o.Unread, Memory: l.Memory + sign*o.Memory,
 		Copies: l.Copies + sign*o.Copies, Ejections: l.Ejections + sign*o.Ejections,
+		Waiting: l.Waiting + sign*o.Waiting,
 	}
 }
 
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -88,6 +88,8 @@
 	peers map[Source]map[bramleytack.UpstreamID]Load
 	// peerTotals is the sum of the loads in peers.
 	peerTotals map[bramleytack.UpstreamID]Load
+	// waitingAt is when Changed was last called because of requests that wait.
+	waitingAt time.Time
 }
 
 // account returns the account of an upstream and creates it if there is none. The
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -41,22 +41,22 @@
 	var unattributed []*bramleytack.Upstream
 	skipped, sent := 0, 0
 	for ctx.Err() == nil {
-		u, terms := req.pickUpstream(tried), btgrant.Terms{}
-		if u == nil {
+		u, at := req.awaitPlace(ctx, tried)
+		terms := btgrant.Terms{}
+		if u == nil && !req.turnedAway && req.attempts < max(req.route.MaxAttempts, 1) {
 			u, terms = req.pickHeld(tried)
 		}
-		if u == nil || req.outlastsDaemon(u) {
-			break
-		}
-		tried[u.ID] = true
-		if sent > 0 && !req.mayRepeat() {
+		if u == nil {
 			break
 		}
-		if sent > 0 && !req.h.Budget.Retry(req.service) {
-			req.log(btevent.RetryBudgetExhausted).Str("service", req.service).Send()
+		if req.outlastsDaemon(u) || sent > 0 && !req.maySendAgain() {
+			at.giveBack()
 			break
 		}
+		tried[u.ID] = true
+		started := req.h.Timer.Now()
 		r := req.attempt(ctx, u, terms, req.attemptTimeout(tried))
+		at.leave(r, req.h.Timer.Now().Sub(started))
 		req.noteLimited(r, terms, tried)
 		if !r.unsent {
 			sent++
@@ -84,6 +84,19 @@
 	req.respond(ctx, last)
 }
 
+// maySendAgain reports whether a call that was sent before may be sent once more. It draws on
+// the retry budget.
+func (req *activeRequest) maySendAgain() bool {
+	if !req.mayRepeat() {
+		return false
+	}
+	if !req.h.Budget.Retry(req.service) {
+		req.log(btevent.RetryBudgetExhausted).Str("service", req.service).Send()
+		return false
+	}
+	return true
+}
+
 // maySkip reports whether the request may try another upstream after it skipped
 // the given number.
 func (req *activeRequest) maySkip(skipped int) bool {
@@ -111,6 +124,9 @@
 
 // mayRetry reports whether the request may be sent to one more upstream after r.
 func (req *activeRequest) mayRetry(r *attemptResult) bool {
+	if req.noteFull(r) {
+		return true
+	}
 	if req.attempts >= req.route.MaxAttempts {
 		return false
 	}
@@ -153,6 +169,8 @@
 		req.rejectLeaving()
 	case endedByDaemon(ctx):
 		req.reject(http.StatusBadGateway, 0, "daemon ends before the response")
+	case !ran && req.turnedAway:
+		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "no place in time")
 	case !ran && r == nil && req.limitedSends > 0:
 		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "upstreams limit their requests")
 	case !ran && r == nil:
@@ -183,8 +201,8 @@
 }
 
 // retryAfter returns a random Retry-After, so that rejected callers do not return
-// all at once. It is not less than the time for which all upstreams are paused, or until
-// their limits allow the request.
+// all at once. It is not less than the time for which all upstreams are paused, until
+// their limits allow the request, or until a place is expected to be free.
 func (req *activeRequest) retryAfter() time.Duration {
 	d := time.Duration((0.5 + rand.Float64()) * float64(meanRetryAfter))
 	s := req.h.Table.Snapshot()
@@ -194,7 +212,7 @@
 			accepting = append(accepting, u)
 		}
 	}
-	d += max(req.h.Accounts.PauseLeft(s, req.service), req.h.Grants.ReturnAfter(req.service, accepting))
+	d += max(req.h.Accounts.PauseLeft(s, req.service), req.h.Grants.ReturnAfter(req.service, accepting), req.returnIn)
 	return max(min(d, req.maxRetryAfter()), 0)
 }
 
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -82,6 +82,7 @@
 	// pace is learned from the streams of this daemon.
 	pace     btforecast.Pace
 	requests activeSet
+	waiting  waitingRooms
 	// unconfiguredSince is the Unix time in nanoseconds of the first request that came
 	// before the configuration, zero without one.
 	unconfiguredSince atomic.Int64
@@ -183,6 +184,14 @@
 	expectedDelay time.Duration
 	// limitedSends counts the sends that an upstream's limit did not allow.
 	limitedSends int
+	// turnedAway is set if the call got no place in time, returnIn is when one is expected.
+	turnedAway bool
+	returnIn   time.Duration
+	// fullAt are the upstreams that have rejected the call because they were full, returns
+	// how often. It is not sent again before againAt.
+	fullAt  map[bramleytack.UpstreamID]bool
+	returns int
+	againAt time.Time
 	// answered is set once the caller may have got a part of the response.
 	answered bool
 	// attempts counts the attempts that have ended or were replaced by another one,
--- /dev/null
+++ b/internal/serve/btentry/waiting.go
@@ -0,0 +1,215 @@
+package btentry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"bramleytack"
+	"bramleytack/btevent"
+	"bramleytack/internal/route/btwaiting"
+)
+
+const (
+	// runMargin is the factor from the mean time of a call at an upstream to one that few
+	// calls exceed.
+	runMargin = 2
+	// maxReturns bounds how often a call is sent again to upstreams that have rejected it
+	// because they were full. Each time it draws on the retry budget.
+	maxReturns = 3
+	// waitingLogPeriod is the least time between two log lines about waiting calls of a
+	// service.
+	waitingLogPeriod = time.Second
+)
+
+// waitingRoom is where calls of one service wait while it is full.
+type waitingRoom struct {
+	room  btwaiting.Room
+	share btwaiting.Share
+
+	mu       sync.Mutex
+	loggedAt time.Time
+	rejected int
+}
+
+// waitingRooms are those of all services. The zero value is ready to use.
+type waitingRooms struct {
+	mu        sync.Mutex
+	byService map[string]*waitingRoom
+}
+
+// of returns the room of a service.
+func (h *Handler) waitingRoom(service string) *waitingRoom {
+	s := &h.waiting
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.byService[service]
+	if w == nil {
+		w = &waitingRoom{}
+		w.room.Timer, w.share.Timer = h.Timer, h.Timer
+		w.room.Interval = func() time.Duration {
+			return w.share.Interval(h.Accounts.Occupancy(h.Table.Snapshot(), service))
+		}
+		if s.byService == nil {
+			s.byService = map[string]*waitingRoom{}
+		}
+		s.byService[service] = w
+	}
+	return w
+}
+
+// place is a place of a service that a call uses. A nil place is none.
+type place struct{ room *waitingRoom }
+
+// giveBack ends the use of a place if the call was not sent.
+func (p *place) giveBack() {
+	if p != nil {
+		p.room.share.Return()
+		p.room.room.Wake()
+	}
+}
+
+// leave ends the use of a place after an attempt that took some time.
+func (p *place) leave(r *attemptResult, took time.Duration) {
+	switch {
+	case p == nil:
+	case r.unsent, r.misdirected:
+		p.giveBack()
+	default:
+		p.room.share.Leave(took, r.full())
+		p.room.room.Wake()
+	}
+}
+
+// full reports whether the upstream declared that it did not run the request because it has
+// no place, and asked for no pause.
+func (r *attemptResult) full() bool {
+	if r.outcome != bramleytack.NotRun || r.unsent || r.misdirected {
+		return false
+	}
+	return r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
+}
+
+// awaitPlace returns an upstream for a call. While the service is full the call waits in
+// the daemon, as long as it can be answered in time: upstreams reject what exceeds their
+// queues. It returns no upstream if there is none, or if the call is rejected.
+func (req *activeRequest) awaitPlace(ctx context.Context, tried map[bramleytack.UpstreamID]bool) (*bramleytack.Upstream, *place) {
+	w := req.h.waitingRoom(req.service)
+	p := &place{w}
+	var u *bramleytack.Upstream
+	var occupancy btwaiting.Occupancy
+	try := func() bool {
+		occupancy = req.h.Accounts.Occupancy(req.h.Table.Snapshot(), req.service)
+		if !w.share.Enter(occupancy) {
+			return false
+		}
+		var early bool
+		if u, early = req.pickForCall(tried); u == nil {
+			w.share.Return()
+		}
+		// Without any upstream there is nothing to wait for.
+		return !early
+	}
+	if !w.room.Enter(try) {
+		req.wait(ctx, w, occupancy, try)
+	}
+	switch {
+	case u == nil:
+		return nil, nil
+	case ctx.Err() != nil:
+		p.giveBack()
+		return nil, nil
+	}
+	return u, p
+}
+
+// wait keeps a call in the room. If it is rejected, its caller is told when to return.
+func (req *activeRequest) wait(ctx context.Context, w *waitingRoom, o btwaiting.Occupancy, try func() bool) {
+	counted := req.h.Accounts.BeginWaiting(req.h.Table.Snapshot(), req.service)
+	defer counted.End()
+	req.h.Metrics.waitBegins()
+	result := w.room.Wait(ctx, req.ticket(w.share.Mean()), try)
+	req.h.Metrics.waitEnded(result)
+	if result.Verdict == btwaiting.Late || result.Verdict == btwaiting.Full {
+		req.turnedAway, req.returnIn = true, result.RetryAfter
+	}
+	if n, due := w.logDue(req.h.Timer.Now(), req.turnedAway); due {
+		req.log(btevent.CallsWait).Str("service", req.service).Stringer("verdict", result.Verdict).Dur("waited", result.Waited).
+			Int("places", o.Places).Int("free", o.Free).Int("running", o.Running).Int("waiting", o.Waiting).Int("ownWaiting", o.OwnWaiting).
+			Int("rejected", n).Send()
+	}
+}
+
+// logDue counts a call that has waited, and reports whether a log line is due, with the
+// number of calls that were rejected since the last one.
+func (w *waitingRoom) logDue(now time.Time, rejected bool) (int, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if rejected {
+		w.rejected++
+	}
+	if now.Sub(w.loggedAt) < waitingLogPeriod {
+		return 0, false
+	}
+	n := w.rejected
+	w.loggedAt, w.rejected = now, 0
+	return n, true
+}
+
+// ticket returns the terms on which a call waits, if calls take mean at upstreams.
+func (req *activeRequest) ticket(mean time.Duration) btwaiting.Ticket {
+	t := btwaiting.Ticket{Rank: req.rank(), Workspace: req.workspace, Deadline: req.deadline, Run: runMargin * mean, Bytes: len(req.body) + headerSize(req.header)}
+	if req.h.FinishAt != nil {
+		if at, leaving := req.h.FinishAt(); leaving && at.Before(t.Deadline) {
+			t.Deadline = at
+		}
+	}
+	return t
+}
+
+// rank returns the urgency of the request's workspace, or of its route.
+func (req *activeRequest) rank() int {
+	if w := req.snapshot.Workspaces[req.workspace]; w != nil && w.Urgency != nil {
+		return *w.Urgency
+	}
+	return req.route.Urgency
+}
+
+// pickForCall returns an upstream that is not in tried or, once the call has been sent to as
+// many as its route allows or no other is left, one that has rejected it because it was full.
+// early is set if it is too early for that.
+func (req *activeRequest) pickForCall(tried map[bramleytack.UpstreamID]bool) (u *bramleytack.Upstream, early bool) {
+	if req.attempts < max(req.route.MaxAttempts, 1) {
+		if u := req.pickUpstream(tried); u != nil || len(req.fullAt) == 0 {
+			return u, false
+		}
+	}
+	req.snapshot = req.h.Table.Snapshot()
+	var again []*bramleytack.Upstream
+	for _, u := range req.h.Accounts.Eligible(req.snapshot, req.service, nil) {
+		if req.fullAt[u.ID] {
+			again = append(again, u)
+		}
+	}
+	if len(again) > 0 && req.h.Timer.Now().Before(req.againAt) {
+		return nil, true
+	}
+	u, req.expectedDelay = req.h.Accounts.Pick(req.snapshot, again, req.need)
+	return u, false
+}
+
+// noteFull lets a call that an upstream has rejected because it was full go there again
+// later. It reports whether the call may be sent again.
+func (req *activeRequest) noteFull(r *attemptResult) bool {
+	if !r.full() || req.returns >= maxReturns || req.h.Accounts.Paused(r.upstream) {
+		return false
+	}
+	req.returns++
+	if req.fullAt == nil {
+		req.fullAt = map[bramleytack.UpstreamID]bool{}
+	}
+	req.fullAt[r.upstream.ID] = true
+	req.againAt = req.h.Timer.Now().Add(req.h.waitingRoom(req.service).share.Mean())
+	return true
+}
