Calls wait for the return of an upstream; places begin staggered

Change: a call that no upstream could be sent to waits for the return of one while the outage is no longer than four times its time left. When a service becomes full, places begin at a random point of their cycle, so that daemons do not all send at once.

--- a/internal/route/btaccount/occupancy.go
+++ b/internal/route/btaccount/occupancy.go
@@ -40,6 +40,14 @@
 	return o
 }
 
+// Avoids reports whether this daemon sends no work to an upstream because of failures, as long
+// as there are others.
+func (t *Table) Avoids(id bramleytack.UpstreamID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.account(id).avoided(t.Timer.Now())
+}
+
 // Waiting counts one request that waits in the daemon for a service, until End is called.
 type Waiting struct {
 	table *Table
--- a/internal/route/btwaiting/share.go
+++ b/internal/route/btwaiting/share.go
@@ -65,6 +65,8 @@
 	uses []use
 	// mean is the mean time of a use.
 	mean time.Duration
+	// wasFull is set if the service was full at the last look.
+	wasFull bool
 	// factor is what rejections have left of the part at rejectedAt.
 	factor     float64
 	rejectedAt time.Time
@@ -82,9 +84,15 @@
 func (s *Share) Enter(o Occupancy) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o.full() {
+	full := o.full()
+	began := full && !s.wasFull
+	s.wasFull = full
+	if full {
 		part := s.part(o)
 		places := math.Ceil(part)
+		if began {
+			s.stagger(int(places), places/part)
+		}
 		if float64(s.running+s.resting(places/part)) >= places {
 			return false
 		}
@@ -110,6 +118,27 @@
 	return min(s.factor+(1-s.factor)*back, 1)
 }
 
+// stagger lets places rest as if the service had been full before. Otherwise all daemons
+// would send at the same time when a service becomes full, or its first upstream is back. The
+// caller holds the lock.
+func (s *Share) stagger(places int, duty float64) {
+	now, mean := s.Timer.Now(), s.meanUse()
+	for range places - s.running - s.resting(duty) {
+		// A place is in use in the first part of its cycle, and rests then.
+		if phase := rand.Float64(); phase*duty > 1 {
+			s.add(use{ended: now.Add(-time.Duration((phase*duty - 1) * float64(mean))), took: mean, jitter: 1})
+		}
+	}
+}
+
+// add records a use. The caller holds the lock.
+func (s *Share) add(u use) {
+	if len(s.uses) >= maxUses {
+		s.uses = append(s.uses[:0], s.uses[len(s.uses)-maxUses/2:]...)
+	}
+	s.uses = append(s.uses, u)
+}
+
 // resting returns the number of places that rest, if a place is used for one part of duty of
 // the time. The caller holds the lock.
 func (s *Share) resting(duty float64) int {
@@ -137,10 +166,7 @@
 	} else {
 		s.mean += time.Duration(meanWeight * float64(took-s.mean))
 	}
-	if len(s.uses) >= maxUses {
-		s.uses = append(s.uses[:0], s.uses[len(s.uses)-maxUses/2:]...)
-	}
-	s.uses = append(s.uses, use{ended: now, took: took, jitter: 1 - restSpread + 2*restSpread*rand.Float64()})
+	s.add(use{ended: now, took: took, jitter: 1 - restSpread + 2*restSpread*rand.Float64()})
 }
 
 // Return ends the use of a place that no request was sent to.
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -62,6 +62,7 @@
 			sent++
 		}
 		if r.unsent || r.misdirected {
+			req.noteMissed(r)
 			if skipped++; !req.maySkip(skipped) {
 				break
 			}
--- a/internal/serve/btentry/waiting.go
+++ b/internal/serve/btentry/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -18,6 +19,10 @@
 	// maxReturns bounds how often a call is sent again to upstreams that have rejected it
 	// because they were full. Each time it draws on the retry budget.
 	maxReturns = 3
+	// outageFactor bounds the time since the last answer of a service without a usable upstream
+	// up to which calls wait for the return of one, as a multiple of their time left. An outage
+	// must be expected to last about as long again, so that one call in five is answered.
+	outageFactor = 4
 	// waitingLogPeriod is the least time between two log lines about waiting calls of a
 	// service.
 	waitingLogPeriod = time.Second
@@ -31,6 +36,27 @@
 	mu       sync.Mutex
 	loggedAt time.Time
 	rejected int
+	// answeredAt is when an upstream last answered, outageAt when none was usable first since.
+	answeredAt time.Time
+	outageAt   time.Time
+}
+
+// answered records an answer of an upstream.
+func (w *waitingRoom) answered(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answeredAt, w.outageAt = now, time.Time{}
+}
+
+// mayReturn reports whether an upstream of a service without any may be back within a time. It
+// records that there is none.
+func (w *waitingRoom) mayReturn(now time.Time, left time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.outageAt.IsZero() {
+		w.outageAt = now
+	}
+	return !w.answeredAt.IsZero() && now.Sub(w.outageAt) <= outageFactor*left
 }
 
 // waitingRooms are those of all services. The zero value is ready to use.
@@ -78,6 +104,9 @@
 		p.giveBack()
 	default:
 		p.room.share.Leave(took, r.full())
+		if r.usable() || r.full() {
+			p.room.answered(p.room.room.Timer.Now())
+		}
 		p.room.room.Wake()
 	}
 }
@@ -108,8 +137,7 @@
 		if u, early = req.pickForCall(tried); u == nil {
 			w.share.Return()
 		}
-		// Without any upstream there is nothing to wait for.
-		return !early
+		return u != nil || !early && !req.awaitsReturn(w)
 	}
 	if !w.room.Enter(try) {
 		req.wait(ctx, w, occupancy, try)
@@ -181,7 +209,7 @@
 // early is set if it is too early for that.
 func (req *activeRequest) pickForCall(tried map[bramleytack.UpstreamID]bool) (u *bramleytack.Upstream, early bool) {
 	if req.attempts < max(req.route.MaxAttempts, 1) {
-		if u := req.pickUpstream(tried); u != nil || len(req.fullAt) == 0 {
+		if u := req.pickUpstream(req.unreached(tried)); u != nil || len(req.fullAt) == 0 {
 			return u, false
 		}
 	}
@@ -199,6 +227,34 @@
 	return u, false
 }
 
+// unreached returns tried without the upstreams that the call did not reach and that this
+// daemon does not avoid any more.
+func (req *activeRequest) unreached(tried map[bramleytack.UpstreamID]bool) map[bramleytack.UpstreamID]bool {
+	if len(req.missed) == 0 {
+		return tried
+	}
+	left := maps.Clone(tried)
+	for id := range req.missed {
+		if !req.h.Accounts.Avoids(id) {
+			delete(left, id)
+		}
+	}
+	return left
+}
+
+// awaitsReturn reports whether a call that was sent nowhere waits for the return of an upstream:
+// the service has none that can be reached, and had one not long ago. One that asked for a
+// pause, or limits its requests, tells itself when to return.
+func (req *activeRequest) awaitsReturn(w *waitingRoom) bool {
+	s := req.h.Table.Snapshot()
+	for _, u := range s.ByService[req.service] {
+		if s.Accepts(u.ID) && !req.h.Accounts.Avoids(u.ID) {
+			return false
+		}
+	}
+	return req.attempts == 0 && req.accepted(0) && w.mayReturn(req.h.Timer.Now(), req.remaining())
+}
+
 // noteFull lets a call that an upstream has rejected because it was full go there again
 // later. It reports whether the call may be sent again.
 func (req *activeRequest) noteFull(r *attemptResult) bool {
@@ -213,3 +269,14 @@
 	req.againAt = req.h.Timer.Now().Add(req.h.waitingRoom(req.service).share.Mean())
 	return true
 }
+
+// noteMissed records an upstream that the call did not reach, so that it may try it again.
+func (req *activeRequest) noteMissed(r *attemptResult) {
+	if !r.unsent || r.limited {
+		return
+	}
+	if req.missed == nil {
+		req.missed = map[bramleytack.UpstreamID]bool{}
+	}
+	req.missed[r.upstream.ID] = true
+}
