Calls wait through short outages to the end of their time; workspaces above their share come last

Change: a call that has begun to wait for the return of an upstream goes on waiting. Workspaces above their share come after all others of their rank.

--- a/internal/route/btaccount/wait_test.go
+++ b/internal/route/btaccount/wait_test.go
@@ -8,6 +8,7 @@
 
 	"bramleytack"
 	"bramleytack/bttimer"
+	"bramleytack/internal/route/btwaiting"
 )
 
 // Guards against a forecast of the end of a request that leaves out the wait for a place at
@@ -39,3 +40,25 @@
 		})
 	}
 }
+
+// Guards against places that are counted as free although requests of other daemons take them,
+// and against waiting requests that others do not learn of.
+func TestOccupancyCountsAllDaemons(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, timer *bttimer.Service) {
+		table := newTable(timer)
+		u := &bramleytack.Upstream{ID: "s0", Service: "shop", FailureDomain: "d1", WarmLimit: 6}
+		s := &bramleytack.Snapshot{
+			Upstreams:      map[bramleytack.UpstreamID]*bramleytack.Upstream{u.ID: u},
+			ByService:      map[string][]*bramleytack.Upstream{u.Service: {u}},
+			FailureDomains: map[bramleytack.FailureDomainID]*bramleytack.FailureDomain{"d1": {State: bramleytack.DomainActive}},
+		}
+		table.Begin(u.ID, Need{})
+		waiting := table.BeginWaiting(s, u.Service)
+		table.SetPeer(Source{Host: "other"}, map[bramleytack.UpstreamID]Load{u.ID: {Running: 4, Waiting: 3}})
+		assert.Equal(t, table.OwnLoads()[u.ID], Load{Running: 1, Waiting: 1})
+		assert.Equal(t, table.Occupancy(s, u.Service), btwaiting.Occupancy{Places: 15, Free: 10, Running: 5, Waiting: 4, OwnWaiting: 1})
+		waiting.End()
+		table.Pause(u, time.Second)
+		assert.Equal(t, table.Occupancy(s, u.Service), btwaiting.Occupancy{Waiting: 3})
+	})
+}
--- a/internal/route/btwaiting/doc.go
+++ b/internal/route/btwaiting/doc.go
@@ -3,9 +3,10 @@
 //
 // A Room orders the requests that wait. A request waits as long as it can still be answered
 // in time. One that cannot is rejected at once, with the time after which to return. More
-// urgent ranks go first, but a bounded part of the places goes to the others. Within a rank
-// those come first whose callers were told to return, then the workspaces that have had
-// least, then those with the least time left.
+// urgent ranks go first, but a bounded part of the places goes to the others. Within a rank,
+// requests of workspaces that are above their share come last. Of the others, those come
+// first whose callers were told to return, then the workspaces that have had least, then
+// those with the least time left.
 //
 // A Share bounds what one daemon sends while a service is full, by its part of the requests
 // of all daemons. No daemon asks another one: each needs only the sum of all requests, which
--- a/internal/route/btwaiting/room.go
+++ b/internal/route/btwaiting/room.go
@@ -116,6 +116,8 @@
 type waiter struct {
 	Ticket
 	start float64
+	// above is set if the workspace has had, or waits for, more than others.
+	above bool
 	since time.Time
 	try   func() bool
 	// result is set before done is closed.
@@ -125,13 +127,21 @@
 
 // compare orders the waiters of a room.
 func (w *waiter) compare(o *waiter) int {
-	returned := func(w *waiter) int {
-		if w.Returned {
-			return 0
-		}
-		return 1
+	return cmp.Or(
+		cmp.Compare(w.Rank, o.Rank), falseFirst(w.above, o.above), falseFirst(!w.Returned, !o.Returned),
+		cmp.Compare(w.start, o.start), w.Deadline.Compare(o.Deadline),
+	)
+}
+
+// falseFirst orders false before true.
+func falseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
-	return cmp.Or(cmp.Compare(w.Rank, o.Rank), cmp.Compare(returned(w), returned(o)), cmp.Compare(w.start, o.start), w.Deadline.Compare(o.Deadline))
+	return 1
 }
 
 // Len returns the number of requests that wait.
@@ -187,6 +197,7 @@
 		t.Cost = 1
 	}
 	w := &waiter{Ticket: t, since: now, try: try, done: make(chan struct{}), start: max(r.virtual, r.finish[t.Workspace])}
+	w.above = w.start > r.virtual+w.Cost
 	at, _ := slices.BinarySearchFunc(r.waiting, w, func(o, w *waiter) int {
 		// Of equal ones the newest comes last.
 		return cmp.Or(o.compare(w), -1)
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -192,6 +192,8 @@
 	fullAt  map[bramleytack.UpstreamID]bool
 	returns int
 	againAt time.Time
+	// returnAwaited is set once the call waits for the return of an upstream.
+	returnAwaited bool
 	// missed are the upstreams that the call did not reach.
 	missed map[bramleytack.UpstreamID]bool
 	// answered is set once the caller may have got a part of the response.
--- a/internal/serve/btentry/queue_test.go
+++ b/internal/serve/btentry/queue_test.go
@@ -63,6 +63,7 @@
 		{"guides that wait for memory", "guide", btworker.Config{Events: streamEvents, Gap: 4 * eventGap}, btworker.Config{}, 6000, "1000,240", 100 * time.Millisecond, 0},
 		{"guides of engines that pause", "guide", btworker.Config{Events: 20, Gap: 2 * eventGap}, btworker.Config{}, 1 << 20, "1000,80", 100 * time.Millisecond, 2900 * time.Millisecond},
 		{"orders in the queue of an upstream", "order", btworker.Config{Events: 1}, btworker.Config{Work: 200 * time.Millisecond, Slots: 1}, 1 << 20, "", 50 * time.Millisecond, 0},
+		{"orders in the room of the daemon", "order", btworker.Config{Events: 1}, btworker.Config{Work: 200 * time.Millisecond, Slots: 1, Queue: 2}, 1 << 20, "", 25 * time.Millisecond, 0},
 		{"checks in the queue of an upstream", "check", btworker.Config{Events: 1}, btworker.Config{Work: 200 * time.Millisecond, Slots: 1}, 1 << 20, "", 50 * time.Millisecond, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/serve/btentry/waiting.go
+++ b/internal/serve/btentry/waiting.go
@@ -15,7 +15,7 @@
 const (
 	// runMargin is the factor from the mean time of a call at an upstream to one that few
 	// calls exceed.
-	runMargin = 2
+	runMargin = 1.5
 	// maxReturns bounds how often a call is sent again to upstreams that have rejected it
 	// because they were full. Each time it draws on the retry budget.
 	maxReturns = 3
@@ -187,7 +187,7 @@
 
 // ticket returns the terms on which a call waits, if calls take mean at upstreams.
 func (req *activeRequest) ticket(mean time.Duration) btwaiting.Ticket {
-	t := btwaiting.Ticket{Rank: req.rank(), Workspace: req.workspace, Deadline: req.deadline, Run: runMargin * mean, Bytes: len(req.body) + headerSize(req.header)}
+	t := btwaiting.Ticket{Rank: req.rank(), Workspace: req.workspace, Deadline: req.deadline, Run: time.Duration(runMargin * float64(mean)), Bytes: len(req.body) + headerSize(req.header)}
 	if req.h.FinishAt != nil {
 		if at, leaving := req.h.FinishAt(); leaving && at.Before(t.Deadline) {
 			t.Deadline = at
@@ -243,8 +243,8 @@
 }
 
 // awaitsReturn reports whether a call that was sent nowhere waits for the return of an upstream:
-// the service has none that can be reached, and had one not long ago. One that asked for a
-// pause, or limits its requests, tells itself when to return.
+// the service has none that can be reached, and had one not long before the call began to wait.
+// One that asked for a pause, or limits its requests, tells itself when to return.
 func (req *activeRequest) awaitsReturn(w *waitingRoom) bool {
 	s := req.h.Table.Snapshot()
 	for _, u := range s.ByService[req.service] {
@@ -252,7 +252,11 @@
 			return false
 		}
 	}
-	return req.attempts == 0 && req.accepted(0) && w.mayReturn(req.h.Timer.Now(), req.remaining())
+	if req.attempts > 0 || !req.accepted(0) {
+		return false
+	}
+	req.returnAwaited = req.returnAwaited || w.mayReturn(req.h.Timer.Now(), req.remaining())
+	return req.returnAwaited
 }
 
 // noteFull lets a call that an upstream has rejected because it was full go there again
--- /dev/null
+++ b/internal/serve/btentry/waiting_test.go
@@ -0,0 +1,179 @@
+package btentry_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bramleytack/internal/standin/btworker"
+)
+
+// startSmallShop starts an upstream with places for 20 calls a second, that rejects all but
+// five at once.
+func (h *harness) startSmallShop(name string) *btworker.Worker {
+	return h.start(name, callService, btworker.Config{Work: 100 * time.Millisecond, Slots: 2, Queue: 3})
+}
+
+// crowd are calls that arrive at the same time.
+type crowd struct {
+	h  *harness
+	wg sync.WaitGroup
+
+	mu  sync.Mutex
+	got []response
+}
+
+// orders sends n calls that must not be repeated.
+func (h *harness) orders(n int) *crowd {
+	c := &crowd{h: h}
+	for i := range n {
+		c.wg.Go(func() {
+			r := h.send(fmt.Sprintf("order-%d-%d", time.Now().UnixNano(), i), http.MethodPost, "/order/a", nil, callTimeout)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.got = append(c.got, r)
+		})
+	}
+	return c
+}
+
+// check waits for all calls and checks that as many were answered as expected, and the others
+// truthfully rejected with a time to return.
+func (c *crowd) check(t *testing.T, answered int) {
+	t.Helper()
+	c.wg.Wait()
+	n := 0
+	for _, r := range c.got {
+		runs := c.h.pool.Runs(r.id)
+		if r.status == http.StatusOK {
+			n++
+			assert.Check(t, runs == 1, "%s ran %d times", r.id, runs)
+			continue
+		}
+		assert.Check(t, r.status == http.StatusServiceUnavailable && runs == 0 && r.header.Get("Retry-After") != "", "%s: %d %q, %d runs, %v", r.id, r.status, r.body, runs, r.header)
+	}
+	assert.Check(t, n == answered, "%d of %d answered, want %d", n, len(c.got), answered)
+}
+
+// Fifteen calls arrive at an upstream that takes five and serves twenty a second. Guards against
+// calls that are rejected although there is time for them.
+func TestCallsWaitForPlaces(t *testing.T) {
+	run(t, func(h *harness) {
+		w := h.startSmallShop("s1")
+		h.orders(15).check(t, 15)
+		assert.Check(t, w.ArrivedAfter(time.Time{}) <= 15+5, "%d arrivals", w.ArrivedAfter(time.Time{}))
+	})
+}
+
+// Guards against calls without a chance that wait until their deadline.
+func TestCallsWithoutChanceAreRejectedAtOnce(t *testing.T) {
+	run(t, func(h *harness) {
+		h.startSmallShop("s1")
+		h.orders(5).check(t, 5)
+		all := h.orders(60)
+		time.Sleep(100 * time.Millisecond)
+		all.mu.Lock()
+		early := len(all.got)
+		all.mu.Unlock()
+		assert.Check(t, early >= 15, "%d calls were rejected at once", early)
+		all.wg.Wait()
+	})
+}
+
+// Guards against calls that reach an upstream after their callers have disconnected.
+func TestWaitingCallOfLeftCaller(t *testing.T) {
+	run(t, func(h *harness) {
+		w := h.startSmallShop("s1")
+		first := h.orders(8)
+		time.Sleep(10 * time.Millisecond)
+		before := w.ArrivedAfter(time.Time{})
+		for range 5 {
+			r := h.send("left", http.MethodPost, "/order/a", nil, 20*time.Millisecond)
+			assert.Check(t, r.err != nil)
+		}
+		first.check(t, 8)
+		assert.Check(t, before <= 8 && w.ArrivedAfter(time.Time{}) <= 8, "%d, then %d arrivals", before, w.ArrivedAfter(time.Time{}))
+		assert.Equal(t, h.pool.Runs("left"), 0)
+	})
+}
+
+// Guards against calls that are sent to an upstream during its pause, and against those that
+// wait for its end although it is beyond their time.
+func TestWaitingCallsOfPausedUpstream(t *testing.T) {
+	run(t, func(h *harness) {
+		w := h.startSmallShop("s1")
+		all := h.orders(15)
+		time.Sleep(20 * time.Millisecond)
+		w.SetPause(5 * time.Second)
+		w.Set(btworker.Full)
+		paused := time.Now()
+		all.check(t, 5)
+		assert.Check(t, time.Since(paused) <= 500*time.Millisecond, "%v", time.Since(paused))
+		assert.Check(t, w.ArrivedAfter(paused.Add(200*time.Millisecond)) == 0, "%d arrivals", w.ArrivedAfter(paused.Add(200*time.Millisecond)))
+	})
+}
+
+// The only upstream leaves or crashes while calls wait. Guards against calls that are rejected
+// although another one comes in time, that reach the one that is gone, and that wait long for
+// one that does not come.
+func TestWaitingCallsWithoutUpstream(t *testing.T) {
+	for name, end := range map[string]func(h *harness){
+		"leaves":  func(h *harness) { h.setLeaving("s1") },
+		"crashed": func(h *harness) { h.workers["s1"].Crash() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.startSmallShop("s1")
+				h.orders(5).check(t, 5)
+				time.Sleep(time.Second)
+				end(h)
+				all := h.orders(8)
+				time.Sleep(300 * time.Millisecond)
+				h.startSmallShop("s2")
+				all.check(t, 8)
+			})
+		})
+		t.Run(name+" for long", func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.startSmallShop("s1")
+				h.orders(5).check(t, 5)
+				time.Sleep(time.Second)
+				end(h)
+				start := time.Now()
+				h.orders(3).check(t, 0)
+				assert.Check(t, time.Since(start) <= 1300*time.Millisecond, "%v", time.Since(start))
+				time.Sleep(5 * time.Second)
+				start = time.Now()
+				h.orders(3).check(t, 0)
+				assert.Check(t, time.Since(start) <= 100*time.Millisecond, "%v", time.Since(start))
+			})
+		})
+	}
+}
+
+// Guards against calls that are given up at the first declared rejection, that are sent again
+// without bound, or to more upstreams than their route allows.
+func TestRejectedCallIsSentAgain(t *testing.T) {
+	t.Run("full for a moment", func(t *testing.T) {
+		run(t, func(h *harness) {
+			w := h.startShop("s1")
+			w.Set(btworker.Full)
+			after(30*time.Millisecond, func() { w.Set(btworker.Healthy) })
+			h.orders(1).check(t, 1)
+		})
+	})
+	t.Run("full for long", func(t *testing.T) {
+		run(t, func(h *harness) {
+			for _, name := range []string{"s1", "s2"} {
+				h.startShop(name).Set(btworker.Full)
+			}
+			h.orders(1).check(t, 0)
+			a, b := h.workers["s1"].ArrivedAfter(time.Time{}), h.workers["s2"].ArrivedAfter(time.Time{})
+			assert.Check(t, min(a, b) == 0 && a+b <= 4, "%d and %d arrivals", a, b)
+		})
+	})
+}
