--- a/btevent/event.go
+++ b/btevent/event.go
@@ -166,6 +166,7 @@
 		RequestPanicked,
 		RejectionWithheld,
 		ExtraResponse,
+		CallsWait,
 		ClaimNotStored,
 		RequestSuspected,
 		RequestQuarantined,
