Places bound a service only where something shows it

Cause: under the race detector btentry.TestLateRequestsOfPlannedStop (orders as slow as allowed) failed once with 98 of at least 100 served: its upstreams run any number of calls, more than their registered places, and calls waited for places.

Change: places count once an upstream of the service has reported its load, has rejected a request within 10 s, or calls wait at any daemon.

Measured: that test and the tests of waiting calls pass in two runs.

--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -164,6 +164,8 @@
 	// itself reported.
 	reported   int
 	reportedAt time.Time
+	// rejectedAt is when it last rejected a request of this daemon.
+	rejectedAt time.Time
 	// failureAverage is a moving average of outcomes: 0 if served, 1 if failed.
 	failureAverage float64
 	samples        int
--- a/internal/route/btaccount/health.go
+++ b/internal/route/btaccount/health.go
@@ -167,6 +167,9 @@
 	if o == Served || o == Rejected {
 		a.refusals = 0
 	}
+	if o == Rejected {
+		a.rejectedAt = now
+	}
 	failed := 0.0
 	switch o {
 	case Abandoned, Rejected:
--- a/internal/route/btaccount/occupancy.go
+++ b/internal/route/btaccount/occupancy.go
@@ -11,15 +11,20 @@
 // at engines change more often and bring the number with them.
 const waitingPeriod = 100 * time.Millisecond
 
+// fullValidity is how long a declared rejection shows that an upstream which does not report
+// its load has a bound.
+const fullValidity = 10 * time.Second
+
 // Occupancy returns how the requests of all daemons fill a plain service, as far as this
 // daemon knows. Upstreams that it avoids or that asked it for a pause do not count. Places
-// is zero if an upstream has no bound.
+// is zero if an upstream has no bound, or nothing shows that registered bounds hold: no
+// upstream reports its load or has rejected a request, and nothing waits.
 func (t *Table) Occupancy(s *bramleytack.Snapshot, service string) btwaiting.Occupancy {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	var o btwaiting.Occupancy
-	bounded := true
+	bounded, shown := true, false
 	for _, u := range s.ByService[service] {
 		a := t.account(u.ID)
 		o.Waiting += a.own.Waiting + max(t.peerTotals[u.ID].Waiting, 0)
@@ -28,13 +33,14 @@
 			continue
 		}
 		bounded = bounded && u.WarmLimit > 0
+		shown = shown || !a.reportedAt.IsZero() || !a.rejectedAt.IsZero() && now.Sub(a.rejectedAt) < fullValidity
 		places := int(btwaiting.PlacesFactor * float64(u.WarmLimit))
 		running := max(t.load(u.ID, now).Running, 0)
 		o.Places += places
 		o.Running += running
 		o.Free += max(places-running, 0)
 	}
-	if !bounded {
+	if !bounded || !shown && o.Waiting == 0 {
 		o.Places = 0
 	}
 	return o
--- a/internal/route/btaccount/wait_test.go
+++ b/internal/route/btaccount/wait_test.go
@@ -53,6 +53,7 @@
 			FailureDomains: map[bramleytack.FailureDomainID]*bramleytack.FailureDomain{"d1": {State: bramleytack.DomainActive}},
 		}
 		table.Begin(u.ID, Need{})
+		assert.Equal(t, table.Occupancy(s, u.Service).Places, 0, "nothing shows a bound")
 		waiting := table.BeginWaiting(s, u.Service)
 		table.SetPeer(Source{Host: "other"}, map[bramleytack.UpstreamID]Load{u.ID: {Running: 4, Waiting: 3}})
 		assert.Equal(t, table.OwnLoads()[u.ID], Load{Running: 1, Waiting: 1})
@@ -60,5 +61,10 @@
 		waiting.End()
 		table.Pause(u, time.Second)
 		assert.Equal(t, table.Occupancy(s, u.Service), btwaiting.Occupancy{Waiting: 3})
+		time.Sleep(2 * time.Second)
+		table.SetPeer(Source{Host: "other"}, nil)
+		assert.Equal(t, table.Occupancy(s, u.Service).Places, 0, "nothing shows a bound")
+		table.Observe(u.ID, 2, 0)
+		assert.Equal(t, table.Occupancy(s, u.Service).Places, 15)
 	})
 }
