Engines of different pace: prompts apart from streams

Cause: on a site whose engines differ and are disturbed by neighbours, a stream pauses longer than its route allows when a prompt is read beside it at a slow engine during a disturbance.

Change: btpace learns the lasting and the worst pace of each upstream and the time between events with and without a prompt beside, and daemons share both. btaccount divides the engines by it: prompts go to engines where they harm no stream, long streams move after their first event to holders. Late streams are counted by cause.

--- a/internal/fleet/btgossip/digest.go
+++ b/internal/fleet/btgossip/digest.go
@@ -57,6 +57,9 @@
 		n.sendWords(targets)
 		n.sendLost(targets)
 	}
+	if n.round%paceRounds == 0 {
+		n.sendPaces(targets)
+	}
 }
 
 // nextDigest returns an encoded digest after it has raised the heartbeat.
--- a/internal/fleet/btgossip/load.go
+++ b/internal/fleet/btgossip/load.go
@@ -241,6 +241,7 @@
 		out = append(out, &UpstreamLoad{
 			Upstream: string(id), Running: nonNegative(l.Running), UnreadTokens: nonNegative(l.Unread),
 			MemoryTokens: nonNegative(l.Memory), CopyTokens: nonNegative(l.Copies), Ejections: nonNegative(l.Ejections),
+			Streams: nonNegative(l.Streams),
 		})
 	}
 	return out
@@ -251,6 +252,7 @@
 	for _, l := range loads {
 		load := btaccount.Load{
 			Running: int(l.Running), Unread: int(l.UnreadTokens), Memory: int(l.MemoryTokens), Copies: int(l.CopyTokens),
+			Streams: int(l.Streams),
 		}
 		if ejections {
 			load.Ejections = int(l.Ejections)
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -21,6 +21,7 @@
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btgrant"
+	"bramleytack/internal/route/btpace"
 	"bramleytack/internal/route/btsuspect"
 )
 
@@ -65,9 +66,10 @@
 	Table       *btreplica.Table
 	Accounts    *btaccount.Table
 	StoreStatus *btreplica.StoreStatus
-	// Suspects and Grants may be nil.
+	// Suspects, Grants and Paces may be nil.
 	Suspects *btsuspect.Table
 	Grants   *btgrant.Table
+	Paces    *btpace.Table
 	Timer    bramleytack.Timer
 	Log      *btevent.Logger
 	// Ready and Leaving return the state that digests announce to the other daemons.
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -84,6 +84,9 @@
 	if len(p.Words) > 0 {
 		n.handleWords(p, now)
 	}
+	if len(p.Paces)+len(p.Pauses) > 0 {
+		n.handlePaces(p)
+	}
 	if p.GrantRequest != nil && n.Grants != nil {
 		n.handleGrantRequest(p.GrantRequest, sender, now)
 	}
@@ -139,6 +142,7 @@
 		n.sendSuspicions([]netip.Addr{peer.Addr})
 		n.sendWords([]netip.Addr{peer.Addr})
 		n.sendLost([]netip.Addr{peer.Addr})
+		n.sendPaces([]netip.Addr{peer.Addr})
 	}
 }
 
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -30,6 +30,7 @@
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
+	"bramleytack/internal/route/btpace"
 	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/serve/btentry"
 	"bramleytack/internal/upstream/btconn"
@@ -122,6 +123,7 @@
 	accounts    *btaccount.Table
 	suspects    *btsuspect.Table
 	grants      *btgrant.Table
+	paces       *btpace.Table
 	gossip      *btgossip.Node
 	pool        *btconn.Pool
 	engines     Engines
@@ -147,7 +149,8 @@
 	n.pool = &btconn.Pool{Memory: a.Memory}
 	n.engines = a.Engines(n.pool)
 	n.registry = prometheus.NewRegistry()
-	n.accounts = &btaccount.Table{Timer: n.timer, Domain: s.FailureDomain, MaxPause: s.Bounds.MaxPause, Log: n.log}
+	n.paces = &btpace.Table{Timer: n.timer}
+	n.accounts = &btaccount.Table{Paces: n.paces, Timer: n.timer, Domain: s.FailureDomain, MaxPause: s.Bounds.MaxPause, Log: n.log}
 	n.suspects = btsuspect.New(&btsuspect.Table{Timer: n.timer, Log: n.log})
 	n.grants = &btgrant.Table{Timer: n.timer, Log: n.log}
 	n.gossip = btgossip.New(&btgossip.Node{
@@ -155,18 +158,19 @@
 			Host: s.Host, Addr: s.Addr, FailureDomain: s.FailureDomain,
 			Port: s.Peer.Port(), Incarnation: uint64(time.Now().UnixMilli()), Processor: s.ProcessorMillis,
 		},
-		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Suspects: n.suspects, Grants: n.grants, Timer: n.timer, Log: n.log,
+		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Suspects: n.suspects, Grants: n.grants, Paces: n.paces, Timer: n.timer, Log: n.log,
 		Memory: a.Memory, Ready: n.Ready, Leaving: n.isLeaving, Seeds: addrsOf(s.Seeds),
 	})
 	n.suspects.Share, n.suspects.Elected = n.gossip.ShareSuspicions, n.gossip.Elected
 	n.grants.Ask, n.grants.Share, n.grants.Part, n.grants.Daemons = n.gossip.AskGrant, n.gossip.ShareWords, n.gossip.GrantPart, n.gossip.Count
+	n.paces.Share = n.gossip.SharePaces
 	n.accounts.HeldUntil = n.grants.HeldUntil
 	n.storeStatus.OnDown, n.storeStatus.PeerReads = n.gossip.Announce, n.gossip.PeerReadsStore
 	n.accounts.Daemons = n.gossip.Count
 	n.accounts.Changed = n.gossip.LoadChanged
 	n.accounts.RemoteLate = n.gossip.HasHubs
 	n.handler = &btentry.Handler{
-		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Grants: n.grants, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
+		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Grants: n.grants, Paces: n.paces, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.isLeaving, Accepts: n.leaving.Accepts,
 		Lengths: btforecast.New(n.timer), Memory: a.Memory,
 		Budget: newBudget(n.timer, s.Bounds, uint64(time.Now().UnixNano()), n.gossip.Count),
@@ -222,6 +226,7 @@
 	n.dump.Add("requests", func() any { return n.handler.Stages() })
 	n.dump.Add("loads", func() any { return n.accounts.OwnLoads() })
 	n.dump.Add("suspects", func() any { return n.suspects.State() })
+	n.dump.Add("paces", func() any { return n.paces.Records() })
 	n.dump.Add("limits", func() any { return n.grants.State() })
 	n.dump.Add("snapshot", func() any { return n.table.Snapshot() })
 }
@@ -387,6 +392,7 @@
 		if s := n.table.Snapshot(); s != nil {
 			n.accounts.Retain(s, n.gossip.ValidSource())
 			n.grants.Retain(s)
+			n.paces.Retain(s)
 		}
 	}
 }
--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -91,6 +91,10 @@
 	// Copied is set if the upstream has a copy of the generation, so that it
 	// need not process the prompt again.
 	Copied bool
+	// Target is the time in which the first event is due, MaxPause the longest pause
+	// between events. Both are zero for plain services.
+	Target   time.Duration
+	MaxPause time.Duration
 }
 
 // growthMargin is the number of tokens that a running generation is expected to
@@ -120,6 +124,14 @@
 	return n.Prompt
 }
 
+// streams returns 1 for a stream that runs for long and must not pause, otherwise 0.
+func (n Need) streams() int {
+	if n.MaxPause > 0 && n.MaxOutput >= longOutput {
+		return 1
+	}
+	return 0
+}
+
 // Load is the load of one or more daemons at an upstream.
 type Load struct {
 	// Running is the number of requests that have not ended.
@@ -133,6 +145,8 @@
 	// Ejections is the number of daemons that eject the upstream, or that it asked for a
 	// pause.
 	Ejections int
+	// Streams is the number of running requests that are long streams.
+	Streams int
 }
 
 // Plus returns the sum of two loads.
@@ -146,6 +160,7 @@
 	return Load{
 		Running: l.Running + sign*o.Running, Unread: l.Unread + sign*o.Unread, Memory: l.Memory + sign*o.Memory,
 		Copies: l.Copies + sign*o.Copies, Ejections: l.Ejections + sign*o.Ejections,
+		Streams: l.Streams + sign*o.Streams,
 	}
 }
 
@@ -235,6 +250,7 @@
 		a := t.account(l.id)
 		l.ended = true
 		a.own.Running--
+		a.own.Streams -= l.need.streams()
 		a.own.Memory -= l.counted
 		if !l.prefillDone {
 			a.own.Unread -= l.need.unread()
--- /dev/null
+++ b/internal/route/btaccount/pace_test.go
@@ -0,0 +1,211 @@
+package btaccount
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bramleytack"
+	"bramleytack/bttimer"
+	"bramleytack/internal/route/btpace"
+)
+
+const pauseBound = 180 * time.Millisecond
+
+// pacedFleet returns a snapshot of n engines in one failure domain whose streams are late after
+// pauseBound.
+func pacedFleet(n int) *bramleytack.Snapshot {
+	s := fleet(n)
+	for _, u := range s.ByService[service] {
+		u.FailureDomain = "d0"
+	}
+	s.Routes = bramleytack.NewRouteTable([]*bramleytack.Route{{Streaming: true, MaxPause: pauseBound, Services: []bramleytack.ServiceShare{{Service: service}}}})
+	return s
+}
+
+// simRun is a generation at a simEngine.
+type simRun struct {
+	need    Need
+	lease   *Lease
+	unread  int
+	steps   int
+	left    int
+	last    time.Duration
+	longest time.Duration
+	moveAt  time.Duration
+	target  *simEngine
+	copied  *CopyLease
+	begun   time.Duration
+	first   time.Duration
+}
+
+// simEngine runs a batch in steps, one chunk of the oldest prompt in each.
+type simEngine struct {
+	upstream *bramleytack.Upstream
+	pace     float64
+	noisy    bool
+	noiseEnd time.Duration
+	next     time.Duration
+	runs     []*simRun
+}
+
+// sim is a fleet of engines in which a share are fast and all are disturbed at times.
+type sim struct {
+	table   *Table
+	fleet   *bramleytack.Snapshot
+	engines map[bramleytack.UpstreamID]*simEngine
+	rand    *rand.Rand
+	noise   float64
+	late    int
+	ended   int
+	firsts  time.Duration
+}
+
+func (m *sim) step(e *simEngine, now time.Duration) {
+	if now >= e.noiseEnd {
+		e.noisy = m.rand.Float64() < 0.15
+		e.noiseEnd = now + 300*time.Millisecond + time.Duration(m.rand.IntN(600))*time.Millisecond
+	}
+	pace := e.pace
+	if e.noisy {
+		pace *= m.noise
+	}
+	millis, read := 7+0.12*float64(len(e.runs)), false
+	for _, r := range e.runs {
+		if r.unread > 0 && !read {
+			read = true
+			r.unread -= 112
+			millis += 8
+		}
+	}
+	e.next = now + time.Duration(millis*pace*float64(time.Millisecond))
+	kept := e.runs[:0]
+	for _, r := range e.runs {
+		if m.advance(e, r, now) {
+			kept = append(kept, r)
+		}
+	}
+	e.runs = kept
+}
+
+// advance is one step of a run. It reports whether the run stays at the engine.
+func (m *sim) advance(e *simEngine, r *simRun, now time.Duration) bool {
+	if r.unread > 0 {
+		return true
+	}
+	if r.steps++; r.steps%4 != 1 {
+		return true
+	}
+	if r.first == 0 {
+		r.first = now
+		r.lease.PrefillDone()
+		m.table.Paces.Observe(e.upstream, e.pace*map[bool]float64{true: m.noise, false: 1}[e.noisy])
+	} else {
+		m.table.Paces.Learn(e.upstream, now-r.last, m.table.Reading(e.upstream))
+		r.longest = max(r.longest, now-r.last)
+	}
+	r.last = now
+	if r.left--; r.left == 0 {
+		r.lease.End(Served)
+		r.copied.End()
+		m.ended++
+		m.firsts += r.first - r.begun
+		if r.longest > pauseBound {
+			m.late++
+		}
+		return false
+	}
+	if r.target == nil {
+		if u := m.table.PickHolder(m.fleet, e.upstream, r.need); u != nil {
+			r.target, r.moveAt, r.copied = m.engines[u.ID], now+200*time.Millisecond, m.table.BeginCopy(u.ID, r.need)
+		}
+		return true
+	}
+	if r.moveAt > 0 && now >= r.moveAt {
+		r.lease.End(Abandoned)
+		r.copied.End()
+		r.need.Copied = true
+		r.lease, r.moveAt = m.table.Begin(r.target.upstream.ID, r.need), 0
+		r.target.runs = append(r.target.runs, r)
+		return false
+	}
+	return true
+}
+
+// play plays arrivals for some time and returns the share of late streams and the mean time to
+// the first event.
+func (m *sim) play(d time.Duration, longs, shorts float64) (late float64, first time.Duration) {
+	for now := time.Duration(0); now < d; now += time.Millisecond {
+		for _, u := range m.fleet.ByService[service] {
+			if e := m.engines[u.ID]; now >= e.next {
+				m.step(e, now)
+			}
+		}
+		for kind, rate := range []float64{longs, shorts} {
+			if m.rand.Float64() >= rate/1000 {
+				continue
+			}
+			n, events := Need{Prompt: 3000, Output: 700, MaxOutput: 2000}, 20+m.rand.IntN(300)
+			if kind == 1 {
+				n, events = Need{Prompt: 2400, Output: 8, MaxOutput: 20}, 2
+			}
+			n.Target, n.MaxPause = 1800*time.Millisecond, pauseBound
+			u, _ := m.table.Pick(m.fleet, m.table.Eligible(m.fleet, service, nil), n)
+			m.engines[u.ID].runs = append(m.engines[u.ID].runs, &simRun{need: n, lease: m.table.Begin(u.ID, n), unread: n.Prompt, left: events, begun: now})
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return float64(m.late) / float64(m.ended), m.firsts / time.Duration(m.ended)
+}
+
+func newSim(timer *bttimer.Service, divided bool, paces []float64, noise float64) *sim {
+	table := newTable(timer)
+	if divided {
+		table.Paces = &btpace.Table{Timer: timer}
+	}
+	m := &sim{table: table, fleet: pacedFleet(len(paces)), engines: map[bramleytack.UpstreamID]*simEngine{}, rand: rand.New(rand.NewPCG(1, 2)), noise: noise}
+	for i, u := range m.fleet.ByService[service] {
+		m.engines[u.ID] = &simEngine{upstream: u, pace: paces[i]}
+	}
+	return m
+}
+
+// kindsOfEngines are the paces of a fleet in which each fourth engine is fast.
+var kindsOfEngines = []float64{0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2, 1.2}
+
+// Load: long prompts beside running streams on slow engines among fast ones, while neighbours
+// disturb all of them. Guards against streams that pause too long because a prompt is read
+// beside them, against the earlier choice in the same run.
+func TestPromptsApartFromStreams(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, timer *bttimer.Service) {
+		late, first := newSim(timer, true, kindsOfEngines, 2.5).play(40*time.Second, 5.5, 6)
+		before, firstBefore := newSim(timer, false, kindsOfEngines, 2.5).play(40*time.Second, 5.5, 6)
+		t.Logf("late %.3f, first event %v; before %.3f, %v", late, first, before, firstBefore)
+		assert.Assert(t, late < before/2)
+		assert.Assert(t, first < 2*firstBefore)
+	})
+}
+
+// Load: engines that differ but whose streams never pause too long, engines that are all
+// alike, and none that tells a pace. Guards against any change where none is called for.
+func TestNoPlanWithoutCause(t *testing.T) {
+	for name, c := range map[string]struct {
+		paces []float64
+		noise float64
+		tells bool
+	}{
+		"differ without noise": {kindsOfEngines, 1, true}, "alike with noise": {[]float64{1.2, 1.2, 1.2}, 2.5, true}, "silent": {kindsOfEngines, 2.5, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFakeTime(t, func(t *testing.T, timer *bttimer.Service) {
+				m := newSim(timer, c.tells, c.paces, c.noise)
+				m.play(8*time.Second, 0.4*float64(len(c.paces)), 0.4*float64(len(c.paces)))
+				m.table.mu.Lock()
+				defer m.table.mu.Unlock()
+				assert.Assert(t, m.table.plan(m.fleet, service, timer.Now()) == nil)
+			})
+		})
+	}
+}
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -8,6 +8,7 @@
 
 	"bramleytack"
 	"bramleytack/btevent"
+	"bramleytack/internal/route/btpace"
 )
 
 const (
@@ -80,7 +81,9 @@
 	// it ejects an upstream. The table is locked during the call, so Changed must
 	// not block or use the table.
 	Changed func()
-	Log     *btevent.Logger
+	// Paces are those of the upstreams. Nil means that all are alike.
+	Paces *btpace.Table
+	Log   *btevent.Logger
 
 	mu       sync.Mutex
 	accounts map[bramleytack.UpstreamID]*account
@@ -88,6 +91,8 @@
 	peers map[Source]map[bramleytack.UpstreamID]Load
 	// peerTotals is the sum of the loads in peers.
 	peerTotals map[bramleytack.UpstreamID]Load
+	// plans are the newest ones by service.
+	plans map[string]*plan
 }
 
 // account returns the account of an upstream and creates it if there is none. The
@@ -110,6 +115,7 @@
 	defer t.mu.Unlock()
 	a := t.account(id)
 	a.own.Running++
+	a.own.Streams += n.streams()
 	a.own.Unread += n.unread()
 	a.own.Memory += n.memory()
 	t.notifyChanged(n)
@@ -154,6 +160,10 @@
 		if now.Before(a.ejectedUntil) || now.Before(a.pausedUntil) {
 			l.Ejections = 1
 		}
+		if t.Paces.Empty() {
+			// Nobody needs the number, and each one costs bytes.
+			l.Streams = 0
+		}
 		if !l.IsZero() {
 			own[id] = l
 		}
@@ -313,7 +323,9 @@
 	if profile == nil {
 		return score + plainMillis*float64(l.Running)/float64(max(u.WarmLimit, 1))
 	}
-	score += float64(l.Unread)/prefillPerMilli + runningMillis*float64(l.Running)
+	p := t.plan(s, u.Service, now)
+	score += (float64(l.Unread)/prefillPerMilli + runningMillis*float64(l.Running)) * p.lastingPace(t, u)
+	score += p.harm(u, n, l)
 	use := float64(l.Memory+l.Copies/2+n.memory()) / float64(max(profile.MemoryTokens, 1))
 	if use > safeMemoryShare {
 		score += memoryMillis * (use - safeMemoryShare)
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -231,6 +231,7 @@
 	if err == nil && err2 == nil {
 		req.h.Accounts.Observe(u.ID, running, waiting)
 	}
+	req.observePace(u, parts)
 }
 
 // attempt sends the request to an upstream and reads the whole response. ctx is
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -25,6 +25,7 @@
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
+	"bramleytack/internal/route/btpace"
 	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/upstream/btconn"
 )
@@ -46,12 +47,13 @@
 )
 
 // Handler serves callers over HTTP. Its fields are set before the first request.
-// Suspects, Grants, Mover, Log, Metrics, Memory, Leaving and Accepts may be nil.
+// Suspects, Grants, Paces, Mover, Log, Metrics, Memory, Leaving and Accepts may be nil.
 type Handler struct {
 	Table    *btreplica.Table
 	Accounts *btaccount.Table
 	Suspects *btsuspect.Table
 	Grants   *btgrant.Table
+	Paces    *btpace.Table
 	Pool     *btconn.Pool
 	Dialect  bramleytack.FleetDialect
 	Mover    bramleytack.EngineMover
@@ -335,7 +337,11 @@
 	if err != nil {
 		hint = 0
 	}
-	return btaccount.Need{Prompt: in, Output: h.Lengths.Forecast(req.route.Name, hint, out), MaxOutput: out}
+	need := btaccount.Need{Prompt: in, Output: h.Lengths.Forecast(req.route.Name, hint, out), MaxOutput: out}
+	if req.route.Streaming {
+		need.Target, need.MaxPause = req.route.TargetLatency, req.route.MaxPause
+	}
+	return need
 }
 
 func (req *activeRequest) readBody(r *http.Request) bool {
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -261,6 +261,11 @@
 	if target == nil {
 		return
 	}
+	s.moveTo(target)
+}
+
+// moveTo starts the move to an engine.
+func (s *relay) moveTo(target *bramleytack.Upstream) {
 	s.moving = &move{relay: s, source: s.cur, target: target, need: s.remainingNeed()}
 	s.req.log(btevent.MoveStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(target.ID)).Uint64("lastEvent", s.lastEventID).Send()
 	go s.moving.run()
--- a/internal/serve/btentry/metrics.go
+++ b/internal/serve/btentry/metrics.go
@@ -34,6 +34,7 @@
 	handoverPauses    prometheus.Histogram
 	memoryWaits       prometheus.Histogram
 	limitedSends      *prometheus.CounterVec
+	late              *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics with r. It panics if r has them already.
@@ -51,8 +52,9 @@
 		handoverPauses:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_handover_pause_seconds", Help: "Pause of a stream that went on at another engine.", Buckets: gapBuckets}),
 		memoryWaits:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_room_wait_seconds", Help: "Time until an engine had room for a generation.", Buckets: latencyBuckets}),
 		limitedSends:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_limited_sends_total", Help: "Requests for permission to send to a limited upstream."}, []string{"result"}),
+		late:              prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_late_answers_total", Help: "Complete streams that were late, by cause."}, []string{"cause"}),
 	}
-	r.MustRegister(m.limitedSends, m.answers, m.rejections, m.brokenStreams, m.limits, m.breaks, m.panics, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
+	r.MustRegister(m.late, m.limitedSends, m.answers, m.rejections, m.brokenStreams, m.limits, m.breaks, m.panics, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
 	return m
 }
 
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -32,6 +32,8 @@
 type item struct {
 	head  *attemptResult
 	event btstream.Event
+	// at is when the event arrived.
+	at time.Time
 	// ended is set on the last item, which also has a head if the upstream did not
 	// open a stream. Without a head, err is nil if the stream is complete.
 	ended bool
@@ -78,6 +80,8 @@
 	copyName string
 	// retries counts how often a rejected handover to this copy was repeated.
 	retries int
+	// beside is set if the engine had prompts to read at the last event.
+	beside bool
 }
 
 // origin is the state that a segment continues from.
@@ -150,7 +154,7 @@
 			return
 		}
 		empty = empty && !e.HasData
-		if seg.room.Acquire(ctx, roomOf(e)) != nil || !seg.send(ctx, item{event: e}) {
+		if seg.room.Acquire(ctx, roomOf(e)) != nil || !seg.send(ctx, item{event: e, at: seg.req.h.Timer.Now()}) {
 			seg.req.unread.Release(e.Size())
 			return
 		}
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -75,6 +75,10 @@
 	// firstEventLatency and longestPause are measured as the caller sees them.
 	firstEventLatency time.Duration
 	longestPause      time.Duration
+	// pauseCause is what made the longest pause. paceMoves counts the moves for the pace of
+	// engines.
+	pauseCause lateCause
+	paceMoves  int
 	// finalResult is the result to answer with if the caller gets no event.
 	finalResult *attemptResult
 	done        bool
@@ -248,6 +252,7 @@
 		}
 		return
 	}
+	seg.learnPace(now)
 	seg.lastEventAt = now
 	seg.eventCount++
 	if seg.eventCount == 1 {
@@ -281,9 +286,10 @@
 		return
 	}
 	pause := now.Sub(s.lastEventAt)
-	s.longestPause = max(s.longestPause, pause)
+	s.notePause(seg, pause, i.at)
 	s.req.h.Metrics.event(pause, seg.origin != fromStart && seg.eventCount == 1)
 	s.lastEventAt = now
+	s.checkPace()
 }
 
 // forwardEvent sends an event to the caller. It reports false if the caller is gone.
@@ -338,8 +344,10 @@
 	s.learnLength()
 	s.req.h.Suspects.ReportExecuted(s.req.fingerprint())
 	s.req.execution.logTo(s.req.log(btevent.RequestAnswered)).Str("upstream", string(seg.upstream.ID)).Int("status", seg.head.status).
-		Uint64("lastEvent", s.lastEventID).Dur("first", s.firstEventLatency).Dur("longestPause", s.longestPause).Send()
+		Uint64("lastEvent", s.lastEventID).Dur("first", s.firstEventLatency).Dur("longestPause", s.longestPause).
+		Stringer("late", s.late()).Int("paceMoves", s.paceMoves).Send()
 	s.req.h.Metrics.responded(s.req, seg.head.status)
+	s.req.h.Metrics.answeredLate(s.late())
 }
 
 // learnLength adds the length and the pace of a complete generation to the forecasts.
--- a/routes.go
+++ b/routes.go
@@ -125,6 +125,24 @@
 	return nil
 }
 
+// ShortestPause returns the shortest of the longest pauses between events that the streaming
+// routes of a service allow, or zero if none is bounded.
+func (t *RouteTable) ShortestPause(service string) time.Duration {
+	var shortest time.Duration
+	if t == nil {
+		return 0
+	}
+	for _, list := range t.byHost {
+		for _, r := range list {
+			serves := slices.ContainsFunc(r.Services, func(s ServiceShare) bool { return s.Service == service })
+			if r.Streaming && r.MaxPause > 0 && serves && (shortest == 0 || r.MaxPause < shortest) {
+				shortest = r.MaxPause
+			}
+		}
+	}
+	return shortest
+}
+
 // Len returns the number of routes.
 func (t *RouteTable) Len() int {
 	n := 0
