Holders take generations up to 0.75 of their memory

Cause: forecasts of long generations are too low, holders filled up, and the newest generation there was preempted (54 preemptions, streams with pauses of seconds, 869 moves without room).

Change: holderUse 0.75 instead of 0.9, holderMost 0.7 instead of 0.6.

--- a/internal/route/btaccount/pace.go
+++ b/internal/route/btaccount/pace.go
@@ -32,8 +32,8 @@
 	// holderUse is the use up to which holders take generations, and holderMost the largest
 	// share of the delicate engines of a failure domain that are holders. The others read
 	// prompts.
-	holderUse  = 0.9
-	holderMost = 0.6
+	holderUse  = 0.75
+	holderMost = 0.7
 )
 
 // plan says which engines of a service read prompts and which hold streams. There is one
--- a/internal/route/btpace/table_test.go
+++ b/internal/route/btpace/table_test.go
@@ -89,8 +89,10 @@
 func TestMergeNeedsNoOrder(t *testing.T) {
 	started := time.UnixMilli(1000)
 	records := []Record{
-		{Upstream: "e", Started: started, Lasting: 3, Worst: 3}, {Upstream: "e", Started: started, Lasting: 1.2, Worst: 1.3},
-		{Upstream: "e", Started: started, Raised: 1, Lasting: 2, Worst: 4}, {Upstream: "e", Started: started, Raised: 1, Lasting: 2.5, Worst: 5},
+		{Upstream: "e", Started: started, Lasting: 3, Worst: 3},
+		{Upstream: "e", Started: started, Lasting: 1.2, Worst: 1.3},
+		{Upstream: "e", Started: started, Raised: 1, Lasting: 2, Worst: 4},
+		{Upstream: "e", Started: started, Raised: 1, Lasting: 2.5, Worst: 5},
 	}
 	orders := [][]int{{0, 1, 2, 3}, {3, 2, 1, 0}, {2, 0, 3, 1, 2}, {1, 3, 0, 2, 0}}
 	for _, order := range orders {
