Generations enter an engine that has just begun to leave; tests of shared paces

Change: a generation whose copy an upstream holds goes on there although it has begun to leave since (its failure domain is in service and it asked for no pause). A rejected copy is tried three more times instead of once. Pauses of which only those beside prompts are known are told to others.

--- a/internal/route/btpace/table.go
+++ b/internal/route/btpace/table.go
@@ -209,7 +209,9 @@
 	n := News{Records: t.Records()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, service := range slices.Sorted(maps.Keys(t.alone)) {
+	services := slices.AppendSeq(slices.Collect(maps.Keys(t.alone)), maps.Keys(t.beside))
+	slices.Sort(services)
+	for _, service := range slices.Compact(services) {
 		if p := t.pauses(service); p.Alone > 0 || p.Beside > 0 {
 			n.Pauses = append(n.Pauses, p)
 		}
--- a/internal/route/btpace/table_test.go
+++ b/internal/route/btpace/table_test.go
@@ -147,3 +147,28 @@
 		near(fast, true, 86*time.Millisecond)
 	})
 }
+
+// Load: a daemon that has just started, or relays few streams. Guards against one that divides
+// nothing until it has seen enough itself, and against others' values that replace its own.
+func TestPausesOfOthers(t *testing.T) {
+	withTable(t, func(t *testing.T, table *Table) {
+		u := engine("e")
+		table.Observe(u, 1)
+		assert.Assert(t, table.MergePauses([]Pauses{{Service: "engines", Alone: -1, Beside: 62 * time.Millisecond}}))
+		assert.Assert(t, !table.MergePauses([]Pauses{{Service: "engines", Beside: 900 * time.Millisecond}}), "the first value stays")
+		pause, known := table.Pause(u, true)
+		assert.Assert(t, known)
+		assert.Equal(t, pause, 62*time.Millisecond)
+		_, known = table.Pause(u, false)
+		assert.Assert(t, !known)
+		shared := 0
+		table.Share = func(n News) { shared += len(n.Pauses) }
+		for range 3 * minSamples {
+			table.Learn(u, 40*time.Millisecond, true)
+		}
+		pause, _ = table.Pause(u, true)
+		assert.Assert(t, pause < 50*time.Millisecond, "own samples count: %v", pause)
+		assert.Equal(t, shared, 1)
+		assert.Equal(t, len(table.All().Pauses), 1)
+	})
+}
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -105,7 +105,7 @@
 		c.Release()
 		return nil, errors.Mark(errLimited, btconn.ErrUnsent)
 	}
-	if !req.stillAccepts(u) {
+	if !req.stillAccepts(u) && !(r.Header.Get(req.h.Dialect.From) != "" && req.mayEnter(u)) {
 		c.Release()
 		return nil, errors.Mark(errLeft, btconn.ErrUnsent)
 	}
@@ -173,6 +173,19 @@
 	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u)
 }
 
+// mayEnter reports whether a generation whose copy an upstream holds may still go on there,
+// although the upstream has begun to leave since it was chosen. The generation has ended
+// elsewhere and leaves again from there; it has no other way on.
+func (req *activeRequest) mayEnter(u *bramleytack.Upstream) bool {
+	s := req.h.Table.Snapshot()
+	current, ok := s.Upstreams[u.ID]
+	if !ok || req.h.Accounts.Paused(u) {
+		return false
+	}
+	d, ok := s.FailureDomains[current.FailureDomain]
+	return ok && d.State == bramleytack.DomainActive
+}
+
 // connect returns a connection to an upstream on which the request was not sent before. A stream that may not be repeated
 // gets a new connection: the upstream may have closed a pooled one unnoticed, and
 // it would then be unknown whether it executed a request sent on it.
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -23,7 +23,7 @@
 	backupReadyAfter = 1200 * time.Millisecond
 	// copyRetries bounds the repeats of a handover to a copy that was rejected
 	// because the previous engine had not yet noticed the end of the generation.
-	copyRetries    = 1
+	copyRetries    = 3
 	copyRetryPause = 15 * time.Millisecond
 	// silenceShare is the share of the route's maximum pause between events after
 	// which an engine that sends nothing is probed. The rest is for the probe and
