Merge: pace of engines, and prompts apart from streams

Reviewed by one who did not write it (the lead): btpace, btaccount/pace.go, the wiring, and the tests were read.

--- a/internal/fleet/btgossip/load.go
+++ b/internal/fleet/btgossip/load.go
@@ -242,6 +242,7 @@
 			Upstream: string(id), Running: nonNegative(l.Running), UnreadTokens: nonNegative(l.Unread),
 			MemoryTokens: nonNegative(l.Memory), CopyTokens: nonNegative(l.Copies), Ejections: nonNegative(l.Ejections),
 			Waiting: nonNegative(l.Waiting),
+			Streams: nonNegative(l.Streams),
 		})
 	}
 	return out
@@ -253,6 +254,7 @@
 		load := btaccount.Load{
 			Running: int(l.Running), Unread: int(l.UnreadTokens), Memory: int(l.MemoryTokens), Copies: int(l.CopyTokens),
 			Waiting: int(l.Waiting),
+			Streams: int(l.Streams),
 		}
 		if ejections {
 			load.Ejections = int(l.Ejections)
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -21,6 +21,7 @@
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btgrant"
+	"bramleytack/internal/route/btpace"
 	"bramleytack/internal/route/btrollout"
 	"bramleytack/internal/route/btsuspect"
 )
@@ -66,10 +67,11 @@
 	Table       *btreplica.Table
 	Accounts    *btaccount.Table
 	StoreStatus *btreplica.StoreStatus
-	// Suspects, Grants and Rollouts may be nil.
+	// Suspects, Grants, Rollouts and Paces may be nil.
 	Suspects *btsuspect.Table
 	Grants   *btgrant.Table
 	Rollouts *btrollout.Table
+	Paces    *btpace.Table
 	Timer    bramleytack.Timer
 	Log      *btevent.Logger
 	// Ready and Leaving return the state that digests announce to the other daemons.
--- a/internal/fleet/btgossip/traffic.go
+++ b/internal/fleet/btgossip/traffic.go
@@ -16,17 +16,18 @@
 	CauseWord
 	CauseGrant
 	CauseRollout
+	CausePace
 	causeCount
 )
 
-var causeNames = [causeCount]string{"digest", "load", "table", "change", "member", "suspicion", "word", "grant", "rollout"}
+var causeNames = [causeCount]string{"digest", "load", "table", "change", "member", "suspicion", "word", "grant", "rollout", "pace"}
 
 // String returns the name of the cause in metrics.
 func (c Cause) String() string { return causeNames[c] }
 
 // Causes returns all causes.
 func Causes() []Cause {
-	return []Cause{CauseDigest, CauseLoad, CauseTable, CauseChange, CauseMember, CauseSuspicion, CauseWord, CauseGrant, CauseRollout}
+	return []Cause{CauseDigest, CauseLoad, CauseTable, CauseChange, CauseMember, CauseSuspicion, CauseWord, CauseGrant, CauseRollout, CausePace}
 }
 
 // Traffic counts the datagrams that a daemon has sent. It is safe for concurrent use.
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -106,7 +106,7 @@
 		c.Release()
 		return nil, errors.Mark(errLimited, btconn.ErrUnsent)
 	}
-	if !req.stillAccepts(u) {
+	if !req.stillAccepts(u) && !(r.Header.Get(req.h.Dialect.From) != "" && req.mayEnter(u)) {
 		c.Release()
 		return nil, errors.Mark(errLeft, btconn.ErrUnsent)
 	}
@@ -175,6 +175,19 @@
 	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u) && !req.h.Rollouts.Refuses(u)
 }
 
+// mayEnter reports whether a generation whose copy an upstream holds may still go on there,
+// although the upstream has begun to leave since it was chosen. The generation has ended
+// elsewhere and leaves again from there; it has no other way on.
+func (req *activeRequest) mayEnter(u *bramleytack.Upstream) bool {
+	s := req.h.Table.Snapshot()
+	current, ok := s.Upstreams[u.ID]
+	if !ok || req.h.Accounts.Paused(u) || req.h.Rollouts.Refuses(u) {
+		return false
+	}
+	d, ok := s.FailureDomains[current.FailureDomain]
+	return ok && d.State == bramleytack.DomainActive
+}
+
 // connect returns a connection to an upstream on which the request was not sent before. A stream that may not be repeated
 // gets a new connection: the upstream may have closed a pooled one unnoticed, and
 // it would then be unknown whether it executed a request sent on it.
@@ -233,6 +246,7 @@
 	if err == nil && err2 == nil {
 		req.h.Accounts.Observe(u.ID, running, waiting)
 	}
+	req.observePace(u, parts)
 }
 
 // attempt sends the request to an upstream and reads the whole response. ctx is
