--- a/internal/fleet/btgossip/node_test.go
+++ b/internal/fleet/btgossip/node_test.go
@@ -224,6 +224,7 @@
 	n.Accounts.Changed = n.LoadChanged
 	n.Suspects = btsuspect.New(&btsuspect.Table{Timer: c.timer, Log: log, Share: n.ShareSuspicions, Elected: n.Elected})
 	n.Grants = &btgrant.Table{Timer: c.timer, Log: log, Ask: n.AskGrant, Share: n.ShareWords, Part: n.GrantPart, Daemons: n.Count}
+	n.Rollouts = newRollouts(n)
 	ctx, stop := context.WithCancel(context.Background())
 	conn := &packetConn{lan: c.lan, addr: addrOf(i), in: make(chan datagram, 256), done: make(chan struct{})}
 	c.lan.mu.Lock()
