--- a/btevent/event.go
+++ b/btevent/event.go
@@ -64,6 +64,7 @@
 	UpstreamInspected       = Event{409, zerolog.InfoLevel, "connection broke and its upstream was checked"}
 	UpstreamPaused          = Event{410, zerolog.InfoLevel, "upstream has asked for a pause"}
 	UpstreamLimited         = Event{411, zerolog.InfoLevel, "limit that an upstream names has changed"}
+	AdmissionRejected       = Event{520, zerolog.InfoLevel, "request was rejected by admission"}
 	RequestFailed           = Event{500, zerolog.WarnLevel, "request failed"}
 	RequestNotRun           = Event{501, zerolog.DebugLevel, "request was rejected before it ran"}
 	RequestRejected         = Event{502, zerolog.InfoLevel, "request was rejected"}
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -20,6 +20,7 @@
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btadmission"
 	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btsuspect"
 )
@@ -65,11 +66,12 @@
 	Table       *btreplica.Table
 	Accounts    *btaccount.Table
 	StoreStatus *btreplica.StoreStatus
-	// Suspects and Grants may be nil.
-	Suspects *btsuspect.Table
-	Grants   *btgrant.Table
-	Timer    bramleytack.Timer
-	Log      *btevent.Logger
+	// Suspects, Grants and Admission may be nil.
+	Suspects  *btsuspect.Table
+	Grants    *btgrant.Table
+	Admission *btadmission.Controller
+	Timer     bramleytack.Timer
+	Log       *btevent.Logger
 	// Ready and Leaving return the state that digests announce to the other daemons.
 	Ready   func() bool
 	Leaving func() bool
@@ -147,6 +149,7 @@
 	go (&server{n: n}).run(ctx, l)
 	go (&loadSender{n}).run(ctx)
 	go (&hubSender{n: n}).run(ctx)
+	go (&demandSender{n}).run(ctx)
 	go n.loop(ctx)
 }
 
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -90,6 +90,9 @@
 	if p.GrantReply != nil {
 		n.handleGrantReply(p.GrantReply)
 	}
+	if p.Demand != nil {
+		n.handleDemand(p)
+	}
 	if len(p.Unknown) > 0 {
 		n.answerMembers(sender, p.Unknown, now)
 	}
--- a/internal/fleet/btgossip/traffic.go
+++ b/internal/fleet/btgossip/traffic.go
@@ -15,17 +15,18 @@
 	CauseSuspicion
 	CauseWord
 	CauseGrant
+	CauseDemand
 	causeCount
 )
 
-var causeNames = [causeCount]string{"digest", "load", "table", "change", "member", "suspicion", "word", "grant"}
+var causeNames = [causeCount]string{"digest", "load", "table", "change", "member", "suspicion", "word", "grant", "demand"}
 
 // String returns the name of the cause in metrics.
 func (c Cause) String() string { return causeNames[c] }
 
 // Causes returns all causes.
 func Causes() []Cause {
-	return []Cause{CauseDigest, CauseLoad, CauseTable, CauseChange, CauseMember, CauseSuspicion, CauseWord, CauseGrant}
+	return []Cause{CauseDigest, CauseLoad, CauseTable, CauseChange, CauseMember, CauseSuspicion, CauseWord, CauseGrant, CauseDemand}
 }
 
 // Traffic counts the datagrams that a daemon has sent. It is safe for concurrent use.
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -28,6 +28,7 @@
 	"bramleytack/internal/node/btdrain"
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btadmission"
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btsuspect"
@@ -122,6 +123,7 @@
 	accounts    *btaccount.Table
 	suspects    *btsuspect.Table
 	grants      *btgrant.Table
+	admission   *btadmission.Controller
 	gossip      *btgossip.Node
 	pool        *btconn.Pool
 	engines     Engines
@@ -150,12 +152,13 @@
 	n.accounts = &btaccount.Table{Timer: n.timer, Domain: s.FailureDomain, MaxPause: s.Bounds.MaxPause, Log: n.log}
 	n.suspects = btsuspect.New(&btsuspect.Table{Timer: n.timer, Log: n.log})
 	n.grants = &btgrant.Table{Timer: n.timer, Log: n.log}
+	n.admission = btadmission.New(n.timer, uint64(time.Now().UnixNano()))
 	n.gossip = btgossip.New(&btgossip.Node{
 		Self: btgossip.Self{
 			Host: s.Host, Addr: s.Addr, FailureDomain: s.FailureDomain,
 			Port: s.Peer.Port(), Incarnation: uint64(time.Now().UnixMilli()), Processor: s.ProcessorMillis,
 		},
-		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Suspects: n.suspects, Grants: n.grants, Timer: n.timer, Log: n.log,
+		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Suspects: n.suspects, Grants: n.grants, Admission: n.admission, Timer: n.timer, Log: n.log,
 		Memory: a.Memory, Ready: n.Ready, Leaving: n.isLeaving, Seeds: addrsOf(s.Seeds),
 	})
 	n.suspects.Share, n.suspects.Elected = n.gossip.ShareSuspicions, n.gossip.Elected
@@ -165,8 +168,9 @@
 	n.accounts.Daemons = n.gossip.Count
 	n.accounts.Changed = n.gossip.LoadChanged
 	n.accounts.RemoteLate = n.gossip.HasHubs
+	n.admission.Daemons, n.admission.Alone = n.gossip.Count, n.gossip.HasHubs
 	n.handler = &btentry.Handler{
-		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Grants: n.grants, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
+		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Grants: n.grants, Admission: n.admission, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.isLeaving, Accepts: n.leaving.Accepts,
 		Lengths: btforecast.New(n.timer), Memory: a.Memory,
 		Budget: newBudget(n.timer, s.Bounds, uint64(time.Now().UnixNano()), n.gossip.Count),
@@ -222,6 +226,7 @@
 	n.dump.Add("requests", func() any { return n.handler.Stages() })
 	n.dump.Add("loads", func() any { return n.accounts.OwnLoads() })
 	n.dump.Add("suspects", func() any { return n.suspects.State() })
+	n.dump.Add("admission", func() any { return n.admission.State() })
 	n.dump.Add("limits", func() any { return n.grants.State() })
 	n.dump.Add("snapshot", func() any { return n.table.Snapshot() })
 }
--- /dev/null
+++ b/internal/route/btadmission/demand.go
@@ -0,0 +1,262 @@
+package btadmission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bramleytack"
+)
+
+const (
+	// maxWaiting, maxTenants and maxTold bound a Demand, and with it its message.
+	maxWaiting = 8
+	maxTenants = 16
+	maxTold    = 32
+	// demandValidity is how long the demand of another daemon counts without a newer one.
+	demandValidity = time.Second
+	// refreshPeriod is the least time between two sums of all demands.
+	refreshPeriod = 50 * time.Millisecond
+)
+
+// class is a rank of a service.
+type class struct {
+	service uint32
+	rank    int
+}
+
+// Waiting is what waits of one rank of a service.
+type Waiting struct {
+	Service uint32
+	Rank    int
+	// Memory and Prompt are the tokens that the requests will hold and have to read.
+	Memory int
+	Prompt int
+}
+
+// TenantUse is what the requests of a tenant hold or wait for.
+type TenantUse struct {
+	Tenant uint32
+	Memory int
+}
+
+// Demand is what a daemon tells the others.
+type Demand struct {
+	Waiting []Waiting
+	Tenants []TenantUse
+	// Told are the callers that this daemon has told to come back since it last said so.
+	Told []Told
+}
+
+type peerDemand struct {
+	at     time.Time
+	demand Demand
+}
+
+// addWaiting adds a request to what waits here, or takes it off. The caller holds the lock.
+func (c *Controller) addWaiting(v *Visit, sign int) {
+	k := class{hashOf(v.r.Service), v.r.Rank}
+	w := c.own[k]
+	w.Service, w.Rank = k.service, k.rank
+	w.Memory += sign * v.r.Memory
+	w.Prompt += sign * v.r.Prompt
+	if w.Memory <= 0 && w.Prompt <= 0 {
+		delete(c.own, k)
+		return
+	}
+	c.own[k] = w
+}
+
+func (c *Controller) addTenant(tenant uint32, tokens int) {
+	if c.tenants[tenant] += tokens; c.tenants[tenant] <= 0 {
+		delete(c.tenants, tenant)
+	}
+}
+
+// Demand returns what the other daemons need to know, and reports whether there is
+// anything: a request waits here, did so at the last call, or callers were told to come
+// back. Of many tenants it has the largest.
+func (c *Controller) Demand() (d Demand, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.own {
+		d.Waiting = append(d.Waiting, w)
+	}
+	d.Told = c.returns.untold(maxTold)
+	waits := len(d.Waiting) > 0
+	ok, c.last = waits || c.last || len(d.Told) > 0, waits
+	slices.SortFunc(d.Waiting, func(a, b Waiting) int { return cmp.Compare(a.Rank, b.Rank) })
+	d.Waiting = d.Waiting[:min(len(d.Waiting), maxWaiting)]
+	if ok || c.othersWait() {
+		// Fair shares depend on the tenants of all daemons while any request waits.
+		ok = true
+		for t, m := range c.tenants {
+			d.Tenants = append(d.Tenants, TenantUse{t, m})
+		}
+		slices.SortFunc(d.Tenants, func(a, b TenantUse) int { return cmp.Compare(b.Memory, a.Memory) })
+		d.Tenants = d.Tenants[:min(len(d.Tenants), maxTenants)]
+	}
+	return d, ok
+}
+
+// othersWait reports whether requests wait at other daemons.
+func (c *Controller) othersWait() bool {
+	now := c.timer.Now()
+	for _, p := range c.peers {
+		if now.Sub(p.at) < demandValidity && len(p.demand.Waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// SetPeer replaces the demand of another daemon.
+func (c *Controller) SetPeer(h bramleytack.HostID, d Demand) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.timer.Now()
+	c.peers[h] = peerDemand{at: now, demand: d}
+	for _, t := range d.Told[:min(len(d.Told), maxTold)] {
+		c.returns.learn(t, now)
+	}
+}
+
+// sums is the demand of all daemons at a time.
+type sums struct {
+	at      time.Time
+	waiting map[class]Waiting
+	tenants map[uint32]int
+	// fair is the use up to which a tenant is not above its fair share.
+	fair int
+}
+
+// refresh returns the sums, at most refreshPeriod old. The caller holds the lock.
+func (c *Controller) refresh(now time.Time) *sums {
+	if now.Sub(c.sums.at) < refreshPeriod && c.sums.waiting != nil {
+		return &c.sums
+	}
+	s := sums{at: now, waiting: map[class]Waiting{}, tenants: map[uint32]int{}}
+	add := func(d Demand, times int) {
+		for _, w := range d.Waiting {
+			k := class{w.Service, w.Rank}
+			sum := s.waiting[k]
+			s.waiting[k] = Waiting{w.Service, w.Rank, sum.Memory + times*w.Memory, sum.Prompt + times*w.Prompt}
+		}
+		for _, t := range d.Tenants {
+			s.tenants[t.Tenant] += times * t.Memory
+		}
+	}
+	for h, p := range c.peers {
+		if now.Sub(p.at) >= demandValidity {
+			delete(c.peers, h)
+			continue
+		}
+		add(p.demand, 1)
+	}
+	own := Demand{}
+	for _, w := range c.own {
+		own.Waiting = append(own.Waiting, w)
+	}
+	for t, m := range c.tenants {
+		own.Tenants = append(own.Tenants, TenantUse{t, m})
+	}
+	times := 1
+	if c.Alone != nil && c.Alone() && c.Daemons != nil {
+		times = max(c.Daemons(), 1)
+	}
+	add(own, times)
+	s.fair = s.fairShare()
+	c.sums = s
+	return &c.sums
+}
+
+// ahead returns what waits of the ranks of a request and of more urgent ones. own is set if
+// the request itself waits.
+func (s *sums) ahead(r Request, own bool) Waiting {
+	var sum Waiting
+	service := hashOf(r.Service)
+	for k, w := range s.waiting {
+		if k.service == service && k.rank <= r.Rank {
+			sum.Memory += w.Memory
+			sum.Prompt += w.Prompt
+		}
+	}
+	if own {
+		sum.Memory, sum.Prompt = max(sum.Memory-r.Memory, 0), max(sum.Prompt-r.Prompt, 0)
+	}
+	return sum
+}
+
+// moreUrgentWaits reports whether requests of a more urgent rank wait for the same service.
+func (s *sums) moreUrgentWaits(r Request) bool {
+	service := hashOf(r.Service)
+	for k := range s.waiting {
+		if k.service == service && k.rank < r.Rank {
+			return true
+		}
+	}
+	return false
+}
+
+// fairShare returns the use of a tenant at which all tenants that want more are alike if what
+// waits is not served: the max-min share of what runs. Without waiting requests it is the
+// largest use.
+func (s *sums) fairShare() int {
+	total, waiting := 0, 0
+	uses := make([]int, 0, len(s.tenants))
+	for _, m := range s.tenants {
+		uses = append(uses, m)
+		total += m
+	}
+	for _, w := range s.waiting {
+		waiting += w.Memory
+	}
+	slices.Sort(uses)
+	left := max(total-waiting, 0)
+	for i, m := range uses {
+		part := left / (len(uses) - i)
+		if m > part {
+			return part
+		}
+		left -= m
+	}
+	if len(uses) == 0 {
+		return 0
+	}
+	return uses[len(uses)-1]
+}
+
+// above reports whether a tenant is above its fair share while requests wait.
+func (s *sums) above(tenant uint32) bool {
+	return len(s.waiting) > 0 && len(s.tenants) > 1 && s.tenants[tenant] > s.fair
+}
+
+// State is what an operator sees of admission at a daemon.
+type State struct {
+	// Waiting is what waits here, All what waits at all daemons as far as this one knows.
+	Waiting []Waiting `json:"waiting"`
+	All     []Waiting `json:"all"`
+	// HoldSeconds is the mean time for which generations hold memory, ReadPerMilli the tokens
+	// that an engine reads in a millisecond.
+	HoldSeconds  float64 `json:"holdSeconds"`
+	ReadPerMilli float64 `json:"readPerMilli"`
+	// Expected is the number of callers that were told to come back, FairTokens the use up to
+	// which a workspace is within its fair share.
+	Expected   int `json:"expected"`
+	FairTokens int `json:"fairTokens"`
+}
+
+// State returns the current state.
+func (c *Controller) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.refresh(c.timer.Now())
+	out := State{HoldSeconds: c.hold.value(0), ReadPerMilli: c.readPerMilli(), Expected: len(c.returns.due), FairTokens: s.fair}
+	for _, w := range c.own {
+		out.Waiting = append(out.Waiting, w)
+	}
+	for _, w := range s.waiting {
+		out.All = append(out.All, w)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/serve/btentry/admission.go
@@ -0,0 +1,151 @@
+package btentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bramleytack"
+	"bramleytack/btevent"
+	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btadmission"
+)
+
+// admissionLogInterval is the least time between two log lines of a daemon about requests
+// that were rejected by admission. All are counted.
+const admissionLogInterval = 200 * time.Millisecond
+
+// rank returns the urgency of the request: that of its workspace goes before its route's.
+func (req *activeRequest) rank() int {
+	if w := req.snapshot.Workspaces[req.workspace]; w != nil && w.Urgency != nil {
+		return *w.Urgency
+	}
+	return req.route.Urgency
+}
+
+// admittedByLoad reports whether admission decides about the request: the first attempt at a
+// generation of a known size, whose route has a target.
+func (req *activeRequest) admittedByLoad(tried map[bramleytack.UpstreamID]bool) bool {
+	return req.h.Admission != nil && len(tried) == 0 && req.need.Prompt > 0 && req.route.TargetLatency > 0 && req.snapshot.Engine(req.service) != nil
+}
+
+// admissionRequest describes the request for admission.
+func (req *activeRequest) admissionRequest() btadmission.Request {
+	r := btadmission.Request{
+		Service: req.service, Rank: req.rank(), Tenant: req.workspace, Arrived: req.received, Deadline: req.deadline,
+		Target: req.received.Add(req.route.TargetLatency), ReadTarget: req.route.TargetLatency,
+		Prompt: req.need.Prompt, Memory: req.need.Prompt + req.need.Output, Short: req.need.MaxOutput < minBackupOutput,
+		Key: btadmission.KeyOf(string(req.workspace), req.method, req.target, req.header.Get(req.h.Dialect.PromptParts), strconv.Itoa(req.need.Prompt), string(req.body)),
+	}
+	expected, _ := req.durations()
+	r.End = req.received.Add(stallLimit(req.route))
+	if end := req.deadline.Add(req.route.TargetLatency - expected); end.Before(r.End) {
+		// The generation itself takes what durations adds to the target.
+		r.End = end
+	}
+	for _, other := range req.snapshot.Routes.All() {
+		if other.Urgency > r.Rank || other.TargetLatency <= 0 || !other.Streaming || !serves(other, req.service) {
+			continue
+		}
+		r.ReadTarget = min(r.ReadTarget, other.TargetLatency)
+		r.LessUrgent = r.LessUrgent || other.Urgency < r.Rank
+	}
+	return r
+}
+
+// serves reports whether a route sends requests to a service.
+func serves(r *bramleytack.Route, service string) bool {
+	for _, s := range r.Services {
+		if s.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// admitEngine returns an engine for a generation once one is within the limits of admission,
+// or nil if there is none. The caller ends the visit.
+func (req *activeRequest) admitEngine(ctx context.Context) *bramleytack.Upstream {
+	req.visit = req.h.Admission.Enter(req.admissionRequest())
+	for {
+		req.snapshot = req.h.Table.Snapshot()
+		load := req.h.Accounts.ServiceLoad(req.snapshot, req.service)
+		d := req.visit.Decide(btadmission.Room{Engines: load.Engines, Memory: load.Memory, Capacity: load.Capacity, Unread: load.Unread})
+		if d.Rejected {
+			req.rejectedBy(d, load)
+			return nil
+		}
+		candidates := req.h.Accounts.Eligible(req.snapshot, req.service, nil)
+		within := req.h.Accounts.WithUnread(candidates, d.Limits.Unread)
+		u, expected, full := req.h.Accounts.PickWithMemoryLimit(req.snapshot, within, req.need, d.Limits.Memory)
+		if u != nil {
+			req.expectedDelay = expected
+			req.visit.Admit()
+			req.unreadAhead = req.h.Accounts.Unread(u.ID)
+			req.h.Metrics.admitted(req.h.Timer.Now().Sub(req.received), d)
+			return u
+		}
+		if !full && len(within) == len(candidates) {
+			// No engine accepts work at all.
+			return nil
+		}
+		req.visit.Wait()
+		if req.h.Timer.Sleep(ctx, memoryPollInterval/2+rand.N(memoryPollInterval)) != nil || !req.accepted(0) {
+			return nil
+		}
+	}
+}
+
+// rejectedBy notes why admission rejects the request.
+func (req *activeRequest) rejectedBy(d btadmission.Decision, load btaccount.ServiceLoad) {
+	req.refusal = &d
+	req.h.Metrics.admissionRejected(d)
+	now := req.h.Timer.Now().UnixNano()
+	last := req.h.admissionLogged.Load()
+	if now-last < int64(admissionLogInterval) || !req.h.admissionLogged.CompareAndSwap(last, now) {
+		return
+	}
+	req.log(btevent.AdmissionRejected).Str("service", req.service).Str("reason", d.Reason).Int("rank", req.rank()).Str("workspace", string(req.workspace)).
+		Dur("forecast", d.Forecast).Dur("retryAfter", d.RetryAfter).Int("ahead", d.Ahead).Int("engines", load.Engines).Int("memory", load.Memory).
+		Int("capacity", load.Capacity).Int("unread", load.Unread).Bool("late", d.Late).Bool("returned", d.Returned).Dur("left", req.remaining()).Send()
+}
+
+// answerRefusal answers a request that admission rejects. It reports false if there is none.
+func (req *activeRequest) answerRefusal() bool {
+	if req.refusal == nil {
+		return false
+	}
+	req.reject(http.StatusServiceUnavailable, req.refusal.RetryAfter, "no room in time")
+	return true
+}
+
+func newAdmissionMetrics() (*prometheus.CounterVec, *prometheus.HistogramVec) {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_admissions_total", Help: "Decisions of admission about generations."}, []string{"result"}),
+		prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "bramleytack_admission_wait_seconds", Help: "Time until a generation was sent.", Buckets: latencyBuckets}, []string{"standing"})
+}
+
+// admitted counts a generation that is sent after a wait.
+func (m *Metrics) admitted(waited time.Duration, d btadmission.Decision) {
+	if m == nil {
+		return
+	}
+	standing := "new"
+	switch {
+	case d.Returned:
+		standing = "returned"
+	case d.Late:
+		standing = "late"
+	}
+	m.admissions.WithLabelValues("admitted").Inc()
+	m.admissionWaits.WithLabelValues(standing).Observe(waited.Seconds())
+}
+
+func (m *Metrics) admissionRejected(d btadmission.Decision) {
+	if m != nil {
+		m.admissions.WithLabelValues(d.Reason).Inc()
+	}
+}
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -23,6 +23,7 @@
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btadmission"
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btsuspect"
@@ -46,7 +47,7 @@
 )
 
 // Handler serves callers over HTTP. Its fields are set before the first request.
-// Suspects, Grants, Mover, Log, Metrics, Memory, Leaving and Accepts may be nil.
+// Suspects, Grants, Admission, Mover, Log, Metrics, Memory, Leaving and Accepts may be nil.
 type Handler struct {
 	Table    *btreplica.Table
 	Accounts *btaccount.Table
@@ -60,6 +61,8 @@
 	Metrics  *Metrics
 	Budget   *btretry.Budget
 	Lengths  *btforecast.Lengths
+	// Admission decides about generations under overload. Nil admits all.
+	Admission *btadmission.Controller
 	// Memory bounds the bytes that are kept of requests and responses.
 	Memory *btmemory.Budget
 	// ShareLeaving tells other daemons that an upstream has said that it is leaving. Nil
@@ -86,6 +89,9 @@
 	// before the configuration, zero without one.
 	unconfiguredSince atomic.Int64
 	crashes           crashDetector
+	// admissionLogged is the Unix time in nanoseconds of the last log line about a request
+	// that admission rejected.
+	admissionLogged atomic.Int64
 }
 
 // Active returns the number of requests that are being served. It is safe for
@@ -181,6 +187,11 @@
 	quarantinedKey string
 	// expectedDelay is the delay that was expected of the last chosen upstream.
 	expectedDelay time.Duration
+	// visit is the request's place in admission, or nil. unreadAhead is the number of prompt
+	// tokens that its engine had to read before it, and refusal why it was rejected, or nil.
+	visit       *btadmission.Visit
+	unreadAhead int
+	refusal     *btadmission.Decision
 	// limitedSends counts the sends that an upstream's limit did not allow.
 	limitedSends int
 	// answered is set once the caller may have got a part of the response.
--- a/internal/serve/btentry/memory.go
+++ b/internal/serve/btentry/memory.go
@@ -31,6 +31,9 @@
 // shorter generations behind it. If none has free memory in time, it goes to a
 // full engine.
 func (req *activeRequest) awaitEngine(ctx context.Context, tried map[bramleytack.UpstreamID]bool) *bramleytack.Upstream {
+	if req.admittedByLoad(tried) {
+		return req.admitEngine(ctx)
+	}
 	started := req.h.Timer.Now()
 	maxWait := time.Duration(maxWaitShare * float64(req.route.TargetLatency))
 	for {
--- a/internal/serve/btentry/metrics.go
+++ b/internal/serve/btentry/metrics.go
@@ -34,6 +34,8 @@
 	handoverPauses    prometheus.Histogram
 	memoryWaits       prometheus.Histogram
 	limitedSends      *prometheus.CounterVec
+	admissions        *prometheus.CounterVec
+	admissionWaits    *prometheus.HistogramVec
 }
 
 // NewMetrics registers the metrics with r. It panics if r has them already.
@@ -52,7 +54,8 @@
 		memoryWaits:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_room_wait_seconds", Help: "Time until an engine had room for a generation.", Buckets: latencyBuckets}),
 		limitedSends:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_limited_sends_total", Help: "Requests for permission to send to a limited upstream."}, []string{"result"}),
 	}
-	r.MustRegister(m.limitedSends, m.answers, m.rejections, m.brokenStreams, m.limits, m.breaks, m.panics, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
+	m.admissions, m.admissionWaits = newAdmissionMetrics()
+	r.MustRegister(m.admissions, m.admissionWaits, m.limitedSends, m.answers, m.rejections, m.brokenStreams, m.limits, m.breaks, m.panics, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
 	return m
 }
 
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -87,8 +87,12 @@
 	if v, err := strconv.ParseUint(req.header.Get(req.h.Dialect.LastEvent), 10, 64); err == nil {
 		s.lastEventID = v
 	}
+	defer func() { req.visit.Leave() }()
 	defer s.close()
 	if !s.startFirst() {
+		if req.answerRefusal() {
+			return
+		}
 		s.fail()
 		return
 	}
@@ -136,7 +140,7 @@
 func (s *relay) startFirst() bool {
 	started := s.req.h.Timer.Now()
 	u, terms := s.req.awaitEngine(s.ctx, s.tried), btgrant.Terms{}
-	if u == nil {
+	if u == nil && s.req.refusal == nil {
 		u, terms = s.req.pickHeld(s.tried)
 	}
 	if u == nil || s.req.quarantined() || s.req.outlastsDaemon(u) {
@@ -253,6 +257,9 @@
 	if seg.eventCount == 1 {
 		seg.lease.PrefillDone()
 		seg.firstEventAt = now
+		if seg.origin == fromStart {
+			s.req.visit.FirstEvent(s.req.unreadAhead, seg.started)
+		}
 	}
 	if !s.headSent && !s.req.mayBegin() {
 		s.req.daemonEnds()
@@ -491,7 +498,9 @@
 }
 
 // stallLimit returns the time without events after which a segment ends.
-func (s *relay) stallLimit() time.Duration {
-	r := s.req.route
+func (s *relay) stallLimit() time.Duration { return stallLimit(s.req.route) }
+
+// stallLimit returns the time without events after which callers of a route abandon a stream.
+func stallLimit(r *bramleytack.Route) time.Duration {
 	return max(minStall, stallTargets*r.TargetLatency, stallPauses*r.MaxPause)
 }
--- a/routes.go
+++ b/routes.go
@@ -125,6 +125,17 @@
 	return nil
 }
 
+// All returns the routes, in no order.
+func (t *RouteTable) All() []*Route {
+	var all []*Route
+	if t != nil {
+		for _, list := range t.byHost {
+			all = append(all, list...)
+		}
+	}
+	return all
+}
+
 // Len returns the number of routes.
 func (t *RouteTable) Len() int {
 	n := 0
