Admission: engines are offered to a few waiting daemons at a time; prompts by typical size

Long prompts found no engine under a budget less their own size. Change: an engine is offered to two of the daemons at which requests wait, in turns of 40 ms. Two tests of the model are red yet.

--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -20,7 +20,7 @@
 	// Short generations hold memory for less than a second, and forecasts add up the final
 	// sizes of all others, which are seldom reached at the same time.
 	firstShortMemory = 1.05
-	lastShortMemory  = 1.20
+	lastShortMemory  = 1.25
 	// yieldMemory is the part of an engine's memory that a request leaves free for a more
 	// urgent one that waits, shareMemory that of a tenant above its fair share.
 	yieldMemory = 0.05
@@ -110,8 +110,9 @@
 // Controller decides for one daemon. It is safe for concurrent use.
 type Controller struct {
 	timer bramleytack.Timer
-	// Daemons returns the number of daemons, and Alone reports whether this one does not
+	// Host is this daemon. Daemons returns the number of daemons, and Alone reports whether this one does not
 	// learn the demand of others. Nil means one daemon. Both are set before the first use.
+	Host    bramleytack.HostID
 	Daemons func() int
 	Alone   func() bool
 
@@ -123,10 +124,11 @@
 	sums    sums
 	returns returns
 	// hold is the mean time for which memory is held, by tokens, read the tokens that an
-	// engine reads in a millisecond, and typical the memory of a long request.
+	// engine reads in a millisecond, typical the memory of a long request and prompt the prompt of any.
 	hold    mean
 	read    mean
 	typical mean
+	prompt  mean
 	holds   int
 	last    bool
 }
@@ -200,6 +202,7 @@
 	if !v.r.Short {
 		v.c.typical.add(float64(v.r.Memory), 1)
 	}
+	v.c.prompt.add(float64(v.r.Prompt), 1)
 }
 
 // FirstEvent learns how fast engines read, from the unread tokens of its engine when the
@@ -352,13 +355,19 @@
 		budget *= lessUrgentShare
 		if s.moreUrgentWaits(r) {
 			l.Memory -= yieldMemory
+			budget *= lessUrgentShare
 		}
 	}
+	if late {
+		budget *= lessUrgentShare
+	}
 	if v.shared && s.above(v.tenant) {
 		l.Memory -= shareMemory
 		budget /= 2
 	}
-	l.Unread = max(int(budget)-r.Prompt, 0)
+	// A long prompt finds an engine as often as a typical one.
+	prompt := min(float64(r.Prompt), c.prompt.value(float64(r.Prompt)))
+	l.Unread = int(max(budget-prompt, 0))
 	return l
 }
 
--- a/internal/route/btadmission/demand.go
+++ b/internal/route/btadmission/demand.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bramleytack"
 )
 
@@ -126,6 +129,8 @@
 	at      time.Time
 	waiting map[class]Waiting
 	tenants map[uint32]int
+	// daemons is the number of daemons at which requests wait.
+	daemons int
 	// fair is the use up to which a tenant is not above its fair share.
 	fair int
 }
@@ -152,6 +157,9 @@
 			continue
 		}
 		add(p.demand, 1)
+		if len(p.demand.Waiting) > 0 {
+			s.daemons++
+		}
 	}
 	own := Demand{}
 	for _, w := range c.own {
@@ -164,6 +172,9 @@
 	if c.Alone != nil && c.Alone() && c.Daemons != nil {
 		times = max(c.Daemons(), 1)
 	}
+	if len(own.Waiting) > 0 {
+		s.daemons += times
+	}
 	add(own, times)
 	s.fair = s.fairShare()
 	c.sums = s
@@ -260,3 +271,28 @@
 	}
 	return out
 }
+
+const (
+	// offerPeriod is the time for which an engine is offered to the same daemons. Loads of
+	// other daemons arrive within it.
+	offerPeriod = 40 * time.Millisecond
+	// offersPerEngine is the number of daemons to which an engine is offered at a time, of
+	// those at which requests wait.
+	offersPerEngine = 2.0
+)
+
+// Offered reports whether this daemon may use an engine now. While requests wait at many
+// daemons, an engine that gets room is offered to a few of them at a time, in turns: all of
+// them would see it free and send to it before they learn of each other's requests.
+func (c *Controller) Offered(engine bramleytack.UpstreamID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.timer.Now()
+	daemons := c.refresh(now).daemons
+	if float64(daemons) <= offersPerEngine {
+		return true
+	}
+	slice := now.UnixNano() / int64(offerPeriod)
+	draw := xxhash.Sum64String(string(c.Host) + "/" + string(engine) + "/" + strconv.FormatInt(slice, 36))
+	return float64(draw>>11)/(1<<53) < offersPerEngine/float64(daemons)
+}
--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -80,7 +81,7 @@
 			return nil
 		}
 		candidates := req.h.Accounts.Eligible(req.snapshot, req.service, nil)
-		within := req.h.Accounts.WithUnread(candidates, d.Limits.Unread)
+		within := slices.DeleteFunc(req.h.Accounts.WithUnread(candidates, d.Limits.Unread), func(u *bramleytack.Upstream) bool { return !req.h.Admission.Offered(u.ID) })
 		u, expected, full := req.h.Accounts.PickWithMemoryLimit(req.snapshot, within, req.need, d.Limits.Memory)
 		if u != nil {
 			req.expectedDelay = expected
