--- a/btevent/event.go
+++ b/btevent/event.go
@@ -165,7 +165,7 @@
 		RequestCut,
 		RequestPanicked,
 		RejectionWithheld,
-		ExtraResponse,
+		ExtraResponse, AdmissionRejected,
 		ClaimNotStored,
 		RequestSuspected,
 		RequestQuarantined,
--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -346,9 +346,9 @@
 	}
 	l := Limits{Memory: first + (last-first)*standing}
 	perEngine := float64(room.Capacity) / float64(room.Engines)
-	if excess := float64(r.Memory) - c.typical.value(float64(r.Memory)); excess > 0 && !r.Short {
-		// A large request finds its place as often as a typical one.
-		l.Memory += standing * excess / perEngine
+	if !r.Short {
+		// Requests of all sizes find an engine with the same free memory.
+		l.Memory += (float64(r.Memory) - c.typical.value(float64(r.Memory))) / perEngine
 	}
 	budget := targetShare * c.readPerMilli() * float64(r.ReadTarget.Milliseconds())
 	if r.LessUrgent {
