--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -351,7 +351,7 @@
 		l.Memory += (float64(r.Memory) - c.typical.value(float64(r.Memory))) / perEngine
 	}
 	budget := targetShare * c.readPerMilli() * float64(r.ReadTarget.Milliseconds())
-	if r.LessUrgent {
+	if r.LessUrgent && len(s.waiting) > 0 {
 		budget *= lessUrgentShare
 		if s.moreUrgentWaits(r) {
 			l.Memory -= yieldMemory
--- a/internal/route/btadmission/model_test.go
+++ b/internal/route/btadmission/model_test.go
@@ -16,7 +16,7 @@
 	modelSlots   = 24
 	modelTick    = 5 * time.Millisecond
 	modelPoll    = 60 * time.Millisecond
-	modelDay     = 20 * time.Second
+	modelDay     = 40 * time.Second
 	maxGap       = 180 * time.Millisecond
 )
 
@@ -56,8 +56,10 @@
 }
 
 func (e *engine) load() (memory, unread int) {
-	for _, j := range slices.Concat(e.running, e.queue) {
-		memory, unread = memory+max(j.r.Memory, j.memory()+120), unread+j.unread
+	for _, list := range [][]*job{e.running, e.queue} {
+		for _, j := range list {
+			memory, unread = memory+max(j.r.Memory, j.memory()+120), unread+j.unread
+		}
 	}
 	return memory, unread
 }
@@ -234,8 +236,10 @@
 	}
 	j.pollAt = now.Add(modelPoll/2 + time.Duration(m.random.Int64N(int64(modelPoll))))
 	var room Room
-	for _, e := range m.engines {
+	var loads [modelEngines][2]int
+	for i, e := range m.engines {
 		memory, unread := e.load()
+		loads[i] = [2]int{memory, unread}
 		room.Memory, room.Unread = room.Memory+memory, room.Unread+unread
 		room.Engines, room.Capacity = room.Engines+1, room.Capacity+modelMemory
 	}
@@ -257,7 +261,7 @@
 	}
 	best, bestScore := -1, math.Inf(1)
 	for i, e := range m.engines {
-		memory, unread := e.load()
+		memory, unread := loads[i][0], loads[i][1]
 		if use := float64(memory+j.r.Memory) / modelMemory; use <= limits.Memory && unread <= limits.Unread {
 			if score := float64(unread)/9 + 6000*max(use-0.85, 0) + 14*float64(len(e.running)+len(e.queue)); score < bestScore {
 				best, bestScore = i, score
@@ -269,7 +273,7 @@
 		return false
 	}
 	j.visit.Admit()
-	_, j.ahead = m.engines[best].load()
+	j.ahead = loads[best][1]
 	j.sent = now
 	m.engines[best].queue = append(m.engines[best].queue, j)
 	return true
