--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -31,6 +31,8 @@
 	// lessUrgentShare is the part of it for requests of less urgent ranks. The prompt of a
 	// more urgent one behind it can then be read in time.
 	lessUrgentShare = 0.5
+	// yieldShare is the part of that which remains while a more urgent request waits.
+	yieldShare = 0.65
 	// waitShare is the part of the time until its caller leaves for which a request waits.
 	// The rest is for its prompt.
 	waitShare = 0.6
@@ -355,7 +357,7 @@
 		budget *= lessUrgentShare
 		if s.moreUrgentWaits(r) {
 			l.Memory -= yieldMemory
-			budget *= lessUrgentShare
+			budget *= yieldShare
 		}
 	}
 	if late {
