--- a/btevent/event.go
+++ b/btevent/event.go
@@ -89,6 +89,7 @@
 	RequestPanicked         = Event{517, zerolog.ErrorLevel, "request ended by a panic"}
 	RejectionWithheld       = Event{518, zerolog.ErrorLevel, "request may have run and was not rejected as not run"}
 	ExtraResponse           = Event{519, zerolog.InfoLevel, "extra response to an earlier request was skipped"}
+	AdmissionRejected       = Event{520, zerolog.InfoLevel, "request was rejected by admission"}
 	CallsWait               = Event{530, zerolog.InfoLevel, "calls wait for places of a full service"}
 	CallerRefused           = Event{540, zerolog.WarnLevel, "head of a request or connection of a caller was refused"}
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
@@ -177,6 +178,7 @@
 		RequestPanicked,
 		RejectionWithheld,
 		ExtraResponse,
+		AdmissionRejected,
 		CallsWait,
 		CallerRefused,
 		ClaimNotStored,
--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -20,6 +20,7 @@
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btadmission"
 	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btpace"
 	"bramleytack/internal/route/btrollout"
@@ -67,13 +68,14 @@
 	Table       *btreplica.Table
 	Accounts    *btaccount.Table
 	StoreStatus *btreplica.StoreStatus
-	// Suspects, Grants, Rollouts and Paces may be nil.
-	Suspects *btsuspect.Table
-	Grants   *btgrant.Table
-	Rollouts *btrollout.Table
-	Paces    *btpace.Table
-	Timer    bramleytack.Timer
-	Log      *btevent.Logger
+	// Suspects, Grants, Admission, Rollouts and Paces may be nil.
+	Suspects  *btsuspect.Table
+	Grants    *btgrant.Table
+	Admission *btadmission.Controller
+	Rollouts  *btrollout.Table
+	Paces     *btpace.Table
+	Timer     bramleytack.Timer
+	Log       *btevent.Logger
 	// Ready and Leaving return the state that digests announce to the other daemons.
 	Ready   func() bool
 	Leaving func() bool
@@ -151,6 +153,7 @@
 	go (&server{n: n}).run(ctx, l)
 	go (&loadSender{n}).run(ctx)
 	go (&hubSender{n: n}).run(ctx)
+	go (&demandSender{n}).run(ctx)
 	go n.loop(ctx)
 }
 
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -96,6 +96,9 @@
 	if len(p.RolloutReports) > 0 || len(p.RolloutDecisions) > 0 {
 		n.handleRollouts(p)
 	}
+	if p.Demand != nil {
+		n.handleDemand(p)
+	}
 	if len(p.Unknown) > 0 {
 		n.answerMembers(sender, p.Unknown, now)
 	}
--- a/internal/fleet/btgossip/traffic.go
+++ b/internal/fleet/btgossip/traffic.go
@@ -17,17 +17,18 @@
 	CauseGrant
 	CauseRollout
 	CausePace
+	CauseDemand
 	causeCount
 )
 
-var causeNames = [causeCount]string{"digest", "load", "table", "change", "member", "suspicion", "word", "grant", "rollout", "pace"}
+var causeNames = [causeCount]string{"digest", "load", "table", "change", "member", "suspicion", "word", "grant", "rollout", "pace", "demand"}
 
 // String returns the name of the cause in metrics.
 func (c Cause) String() string { return causeNames[c] }
 
 // Causes returns all causes.
 func Causes() []Cause {
-	return []Cause{CauseDigest, CauseLoad, CauseTable, CauseChange, CauseMember, CauseSuspicion, CauseWord, CauseGrant, CauseRollout, CausePace}
+	return []Cause{CauseDigest, CauseLoad, CauseTable, CauseChange, CauseMember, CauseSuspicion, CauseWord, CauseGrant, CauseRollout, CausePace, CauseDemand}
 }
 
 // Traffic counts the datagrams that a daemon has sent. It is safe for concurrent use.
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -29,6 +29,7 @@
 	"bramleytack/internal/node/btlistener"
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btadmission"
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btpace"
@@ -129,6 +130,7 @@
 	grants      *btgrant.Table
 	rollouts    *btrollout.Table
 	paces       *btpace.Table
+	admission   *btadmission.Controller
 	gossip      *btgossip.Node
 	pool        *btconn.Pool
 	engines     Engines
@@ -163,12 +165,13 @@
 	n.suspects = btsuspect.New(&btsuspect.Table{Timer: n.timer, Log: n.log})
 	n.grants = &btgrant.Table{Timer: n.timer, Log: n.log}
 	n.rollouts = newRollouts(n)
+	n.admission = btadmission.New(n.timer, uint64(time.Now().UnixNano()))
 	n.gossip = btgossip.New(&btgossip.Node{
 		Self: btgossip.Self{
 			Host: s.Host, Addr: s.Addr, FailureDomain: s.FailureDomain,
 			Port: s.Peer.Port(), Incarnation: uint64(time.Now().UnixMilli()), Processor: s.ProcessorMillis,
 		},
-		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Suspects: n.suspects, Grants: n.grants, Rollouts: n.rollouts, Paces: n.paces, Timer: n.timer, Log: n.log,
+		Table: n.table, Accounts: n.accounts, StoreStatus: &n.storeStatus, Suspects: n.suspects, Grants: n.grants, Admission: n.admission, Rollouts: n.rollouts, Paces: n.paces, Timer: n.timer, Log: n.log,
 		Memory: a.Memory, Ready: n.Ready, Leaving: n.isLeaving, Seeds: addrsOf(s.Seeds),
 	})
 	n.suspects.Share, n.suspects.Elected = n.gossip.ShareSuspicions, n.gossip.Elected
@@ -180,8 +183,10 @@
 	n.accounts.Daemons = n.gossip.Count
 	n.accounts.Changed = n.gossip.LoadChanged
 	n.accounts.RemoteLate = n.gossip.HasHubs
+	n.admission.Host = s.Host
+	n.admission.Daemons, n.admission.Alone = n.gossip.Count, n.gossip.HasHubs
 	n.handler = &btentry.Handler{
-		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Grants: n.grants, Rollouts: n.rollouts, Paces: n.paces, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
+		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Grants: n.grants, Admission: n.admission, Rollouts: n.rollouts, Paces: n.paces, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.isLeaving, Accepts: n.leaving.Accepts,
 		Lengths: btforecast.New(n.timer), Memory: a.Memory,
 		Budget: newBudget(n.timer, s.Bounds, uint64(time.Now().UnixNano()), n.gossip.Count),
@@ -240,6 +245,7 @@
 	n.dump.Add("loads", func() any { return n.accounts.OwnLoads() })
 	n.dump.Add("suspects", func() any { return n.suspects.State() })
 	n.dump.Add("paces", func() any { return n.paces.Records() })
+	n.dump.Add("admission", func() any { return n.admission.State() })
 	n.dump.Add("limits", func() any { return n.grants.State() })
 	n.registerRollouts()
 	n.dump.Add("snapshot", func() any { return n.table.Snapshot() })
--- a/internal/serve/btentry/metrics.go
+++ b/internal/serve/btentry/metrics.go
@@ -36,6 +36,8 @@
 	limitedSends      *prometheus.CounterVec
 	waiting           waitingMetrics
 	late              *prometheus.CounterVec
+	admissions        *prometheus.CounterVec
+	admissionWaits    *prometheus.HistogramVec
 }
 
 // NewMetrics registers the metrics with r. It panics if r has them already.
@@ -56,7 +58,8 @@
 		late:              prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_late_answers_total", Help: "Complete streams that were late, by cause."}, []string{"cause"}),
 	}
 	m.waiting = newWaitingMetrics(r)
-	r.MustRegister(m.late, m.limitedSends, m.answers, m.rejections, m.brokenStreams, m.limits, m.breaks, m.panics, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
+	m.admissions, m.admissionWaits = newAdmissionMetrics()
+	r.MustRegister(m.late, m.admissions, m.admissionWaits, m.limitedSends, m.answers, m.rejections, m.brokenStreams, m.limits, m.breaks, m.panics, m.latency, m.firstEventLatency, m.eventGaps, m.handoverPauses, m.memoryWaits)
 	return m
 }
 
--- a/internal/serve/btentry/waiting.go
+++ b/internal/serve/btentry/waiting.go
@@ -196,14 +196,6 @@
 	return t
 }
 
-// rank returns the urgency of the request's workspace, or of its route.
-func (req *activeRequest) rank() int {
-	if w := req.snapshot.Workspaces[req.workspace]; w != nil && w.Urgency != nil {
-		return *w.Urgency
-	}
-	return req.route.Urgency
-}
-
 // pickForCall returns an upstream that is not in tried or, once the call has been sent to as
 // many as its route allows or no other is left, one that has rejected it because it was full.
 // early is set if it is too early for that.
--- a/routes.go
+++ b/routes.go
@@ -143,6 +143,17 @@
 	return shortest
 }
 
+// All returns the routes, in no order.
+func (t *RouteTable) All() []*Route {
+	var all []*Route
+	if t != nil {
+		for _, list := range t.byHost {
+			all = append(all, list...)
+		}
+	}
+	return all
+}
+
 // Len returns the number of routes.
 func (t *RouteTable) Len() int {
 	n := 0
