--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -1,6 +1,7 @@
 package btadmission
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -85,6 +86,10 @@
 	Unread   int
 }
 
+// unlimited are limits within which a request may be sent to any engine, one with a full batch
+// included.
+var unlimited = Limits{Memory: math.Inf(1), Unread: math.MaxInt}
+
 // Limits are those within which a request may be sent to an engine.
 type Limits struct {
 	// Memory is a share of the engine's memory, the request included.
@@ -112,11 +117,10 @@
 // Controller decides for one daemon. It is safe for concurrent use.
 type Controller struct {
 	timer bramleytack.Timer
-	// Host is this daemon. Daemons returns the number of daemons, and Alone reports whether this one does not
-	// learn the demand of others. Nil means one daemon. Both are set before the first use.
-	Host    bramleytack.HostID
-	Daemons func() int
-	Alone   func() bool
+	// Host is this daemon, and Alone reports whether it does not learn the demand of others. Nil
+	// means that it does. Both are set before the first use.
+	Host  bramleytack.HostID
+	Alone func() bool
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -194,10 +198,17 @@
 	}
 }
 
-// Admit counts the request among those that run.
+// Admit counts the request among those that run. Calls after the first and those of a nil
+// visit have no effect.
 func (v *Visit) Admit() {
+	if v == nil {
+		return
+	}
 	v.c.mu.Lock()
 	defer v.c.mu.Unlock()
+	if !v.admitted.IsZero() {
+		return
+	}
 	v.stopWaiting()
 	v.admitted = v.c.timer.Now()
 	v.c.tenants[v.tenant] += v.r.Memory
@@ -217,7 +228,8 @@
 	defer v.c.mu.Unlock()
 	if took := v.c.timer.Now().Sub(sent); took > 0 && v.r.Prompt > 0 {
 		millis := took.Seconds() * 1e3
-		v.c.read.add(float64(unread+v.r.Prompt)/millis, millis)
+		// An engine that stood still counts no more than a slow one.
+		v.c.read.add(float64(unread+v.r.Prompt)/millis, min(millis, v.r.ReadTarget.Seconds()*1e3))
 	}
 }
 
@@ -254,7 +266,7 @@
 	defer c.mu.Unlock()
 	now := c.timer.Now()
 	if room.Engines == 0 || room.Capacity == 0 {
-		return Decision{Limits: Limits{Memory: lastShortMemory, Unread: 1 << 30}, Returned: v.returned}
+		return Decision{Limits: unlimited, Returned: v.returned}
 	}
 	s := c.refresh(now)
 	ahead := s.ahead(v.r, v.waiting)
@@ -263,10 +275,16 @@
 	// request has its place.
 	judge := !v.judged || d.Late && !v.lateSeen
 	v.judged, v.lateSeen = true, v.lateSeen || d.Late
+	others := s.othersWait(v.r, v.waiting)
 	switch {
+	case now.Sub(v.r.Arrived) >= v.patience() && !others:
+		// It does not wait for others, so that loads may be wrong. A full engine is better than
+		// none.
+		d.Limits = unlimited
+		return d
 	case now.Sub(v.r.Arrived) >= v.patience():
 		d.Reason = "waited"
-	case judge && !v.returned && c.holds >= minHolds && now.Add(d.Forecast).After(v.r.End):
+	case judge && !v.returned && c.holds >= minHolds && !c.alone() && now.Add(d.Forecast).After(v.r.End):
 		d.Reason = "forecast"
 	}
 	if d.Reason != "" {
@@ -275,10 +293,14 @@
 		c.returns.tell(v.r.Key, v.r.Memory, now, d.RetryAfter)
 		return d
 	}
-	d.Limits = v.limits(now, room, s)
+	d.Limits = v.limits(now, room, s, others)
 	return d
 }
 
+// alone reports whether this daemon does not learn the demand of others, and rejects nothing
+// by forecast.
+func (c *Controller) alone() bool { return c.Alone != nil && c.Alone() }
+
 // retrySpread is the part of a Retry-After by which it varies.
 const retrySpread = 0.25
 
@@ -330,8 +352,9 @@
 	return time.Duration(max(memory, read)*float64(time.Second)) + c.readTime(r.Prompt)
 }
 
-// limits returns the limits of a request by its standing.
-func (v *Visit) limits(now time.Time, room Room, s *sums) Limits {
+// limits returns the limits of a request by its standing. others is set if other requests wait
+// for the service.
+func (v *Visit) limits(now time.Time, room Room, s *sums, others bool) Limits {
 	r, c := v.r, v.c
 	waited, late := now.Sub(r.Arrived), v.late(now)
 	first, last := firstMemory, lastMemory
@@ -353,7 +376,7 @@
 		l.Memory += (float64(r.Memory) - c.typical.value(float64(r.Memory))) / perEngine
 	}
 	budget := targetShare * c.readPerMilli() * float64(r.ReadTarget.Milliseconds())
-	if r.LessUrgent && len(s.waiting) > 0 {
+	if r.LessUrgent && others {
 		budget *= lessUrgentShare
 		if s.moreUrgentWaits(r) {
 			l.Memory -= yieldMemory
--- a/internal/route/btadmission/demand.go
+++ b/internal/route/btadmission/demand.go
@@ -141,14 +141,14 @@
 		return &c.sums
 	}
 	s := sums{at: now, waiting: map[class]Waiting{}, tenants: map[uint32]int{}}
-	add := func(d Demand, times int) {
+	add := func(d Demand) {
 		for _, w := range d.Waiting {
 			k := class{w.Service, w.Rank}
 			sum := s.waiting[k]
-			s.waiting[k] = Waiting{w.Service, w.Rank, sum.Memory + times*w.Memory, sum.Prompt + times*w.Prompt}
+			s.waiting[k] = Waiting{w.Service, w.Rank, sum.Memory + w.Memory, sum.Prompt + w.Prompt}
 		}
 		for _, t := range d.Tenants {
-			s.tenants[t.Tenant] += times * t.Memory
+			s.tenants[t.Tenant] += t.Memory
 		}
 	}
 	for h, p := range c.peers {
@@ -156,7 +156,7 @@
 			delete(c.peers, h)
 			continue
 		}
-		add(p.demand, 1)
+		add(p.demand)
 		if len(p.demand.Waiting) > 0 {
 			s.daemons++
 		}
@@ -168,14 +168,10 @@
 	for t, m := range c.tenants {
 		own.Tenants = append(own.Tenants, TenantUse{t, m})
 	}
-	times := 1
-	if c.Alone != nil && c.Alone() && c.Daemons != nil {
-		times = max(c.Daemons(), 1)
-	}
 	if len(own.Waiting) > 0 {
-		s.daemons += times
+		s.daemons++
 	}
-	add(own, times)
+	add(own)
 	s.fair = s.fairShare()
 	c.sums = s
 	return &c.sums
@@ -198,6 +194,21 @@
 	return sum
 }
 
+// othersWait reports whether other requests wait for the service of a request. own is set if the
+// request itself waits.
+func (s *sums) othersWait(r Request, own bool) bool {
+	service, memory := hashOf(r.Service), 0
+	for k, w := range s.waiting {
+		if k.service == service {
+			memory += w.Memory
+		}
+	}
+	if own {
+		memory -= r.Memory
+	}
+	return memory > 0
+}
+
 // moreUrgentWaits reports whether requests of a more urgent rank wait for the same service.
 func (s *sums) moreUrgentWaits(r Request) bool {
 	service := hashOf(r.Service)
--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -29,9 +29,10 @@
 }
 
 // admittedByLoad reports whether admission decides about the request: the first attempt at a
-// generation of a known size, whose route has a target.
+// generation of a known size, whose route has a target. One that was admitted and not sent, since
+// its engine limits its requests, does not wait again.
 func (req *activeRequest) admittedByLoad(tried map[bramleytack.UpstreamID]bool) bool {
-	return req.h.Admission != nil && len(tried) == 0 && req.need.Prompt > 0 && req.route.TargetLatency > 0 && req.snapshot.Engine(req.service) != nil
+	return req.h.Admission != nil && req.visit == nil && len(tried) == 0 && req.need.Prompt > 0 && req.route.TargetLatency > 0 && req.snapshot.Engine(req.service) != nil
 }
 
 // admissionRequest describes the request for admission.
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -151,6 +151,7 @@
 	if u == nil || s.req.quarantined() || s.req.outlastsDaemon(u) {
 		return false
 	}
+	s.req.visit.Admit()
 	waited := s.req.h.Timer.Now().Sub(started)
 	s.req.h.Metrics.memoryWait(waited)
 	s.tried[u.ID] = true
