--- a/internal/route/btadmission/controller_test.go
+++ b/internal/route/btadmission/controller_test.go
@@ -10,7 +10,7 @@
 	"bramleytack"
 )
 
-func any(*job) bool       { return true }
+func anyJob(*job) bool       { return true }
 func isLong(j *job) bool  { return j.name == "long" }
 func isShort(j *job) bool { return j.name == "short" }
 
@@ -82,7 +82,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := play(c.load, true, 1)
-			all := m.share(false, any)
+			all := m.share(false, anyJob)
 			hot := m.share(false, func(j *job) bool { return j.r.Tenant == "hot" })
 			large := m.share(false, func(j *job) bool { return j.large })
 			t.Logf("served: all %.2f, long %.2f, short %.2f, large %.2f, hot %.2f", all, m.share(false, isLong), m.share(false, isShort), large, hot)
@@ -100,7 +100,7 @@
 // Guards against requests that wait, or are rejected, while there is room.
 func TestCalmIsServedAsBefore(t *testing.T) {
 	before, now := play(load{long: 0.7, short: 0.7}, false, 1), play(load{long: 0.7, short: 0.7}, true, 1)
-	assert.Check(t, now.share(true, any) >= before.share(true, any)-0.01, "%.3f, before %.3f", now.share(true, any), before.share(true, any))
+	assert.Check(t, now.share(true, anyJob) >= before.share(true, anyJob)-0.01, "%.3f, before %.3f", now.share(true, anyJob), before.share(true, anyJob))
 	for _, j := range now.jobs {
 		assert.Assert(t, j.attempt == 0, "a request was rejected")
 	}
