--- a/internal/route/btadmission/controller_test.go
+++ b/internal/route/btadmission/controller_test.go
@@ -10,7 +10,7 @@
 	"bramleytack"
 )
 
-func anyJob(*job) bool       { return true }
+func anyJob(*job) bool    { return true }
 func isLong(j *job) bool  { return j.name == "long" }
 func isShort(j *job) bool { return j.name == "short" }
 
