Admission decides under overload only

Cause: with admission in the harness of btentry, as daemons run, five tests failed: calm requests were answered 503 'no room in time', or waited for an engine without unread prompts, in a fleet of two engines at 0.83 of their memory. Change: generations are placed as before until what waits for the service at all daemons exceeds a twentieth of the engines' memory and eight typical requests. The harness has admission and paces as daemons do.

--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -37,6 +37,13 @@
 	// waitShare is the part of the time until its caller leaves for which a request waits.
 	// The rest is for its prompt.
 	waitShare = 0.6
+	// overloadShare is the share of the engines' memory for which requests wait under overload.
+	// A twentieth becomes free within the target latency of generations that run for some
+	// twenty times as long.
+	overloadShare = 0.05
+	// overloadRequests is the least number of typical requests that wait under overload. In a
+	// small fleet a few wait by chance.
+	overloadRequests = 8
 	// minHolds is the number of own generations that have ended before a request is
 	// rejected by forecast.
 	minHolds = 5
@@ -258,6 +265,22 @@
 	}
 }
 
+// Overloaded reports whether so much waits for the service at all daemons that admission decides.
+// Below that, what waits finds room as engines end their work.
+func (v *Visit) Overloaded(room Room) bool {
+	v.c.mu.Lock()
+	defer v.c.mu.Unlock()
+	s := v.c.refresh(v.c.timer.Now())
+	service, waiting := hashOf(v.r.Service), 0
+	for k, w := range s.waiting {
+		if k.service == service {
+			waiting += w.Memory
+		}
+	}
+	few := overloadRequests * v.c.typical.value(float64(v.r.Memory))
+	return room.Capacity > 0 && float64(waiting) >= max(overloadShare*float64(room.Capacity), few)
+}
+
 // Decide returns what becomes of the request now. A room without engines is not known: the
 // request may then go anywhere.
 func (v *Visit) Decide(room Room) Decision {
--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -69,39 +69,57 @@
 	return false
 }
 
-// admitEngine returns an engine for a generation once one is within the limits of admission,
-// or nil if there is none. The caller ends the visit.
-func (req *activeRequest) admitEngine(ctx context.Context) *bramleytack.Upstream {
+// admitEngine returns an engine for a generation, or nil if there is none. Without overload it
+// chooses as awaitEngine does by itself. Under overload, the generation gets an engine once one
+// is within the limits of admission. The caller admits the visit and ends it.
+func (req *activeRequest) admitEngine(ctx context.Context, tried map[bramleytack.UpstreamID]bool) *bramleytack.Upstream {
+	started := req.h.Timer.Now()
 	req.visit = req.h.Admission.Enter(req.admissionRequest())
 	for {
 		req.snapshot = req.h.Table.Snapshot()
 		load := req.h.Accounts.ServiceLoad(req.snapshot, req.service)
-		d := req.visit.Decide(btadmission.Room{Engines: load.Engines, Memory: load.Memory, Capacity: load.Capacity, Unread: load.Unread})
-		if d.Rejected {
-			req.rejectedBy(d, load)
-			return nil
+		room := btadmission.Room{Engines: load.Engines, Memory: load.Memory, Capacity: load.Capacity, Unread: load.Unread}
+		overloaded := req.visit.Overloaded(room)
+		var u *bramleytack.Upstream
+		var d btadmission.Decision
+		var wait bool
+		if overloaded {
+			if d = req.visit.Decide(room); d.Rejected {
+				req.rejectedBy(d, load)
+				return nil
+			}
+			u, wait = req.pickWithin(d.Limits)
+		} else {
+			u, wait = req.pickOrWait(tried, req.h.Timer.Now().Sub(started))
 		}
-		candidates := req.eligible(nil)
-		within := slices.DeleteFunc(req.h.Accounts.WithUnread(candidates, d.Limits.Unread), func(u *bramleytack.Upstream) bool { return !req.h.Admission.Offered(u.ID) })
-		u, expected, full := req.h.Accounts.PickWithMemoryLimit(req.snapshot, within, req.need, d.Limits.Memory)
 		if u != nil {
-			req.expectedDelay = expected
-			req.visit.Admit()
 			req.unreadAhead = req.h.Accounts.Unread(u.ID)
 			req.h.Metrics.admitted(req.h.Timer.Now().Sub(req.received), d)
-			return u
 		}
-		if !full && len(within) == len(candidates) {
-			// No engine accepts work at all.
-			return nil
+		if !wait {
+			return u
 		}
 		req.visit.Wait()
-		if req.h.Timer.Sleep(ctx, memoryPollInterval/2+rand.N(memoryPollInterval)) != nil || !req.accepted(0) {
+		if req.h.Timer.Sleep(ctx, memoryPollInterval/2+rand.N(memoryPollInterval)) != nil || overloaded && !req.accepted(0) {
 			return nil
 		}
 	}
 }
 
+// pickWithin returns an engine within the limits of admission, or reports that the generation
+// has to wait for one.
+func (req *activeRequest) pickWithin(l btadmission.Limits) (u *bramleytack.Upstream, wait bool) {
+	candidates := req.eligible(nil)
+	within := slices.DeleteFunc(req.h.Accounts.WithUnread(candidates, l.Unread), func(u *bramleytack.Upstream) bool { return !req.h.Admission.Offered(u.ID) })
+	u, expected, full := req.h.Accounts.PickWithMemoryLimit(req.snapshot, within, req.need, l.Memory)
+	if u != nil {
+		req.expectedDelay = expected
+		return u, false
+	}
+	// Otherwise no engine accepts work at all.
+	return nil, full || len(within) < len(candidates)
+}
+
 // rejectedBy notes why admission rejects the request.
 func (req *activeRequest) rejectedBy(d btadmission.Decision, load btaccount.ServiceLoad) {
 	req.refusal = &d
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -29,8 +29,10 @@
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btadmission"
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
+	"bramleytack/internal/route/btpace"
 	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/serve/btentry"
 	"bramleytack/internal/standin/btworker"
@@ -233,8 +235,9 @@
 		Table: table, Accounts: &btaccount.Table{Timer: h.timer}, Suspects: suspects, Dialect: dialect, Mover: h.pool, Timer: h.timer, Log: log,
 		Grants: h.grants(d), Pool: &btconn.Pool{Dial: d.dial(h.net)}, Metrics: btentry.NewMetrics(prometheus.NewRegistry()),
 		Budget: &btretry.Budget{Timer: h.timer}, Lengths: btforecast.New(h.timer), Memory: &btmemory.Budget{Limit: keptMemory},
+		Admission: btadmission.New(h.timer, 1), Paces: &btpace.Table{Timer: h.timer},
 	}
-	d.handler.Accounts.HeldUntil = d.handler.Grants.HeldUntil
+	d.handler.Accounts.HeldUntil, d.handler.Accounts.Paces = d.handler.Grants.HeldUntil, d.handler.Paces
 	d.server = &http.Server{Handler: d.handler}
 	h.mu.Lock()
 	h.daemons = append(h.daemons, d)
--- a/internal/serve/btentry/memory.go
+++ b/internal/serve/btentry/memory.go
@@ -32,19 +32,13 @@
 // full engine.
 func (req *activeRequest) awaitEngine(ctx context.Context, tried map[bramleytack.UpstreamID]bool) *bramleytack.Upstream {
 	if req.admittedByLoad(tried) {
-		return req.admitEngine(ctx)
+		return req.admitEngine(ctx, tried)
 	}
 	started := req.h.Timer.Now()
-	maxWait := time.Duration(maxWaitShare * float64(req.route.TargetLatency))
 	for {
-		waited := req.h.Timer.Now().Sub(started)
-		if waited >= maxWait {
-			return req.pickUpstream(tried)
-		}
 		req.snapshot = req.h.Table.Snapshot()
-		u, expected, full := req.h.Accounts.PickWithMemoryLimit(req.snapshot, req.eligible(tried), req.need, req.memoryLimit(waited, maxWait))
-		if u != nil || !full {
-			req.expectedDelay = expected
+		u, wait := req.pickOrWait(tried, req.h.Timer.Now().Sub(started))
+		if !wait {
 			return u
 		}
 		if req.h.Timer.Sleep(ctx, memoryPollInterval/2+rand.N(memoryPollInterval)) != nil {
@@ -53,6 +47,21 @@
 	}
 }
 
+// pickOrWait returns an engine with free memory for a generation that has waited for some time,
+// or any engine once it has waited for long. It reports whether the generation has to wait.
+func (req *activeRequest) pickOrWait(tried map[bramleytack.UpstreamID]bool, waited time.Duration) (u *bramleytack.Upstream, wait bool) {
+	maxWait := time.Duration(maxWaitShare * float64(req.route.TargetLatency))
+	if waited >= maxWait {
+		return req.pickUpstream(tried), false
+	}
+	u, expected, full := req.h.Accounts.PickWithMemoryLimit(req.snapshot, req.eligible(tried), req.need, req.memoryLimit(waited, maxWait))
+	if u != nil || !full {
+		req.expectedDelay = expected
+		return u, false
+	}
+	return nil, true
+}
+
 // memoryLimit returns the limit on an engine's use of memory, this generation
 // included, after the generation has waited.
 func (req *activeRequest) memoryLimit(waited, maxWait time.Duration) float64 {
