Roll-outs: test of the seeds that break a bound

TestBadVersionsOfKnownSeeds plays the seven with the checks of TestBadVersionsAreRolledBack, which it shares.

--- a/internal/route/btrollout/rollout_test.go
+++ b/internal/route/btrollout/rollout_test.go
@@ -133,15 +133,32 @@
 	for seed := range seeds(3) {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			t.Parallel()
-			f := randomFleet(uint64(seed))
-			f.run(0)
-			f.bad = randomBadness(uint64(seed), f)
-			f.run(f.playTime())
-			checkBad(t, f)
+			playBad(t, uint64(seed))
 		})
 	}
 }
 
+// Guards against the bad versions that have broken a bound of TestBadVersionsAreRolledBack, whose
+// checks it shares.
+func TestBadVersionsOfKnownSeeds(t *testing.T) {
+	for _, seed := range []uint64{26, 37, 39, 68, 70, 73, 78} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			playBad(t, seed)
+		})
+	}
+}
+
+// playBad plays the bad version of a seed.
+func playBad(t *testing.T, seed uint64) {
+	t.Helper()
+	f := randomFleet(seed)
+	f.run(0)
+	f.bad = randomBadness(seed, f)
+	f.run(f.playTime())
+	checkBad(t, f)
+}
+
 // playTime is the time until shortly after the deadline.
 func (f *simFleet) playTime() time.Duration {
 	if f.store.duration == 0 {
