Roll-outs: a completed version is not withdrawn

A daemon that had not seen the status "complete" before the order was removed or replaced withdrew the version, and judges wrote that into the status of the next order: the only version of the service could be left out everywhere.

Decisions of judges carry the completion (gossip field 8). A version in the full stage is not withdrawn when no upstream of another version accepts requests, nor when the replaced order's status says complete. Judges don't write the only registered version as withdrawn.

--- a/internal/fleet/btgossip/rollout.go
+++ b/internal/fleet/btgossip/rollout.go
@@ -121,7 +121,7 @@
 
 func encodeRolloutDecision(d btrollout.Decision) *RolloutDecision {
 	return &RolloutDecision{
-		Service: d.Service, Order: d.Order, Stage: uint32(d.Stage), ShareMillionths: uint32(min(max(d.Share, 0), 1) * 1e6), Rejected: d.Rejected,
+		Service: d.Service, Order: d.Order, Stage: uint32(d.Stage), ShareMillionths: uint32(min(max(d.Share, 0), 1) * 1e6), Rejected: d.Rejected, Complete: d.Complete,
 		AgeMillis: uint64(max(d.Age.Milliseconds(), 0)), TrialMillis: uint64(max(d.Trial.Milliseconds(), 0)),
 	}
 }
@@ -129,7 +129,7 @@
 func decodeRolloutDecision(d *RolloutDecision) btrollout.Decision {
 	duration := func(ms uint64) time.Duration { return time.Duration(min(ms, math.MaxInt32)) * time.Millisecond }
 	return btrollout.Decision{
-		Service: d.Service, Order: d.Order, Stage: btrollout.Stage(min(d.Stage, uint32(btrollout.Full))), Share: float64(d.ShareMillionths) / 1e6, Rejected: d.Rejected,
+		Service: d.Service, Order: d.Order, Stage: btrollout.Stage(min(d.Stage, uint32(btrollout.Full))), Share: float64(d.ShareMillionths) / 1e6, Rejected: d.Rejected, Complete: d.Complete,
 		Age: duration(d.AgeMillis), Trial: duration(d.TrialMillis),
 	}
 }
--- a/internal/route/btrollout/judge.go
+++ b/internal/route/btrollout/judge.go
@@ -54,6 +54,8 @@
 	Share float64
 	// Rejected is the verdict against the version. It is never taken back.
 	Rejected bool
+	// Complete is set once the store has the status.
+	Complete bool
 	// Age is the time since the order, and Trial the age at which the trial began.
 	Age, Trial time.Duration
 }
@@ -240,6 +242,9 @@
 	}
 	o.share = d.Share
 	o.rejected = o.rejected || d.Rejected && !o.complete
+	if d.Complete && o.rollout.Status.State != bramleytack.RolloutRolledBack {
+		o.finish(now)
+	}
 }
 
 // Tick judges, if this daemon is a judge, and returns the reports and the decisions that are to
@@ -267,8 +272,8 @@
 		if !o.rejected && !o.complete {
 			t.decide(o, view{reach: reach, daemons: daemons, away: away}, now)
 		}
-		d := Decision{Service: service, Order: o.id, Stage: o.stage, Share: o.share, Rejected: o.rejected, Age: now.Sub(o.began), Trial: o.trial}
-		if last := o.judge.decided; now.Sub(o.judge.at) >= decisionPeriod || d.Stage != last.Stage || d.Rejected != last.Rejected || (d.Share == 0) != (last.Share == 0) {
+		d := Decision{Service: service, Order: o.id, Stage: o.stage, Share: o.share, Rejected: o.rejected, Complete: o.complete, Age: now.Sub(o.began), Trial: o.trial}
+		if last := o.judge.decided; now.Sub(o.judge.at) >= decisionPeriod || d.Stage != last.Stage || d.Rejected != last.Rejected || d.Complete != last.Complete || (d.Share == 0) != (last.Share == 0) {
 			o.judge.decided, o.judge.at = d, now
 			decisions = append(decisions, d)
 		}
--- a/internal/route/btrollout/table.go
+++ b/internal/route/btrollout/table.go
@@ -134,7 +134,7 @@
 	}
 	for service, o := range t.orders {
 		if s.Rollouts[service] == nil {
-			t.remove(service, o, now)
+			t.remove(service, o, nil, now)
 		}
 	}
 	for service, o := range t.former {
@@ -148,17 +148,31 @@
 	t.active.Store(int32(len(t.orders) + len(t.withdrawn)))
 }
 
-// remove drops an order. The caller holds the lock.
-func (t *Table) remove(service string, o *order, now time.Time) {
+// remove drops an order. next is the order that replaces it, or nil. The caller holds the lock.
+func (t *Table) remove(service string, o *order, next *bramleytack.Rollout, now time.Time) {
+	if next != nil {
+		// An order that was changed in place still has the status of the former one, whose last
+		// revision this daemon may not have seen.
+		if st := next.Status; st.State == bramleytack.RolloutComplete && st.Target == o.rollout.Target && (st.Order == o.id || st.Order == 0) {
+			o.finish(now)
+		}
+	}
 	delete(t.orders, service)
 	o.gone = now
 	t.former[service] = o
-	if !o.complete {
+	if !o.complete && !t.replaced(o) {
 		t.withdraw(service, o.rollout.Target)
 		t.Log.Event(btevent.RolloutWithdrawn).Str("service", service).Str("target", o.rollout.Target).Stringer("stage", o.stage).Send()
 	}
 }
 
+// replaced reports whether an order in its full stage has no accepting upstream of another version. It
+// may have completed without this daemon's knowledge.
+func (t *Table) replaced(o *order) bool {
+	_, others := o.upstreams(t.snapshot)
+	return o.stage >= Full && !o.rejected && len(others) == 0
+}
+
 func (t *Table) withdraw(service string, versions ...string) {
 	for _, v := range versions {
 		if t.withdrawn[service] == nil {
@@ -176,7 +190,7 @@
 	}
 	if o != nil && o.id != id {
 		if !o.again(r) {
-			t.remove(service, o, now)
+			t.remove(service, o, r, now)
 			o = nil
 		}
 	}
@@ -508,6 +522,16 @@
 	return list
 }
 
+// storable returns the withdrawn versions of a service for its status, without one that is the only
+// one registered.
+func (t *Table) storable(service string) []string {
+	versions := map[string]bool{}
+	for _, u := range t.snapshot.ByService[service] {
+		versions[u.Version] = true
+	}
+	return slices.DeleteFunc(t.withdrawnOf(service), func(v string) bool { return len(versions) == 1 && versions[v] })
+}
+
 func (t *Table) withdrawnOf(service string) []string {
 	var list []string
 	for v := range t.withdrawn[service] {
--- a/internal/route/btrollout/writer.go
+++ b/internal/route/btrollout/writer.go
@@ -72,7 +72,7 @@
 	now := t.Timer.Now()
 	var list []dueStatus
 	for service, o := range t.orders {
-		s := o.status(t.withdrawnOf(service), now)
+		s := o.status(t.storable(service), now)
 		if o.stored(s) {
 			o.writer.wrongSince = time.Time{}
 			continue
