Roll-outs: orders end, and leave no service without upstreams

After the trial had begun, an order whose new upstreams were all gone never ended: it is now rolled back at its end at any stage, and in the full stage after 5 s while old upstreams accept requests.

An order refused all upstreams that its rule does not allow, also where these were the only ones: before the trial, after a verdict, in the full stage and for 30 s after a completion. Where no allowed upstream accepts work the others now get it. An order that a process first sees as complete counts these 30 s from the status's time, so that a restart does not begin them again.

--- a/internal/route/btrollout/judge.go
+++ b/internal/route/btrollout/judge.go
@@ -28,6 +28,9 @@
 	brokenPerLook = 1
 	// emptyFor is how long the old version must have had no upstreams.
 	emptyFor = 2 * time.Second
+	// absentFor is how long the new version may have no upstreams in the full stage while others
+	// accept requests.
+	absentFor = 5 * time.Second
 )
 
 // Report holds what a daemon has counted for an order since the daemon's start.
@@ -73,8 +76,10 @@
 	past    []pastSum
 	peak    int
 	emptyAt time.Time
-	decided Decision
-	at      time.Time
+	// absentAt is when the new version was first seen without upstreams in the full stage.
+	absentAt time.Time
+	decided  Decision
+	at       time.Time
 	// reported is the last own report that was sent, and reportedAt its time.
 	reported   Report
 	reportedAt time.Time
@@ -349,9 +354,10 @@
 	due := age >= o.begins(next) && age-o.staged >= time.Duration(minStage*float64(o.time()))
 	late := age >= o.begins(next)+time.Duration(patience*float64(o.time()))
 	doubt := f.Probability < doubtLevel
+	absent := o.absent(target, others, now)
 	switch {
 	case len(target) == 0:
-		if age >= o.rollout.Duration && o.stage == Waiting {
+		if !o.completing && (absent || age >= o.rollout.Duration) {
 			t.reject(o, Finding{What: "noUpstreams"})
 		}
 		return
@@ -375,6 +381,19 @@
 	}
 }
 
+// absent reports whether the new version has had no upstreams in the full stage for some time,
+// while others accept requests.
+func (o *order) absent(target, others []*bramleytack.Upstream, now time.Time) bool {
+	if o.stage < Full || len(target) > 0 || len(others) == 0 {
+		o.judge.absentAt = time.Time{}
+		return false
+	}
+	if o.judge.absentAt.IsZero() {
+		o.judge.absentAt = now
+	}
+	return now.Sub(o.judge.absentAt) >= absentFor
+}
+
 // oldGone reports whether the service has had no upstreams of other versions for some time.
 func (t *Table) oldGone(o *order, now time.Time) bool {
 	for _, u := range t.snapshot.ByService[o.rollout.Service] {
--- a/internal/route/btrollout/table.go
+++ b/internal/route/btrollout/table.go
@@ -185,6 +185,7 @@
 // take brings the order of a service up to date. The caller holds the lock.
 func (t *Table) take(service string, r *bramleytack.Rollout, now time.Time) {
 	o, id := t.orders[service], idOf(r)
+	fresh := false
 	if o != nil && o.rollout == r {
 		return
 	}
@@ -198,7 +199,7 @@
 		if f := t.former[service]; f != nil && f.again(r) {
 			o = f
 		} else {
-			o = &order{began: now, own: counts{}}
+			o, fresh = &order{began: now, own: counts{}}, true
 			t.Log.Event(btevent.RolloutOrdered).Str("service", service).Str("target", r.Target).Dur("duration", r.Duration).Stringer("revision", r.Revision).Str("state", string(r.Status.State)).Send()
 		}
 		t.orders[service] = o
@@ -216,7 +217,19 @@
 	}
 	if st := r.Status; st.Target == r.Target && (st.Order == id || st.Order == 0) {
 		o.follow(st, now)
+		if fresh && o.complete {
+			o.completeAt = completedAt(st, now)
+		}
+	}
+}
+
+// completedAt returns when an order completed that this process has first seen as complete. A restart
+// does not leave out the other versions again.
+func completedAt(st bramleytack.RolloutStatus, now time.Time) time.Time {
+	if since := now.Sub(st.Written); since >= 0 && since < afterComplete {
+		return now.Add(-since)
 	}
+	return now.Add(-afterComplete)
 }
 
 // again reports whether r is the same order, written again after the store was restored.
@@ -309,10 +322,10 @@
 		c.drawn = true
 		c.target.Store(t.draw() < d.share)
 	}
-	if target := c.target.Load(); !target || d.share == 0 || !o.isTarget(u) {
-		return !target && !o.isTarget(u) && t.admits(u, now)
+	if !c.target.Load() {
+		return t.admits(u, now)
 	}
-	return o.picks(t.snapshot, d.upstreams, now)[u.ID]
+	return d.share > 0 && o.isTarget(u) && o.picks(t.snapshot, d.upstreams, now)[u.ID]
 }
 
 // Fall sends a request to the old version that was drawn for the new one, and reports whether
@@ -387,8 +400,22 @@
 	return t.admits(u, t.Timer.Now())
 }
 
-// admits is Admits. The caller holds the lock.
+// admits is Admits. Where no upstream that the order allows accepts work, the others may get it, so
+// that an order never leaves a service without upstreams. The caller holds the lock.
 func (t *Table) admits(u *bramleytack.Upstream, now time.Time) bool {
+	if t.permits(u, now) {
+		return true
+	}
+	for _, other := range t.snapshot.ByService[u.Service] {
+		if t.permits(other, now) && t.snapshot.Accepts(other.ID) {
+			return false
+		}
+	}
+	return true
+}
+
+// permits reports whether the order of a service allows an upstream. The caller holds the lock.
+func (t *Table) permits(u *bramleytack.Upstream, now time.Time) bool {
 	o := t.orders[u.Service]
 	switch {
 	case o == nil, o.complete && now.Sub(o.completeAt) >= afterComplete:
@@ -408,8 +435,8 @@
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	o := t.orders[u.Service]
-	if o != nil && o.isTarget(u) && !o.settled() {
-		return o.dose(t.snapshot, now).share == 0
+	if o != nil && o.isTarget(u) && !o.settled() && o.dose(t.snapshot, now).share > 0 {
+		return false
 	}
 	return !t.admits(u, now)
 }
--- a/internal/route/btrollout/table_test.go
+++ b/internal/route/btrollout/table_test.go
@@ -87,3 +87,69 @@
 	d.sync()
 	assert.DeepEqual(t, d.table.due(true)[0].status.Withdrawn, []string{newVersion})
 }
+
+// Guards against orders that leave a service without upstreams.
+func TestOrdersLeaveNoServiceWithoutUpstreams(t *testing.T) {
+	cases := []struct {
+		name  string
+		stage Stage
+		left  string
+		play  func(o *order)
+	}{
+		{"old version gone before the trial", Waiting, newVersion, func(*order) {}},
+		{"old version gone in the trial", Trial, newVersion, func(*order) {}},
+		{"old version gone after the verdict", Trial, newVersion, func(o *order) { o.rejected = true }},
+		{"new version gone in the full stage", Full, oldVersion, func(*order) {}},
+		{"new version gone after the completion", Full, oldVersion, func(o *order) { o.finish(o.began) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := orderedFleet(c.stage)
+			d := f.daemons[0]
+			c.play(d.order())
+			f.only(c.left)
+			d.sync()
+			u := f.snapshot.ByService[service][0]
+			choice := d.table.Choose(service)
+			assert.Check(t, choice.Allows(u) || choice.Fall() && choice.Allows(u))
+			assert.Check(t, d.table.Admits(u) && !d.table.Refuses(u) && !d.table.Vacates(u))
+			f.publish()
+			d.sync()
+			choice = d.table.Choose(service)
+			assert.Check(t, !choice.Allows(u) && !d.table.Admits(u) && d.table.Refuses(u), "with upstreams of both versions")
+		})
+	}
+}
+
+// Guards against restarts that leave out other versions for the time after a completion again.
+func TestRestartAfterCompletion(t *testing.T) {
+	f := orderedFleet(Full)
+	status := bramleytack.RolloutStatus{State: bramleytack.RolloutComplete, Target: newVersion, Written: f.now}
+	f.store.put(func(r *bramleytack.Rollout) { r.Status = status })
+	d, old := f.daemons[0], f.workers[0].u
+	restart := func(after time.Duration) bool {
+		f.now = f.now.Add(after)
+		d.boot()
+		d.sync()
+		return d.table.Admits(old)
+	}
+	assert.Check(t, !restart(afterComplete/2))
+	assert.Check(t, restart(afterComplete))
+}
+
+// Guards against orders whose new version has gone and that never end.
+func TestNewVersionGone(t *testing.T) {
+	for _, stage := range []Stage{Trial, Quarter, Half, Full} {
+		t.Run(stage.String(), func(t *testing.T) {
+			f := orderedFleet(stage)
+			f.store.startsAfter = time.Hour
+			f.publish()
+			end := f.store.duration + time.Second
+			if stage == Full {
+				end = absentFor + 2*time.Second
+			}
+			f.run(end)
+			assert.Equal(t, f.state, bramleytack.RolloutRolledBack)
+		})
+	}
+}
