--- a/internal/fleet/btreplica/table.go
+++ b/internal/fleet/btreplica/table.go
@@ -401,7 +401,7 @@
 	}
 	t.decodeDomains(s)
 	t.decodeUpstreams(s)
-	t.decodeRollouts(s)
+	t.decodeRollouts(s, old)
 	return s
 }
 
