Roll-outs: few new places, lost daemons, clocks and values out of range

- A good version with less than half of the old places never got all requests.
Stages are now entered at their late time in any case, and before the full stage the share is at most the version's part of the places.
- The largest number of daemons seen counted for the whole order, so that the loss of more than half of them stopped it.
It now counts for 15 s, as silent daemons do for grants.
- The age of an order came from another machine's time of day whenever the status changed.
Now the elapsed time is used alone, and the time of day only for orders that a process finds within 5 s of its start, within the order's duration.
One message makes a running process's order at most 1 s older.
- Age, trial, share and stage of received decisions are clamped.

--- a/internal/route/btrollout/judge.go
+++ b/internal/route/btrollout/judge.go
@@ -28,6 +28,9 @@
 	brokenPerLook = 1
 	// emptyFor is how long the old version must have had no upstreams.
 	emptyFor = 2 * time.Second
+	// peakRetention is how long the largest number of daemons counts. It is that of grants, after
+	// which silent daemons are taken to have ended.
+	peakRetention = 15 * time.Second
 	// absentFor is how long the new version may have no upstreams in the full stage while others
 	// accept requests.
 	absentFor = 5 * time.Second
@@ -73,8 +76,11 @@
 	// sent and exposed are sums over all reports.
 	sent, exposed uint64
 	// past are sums of the last seconds, the newest last.
-	past    []pastSum
+	past []pastSum
+	// peak is the largest number of daemons seen during peakRetention, and peakAt when it was
+	// last seen.
 	peak    int
+	peakAt  time.Time
 	emptyAt time.Time
 	// absentAt is when the new version was first seen without upstreams in the full stage.
 	absentAt time.Time
@@ -239,13 +245,22 @@
 		return
 	}
 	now := t.Timer.Now()
+	// The first decision tells a new process the age.
+	first := o.heard.IsZero()
 	o.heard = now
-	o.older(d.Age, now)
-	if d.Stage > o.stage {
-		o.enter(d.Stage, now)
-		o.trial = d.Trial
+	age := min(max(d.Age, 0), o.rollout.Duration)
+	if !first {
+		age = min(age, now.Sub(o.began)+maxAging)
+	}
+	o.older(age, now)
+	if s := min(d.Stage, Full); s > o.stage {
+		o.enter(s, now)
+		o.trial = min(max(d.Trial, 0), now.Sub(o.began))
+	}
+	o.share = 0
+	if d.Share > 0 {
+		o.share = min(d.Share, maxTrialShare)
 	}
-	o.share = d.Share
 	o.rejected = o.rejected || d.Rejected && !o.complete
 	if d.Complete && o.rollout.Status.State != bramleytack.RolloutRolledBack {
 		o.finish(now)
@@ -318,7 +333,7 @@
 // decide judges one order. The caller holds the lock.
 func (t *Table) decide(o *order, v view, now time.Time) {
 	j, age := &o.judge, now.Sub(o.began)
-	j.peak = max(j.peak, v.daemons)
+	j.raise(v.daemons, now)
 	reaches := v.reach >= minReach && float64(v.daemons) >= minReach*float64(j.peak)
 	if reaches || v.reach > 0 && !v.away {
 		// A daemon alone that reaches the store reads there what others decide.
@@ -368,19 +383,27 @@
 		}
 		o.completing = o.completing || age-o.staged >= emptyFor
 	case o.stage == Waiting:
-		if t.capacity(target) >= minCapacity*t.capacity(others) || age >= o.rollout.Duration/2 {
+		if capacity(t.snapshot, target) >= minCapacity*capacity(t.snapshot, others) || age >= o.rollout.Duration/2 {
 			t.enter(o, Trial, f, now)
 		}
 	case o.stage == Full:
 		end := age >= o.trial+o.time()
 		o.completing = o.completing || end || due && !doubt && o.judge.drained(v.daemons, now)
 	case due && (late || !doubt && (o.stage > Trial || o.judge.answers() >= minAnswers)):
-		if t.capacity(target) >= minCapacity*t.capacity(others) || age >= o.rollout.Duration {
+		if late || capacity(t.snapshot, target) >= minCapacity*capacity(t.snapshot, others) {
 			t.enter(o, next, f, now)
 		}
 	}
 }
 
+// raise notes the number of daemons that are alive. Daemons that were lost for good do not hold up an
+// order for longer than peakRetention.
+func (j *judge) raise(daemons int, now time.Time) {
+	if daemons >= j.peak || now.Sub(j.peakAt) >= peakRetention {
+		j.peak, j.peakAt = daemons, now
+	}
+}
+
 // absent reports whether the new version has had no upstreams in the full stage for some time,
 // while others accept requests.
 func (o *order) absent(target, others []*bramleytack.Upstream, now time.Time) bool {
@@ -408,9 +431,10 @@
 	return now.Sub(o.judge.emptyAt) >= emptyFor
 }
 
-func (t *Table) capacity(list []*bramleytack.Upstream) (n float64) {
+// capacity returns the places of some upstreams.
+func capacity(s *bramleytack.Snapshot, list []*bramleytack.Upstream) (n float64) {
 	for _, u := range list {
-		n += float64(places(t.snapshot, u))
+		n += float64(places(s, u))
 	}
 	return n
 }
--- a/internal/route/btrollout/table.go
+++ b/internal/route/btrollout/table.go
@@ -28,6 +28,12 @@
 	// afterComplete is how long the old version's upstreams are left out after the completion.
 	// They have stopped, but are registered for some seconds.
 	afterComplete = 30 * time.Second
+	// startWindow is the time after a process's first snapshot in which orders are those that it finds
+	// at its start.
+	startWindow = 5 * time.Second
+	// maxAging bounds by how much one message makes an order of a running process older. Clocks of
+	// machines may jump by seconds.
+	maxAging = time.Second
 	// startPeriod is how long the durations of a new upstream do not count.
 	startPeriod = 6 * time.Second
 )
@@ -65,6 +71,8 @@
 
 	// active is the number of services with an order or a withdrawn version.
 	active atomic.Int32
+	// first is when the first snapshot came.
+	first atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	snapshot *bramleytack.Snapshot
@@ -122,12 +130,18 @@
 
 // Update takes the orders of a snapshot.
 func (t *Table) Update(s *bramleytack.Snapshot) {
-	if t == nil || s == nil || len(s.Rollouts) == 0 && t.active.Load() == 0 {
+	if t == nil || s == nil {
+		return
+	}
+	now := t.Timer.Now()
+	if t.first.Load() == nil {
+		t.first.CompareAndSwap(nil, &now)
+	}
+	if len(s.Rollouts) == 0 && t.active.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.Timer.Now()
 	t.snapshot = s
 	if t.orders == nil {
 		t.orders, t.former, t.withdrawn = map[string]*order{}, map[string]*order{}, map[string]map[string]bool{}
@@ -216,6 +230,9 @@
 		delete(t.withdrawn, service)
 	}
 	if st := r.Status; st.Target == r.Target && (st.Order == id || st.Order == 0) {
+		if fresh {
+			o.older(t.ageBy(st, r.Duration, now), now)
+		}
 		o.follow(st, now)
 		if fresh && o.complete {
 			o.completeAt = completedAt(st, now)
@@ -223,6 +240,17 @@
 	}
 }
 
+// ageBy returns the age of an order that this process has not seen before. A process that has just
+// started adds the time since the status was written, by the time of day: all daemons may have been
+// away meanwhile. Later on the clocks of other machines are not relied on.
+func (t *Table) ageBy(st bramleytack.RolloutStatus, duration time.Duration, now time.Time) time.Duration {
+	age := st.Elapsed
+	if first := t.first.Load(); first != nil && now.Sub(*first) < startWindow && !st.Written.IsZero() {
+		age += max(now.Sub(st.Written), 0)
+	}
+	return min(age, duration)
+}
+
 // completedAt returns when an order completed that this process has first seen as complete. A restart
 // does not leave out the other versions again.
 func completedAt(st bramleytack.RolloutStatus, now time.Time) time.Time {
@@ -240,10 +268,7 @@
 // follow takes over what the status in the store says. Its last state holds, whatever this daemon
 // thinks: the operator acts on it.
 func (o *order) follow(s bramleytack.RolloutStatus, now time.Time) {
-	if !s.Written.IsZero() {
-		elapsed := s.Elapsed + min(max(now.Sub(s.Written), 0), max(o.rollout.Duration-s.Elapsed, 0))
-		o.older(elapsed, now)
-	}
+	o.older(min(s.Elapsed, o.rollout.Duration, now.Sub(o.began)+maxAging), now)
 	switch s.State {
 	case bramleytack.RolloutComplete:
 		o.finish(now)
@@ -348,12 +373,19 @@
 	if o.settled() || o.stage == Waiting || o.blind(now) {
 		return dose{}
 	}
+	target, others := o.upstreams(s)
 	share := o.share
 	if o.stage > Trial && share > 0 {
-		share = o.stage.shareOf()
+		// Fewer new upstreams than old ones get no more than their part.
+		share = min(o.stage.shareOf(), partOf(s, target, others))
 	}
-	n, _ := o.upstreams(s)
-	return doseOf(o.stage, share, len(n), now.Sub(o.began))
+	return doseOf(o.stage, share, len(target), now.Sub(o.began))
+}
+
+// partOf returns the part of the places that the new version's upstreams have.
+func partOf(s *bramleytack.Snapshot, target, others []*bramleytack.Upstream) float64 {
+	n := capacity(s, target)
+	return n / max(n+capacity(s, others), 1)
 }
 
 // upstreams returns the upstreams that accept work, of the new version and of the others.
--- a/internal/route/btrollout/table_test.go
+++ b/internal/route/btrollout/table_test.go
@@ -1,6 +1,7 @@
 package btrollout
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -153,3 +154,98 @@
 		})
 	}
 }
+
+// Guards against a good version with less than half of the old places that never gets all requests.
+func TestFewerNewPlacesComplete(t *testing.T) {
+	f := newSimFleet(1, 4, 6, 6)
+	f.rate, f.routes, f.work = 10, []string{"order"}, 300*time.Millisecond
+	for _, w := range f.workers {
+		if w.u.Version == newVersion {
+			w.u.WarmLimit = 2
+		}
+	}
+	f.publish()
+	f.after(0, func() { f.store.give(newVersion, time.Minute) })
+	f.after(0, f.traffic)
+	f.run(f.playTime())
+	checkGood(t, f)
+}
+
+// Guards against an order that stops after more than half of the daemons were lost for good.
+func TestDaemonsLostForGood(t *testing.T) {
+	f := randomFleet(1)
+	f.run(20 * time.Second)
+	for _, d := range f.daemons[1:] {
+		d.dead = true
+	}
+	f.run(f.playTime())
+	assert.Check(t, f.state == bramleytack.RolloutComplete && f.doneAt <= f.store.duration, "%q at %v, history %v", f.state, f.doneAt, f.history)
+}
+
+// Guards against clocks of other machines that end orders early.
+func TestClocksOfOthers(t *testing.T) {
+	status := func(f *simFleet, elapsed, ago time.Duration) {
+		st := bramleytack.RolloutStatus{State: bramleytack.RolloutRunning, Target: newVersion, Stage: int(Trial), Elapsed: elapsed, Written: f.now.Add(-ago)}
+		f.store.put(func(r *bramleytack.Rollout) { r.Status = st })
+	}
+	age := func(d *simDaemon) time.Duration {
+		d.sync()
+		return d.f.now.Sub(d.order().began)
+	}
+	t.Run("running process", func(t *testing.T) {
+		f := orderedFleet(Trial)
+		status(f, time.Second/2, 20*time.Second)
+		assert.Equal(t, age(f.daemons[0]), time.Second/2)
+		status(f, 20*time.Second, 0)
+		assert.Equal(t, age(f.daemons[0]), time.Second/2+maxAging)
+	})
+	t.Run("process that has just started", func(t *testing.T) {
+		f := orderedFleet(Trial)
+		status(f, 2*time.Second, 20*time.Second)
+		f.daemons[0].boot()
+		assert.Equal(t, age(f.daemons[0]), 22*time.Second)
+		status(f, 2*time.Second, time.Hour)
+		f.daemons[1].boot()
+		assert.Equal(t, age(f.daemons[1]), f.store.duration)
+	})
+	t.Run("order that comes later", func(t *testing.T) {
+		f := orderedFleet(Trial)
+		d := f.daemons[0]
+		d.boot()
+		d.table.Update(&bramleytack.Snapshot{})
+		f.now = f.now.Add(startWindow)
+		status(f, 2*time.Second, 20*time.Second)
+		assert.Equal(t, age(d), 2*time.Second)
+	})
+}
+
+// Guards against decisions with values out of range.
+func TestDecisionsOutOfRange(t *testing.T) {
+	cases := []struct {
+		name         string
+		d            Decision
+		share        float64
+		stage        Stage
+		trial, began time.Duration
+	}{
+		{"too large", Decision{Stage: Full + 3, Share: 7, Age: time.Hour, Trial: 2 * time.Hour}, maxTrialShare, Full, time.Minute, time.Minute},
+		{"negative", Decision{Stage: Trial, Share: -1, Age: -time.Hour, Trial: -time.Hour}, 0, Trial, 0, 0},
+		{"no number", Decision{Stage: Trial, Share: math.NaN()}, 0, Trial, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := orderedFleet(Waiting)
+			d := f.daemons[0]
+			o := d.order()
+			c.d.Service, c.d.Order = service, o.id
+			d.table.Follow(c.d)
+			assert.Equal(t, o.share, c.share)
+			assert.Equal(t, o.stage, c.stage)
+			assert.Equal(t, o.trial, c.trial)
+			assert.Equal(t, f.now.Sub(o.began), c.began)
+			c.d.Age = f.now.Sub(o.began) + 20*time.Second
+			d.table.Follow(c.d)
+			assert.Check(t, f.now.Sub(o.began) <= c.began+maxAging, "one more decision")
+		})
+	}
+}
