--- a/internal/fleet/btgossip/rollout_test.go
+++ b/internal/fleet/btgossip/rollout_test.go
@@ -106,3 +106,11 @@
 	odd := &RolloutReport{Counts: []*RolloutCount{{Load: 9}, {Group: 99}, {Route: "r", FirstFrom: 1 << 31, First: []uint32{1}}}}
 	assert.Equal(t, len(decodeRolloutReport(odd).Counts), 1)
 }
+
+// Guards against parts of a decision that are lost on the way.
+func TestRolloutDecisionIsKept(t *testing.T) {
+	d := btrollout.Decision{
+		Service: orderedService, Order: 7, Stage: btrollout.Full, Share: 0.25, Rejected: true, Complete: true, Age: time.Minute, Trial: time.Second,
+	}
+	assert.DeepEqual(t, decodeRolloutDecision(encodeRolloutDecision(d)), d)
+}
