--- a/internal/route/btrollout/judge.go
+++ b/internal/route/btrollout/judge.go
@@ -28,6 +28,12 @@
 	brokenPerLook = 1
 	// emptyFor is how long the old version must have had no upstreams.
 	emptyFor = 2 * time.Second
+	// peakRetention is how long the largest number of daemons counts. It is that of grants, after
+	// which silent daemons are taken to have ended.
+	peakRetention = 15 * time.Second
+	// absentFor is how long the new version may have no upstreams in the full stage while others
+	// accept requests.
+	absentFor = 5 * time.Second
 )
 
 // Report holds what a daemon has counted for an order since the daemon's start.
@@ -54,6 +60,8 @@
 	Share float64
 	// Rejected is the verdict against the version. It is never taken back.
 	Rejected bool
+	// Complete is set once the store has the status.
+	Complete bool
 	// Age is the time since the order, and Trial the age at which the trial began.
 	Age, Trial time.Duration
 }
@@ -68,11 +76,16 @@
 	// sent and exposed are sums over all reports.
 	sent, exposed uint64
 	// past are sums of the last seconds, the newest last.
-	past    []pastSum
+	past []pastSum
+	// peak is the largest number of daemons seen during peakRetention, and peakAt when it was
+	// last seen.
 	peak    int
+	peakAt  time.Time
 	emptyAt time.Time
-	decided Decision
-	at      time.Time
+	// absentAt is when the new version was first seen without upstreams in the full stage.
+	absentAt time.Time
+	decided  Decision
+	at       time.Time
 	// reported is the last own report that was sent, and reportedAt its time.
 	reported   Report
 	reportedAt time.Time
@@ -232,14 +245,26 @@
 		return
 	}
 	now := t.Timer.Now()
+	// The first decision tells a new process the age.
+	first := o.heard.IsZero()
 	o.heard = now
-	o.older(d.Age, now)
-	if d.Stage > o.stage {
-		o.enter(d.Stage, now)
-		o.trial = d.Trial
+	age := min(max(d.Age, 0), o.rollout.Duration)
+	if !first {
+		age = min(age, now.Sub(o.began)+maxAging)
+	}
+	o.older(age, now)
+	if s := min(d.Stage, Full); s > o.stage {
+		o.enter(s, now)
+		o.trial = min(max(d.Trial, 0), now.Sub(o.began))
+	}
+	o.share = 0
+	if d.Share > 0 {
+		o.share = min(d.Share, maxTrialShare)
 	}
-	o.share = d.Share
 	o.rejected = o.rejected || d.Rejected && !o.complete
+	if d.Complete && o.rollout.Status.State != bramleytack.RolloutRolledBack {
+		o.finish(now)
+	}
 }
 
 // Tick judges, if this daemon is a judge, and returns the reports and the decisions that are to
@@ -267,8 +292,8 @@
 		if !o.rejected && !o.complete {
 			t.decide(o, view{reach: reach, daemons: daemons, away: away}, now)
 		}
-		d := Decision{Service: service, Order: o.id, Stage: o.stage, Share: o.share, Rejected: o.rejected, Age: now.Sub(o.began), Trial: o.trial}
-		if last := o.judge.decided; now.Sub(o.judge.at) >= decisionPeriod || d.Stage != last.Stage || d.Rejected != last.Rejected || (d.Share == 0) != (last.Share == 0) {
+		d := Decision{Service: service, Order: o.id, Stage: o.stage, Share: o.share, Rejected: o.rejected, Complete: o.complete, Age: now.Sub(o.began), Trial: o.trial}
+		if last := o.judge.decided; now.Sub(o.judge.at) >= decisionPeriod || d.Stage != last.Stage || d.Rejected != last.Rejected || d.Complete != last.Complete || (d.Share == 0) != (last.Share == 0) {
 			o.judge.decided, o.judge.at = d, now
 			decisions = append(decisions, d)
 		}
@@ -308,7 +333,7 @@
 // decide judges one order. The caller holds the lock.
 func (t *Table) decide(o *order, v view, now time.Time) {
 	j, age := &o.judge, now.Sub(o.began)
-	j.peak = max(j.peak, v.daemons)
+	j.raise(v.daemons, now)
 	reaches := v.reach >= minReach && float64(v.daemons) >= minReach*float64(j.peak)
 	if reaches || v.reach > 0 && !v.away {
 		// A daemon alone that reaches the store reads there what others decide.
@@ -344,9 +369,10 @@
 	due := age >= o.begins(next) && age-o.staged >= time.Duration(minStage*float64(o.time()))
 	late := age >= o.begins(next)+time.Duration(patience*float64(o.time()))
 	doubt := f.Probability < doubtLevel
+	absent := o.absent(target, others, now)
 	switch {
 	case len(target) == 0:
-		if age >= o.rollout.Duration && o.stage == Waiting {
+		if !o.completing && (absent || age >= o.rollout.Duration) {
 			t.reject(o, Finding{What: "noUpstreams"})
 		}
 		return
@@ -357,19 +383,40 @@
 		}
 		o.completing = o.completing || age-o.staged >= emptyFor
 	case o.stage == Waiting:
-		if t.capacity(target) >= minCapacity*t.capacity(others) || age >= o.rollout.Duration/2 {
+		if capacity(t.snapshot, target) >= minCapacity*capacity(t.snapshot, others) || age >= o.rollout.Duration/2 {
 			t.enter(o, Trial, f, now)
 		}
 	case o.stage == Full:
 		end := age >= o.trial+o.time()
 		o.completing = o.completing || end || due && !doubt && o.judge.drained(v.daemons, now)
 	case due && (late || !doubt && (o.stage > Trial || o.judge.answers() >= minAnswers)):
-		if t.capacity(target) >= minCapacity*t.capacity(others) || age >= o.rollout.Duration {
+		if late || capacity(t.snapshot, target) >= minCapacity*capacity(t.snapshot, others) {
 			t.enter(o, next, f, now)
 		}
 	}
 }
 
+// raise notes the number of daemons that are alive. Daemons that were lost for good do not hold up an
+// order for longer than peakRetention.
+func (j *judge) raise(daemons int, now time.Time) {
+	if daemons >= j.peak || now.Sub(j.peakAt) >= peakRetention {
+		j.peak, j.peakAt = daemons, now
+	}
+}
+
+// absent reports whether the new version has had no upstreams in the full stage for some time,
+// while others accept requests.
+func (o *order) absent(target, others []*bramleytack.Upstream, now time.Time) bool {
+	if o.stage < Full || len(target) > 0 || len(others) == 0 {
+		o.judge.absentAt = time.Time{}
+		return false
+	}
+	if o.judge.absentAt.IsZero() {
+		o.judge.absentAt = now
+	}
+	return now.Sub(o.judge.absentAt) >= absentFor
+}
+
 // oldGone reports whether the service has had no upstreams of other versions for some time.
 func (t *Table) oldGone(o *order, now time.Time) bool {
 	for _, u := range t.snapshot.ByService[o.rollout.Service] {
@@ -384,9 +431,10 @@
 	return now.Sub(o.judge.emptyAt) >= emptyFor
 }
 
-func (t *Table) capacity(list []*bramleytack.Upstream) (n float64) {
+// capacity returns the places of some upstreams.
+func capacity(s *bramleytack.Snapshot, list []*bramleytack.Upstream) (n float64) {
 	for _, u := range list {
-		n += float64(places(t.snapshot, u))
+		n += float64(places(s, u))
 	}
 	return n
 }
--- a/internal/route/btrollout/table.go
+++ b/internal/route/btrollout/table.go
@@ -28,6 +28,12 @@
 	// afterComplete is how long the old version's upstreams are left out after the completion.
 	// They have stopped, but are registered for some seconds.
 	afterComplete = 30 * time.Second
+	// startWindow is the time after a process's first snapshot in which orders are those that it finds
+	// at its start.
+	startWindow = 5 * time.Second
+	// maxAging bounds by how much one message makes an order of a running process older. Clocks of
+	// machines may jump by seconds.
+	maxAging = time.Second
 	// startPeriod is how long the durations of a new upstream do not count.
 	startPeriod = 6 * time.Second
 )
@@ -65,6 +71,8 @@
 
 	// active is the number of services with an order or a withdrawn version.
 	active atomic.Int32
+	// first is when the first snapshot came.
+	first atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	snapshot *bramleytack.Snapshot
@@ -122,19 +130,25 @@
 
 // Update takes the orders of a snapshot.
 func (t *Table) Update(s *bramleytack.Snapshot) {
-	if t == nil || s == nil || len(s.Rollouts) == 0 && t.active.Load() == 0 {
+	if t == nil || s == nil {
+		return
+	}
+	now := t.Timer.Now()
+	if t.first.Load() == nil {
+		t.first.CompareAndSwap(nil, &now)
+	}
+	if len(s.Rollouts) == 0 && t.active.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.Timer.Now()
 	t.snapshot = s
 	if t.orders == nil {
 		t.orders, t.former, t.withdrawn = map[string]*order{}, map[string]*order{}, map[string]map[string]bool{}
 	}
 	for service, o := range t.orders {
 		if s.Rollouts[service] == nil {
-			t.remove(service, o, now)
+			t.remove(service, o, nil, now)
 		}
 	}
 	for service, o := range t.former {
@@ -148,17 +162,31 @@
 	t.active.Store(int32(len(t.orders) + len(t.withdrawn)))
 }
 
-// remove drops an order. The caller holds the lock.
-func (t *Table) remove(service string, o *order, now time.Time) {
+// remove drops an order. next is the order that replaces it, or nil. The caller holds the lock.
+func (t *Table) remove(service string, o *order, next *bramleytack.Rollout, now time.Time) {
+	if next != nil {
+		// An order that was changed in place still has the status of the former one, whose last
+		// revision this daemon may not have seen.
+		if st := next.Status; st.State == bramleytack.RolloutComplete && st.Target == o.rollout.Target && (st.Order == o.id || st.Order == 0) {
+			o.finish(now)
+		}
+	}
 	delete(t.orders, service)
 	o.gone = now
 	t.former[service] = o
-	if !o.complete {
+	if !o.complete && !t.replaced(o) {
 		t.withdraw(service, o.rollout.Target)
 		t.Log.Event(btevent.RolloutWithdrawn).Str("service", service).Str("target", o.rollout.Target).Stringer("stage", o.stage).Send()
 	}
 }
 
+// replaced reports whether an order in its full stage has no accepting upstream of another version. It
+// may have completed without this daemon's knowledge.
+func (t *Table) replaced(o *order) bool {
+	_, others := o.upstreams(t.snapshot)
+	return o.stage >= Full && !o.rejected && len(others) == 0
+}
+
 func (t *Table) withdraw(service string, versions ...string) {
 	for _, v := range versions {
 		if t.withdrawn[service] == nil {
@@ -171,12 +199,13 @@
 // take brings the order of a service up to date. The caller holds the lock.
 func (t *Table) take(service string, r *bramleytack.Rollout, now time.Time) {
 	o, id := t.orders[service], idOf(r)
+	fresh := false
 	if o != nil && o.rollout == r {
 		return
 	}
 	if o != nil && o.id != id {
 		if !o.again(r) {
-			t.remove(service, o, now)
+			t.remove(service, o, r, now)
 			o = nil
 		}
 	}
@@ -184,7 +213,7 @@
 		if f := t.former[service]; f != nil && f.again(r) {
 			o = f
 		} else {
-			o = &order{began: now, own: counts{}}
+			o, fresh = &order{began: now, own: counts{}}, true
 			t.Log.Event(btevent.RolloutOrdered).Str("service", service).Str("target", r.Target).Dur("duration", r.Duration).Stringer("revision", r.Revision).Str("state", string(r.Status.State)).Send()
 		}
 		t.orders[service] = o
@@ -201,8 +230,34 @@
 		delete(t.withdrawn, service)
 	}
 	if st := r.Status; st.Target == r.Target && (st.Order == id || st.Order == 0) {
+		if fresh {
+			o.older(t.ageBy(st, r.Duration, now), now)
+		}
 		o.follow(st, now)
+		if fresh && o.complete {
+			o.completeAt = completedAt(st, now)
+		}
+	}
+}
+
+// ageBy returns the age of an order that this process has not seen before. A process that has just
+// started adds the time since the status was written, by the time of day: all daemons may have been
+// away meanwhile. Later on the clocks of other machines are not relied on.
+func (t *Table) ageBy(st bramleytack.RolloutStatus, duration time.Duration, now time.Time) time.Duration {
+	age := st.Elapsed
+	if first := t.first.Load(); first != nil && now.Sub(*first) < startWindow && !st.Written.IsZero() {
+		age += max(now.Sub(st.Written), 0)
+	}
+	return min(age, duration)
+}
+
+// completedAt returns when an order completed that this process has first seen as complete. A restart
+// does not leave out the other versions again.
+func completedAt(st bramleytack.RolloutStatus, now time.Time) time.Time {
+	if since := now.Sub(st.Written); since >= 0 && since < afterComplete {
+		return now.Add(-since)
 	}
+	return now.Add(-afterComplete)
 }
 
 // again reports whether r is the same order, written again after the store was restored.
@@ -213,10 +268,7 @@
 // follow takes over what the status in the store says. Its last state holds, whatever this daemon
 // thinks: the operator acts on it.
 func (o *order) follow(s bramleytack.RolloutStatus, now time.Time) {
-	if !s.Written.IsZero() {
-		elapsed := s.Elapsed + min(max(now.Sub(s.Written), 0), max(o.rollout.Duration-s.Elapsed, 0))
-		o.older(elapsed, now)
-	}
+	o.older(min(s.Elapsed, o.rollout.Duration, now.Sub(o.began)+maxAging), now)
 	switch s.State {
 	case bramleytack.RolloutComplete:
 		o.finish(now)
@@ -295,10 +347,10 @@
 		c.drawn = true
 		c.target.Store(t.draw() < d.share)
 	}
-	if target := c.target.Load(); !target || d.share == 0 || !o.isTarget(u) {
-		return !target && !o.isTarget(u) && t.admits(u, now)
+	if !c.target.Load() {
+		return t.admits(u, now)
 	}
-	return o.picks(t.snapshot, d.upstreams, now)[u.ID]
+	return d.share > 0 && o.isTarget(u) && o.picks(t.snapshot, d.upstreams, now)[u.ID]
 }
 
 // Fall sends a request to the old version that was drawn for the new one, and reports whether
@@ -321,12 +373,19 @@
 	if o.settled() || o.stage == Waiting || o.blind(now) {
 		return dose{}
 	}
+	target, others := o.upstreams(s)
 	share := o.share
 	if o.stage > Trial && share > 0 {
-		share = o.stage.shareOf()
+		// Fewer new upstreams than old ones get no more than their part.
+		share = min(o.stage.shareOf(), partOf(s, target, others))
 	}
-	n, _ := o.upstreams(s)
-	return doseOf(o.stage, share, len(n), now.Sub(o.began))
+	return doseOf(o.stage, share, len(target), now.Sub(o.began))
+}
+
+// partOf returns the part of the places that the new version's upstreams have.
+func partOf(s *bramleytack.Snapshot, target, others []*bramleytack.Upstream) float64 {
+	n := capacity(s, target)
+	return n / max(n+capacity(s, others), 1)
 }
 
 // upstreams returns the upstreams that accept work, of the new version and of the others.
@@ -373,8 +432,22 @@
 	return t.admits(u, t.Timer.Now())
 }
 
-// admits is Admits. The caller holds the lock.
+// admits is Admits. Where no upstream that the order allows accepts work, the others may get it, so
+// that an order never leaves a service without upstreams. The caller holds the lock.
 func (t *Table) admits(u *bramleytack.Upstream, now time.Time) bool {
+	if t.permits(u, now) {
+		return true
+	}
+	for _, other := range t.snapshot.ByService[u.Service] {
+		if t.permits(other, now) && t.snapshot.Accepts(other.ID) {
+			return false
+		}
+	}
+	return true
+}
+
+// permits reports whether the order of a service allows an upstream. The caller holds the lock.
+func (t *Table) permits(u *bramleytack.Upstream, now time.Time) bool {
 	o := t.orders[u.Service]
 	switch {
 	case o == nil, o.complete && now.Sub(o.completeAt) >= afterComplete:
@@ -394,8 +467,8 @@
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
 	o := t.orders[u.Service]
-	if o != nil && o.isTarget(u) && !o.settled() {
-		return o.dose(t.snapshot, now).share == 0
+	if o != nil && o.isTarget(u) && !o.settled() && o.dose(t.snapshot, now).share > 0 {
+		return false
 	}
 	return !t.admits(u, now)
 }
@@ -508,6 +581,16 @@
 	return list
 }
 
+// storable returns the withdrawn versions of a service for its status, without one that is the only
+// one registered.
+func (t *Table) storable(service string) []string {
+	versions := map[string]bool{}
+	for _, u := range t.snapshot.ByService[service] {
+		versions[u.Version] = true
+	}
+	return slices.DeleteFunc(t.withdrawnOf(service), func(v string) bool { return len(versions) == 1 && versions[v] })
+}
+
 func (t *Table) withdrawnOf(service string) []string {
 	var list []string
 	for v := range t.withdrawn[service] {
