--- a/internal/route/btrollout/table.go
+++ b/internal/route/btrollout/table.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -312,59 +311,6 @@
 // blind reports whether this daemon does not know what the judges have decided.
 func (o *order) blind(now time.Time) bool { return now.Sub(o.heard) >= blindAfter }
 
-// Choice is where one request may go. A nil Choice allows all upstreams.
-type Choice struct {
-	table   *Table
-	service string
-	// target is set if the request goes to the new version while that is on trial.
-	target atomic.Bool
-	drawn  bool
-}
-
-// Choose returns the choice for a request to a service. It draws when it is first used.
-func (t *Table) Choose(service string) *Choice {
-	if t == nil || t.active.Load() == 0 {
-		return nil
-	}
-	return &Choice{table: t, service: service}
-}
-
-// Allows reports whether the request may go to an upstream now.
-func (c *Choice) Allows(u *bramleytack.Upstream) bool {
-	if c == nil {
-		return true
-	}
-	t := c.table
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.Timer.Now()
-	o := t.orders[c.service]
-	if o == nil || o.settled() {
-		return t.admits(u, now)
-	}
-	d := o.dose(t.snapshot, now)
-	if !c.drawn {
-		c.drawn = true
-		c.target.Store(t.draw() < d.share)
-	}
-	if !c.target.Load() {
-		return t.admits(u, now)
-	}
-	return d.share > 0 && o.isTarget(u) && o.picks(t.snapshot, d.upstreams, now)[u.ID]
-}
-
-// Fall sends a request to the old version that was drawn for the new one, and reports whether
-// that changes anything: the new version has no upstream for it, or has failed it. A request
-// is never carried from one upstream of a bad version to another.
-func (c *Choice) Fall() bool { return c != nil && c.target.CompareAndSwap(true, false) }
-
-func (t *Table) draw() float64 {
-	if t.Draw != nil {
-		return t.Draw()
-	}
-	return rand.Float64()
-}
-
 // settled reports whether requests are not drawn: all go to one version.
 func (o *order) settled() bool { return o.rejected || o.complete || o.stage >= Full }
 
@@ -527,75 +473,3 @@
 	timed := now.Sub(a.Upstream.Started) >= startPeriod && !now.Before(a.Upstream.ColdUntil)
 	o.own.record(a, group, timed)
 }
-
-// State is what the state dump and the metrics tell of one order.
-type State struct {
-	Service    string        `json:"service"`
-	Target     string        `json:"target"`
-	Stage      string        `json:"stage"`
-	Share      float64       `json:"share"`
-	Age        time.Duration `json:"age"`
-	Duration   time.Duration `json:"duration"`
-	RolledBack bool          `json:"rolledBack"`
-	Complete   bool          `json:"complete"`
-	Blind      bool          `json:"blind"`
-	// Sent, Exposed, Answers and Bad are this daemon's. Answers and Bad are of the new version.
-	Sent    uint64 `json:"sent"`
-	Exposed uint64 `json:"exposed"`
-	Answers uint64 `json:"answers"`
-	Bad     uint64 `json:"bad"`
-	// FleetSent and FleetExposed are those of all daemons, at judges.
-	FleetSent    uint64   `json:"fleetSent"`
-	FleetExposed uint64   `json:"fleetExposed"`
-	Withdrawn    []string `json:"withdrawn"`
-}
-
-// States returns the state of all orders, sorted by service.
-func (t *Table) States() []State {
-	if t == nil {
-		return nil
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.Timer.Now()
-	list := make([]State, 0, len(t.orders))
-	for service, o := range t.orders {
-		s := State{
-			Service: service, Target: o.rollout.Target, Stage: o.stage.String(), Share: o.dose(t.snapshot, now).share, Age: now.Sub(o.began),
-			Duration: o.rollout.Duration, RolledBack: o.rejected, Complete: o.complete, Blind: o.blind(now), Sent: o.sent, Exposed: o.exposed,
-			Withdrawn: t.withdrawnOf(service),
-		}
-		if o.settled() && !o.rejected {
-			s.Share = 1
-		}
-		for k, c := range o.own {
-			if !k.old() {
-				s.Answers += uint64(c.Answers)
-				s.Bad += uint64(c.Failures + c.Broken)
-			}
-		}
-		s.FleetSent, s.FleetExposed = o.judge.totals()
-		list = append(list, s)
-	}
-	slices.SortFunc(list, func(a, b State) int { return cmp.Compare(a.Service, b.Service) })
-	return list
-}
-
-// storable returns the withdrawn versions of a service for its status, without one that is the only
-// one registered.
-func (t *Table) storable(service string) []string {
-	versions := map[string]bool{}
-	for _, u := range t.snapshot.ByService[service] {
-		versions[u.Version] = true
-	}
-	return slices.DeleteFunc(t.withdrawnOf(service), func(v string) bool { return len(versions) == 1 && versions[v] })
-}
-
-func (t *Table) withdrawnOf(service string) []string {
-	var list []string
-	for v := range t.withdrawn[service] {
-		list = append(list, v)
-	}
-	slices.Sort(list)
-	return list
-}
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -442,28 +442,6 @@
 	s.recoverStream(err)
 }
 
-// checkQuarantine ends a request without any event if it has become quarantined since it
-// was sent.
-func (s *relay) checkQuarantine() {
-	if s.done || s.headSent || !s.req.quarantined() {
-		return
-	}
-	s.close()
-	s.done = true
-	s.req.rejectQuarantined()
-}
-
-// inspectBreak checks the upstream of a segment that broke off. A stream whose caller has
-// got events does not wait for the check.
-func (s *relay) inspectBreak(seg *segment, err error) {
-	b := &breakCheck{req: s.req, upstream: seg.upstream, begun: s.headSent || seg.eventCount > 0, events: seg.eventCount, sends: s.req.attempts, cause: err}
-	if s.headSent {
-		go b.run(s.ctx)
-		return
-	}
-	b.run(s.ctx)
-}
-
 // fail ends the request without a complete stream. If the caller has got an event, it
 // panics with http.ErrAbortHandler.
 func (s *relay) fail() {
