--- a/internal/route/btrollout/choice.go
+++ b/internal/route/btrollout/choice.go
@@ -59,4 +59,3 @@
 	}
 	return rand.Float64()
 }
-
