--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -18,11 +18,6 @@
 )
 
 const (
-	// byteCost and lineCost are what net/http and a handler keep of a head, for each byte and
-	// for each line: the line while it grows, its place in the map, the list of its values,
-	// its strings, and the same once more in the header for an upstream.
-	byteCost = 2
-	lineCost = 160
 	// bufferBytes is the size of net/http's read buffer. A following head may be in it when a
 	// handler ends.
 	bufferBytes = 4 << 10
@@ -242,7 +237,7 @@
 	c.early = 0
 	c.head += n
 	c.lines += lines
-	cost := byteCost*n + lineCost*lines
+	cost := btmemory.HeadCost(n, lines)
 	if !c.account.Take(cost) {
 		return false
 	}
--- a/internal/node/btlistener/gate_test.go
+++ b/internal/node/btlistener/gate_test.go
@@ -266,7 +266,7 @@
 		go (&writer{c, text, len(text)}).run()
 		assert.Check(t, is.Equal(c.status(), 200))
 		time.Sleep(500 * time.Millisecond)
-		assert.Check(t, f.gate.Memory.Kept() >= lines*lineCost, "%d bytes", f.gate.Memory.Kept())
+		assert.Check(t, f.gate.Memory.Kept() >= int64(btmemory.HeadCost(0, lines)), "%d bytes", f.gate.Memory.Kept())
 		_, err := io.WriteString(f.dial(), requestLine)
 		assert.NilError(t, err)
 		assert.Check(t, is.Equal(c.status(), 200))
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -28,11 +28,6 @@
 	readBufferBytes = 8 << 10
 	// maxHeadBytes bounds the head of a response, interim responses included.
 	maxHeadBytes = 64 << 10
-	// headerByteCost and headerFieldCost are the bytes that net/http keeps while it reads a
-	// head, for each byte and for each field: a line that grows, and the map entry, the list
-	// and the strings of a field with a short name.
-	headerByteCost  = 2
-	headerFieldCost = 160
 	// maxCarried is the number of requests whose late responses a connection recognizes. An
 	// extra response comes where the next one or the one after it is due.
 	maxCarried = 8
@@ -134,7 +129,7 @@
 	}
 	n, err := l.r.Read(p[:min(len(p), l.left)])
 	l.left -= n
-	if !l.kept.Take(headerByteCost*n + headerFieldCost*bytes.Count(p[:n], []byte{'\n'})) {
+	if !l.kept.Take(btmemory.HeadCost(n, bytes.Count(p[:n], []byte{'\n'}))) {
 		return 0, btmemory.ErrFull
 	}
 	return n, err
