A refused connection that is about to close makes room for the next one

Cause: between the refusal of a head and the close of its connection net/http reports the connection as active, so that it was counted but could not be dropped: an ordinary caller that came then was answered 503. Change: refused connections are kept in a list of their own, and are the first to make room.

--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -253,9 +253,11 @@
 	if c.early > 0 && !c.count(0, 0) {
 		c.drop(NoMemory)
 	}
-	c.gate.mu.Lock()
-	c.unplace()
-	c.gate.mu.Unlock()
+	if !c.refused {
+		c.gate.mu.Lock()
+		c.unplace()
+		c.gate.mu.Unlock()
+	}
 	c.state = stateServing
 	c.bound(time.Time{})
 }
@@ -278,6 +280,11 @@
 func (c *Conn) refuse() error {
 	if !c.refused {
 		c.refused = true
+		c.gate.mu.Lock()
+		if c.counted {
+			c.place(&c.gate.refusing)
+		}
+		c.gate.mu.Unlock()
 		r := Reason(c.why.Load())
 		c.gate.note(r, c.RemoteAddr().String())
 		if c.state == stateReading {
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -96,11 +96,12 @@
 
 	mu    sync.Mutex
 	conns int
-	// idle has the connections without a request, and reading those with a part of a head,
-	// both from the oldest on.
-	idle    list.List
-	reading list.List
-	refused [reasonCount]atomic.Uint64
+	// refusing has the connections that close because their head was refused, idle those
+	// without a request, and reading those with a part of a head, all from the oldest on.
+	refusing list.List
+	idle     list.List
+	reading  list.List
+	refused  [reasonCount]atomic.Uint64
 	// logged is the Unix time in nanoseconds of the last log entry.
 	logged [reasonCount]atomic.Int64
 }
@@ -198,9 +199,9 @@
 	}
 }
 
-// enter counts a connection as idle. If there are too many, it drops the one that has been idle
-// for longest, or else the one whose head has been incomplete for longest, and returns it. It
-// reports false if there is no such one.
+// enter counts a connection as idle. If there are too many, it drops one that closes anyway, or
+// the one that has been idle for longest, or else the one whose head has been incomplete for
+// longest, and returns it. It reports false if there is no such one.
 func (g *Gate) enter(c *Conn) (dropped *Conn, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -220,7 +221,7 @@
 
 // oldest returns the connection that is dropped for a new one, or nil.
 func (g *Gate) oldest() *Conn {
-	for _, l := range []*list.List{&g.idle, &g.reading} {
+	for _, l := range []*list.List{&g.refusing, &g.idle, &g.reading} {
 		if e := l.Front(); e != nil {
 			return e.Value.(*Conn)
 		}
--- a/internal/node/btlistener/gate_test.go
+++ b/internal/node/btlistener/gate_test.go
@@ -347,3 +347,39 @@
 		})
 	}
 }
+
+// pipe admits a connection whose caller writes a text and reads nothing.
+func pipe(g *Gate, text string) (*Conn, net.Conn) {
+	server, caller := net.Pipe()
+	if text != "" {
+		go (&writer{&client{Conn: caller}, text, pieceBytes}).run()
+	}
+	return g.admit(server, false), caller
+}
+
+// net/http reports a connection as active between the refusal of its head and its close. Guards
+// against an ordinary caller that is refused because such a connection is still counted.
+func TestRefusedConnectionMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := bttimer.New(1)
+		defer timer.Close()
+		g := &Gate{Memory: memory(), Timer: timer, MaxConns: 1, Limits: func() Limits { return Limits{HeadBytes: 10} }}
+		c, caller := pipe(g, requestLine)
+		for {
+			if _, err := c.Read(make([]byte, bufferBytes)); err != nil {
+				assert.Check(t, is.ErrorIs(err, errRefused))
+				break
+			}
+		}
+		c.serve()
+		next, other := pipe(g, "")
+		if assert.Check(t, next != nil && g.Conns() == 1, "%d connections", g.Conns()); next == nil {
+			_ = c.Close()
+			return
+		}
+		for _, o := range []net.Conn{c, caller, next, other} {
+			_ = o.Close()
+		}
+		assert.Equal(t, g.Conns(), 0)
+	})
+}
