--- a/internal/route/btwaiting/load_test.go
+++ b/internal/route/btwaiting/load_test.go
@@ -115,7 +115,7 @@
 		running = max(running, d.seen.Load())
 	}
 	places := int(btwaiting.PlacesFactor * slots)
-	return btwaiting.Occupancy{Places: places, Free: max(places-int(running), 0), Running: int(running), Waiting: int(waiting), OwnWaiting: int(d.waiting.Load())}
+	return btwaiting.Occupancy{Places: places, Free: max(places-int(running), 0), Running: int(running), Waiting: int(waiting), OwnRunning: int(d.running.Load()), OwnWaiting: int(d.waiting.Load())}
 }
 
 // fleet are all daemons before one worker.
