Roll-outs: evidence that shows a part of slow or failed answers before the full stage

Versions of which a quarter to a half of the answers were bad reached the full stage, where the bound on exposure breaks within two seconds: the absolute threshold saw a third of answers three times as slow, and a version in doubt advanced when its time had run out.

Durations are also compared with the faster ones of their group, pooled over routes and loads. A version that is still in doubt when the time of its next stage has run out is rolled back. The trial uses more of the slack. In the stage after the trial, services of three upstreams sent nothing to the new version; now one of its upstreams gets requests. Groups of upstreams stay the same when others come and go.

--- a/internal/route/btrollout/counts.go
+++ b/internal/route/btrollout/counts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,10 +16,10 @@
 	// others', which come after them. Evidence is kept by group, so that one bad machine can be
 	// told from a bad version and a report fits into a datagram.
 	groups    = 8
-	oldGroups = 4
+	oldGroups = 8
 	allGroups = groups + oldGroups
-	// maxKeys bounds the keys of one report, which then has at most about 2 KB.
-	maxKeys = 48
+	// maxKeys bounds the keys of one report, which then has at most about 3 KB.
+	maxKeys = 64
 	// buckets is the number of classes of durations, four for each doubling from a millisecond
 	// to 16 s.
 	buckets = 56
@@ -43,22 +44,27 @@
 }
 
 // total returns the number of durations.
-func (h *Histogram) total() (n uint32) {
-	for _, v := range h {
+func (h *Histogram) total() uint32 { return total(h[:]) }
+
+// median returns the class of the median.
+func (h *Histogram) median() int { return quantile(h[:], 0.5) }
+
+func total(classes []uint32) (n uint32) {
+	for _, v := range classes {
 		n += v
 	}
 	return n
 }
 
-// median returns the class of the median.
-func (h *Histogram) median() int {
-	half, n := h.total()/2, uint32(0)
-	for i, v := range h {
-		if n += v; n > half {
+// quantile returns the class of the duration below which a share of all are.
+func quantile(classes []uint32, share float64) int {
+	below, n := uint32(share*float64(total(classes))), uint32(0)
+	for i, v := range classes {
+		if n += v; n > below {
 			return i
 		}
 	}
-	return buckets - 1
+	return len(classes) - 1
 }
 
 // from returns the number of durations of a class and above.
@@ -185,17 +191,38 @@
 	}
 }
 
-// groupOf returns the group of an upstream. Those of the new version are numbered in the order of
-// their ids, so that few of them have a group each.
-func (o *order) groupOf(s *bramleytack.Snapshot, u *bramleytack.Upstream) uint8 {
+// groupOf returns the group of an upstream. It stays the same when others come and go.
+func (o *order) groupOf(u *bramleytack.Upstream) uint8 {
+	n, known := o.numbers[u.ID]
+	if !known {
+		n = xxhash.Sum64String(string(u.ID))
+	}
 	if !o.isTarget(u) {
-		return groups + uint8(xxhash.Sum64String(string(u.ID))%oldGroups)
+		return groups + uint8(n%oldGroups)
+	}
+	return uint8(n % groups)
+}
+
+// numberUpstreams numbers the upstreams of a snapshot in the order of their ids, so that few of
+// them have a group each. It does so until startPeriod after the trial began, when all daemons
+// know the same ones. Those that come later are numbered by a hash, which all daemons agree on
+// whenever they hear of them.
+func (o *order) numberUpstreams(s *bramleytack.Snapshot, now time.Time) {
+	if o.numbers != nil && (o.stage > Trial || o.stage == Trial && now.Sub(o.began) >= o.trial+startPeriod) {
+		return
+	}
+	ids := map[bool][]bramleytack.UpstreamID{}
+	for _, u := range s.ByService[o.rollout.Service] {
+		ids[o.isTarget(u)] = append(ids[o.isTarget(u)], u.ID)
 	}
-	n := 0
-	for _, other := range s.ByService[u.Service] {
-		if o.isTarget(other) && other.ID < u.ID {
-			n++
+	if len(ids[true]) < o.targets {
+		return
+	}
+	o.targets, o.numbers = len(ids[true]), map[bramleytack.UpstreamID]uint64{}
+	for _, list := range ids {
+		slices.Sort(list)
+		for n, id := range list {
+			o.numbers[id] = uint64(n)
 		}
 	}
-	return uint8(n % groups)
 }
--- a/internal/route/btrollout/evidence.go
+++ b/internal/route/btrollout/evidence.go
@@ -9,11 +9,14 @@
 const (
 	// level is the probability below which chance is no explanation for what a version does.
 	// A judge looks some hundred times at a few counts in one roll-out.
-	level = 1e-5
+	level = 1e-4
 	// doubtLevel keeps a version from advancing until there is more evidence.
-	doubtLevel = 1e-2
+	doubtLevel = 3e-2
+	// lateLevel is the level of the verdict on a version that is in doubt when the time of its next
+	// stage has run out. There are three such decisions in a roll-out.
+	lateLevel = 1e-2
 	// minBad is the least number of bad answers on which a verdict rests.
-	minBad = 6
+	minBad = 5
 	// minOld is the number of the old version's answers from which on it can be compared with.
 	minOld = 20
 	// minOwn is the number of answers of a group of upstreams from which on they are compared with
@@ -22,20 +25,27 @@
 	// A good version is allowed failureFactor times the old one's share of failures and
 	// failureMargin more, and of slow answers slowFactor times and slowMargin more. Its
 	// upstreams are fewer and have emptier caches.
-	failureFactor, failureMargin = 1.5, 0.03
+	failureFactor, failureMargin = 1.5, 0.02
 	slowFactor, slowMargin       = 1.3, 0.05
 	// slowClasses is the number of classes above the median of the old version from which on
 	// an answer is slow: about three times as long. Machines differ by a factor of two. busierClasses is added if the old version has
 	// answered only at less busy upstreams: a slow version makes its upstreams busy.
 	slowClasses   = 7
 	busierClasses = 1
+	// spreadClasses is the number of classes above the fastPart quantile of one group's durations
+	// from which on an answer is slow beside the others of its group. Three quarters of them may
+	// be slow. A good version is allowed spreadMargin, as its groups may mix slow and fast machines
+	// where those of the old one do not.
+	spreadClasses = 6
+	fastPart      = 0.2
+	spreadMargin  = 0.06
 	// gapsLevel replaces level for times between events, of which one stream has several.
 	gapsLevel = 1e-7
 )
 
 // Finding is the evidence for a verdict.
 type Finding struct {
-	// What is "failures", "first" or "gaps".
+	// What is "failures", "first", "gaps", "firstSpread" or "gapsSpread".
 	What string
 	// Route is empty for all routes together.
 	Route string
@@ -70,7 +80,7 @@
 	worst.Probability = 1
 	consider := func(what, route string, s *samples) {
 		f := s.finding(upstreams)
-		if what == "gaps" {
+		if what == "gaps" || what == "gapsSpread" {
 			f.Probability = min(f.Probability*level/gapsLevel, 1)
 		}
 		if f.Probability < worst.Probability {
@@ -78,6 +88,7 @@
 			worst = f
 		}
 	}
+	firsts, paces := base.speedsOf(first), base.speedsOf(gaps)
 	tests := []struct {
 		what string
 		of   func(route string, load uint8) samples
@@ -85,6 +96,8 @@
 		{"failures", func(r string, l uint8) samples { return e.failures(base, r, l) }},
 		{"first", func(r string, l uint8) samples { return e.slow(base, r, l, surge, first) }},
 		{"gaps", func(r string, l uint8) samples { return e.slow(base, r, l, surge, gaps) }},
+		{"firstSpread", func(r string, l uint8) samples { return e.spreadOut(firsts, r, l) }},
+		{"gapsSpread", func(r string, l uint8) samples { return e.spreadOut(paces, r, l) }},
 	}
 	routes := e.routes()
 	for _, t := range tests {
@@ -211,6 +224,87 @@
 	return h.median() + slowClasses
 }
 
+// speeds is how slow the groups are beside the old version, as a number of classes, and how much
+// the answers of the old version's groups spread.
+type speeds struct {
+	of     func(*Count) *Histogram
+	median map[Key]int
+	group  [allGroups]int
+	known  [allGroups]bool
+	// spread is the share of the old version's answers that are slow beside the others of their
+	// group, by route.
+	spread map[string]float64
+}
+
+// speedsOf returns the speeds of all groups, over all routes and loads: a group has few answers of
+// each.
+func (e evidence) speedsOf(of func(*Count) *Histogram) *speeds {
+	s := &speeds{of: of, median: map[Key]int{}, spread: map[string]float64{}}
+	var shifted [allGroups][2 * buckets]uint32
+	for _, route := range e.routes() {
+		for load := range maxLoad + 1 {
+			old := e.timed(e, route, load, of)
+			for l := load; old == nil && l > 0; l-- {
+				old = e.timed(e, route, l-1, of)
+			}
+			if old == nil {
+				continue
+			}
+			median := old.median()
+			s.median[Key{Route: route, Load: load}] = median
+			for g := range uint8(allGroups) {
+				if c := e[Key{Route: route, Load: load, Group: g}]; c != nil {
+					for class, n := range of(c) {
+						shifted[g][class-median+buckets] += n
+					}
+				}
+			}
+		}
+	}
+	for g := range shifted {
+		s.group[g], s.known[g] = quantile(shifted[g][:], fastPart)-buckets, total(shifted[g][:]) >= minOwn
+	}
+	n, slow := map[string]float64{}, map[string]float64{}
+	for k, c := range e {
+		if from, ok := s.from(k); ok && k.old() {
+			n[k.Route] += float64(of(c).total())
+			slow[k.Route] += float64(of(c).from(from))
+		}
+	}
+	for route := range n {
+		if n[route] >= minOld {
+			s.spread[route] = slow[route] / n[route]
+		}
+	}
+	return s
+}
+
+// from returns the class from which on an answer is slow beside the faster ones of its group.
+func (s *speeds) from(k Key) (class int, ok bool) {
+	median, ok := s.median[Key{Route: k.Route, Load: k.Load}]
+	return median + s.group[k.Group] + spreadClasses, ok && s.known[k.Group]
+}
+
+// spreadOut returns the answers of the new version on a route at a load that are slow beside the
+// faster ones of their group, with those that it is allowed. It shows a version that is slow at
+// times by less than machines differ.
+func (e evidence) spreadOut(s *speeds, route string, load uint8) (out samples) {
+	spread, ok := s.spread[route]
+	if !ok {
+		return out
+	}
+	p := min(slowFactor*spread+spreadMargin, 0.95)
+	for g := range uint8(groups) {
+		k := Key{Route: route, Load: load, Group: g}
+		from, ok := s.from(k)
+		if c := e[k]; c != nil && ok {
+			n := float64(s.of(c).total())
+			out[g] = sample{n: n, bad: float64(s.of(c).from(from)), expected: n * p}
+		}
+	}
+	return out
+}
+
 // spread returns the share of the old version's answers that are slow beside the others of their
 // group.
 func (evidence) spread(base evidence, route string, load uint8, of func(*Count) *Histogram) float64 {
--- a/internal/route/btrollout/judge.go
+++ b/internal/route/btrollout/judge.go
@@ -389,6 +389,8 @@
 	case o.stage == Full:
 		end := age >= o.trial+o.time()
 		o.completing = o.completing || end || due && !doubt && o.judge.drained(v.daemons, now)
+	case due && late && f.Probability < lateLevel:
+		t.reject(o, f)
 	case due && (late || !doubt && (o.stage > Trial || o.judge.answers() >= minAnswers)):
 		if late || capacity(t.snapshot, target) >= minCapacity*capacity(t.snapshot, others) {
 			t.enter(o, next, f, now)
--- a/internal/route/btrollout/plan.go
+++ b/internal/route/btrollout/plan.go
@@ -48,10 +48,10 @@
 	minAnswers = 30
 	// trialShare is the part of the allowed share, and trialSlack that of the slack, that the
 	// trial uses.
-	trialShare, trialSlack = 0.6, 0.4
+	trialShare, trialSlack = 0.6, 0.6
 	// guardShare and guardSlack bound what the version has got before the full stage. Counts of
 	// other daemons are up to half a second old.
-	guardShare, guardSlack = 0.9, 0.6
+	guardShare, guardSlack = 0.9, 0.85
 	// minCapacity is the places of the new upstreams as a share of the old ones' from which on
 	// the trial begins.
 	minCapacity = 0.5
@@ -129,7 +129,7 @@
 	case n == 0 || share <= 0:
 		return dose{}
 	case share*float64(n) >= 1 || s != Trial:
-		return dose{share, min(int(share*float64(n)), n)}
+		return dose{share, min(max(int(share*float64(n)), 1), n)}
 	}
 	pulse := min(1/float64(n), maxPulse)
 	if pulse <= share {
--- a/internal/route/btrollout/table.go
+++ b/internal/route/btrollout/table.go
@@ -107,8 +107,12 @@
 	own           counts
 	sent, exposed uint64
 	number        uint64
-	judge         judge
-	writer        writerState
+	// numbers are those of the upstreams by which their groups are chosen, and targets is the
+	// number of the new ones among them.
+	numbers map[bramleytack.UpstreamID]uint64
+	targets int
+	judge   judge
+	writer  writerState
 
 	// chosen are the upstreams of the new version that get requests, for chosenFor.
 	chosen    map[bramleytack.UpstreamID]bool
@@ -200,6 +204,7 @@
 	o, id := t.orders[service], idOf(r)
 	fresh := false
 	if o != nil && o.rollout == r {
+		o.numberUpstreams(t.snapshot, now)
 		return
 	}
 	if o != nil && o.id != id {
@@ -219,6 +224,7 @@
 		delete(t.former, service)
 	}
 	o.rollout, o.id = r, id
+	o.numberUpstreams(t.snapshot, now)
 	delete(t.withdrawn[service], r.Target)
 	for _, v := range r.Status.Withdrawn {
 		if v != r.Target {
@@ -468,7 +474,7 @@
 	if o == nil || o.complete {
 		return
 	}
-	group := o.groupOf(t.snapshot, a.Upstream)
+	group := o.groupOf(a.Upstream)
 	now := t.Timer.Now()
 	timed := now.Sub(a.Upstream.Started) >= startPeriod && !now.Before(a.Upstream.ColdUntil)
 	o.own.record(a, group, timed)
--- a/internal/route/btrollout/table_test.go
+++ b/internal/route/btrollout/table_test.go
@@ -249,3 +249,28 @@
 		})
 	}
 }
+
+// Guards against answers of one upstream that are counted in several groups when others come and go.
+func TestGroupsStay(t *testing.T) {
+	f := orderedFleet(Trial)
+	o, last := f.daemons[0].order(), f.workers[3].u
+	before := o.groupOf(last)
+	f.now = f.now.Add(startPeriod)
+	f.publish()
+	f.snapshot.ByService[service] = []*bramleytack.Upstream{last}
+	f.daemons[0].sync()
+	assert.Equal(t, o.groupOf(last), before, "another upstream has gone")
+	early := *last
+	early.ID = "a"
+	f.snapshot.ByService[service] = []*bramleytack.Upstream{&early, last}
+	f.snapshot.Upstreams[early.ID] = &early
+	f.publishAgain()
+	f.daemons[0].sync()
+	assert.Equal(t, o.groupOf(last), before, "another upstream has come")
+}
+
+// publishAgain publishes the snapshot as a new one.
+func (f *simFleet) publishAgain() {
+	s := *f.snapshot
+	f.snapshot = &s
+}
