Roll-outs: judges that take over, ended daemons, slow writes, the bound of roll-back

A judge that takes over counted the broken answers of the time before as one: it gets them as totals. Daemons now count one broken answer of a group at a time, and a first report brings as many as its daemon has counted, unless another one has brought them.

An order no longer completes on the report of a daemon that has ended while one that is alive has not reported. A status is computed right before its write; with several orders and a slow store, an older state was written over the verdict. A version with many bad answers that stays in doubt for half of rollback_ms is rolled back.

--- a/internal/fleet/btgossip/rollout.go
+++ b/internal/fleet/btgossip/rollout.go
@@ -35,6 +35,12 @@
 	return judges[:min(len(judges), judgeCount)]
 }
 
+// AliveHost reports whether another daemon is alive.
+func (n *Node) AliveHost(host bramleytack.HostID) bool {
+	_, found := slices.BinarySearchFunc(n.Alive(), host, func(p Peer, h bramleytack.HostID) int { return cmp.Compare(p.Host, h) })
+	return found
+}
+
 // SendRollouts sends reports to the judges and decisions to all daemons alive.
 func (n *Node) SendRollouts(reports []btrollout.Report, decisions []btrollout.Decision) {
 	v := n.view()
--- a/internal/fleet/btgossip/rollout_test.go
+++ b/internal/fleet/btgossip/rollout_test.go
@@ -38,7 +38,7 @@
 // newRollouts returns the roll-outs of a daemon of a cell.
 func newRollouts(n *Node) *btrollout.Table {
 	return &btrollout.Table{
-		Timer: n.Timer, Bounds: btrollout.Bounds{Share: 0.1, Slack: 50}, Log: n.Log, Judges: n.JudgesRollouts, Reach: n.GrantPart, Daemons: n.Count,
+		Timer: n.Timer, Bounds: btrollout.Bounds{Share: 0.1, Slack: 50}, Log: n.Log, Judges: n.JudgesRollouts, Reach: n.GrantPart, Daemons: n.Count, Alive: n.AliveHost,
 		StoreAway: func() bool { return false }, Running: func(bramleytack.UpstreamID) int { return 0 },
 	}
 }
--- a/internal/node/btnode/rollout.go
+++ b/internal/node/btnode/rollout.go
@@ -28,6 +28,7 @@
 	r.Judges, r.Reach, r.Daemons = n.gossip.JudgesRollouts, n.gossip.GrantPart, n.gossip.Count
 	r.StoreAway = func() bool { return !n.gossip.HasStoreReader() }
 	r.Running, n.accounts.Admits = n.accounts.OwnRunning, r.Admits
+	r.Alive = n.gossip.AliveHost
 }
 
 // startRollouts starts the tasks of roll-outs.
--- a/internal/route/btrollout/fleet_test.go
+++ b/internal/route/btrollout/fleet_test.go
@@ -165,9 +165,12 @@
 	d.running, d.dead, d.seen = map[bramleytack.UpstreamID]int{}, false, nil
 	d.table = &Table{
 		Timer: simTimer{f: f}, Bounds: Bounds{Share: testShare, Slack: testSlack, Rollback: testRollback}, Draw: f.r.Float64,
-		Judges:    func() bool { return d.rank() < 3 },
-		Reach:     func() float64 { return float64(len(d.reached())) / float64(max(len(f.alive()), 1)) },
-		Daemons:   func() int { return len(d.reached()) },
+		Judges:  func() bool { return d.rank() < 3 },
+		Reach:   func() float64 { return float64(len(d.reached())) / float64(max(len(f.alive()), 1)) },
+		Daemons: func() int { return len(d.reached()) },
+		Alive: func(h bramleytack.HostID) bool {
+			return slices.ContainsFunc(d.reached(), func(o *simDaemon) bool { return o.name == h })
+		},
 		StoreAway: func() bool { return f.store.away || d.cut },
 		Running:   func(id bramleytack.UpstreamID) int { return d.running[id] },
 	}
--- a/internal/route/btrollout/judge.go
+++ b/internal/route/btrollout/judge.go
@@ -31,6 +31,9 @@
 	// peakRetention is how long the largest number of daemons counts. It is that of grants, after
 	// which silent daemons are taken to have ended.
 	peakRetention = 15 * time.Second
+	// suspectBad is the number of bad answers beyond the allowed ones from which on the bound of
+	// roll-back may be running: half of the 50 after which it does, as not all are seen.
+	suspectBad = 25
 	// absentFor is how long the new version may have no upstreams in the full stage while others
 	// accept requests.
 	absentFor = 5 * time.Second
@@ -73,6 +76,10 @@
 	// the last look.
 	sum     evidence
 	pending map[Key]uint32
+	// earlier is the largest number of broken answers in the first reports that were received of
+	// daemons. A judge that takes over has not seen when they came; each daemon counts one at a
+	// time.
+	earlier map[Key]uint32
 	// sent and exposed are sums over all reports.
 	sent, exposed uint64
 	// past are sums of the last seconds, the newest last.
@@ -84,8 +91,10 @@
 	emptyAt time.Time
 	// absentAt is when the new version was first seen without upstreams in the full stage.
 	absentAt time.Time
-	decided  Decision
-	at       time.Time
+	// suspectAt is since when the version is in doubt with suspectBad bad answers.
+	suspectAt time.Time
+	decided   Decision
+	at        time.Time
 	// reported is the last own report that was sent, and reportedAt its time.
 	reported   Report
 	reportedAt time.Time
@@ -108,9 +117,10 @@
 // add takes a report, unless a newer one of the daemon is known.
 func (j *judge) add(host bramleytack.HostID, incarnation uint64, r Report, now time.Time) {
 	if j.reports == nil {
-		j.reports, j.sum, j.pending = map[bramleytack.HostID]*heldReport{}, evidence{}, map[Key]uint32{}
+		j.reports, j.sum, j.pending, j.earlier = map[bramleytack.HostID]*heldReport{}, evidence{}, map[Key]uint32{}, map[Key]uint32{}
 	}
 	old := j.reports[host]
+	first := old == nil
 	switch {
 	case old == nil || incarnation > old.incarnation:
 		// A new process counts from zero. What the former one counted stays.
@@ -128,13 +138,19 @@
 		}
 		broken := d.Broken
 		d.Broken = 0
-		j.pending[k] += broken
 		at := j.sum[k]
 		if at == nil {
 			at = &Count{}
 			j.sum[k] = at
 		}
 		at.add(&d, 1)
+		switch {
+		case !first:
+			j.pending[k] += broken
+		case broken > j.earlier[k]:
+			at.Broken += broken - j.earlier[k]
+			j.earlier[k] = broken
+		}
 	}
 }
 
@@ -195,6 +211,19 @@
 	return f
 }
 
+// overdue reports whether a version with many bad answers has been in doubt for half of the bound of
+// roll-back. The other half is for the messages and for bad answers that were not seen as such.
+func (j *judge) overdue(f Finding, rollback time.Duration, now time.Time) bool {
+	if rollback <= 0 || f.Probability >= doubtLevel || float64(f.Bad)-f.Expected < suspectBad {
+		j.suspectAt = time.Time{}
+		return false
+	}
+	if j.suspectAt.IsZero() {
+		j.suspectAt = now
+	}
+	return now.Sub(j.suspectAt) >= rollback/2
+}
+
 // answers returns the number of the new version's answers.
 func (j *judge) answers() (n int) {
 	for k, c := range j.sum {
@@ -207,10 +236,10 @@
 
 // drained reports whether all daemons alive have moved to the new version and have no request
 // at other ones.
-func (j *judge) drained(daemons int, now time.Time) bool {
+func (j *judge) drained(daemons int, alive func(bramleytack.HostID) bool, now time.Time) bool {
 	ready := 0
-	for _, r := range j.reports {
-		if now.Sub(r.at) >= freshReport {
+	for host, r := range j.reports {
+		if now.Sub(r.at) >= freshReport || host != "" && alive != nil && !alive(host) {
 			continue
 		}
 		if r.Stage < Full || r.OldRunning > 0 {
@@ -342,7 +371,7 @@
 	j.look(now)
 	target, _ := o.upstreams(t.snapshot)
 	f := j.finding(len(target), age, now)
-	if f.Probability < level {
+	if f.Probability < level || j.overdue(f, t.Bounds.Rollback, now) {
 		t.reject(o, f)
 		return
 	}
@@ -388,7 +417,7 @@
 		}
 	case o.stage == Full:
 		end := age >= o.trial+o.time()
-		o.completing = o.completing || end || due && !doubt && o.judge.drained(v.daemons, now)
+		o.completing = o.completing || end || due && !doubt && o.judge.drained(v.daemons, t.Alive, now)
 	case due && late && f.Probability < lateLevel:
 		t.reject(o, f)
 	case due && (late || !doubt && (o.stage > Trial || o.judge.answers() >= minAnswers)):
--- a/internal/route/btrollout/table.go
+++ b/internal/route/btrollout/table.go
@@ -63,6 +63,8 @@
 	Judges  func() bool
 	Reach   func() float64
 	Daemons func() int
+	// Alive reports whether another daemon is alive. Nil means that all are.
+	Alive func(bramleytack.HostID) bool
 	// StoreAway reports whether no daemon reads the store.
 	StoreAway func() bool
 	// Running returns the number of this daemon's requests at an upstream.
@@ -107,6 +109,8 @@
 	own           counts
 	sent, exposed uint64
 	number        uint64
+	// brokenAt is when a broken answer of a group was last counted.
+	brokenAt [allGroups]time.Time
 	// numbers are those of the upstreams by which their groups are chosen, and targets is the
 	// number of the new ones among them.
 	numbers map[bramleytack.UpstreamID]uint64
@@ -477,5 +481,13 @@
 	group := o.groupOf(a.Upstream)
 	now := t.Timer.Now()
 	timed := now.Sub(a.Upstream.Started) >= startPeriod && !now.Before(a.Upstream.ColdUntil)
+	if a.Broken {
+		// A crash breaks many answers at once and counts once. Judges that get only the total later
+		// cannot tell it from as many failures.
+		if now.Sub(o.brokenAt[group]) < TickPeriod {
+			return
+		}
+		o.brokenAt[group] = now
+	}
 	o.own.record(a, group, timed)
 }
--- a/internal/route/btrollout/writer.go
+++ b/internal/route/btrollout/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -43,9 +44,14 @@
 	}
 }
 
-// sync writes each status that is wrong in the store.
+// sync writes each status that is wrong in the store. A status is as of its write: writes to a slow
+// store take longer than decisions.
 func (w *Writer) sync(ctx context.Context) {
-	for _, d := range w.Table.due(w.Writes()) {
+	for _, s := range w.Table.due(w.Writes()) {
+		d, ok := w.Table.dueOf(s.service, w.Writes())
+		if !ok {
+			continue
+		}
 		data, err := w.Codec.RolloutStatus(d.status)
 		if err == nil {
 			_, err = w.Store.PutStatus(ctx, bramleytack.Key{Kind: bramleytack.KindRollouts, Name: d.service}, data, d.revision)
@@ -63,31 +69,44 @@
 }
 
 // due returns the statuses that this daemon should write now.
-func (t *Table) due(first bool) []dueStatus {
+func (t *Table) due(first bool) (list []dueStatus) {
 	if t == nil || t.active.Load() == 0 || !t.Judges() {
 		return nil
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.Timer.Now()
-	var list []dueStatus
-	for service, o := range t.orders {
-		s := o.status(t.storable(service), now)
-		if o.stored(s) {
-			o.writer.wrongSince = time.Time{}
-			continue
+	services := slices.Sorted(maps.Keys(t.orders))
+	t.mu.Unlock()
+	for _, service := range services {
+		if d, ok := t.dueOf(service, first); ok {
+			list = append(list, d)
 		}
-		if o.writer.wrongSince.IsZero() {
-			o.writer.wrongSince = now
-		}
-		if now.Before(o.writer.notBefore) || !first && now.Sub(o.writer.wrongSince) < standIn {
-			continue
-		}
-		list = append(list, dueStatus{service, o.id, s, o.rollout.Revision})
 	}
 	return list
 }
 
+// dueOf returns the status of one service if this daemon should write it now.
+func (t *Table) dueOf(service string, first bool) (dueStatus, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.orders[service]
+	if o == nil {
+		return dueStatus{}, false
+	}
+	now := t.Timer.Now()
+	s := o.status(t.storable(service), now)
+	if o.stored(s) {
+		o.writer.wrongSince = time.Time{}
+		return dueStatus{}, false
+	}
+	if o.writer.wrongSince.IsZero() {
+		o.writer.wrongSince = now
+	}
+	if now.Before(o.writer.notBefore) || !first && now.Sub(o.writer.wrongSince) < standIn {
+		return dueStatus{}, false
+	}
+	return dueStatus{service, o.id, s, o.rollout.Revision}, true
+}
+
 // status returns what the status of an order should say.
 func (o *order) status(withdrawn []string, now time.Time) bramleytack.RolloutStatus {
 	s := bramleytack.RolloutStatus{
