--- a/internal/route/btrollout/table.go
+++ b/internal/route/btrollout/table.go
@@ -63,6 +63,8 @@
 	Judges  func() bool
 	Reach   func() float64
 	Daemons func() int
+	// Alive reports whether another daemon is alive. Nil means that all are.
+	Alive func(bramleytack.HostID) bool
 	// StoreAway reports whether no daemon reads the store.
 	StoreAway func() bool
 	// Running returns the number of this daemon's requests at an upstream.
@@ -107,8 +109,14 @@
 	own           counts
 	sent, exposed uint64
 	number        uint64
-	judge         judge
-	writer        writerState
+	// brokenAt is when a broken answer of a group was last counted.
+	brokenAt [allGroups]time.Time
+	// numbers are those of the upstreams by which their groups are chosen, and targets is the
+	// number of the new ones among them.
+	numbers map[bramleytack.UpstreamID]uint64
+	targets int
+	judge   judge
+	writer  writerState
 
 	// chosen are the upstreams of the new version that get requests, for chosenFor.
 	chosen    map[bramleytack.UpstreamID]bool
@@ -200,6 +208,7 @@
 	o, id := t.orders[service], idOf(r)
 	fresh := false
 	if o != nil && o.rollout == r {
+		o.numberUpstreams(t.snapshot, now)
 		return
 	}
 	if o != nil && o.id != id {
@@ -219,6 +228,7 @@
 		delete(t.former, service)
 	}
 	o.rollout, o.id = r, id
+	o.numberUpstreams(t.snapshot, now)
 	delete(t.withdrawn[service], r.Target)
 	for _, v := range r.Status.Withdrawn {
 		if v != r.Target {
@@ -468,8 +478,16 @@
 	if o == nil || o.complete {
 		return
 	}
-	group := o.groupOf(t.snapshot, a.Upstream)
+	group := o.groupOf(a.Upstream)
 	now := t.Timer.Now()
 	timed := now.Sub(a.Upstream.Started) >= startPeriod && !now.Before(a.Upstream.ColdUntil)
+	if a.Broken {
+		// A crash breaks many answers at once and counts once. Judges that get only the total later
+		// cannot tell it from as many failures.
+		if now.Sub(o.brokenAt[group]) < TickPeriod {
+			return
+		}
+		o.brokenAt[group] = now
+	}
 	o.own.record(a, group, timed)
 }
