--- a/internal/standin/btworker/pool.go
+++ b/internal/standin/btworker/pool.go
@@ -53,6 +53,8 @@
 	From time.Time
 	// To is zero while the work goes on.
 	To time.Time
+	// Bad is set if a flaw of the upstream's version made the answer bad.
+	Bad bool
 }
 
 var _ bramleytack.EngineMover = (*Pool)(nil)
@@ -116,6 +118,12 @@
 	return s
 }
 
+func (p *Pool) markBad(s *Span) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.Bad = true
+}
+
 func (p *Pool) end(s *Span) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -36,6 +36,8 @@
 	Fatal     func(r *http.Request, body string) bool
 	Restart   time.Duration
 	Restarted func(*Worker)
+	// Flaw makes a part of the answers bad. Nil makes none bad.
+	Flaw *Flaw
 }
 
 // Fault makes an upstream misbehave.
@@ -328,19 +330,27 @@
 		w.mu.Unlock()
 	}()
 	rw.Header().Set(d.Seal, "seal-"+w.cfg.ID)
+	slow := w.cfg.Flaw.of(r, w.Active())
+	if slow != soundPace {
+		w.pool.markBad(work)
+	}
+	if slow == fails {
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if Fault(w.fault.Load()) == Undeclared {
 		w.reject(ctx, rw)
 		return
 	}
 	fatal := w.cfg.Fatal != nil && w.cfg.Fatal(r, string(body))
 	if w.cfg.Events > 0 {
-		w.stream(ctx, rw, r, work, fatal)
+		w.stream(ctx, rw, r, work, slow, fatal)
 		return
 	}
 	if fatal {
 		w.crashByRequest()
 	}
-	w.answer(ctx, rw, id)
+	w.answer(ctx, rw, id, slow)
 }
 
 // deafPoll is the time between two looks whether a deaf upstream hears again.
@@ -395,8 +405,8 @@
 	}
 }
 
-func (w *Worker) answer(ctx context.Context, rw http.ResponseWriter, id string) {
-	if !pause(ctx, w.cfg.Work) {
+func (w *Worker) answer(ctx context.Context, rw http.ResponseWriter, id string, slow int) {
+	if !pause(ctx, time.Duration(slow)*w.cfg.Work) {
 		rw.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
@@ -433,7 +443,7 @@
 }
 
 // stream sends events until the end, or until the connection closes.
-func (w *Worker) stream(ctx context.Context, rw http.ResponseWriter, r *http.Request, work *Span, fatal bool) {
+func (w *Worker) stream(ctx context.Context, rw http.ResponseWriter, r *http.Request, work *Span, slow int, fatal bool) {
 	d := w.pool.Dialect
 	if backup := r.Header.Get(d.Backup); backup != "" {
 		if addr, err := netip.ParseAddrPort(strings.TrimSpace(backup)); err == nil && w.pool.at(addr) != nil {
@@ -447,7 +457,7 @@
 	}
 	// The head leaves before the first event.
 	_ = http.NewResponseController(rw).Flush()
-	if !pause(ctx, w.cfg.Read) || Fault(w.fault.Load()) == Lost {
+	if !pause(ctx, time.Duration(slow)*w.cfg.Read) || Fault(w.fault.Load()) == Lost {
 		panic(http.ErrAbortHandler)
 	}
 	if fatal {
@@ -462,7 +472,7 @@
 		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d, run %d from %d of %s\n\n", n, n, work.Run, work.Start, work.ID); err != nil && !w.deaf.Load() {
 			return
 		}
-		if err := http.NewResponseController(rw).Flush(); err != nil && !w.deaf.Load() || !pause(ctx, w.cfg.Gap) {
+		if err := http.NewResponseController(rw).Flush(); err != nil && !w.deaf.Load() || !pause(ctx, time.Duration(slow)*w.cfg.Gap) {
 			panic(http.ErrAbortHandler)
 		}
 	}
