Roll-outs: what daemons sent to a version that was taken back

Only the judge whose verdict it is logged that a version was rolled back. Each daemon now logs how an order has ended for it (BT425), with its stage and counts, and bramleytack rollouts sums the counts of daemons up.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -69,6 +69,7 @@
 	RolloutRejected         = Event{422, zerolog.WarnLevel, "version was rolled back"}
 	RolloutWithdrawn        = Event{423, zerolog.InfoLevel, "order of a version was taken back"}
 	RolloutStored           = Event{424, zerolog.InfoLevel, "status of a roll-out was written to the store"}
+	RolloutEnded            = Event{425, zerolog.InfoLevel, "roll-out has ended at this daemon"}
 	RequestFailed           = Event{500, zerolog.WarnLevel, "request failed"}
 	RequestNotRun           = Event{501, zerolog.DebugLevel, "request was rejected before it ran"}
 	RequestRejected         = Event{502, zerolog.InfoLevel, "request was rejected"}
@@ -158,6 +159,7 @@
 		RolloutRejected,
 		RolloutWithdrawn,
 		RolloutStored,
+		RolloutEnded,
 		RequestFailed,
 		RequestNotRun,
 		RequestRejected,
--- a/cmd/bramleytack/fleet.go
+++ b/cmd/bramleytack/fleet.go
@@ -54,7 +54,7 @@
 	t := &table{head: []string{"DAEMON", "DOMAIN", "ALIVE", "HUBS", "LOAD AGE"}}
 	failed := 0
 	for _, a := range args {
-		s, err := f.get(ctx, a)
+		s, err := getPart[btgossip.State](ctx, f.timeout, a, "fleet")
 		if err != nil {
 			failed++
 			fmt.Fprintf(f.log, "%s: %v\n", a, err)
@@ -79,26 +79,25 @@
 	return nil
 }
 
-func (f *fleetViewer) get(ctx context.Context, addr string) (btgossip.State, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+// getPart returns a part of the state of the daemon with a metrics address.
+func getPart[T any](ctx context.Context, timeout time.Duration, addr, part string) (value T, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/debug/state?part=fleet", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/debug/state?part="+part, nil)
 	if err != nil {
-		return btgossip.State{}, err
+		return value, err
 	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return btgossip.State{}, err
+		return value, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return btgossip.State{}, errors.Newf("status %d", resp.StatusCode)
-	}
-	var state struct {
-		Fleet btgossip.State `json:"fleet"`
+		return value, errors.Newf("status %d", resp.StatusCode)
 	}
+	state := map[string]T{}
 	err = json.NewDecoder(io.LimitReader(resp.Body, maxFleetState)).Decode(&state)
-	return state.Fleet, errors.Wrap(err, "decode state")
+	return state[part], errors.Wrap(err, "decode state")
 }
 
 func joinHosts(hosts []bramleytack.HostID) string {
--- a/cmd/bramleytack/main.go
+++ b/cmd/bramleytack/main.go
@@ -72,7 +72,7 @@
 		ShortHelp:  "Operates and calls a deployment of bramleytack.",
 		FlagSet:    a.flagSet("bramleytack"),
 		Subcommands: []*ffcli.Command{
-			a.apply(), a.get(), a.diff(), a.delete(), a.drain(), a.returnDomain(), a.status(), a.dump(), a.fleet(),
+			a.apply(), a.get(), a.diff(), a.delete(), a.drain(), a.returnDomain(), a.status(), a.dump(), a.fleet(), a.rollouts(),
 			a.validate(), a.generate(), a.call(), a.hashKey(), a.certificates(),
 		},
 	}
--- a/cmd/bramleytack/main_test.go
+++ b/cmd/bramleytack/main_test.go
@@ -251,3 +251,25 @@
 	s.run(exitUsage, "fleet")
 	s.run(exitUsage, "fleet", "nowhere")
 }
+
+// Guards against counts of a roll-out that are not summed over the daemons, and against a daemon that
+// does not answer and is passed over.
+func TestRolloutsView(t *testing.T) {
+	s := newShell(t)
+	daemon := func(result string, sent, bad int) string {
+		return serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			assert.Equal(t, r.URL.Query().Get("part"), "rollouts")
+			fmt.Fprintf(w, `{"rollouts":[{"service":"shop","target":"v2","stage":"trial","share":0,"age":9000000000,%s"sent":%d,"exposed":40,"answers":39,"bad":%d}]}`, result, sent, bad)
+		}))
+	}
+	first, second := daemon(`"rolledBack":true,`, 300, 7), daemon(`"blind":true,`, 200, 5)
+	s.run(exitOK, "rollouts", first, second)
+	lines := strings.Split(strings.TrimSpace(s.out.String()), "\n")
+	assert.Equal(t, len(lines), 4)
+	assert.DeepEqual(t, strings.Fields(lines[1]), []string{first, "shop", "v2", "trial", "rolledBack", "9s", "0.000", "300", "40", "39", "7"})
+	assert.DeepEqual(t, strings.Fields(lines[2]), []string{second, "shop", "v2", "trial", "blind", "9s", "0.000", "200", "40", "39", "5"})
+	assert.DeepEqual(t, strings.Fields(lines[3]), []string{"all", "shop", "v2", "500", "80", "78", "12"})
+	s.run(exitFailed, "rollouts", first, "127.0.0.1:1")
+	assert.Assert(t, strings.Contains(s.log.String(), "1 of 2 daemons did not answer"), s.log.String())
+	s.run(exitUsage, "rollouts")
+}
