--- a/cmd/bramleytack/doc.go
+++ b/cmd/bramleytack/doc.go
@@ -5,7 +5,8 @@
 //	bramleytack COMMAND [flags] [arguments]
 //
 // The commands for operators are apply, get, diff, delete, drain, return, status
-// and dump; those for callers generate and call. validate and hash-key need no
+// and dump, and fleet and rollouts for daemons of bramleytack-fleet; those for callers
+// generate and call. validate and hash-key need no
 // daemon. "bramleytack COMMAND -h" lists the flags of a command.
 //
 // Connection options come from flags, then from environment variables with the
