Hand-over to a leaving engine and repeats of rejected copies have bounds and tests

Repeats of rejected copies spent nothing of the retry budget, which counts rejected arrivals too.

Change: a generation enters a leaving engine within a second of its choice only, repeats included. The second and third repeat of a rejected copy draw on the retry budget; the first one is free as it was on. mayEnter is part of stillAccepts; what both ask of pauses and roll-outs stands once.

--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -49,7 +49,10 @@
 	// unattributed is set if the upstream or the request itself may have caused the
 	// failure. It does not count against the upstream's health yet.
 	unattributed bool
-	err          error
+	// enterUntil is the time until which the request may be sent to an upstream that has begun
+	// to leave since it was chosen. It is zero unless a generation goes on from a copy there.
+	enterUntil time.Time
+	err        error
 }
 
 // connUse is what the log tells of the connection of an attempt.
@@ -106,7 +109,7 @@
 		c.Release()
 		return nil, errors.Mark(errLimited, btconn.ErrUnsent)
 	}
-	if !req.stillAccepts(u) && !(r.Header.Get(req.h.Dialect.From) != "" && req.mayEnter(u)) {
+	if !req.stillAccepts(u, result.enterUntil) {
 		c.Release()
 		return nil, errors.Mark(errLeft, btconn.ErrUnsent)
 	}
@@ -170,22 +173,15 @@
 // errRejected is returned for a request whose caller has been told that it does not run.
 var errRejected = errors.New("btentry: request was rejected")
 
-// stillAccepts reports whether an upstream that was chosen before accepts work now.
-func (req *activeRequest) stillAccepts(u *bramleytack.Upstream) bool {
-	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u) && !req.h.Rollouts.Refuses(u)
-}
-
-// mayEnter reports whether a generation whose copy an upstream holds may still go on there,
-// although the upstream has begun to leave since it was chosen. The generation has ended
-// elsewhere and leaves again from there; it has no other way on.
-func (req *activeRequest) mayEnter(u *bramleytack.Upstream) bool {
-	s := req.h.Table.Snapshot()
-	current, ok := s.Upstreams[u.ID]
-	if !ok || req.h.Accounts.Paused(u) || req.h.Rollouts.Refuses(u) {
+// stillAccepts reports whether an upstream that was chosen before takes the request now. Until
+// enterUntil, one that has begun to leave since does so, too: it holds the copy of a generation
+// that has ended elsewhere, has no other way on, and leaves again from there.
+func (req *activeRequest) stillAccepts(u *bramleytack.Upstream, enterUntil time.Time) bool {
+	if req.h.Accounts.Paused(u) || req.h.Rollouts.Refuses(u) {
 		return false
 	}
-	d, ok := s.FailureDomains[current.FailureDomain]
-	return ok && d.State == bramleytack.DomainActive
+	s := req.h.Table.Snapshot()
+	return s.Accepts(u.ID) || req.h.Timer.Now().Before(enterUntil) && s.Serves(u.ID)
 }
 
 // connect returns a connection to an upstream on which the request was not sent before. A stream that may not be repeated
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -26,6 +26,9 @@
 	// handoverWait is how long a generation waits for permission of a limited engine to go
 	// on there.
 	handoverWait = 100 * time.Millisecond
+	// enterPeriod is how long after its choice an engine that has begun to leave meanwhile may be
+	// entered. Deployments allow requests to a leaving engine for two seconds or more.
+	enterPeriod = time.Second
 )
 
 // errStalled ends a segment whose engine sent no event for too long.
@@ -175,7 +178,7 @@
 	// A copy can be used once, and only after its generation has stopped.
 	seg.backup = nil
 	name := bramleytack.EngineCopy{Holder: u.Addr, Handle: s.req.id}.String()
-	s.startNext(u, fromCopy, name, reason)
+	s.startNext(u, fromCopy, name, reason, nil)
 	return true
 }
 
@@ -186,13 +189,20 @@
 
 // startNext starts the next segment. Nothing else does, and what the segment replaces is
 // closed: a next segment, and the current one unless both run the request from the start.
-func (s *relay) startNext(u *bramleytack.Upstream, from origin, copyName, reason string) {
+// retried is the rejected segment that it repeats, or nil.
+func (s *relay) startNext(u *bramleytack.Upstream, from origin, copyName, reason string, retried *segment) {
 	s.next.close(btaccount.Abandoned)
 	if from == fromCopy || s.headSent {
 		s.cur.close(btaccount.Abandoned)
 	}
 	s.next = s.newSegment(u, from, copyName)
 	s.next.terms = btgrant.Terms{Wait: handoverWait, Urgent: s.headSent}
+	if from == fromCopy {
+		s.next.enterUntil = s.req.h.Timer.Now().Add(enterPeriod)
+	}
+	if retried != nil {
+		s.next.enterUntil, s.next.retries = retried.enterUntil, retried.retries+1
+	}
 	s.next.start(s.ctx)
 	s.req.log(btevent.HandoverStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(u.ID)).Stringer("origin", from).
 		Str("reason", reason).Uint64("lastEvent", s.lastEventID).Str("backup", s.next.backupName()).Send()
@@ -211,7 +221,7 @@
 	}
 	s.tried[u.ID] = true
 	s.req.attempts++
-	s.startNext(u, fromEvent, "", reason)
+	s.startNext(u, fromEvent, "", reason, nil)
 	return true
 }
 
@@ -327,7 +337,7 @@
 	if r == nil || !s.req.mayHandOver(r.move.target) {
 		return false
 	}
-	s.startNext(r.move.target, fromCopy, r.copy.String(), "moved")
+	s.startNext(r.move.target, fromCopy, r.copy.String(), "moved", nil)
 	return true
 }
 
@@ -338,10 +348,12 @@
 	if seg.origin != fromCopy || r.outcome != bramleytack.NotRun || r.unsent || seg.retries >= copyRetries || s.req.h.Accounts.Paused(seg.upstream) {
 		return false
 	}
+	if seg.retries >= freeCopyRetries && !s.req.h.Budget.Retry(s.req.service) {
+		return false
+	}
 	if s.req.h.Timer.Sleep(s.ctx, copyRetryPause) != nil {
 		return false
 	}
-	s.startNext(seg.upstream, fromCopy, seg.copyName, "previous attempt rejected")
-	s.next.retries = seg.retries + 1
+	s.startNext(seg.upstream, fromCopy, seg.copyName, "previous attempt rejected", seg)
 	return true
 }
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -82,6 +82,9 @@
 	copyName string
 	// retries counts how often a rejected handover to this copy was repeated.
 	retries int
+	// enterUntil is the time until which a handover may enter an engine that has begun to leave
+	// since it was chosen.
+	enterUntil time.Time
 	// beside is set if the engine had prompts to read at the last event.
 	beside bool
 }
@@ -126,7 +129,7 @@
 // run sends the request and reads the response to its end. connCtx ends with ctx, or when
 // the response finds no memory.
 func (seg *segment) run(ctx, connCtx context.Context) {
-	r := &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown}
+	r := &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown, enterUntil: seg.enterUntil}
 	seg.result = &attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown, err: errDaemonEnds}
 	defer close(seg.ended)
 	x, err := seg.req.open(connCtx, r, seg.request, seg.terms)
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -23,8 +23,11 @@
 	backupReadyAfter = 1200 * time.Millisecond
 	// copyRetries bounds the repeats of a handover to a copy that was rejected
 	// because the previous engine had not yet noticed the end of the generation.
-	copyRetries    = 3
-	copyRetryPause = 15 * time.Millisecond
+	// Those beyond freeCopyRetries count in the retry budget, since engines of a deployment may
+	// reject many copies at once.
+	copyRetries     = 3
+	freeCopyRetries = 1
+	copyRetryPause  = 15 * time.Millisecond
 	// silenceShare is the share of the route's maximum pause between events after
 	// which an engine that sends nothing is probed. The rest is for the probe and
 	// the first event from the copy.
--- a/snapshot.go
+++ b/snapshot.go
@@ -172,8 +172,14 @@
 // Accepts reports whether an upstream may get new work. It has to be known and
 // not leaving, and its failure domain known and in service.
 func (s *Snapshot) Accepts(id UpstreamID) bool {
+	return s.Serves(id) && s.Upstreams[id].State != UpstreamLeaving
+}
+
+// Serves reports whether an upstream accepts work or is leaving, so that it still runs what it
+// has. Its failure domain has to be known and in service.
+func (s *Snapshot) Serves(id UpstreamID) bool {
 	u, ok := s.Upstreams[id]
-	if !ok || u.State == UpstreamLeaving {
+	if !ok {
 		return false
 	}
 	d, ok := s.FailureDomains[u.FailureDomain]
