Copies that nobody uses count at their engines

Engines keep a backup copy for handle_s (5 s) after its generation has moved on, and the copy of a move well longer if the generation ends meanwhile; the accounts dropped both at once. 253 generations left a backup copy behind, 64 a move's: some 10% of all memory, most of it at the engines with the most free memory, which all daemons then chose again and again.

Change: where engines are divided, such copies stay in the load of their engine until they are gone, and a move for which there was no room for a second. Loads go to all daemons as before. Elsewhere they end as before.

--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -1,6 +1,7 @@
 package btaccount
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -196,6 +197,8 @@
 	pausedStart time.Time
 	// cold limits the rate of requests while the upstream is cold.
 	cold bucket
+	// kept are the copies of this daemon that nobody will use.
+	kept []keptCopy
 }
 
 // avoided reports whether this daemon currently sends no work to the upstream.
@@ -266,12 +269,13 @@
 }
 
 // CopyLease counts one copy of a generation in the load of an upstream until End
-// is called. It does not expire.
+// is called, or the time passed to Keep is over. It does not expire otherwise.
 type CopyLease struct {
 	table  *Table
 	id     bramleytack.UpstreamID
 	tokens int
-	once   sync.Once
+	// ended is guarded by the table's lock.
+	ended bool
 }
 
 // End removes the copy from the load. A nil lease and calls after the first have
@@ -280,11 +284,55 @@
 	if l == nil {
 		return
 	}
-	l.once.Do(func() {
-		l.table.mu.Lock()
-		defer l.table.mu.Unlock()
-		l.table.account(l.id).own.Copies -= l.tokens
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	if l.end() {
 		l.table.notifyChanged(Need{Prompt: l.tokens})
+	}
+}
+
+// end is End without telling other daemons. It reports whether the copy counted. The caller holds
+// the lock.
+func (l *CopyLease) end() bool {
+	if l.ended {
+		return false
+	}
+	l.ended = true
+	l.table.account(l.id).own.Copies -= l.tokens
+	return true
+}
+
+// Keep removes the copy from the load after d: the upstream keeps it for so long though
+// nobody uses it. End still removes it at once. A nil lease has no effect.
+func (l *CopyLease) Keep(d time.Duration) {
+	if l == nil {
+		return
+	}
+	if d <= 0 {
+		l.End()
+		return
+	}
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	if a := l.table.account(l.id); !l.ended {
+		a.kept = append(a.kept, keptCopy{l, l.table.Timer.Now().Add(d)})
+	}
+}
+
+// keptCopy is a copy that counts until a time.
+type keptCopy struct {
+	lease *CopyLease
+	until time.Time
+}
+
+// expire removes the kept copies from the load whose time is over. The caller holds the lock.
+func (a *account) expire(now time.Time) {
+	a.kept = slices.DeleteFunc(a.kept, func(k keptCopy) bool {
+		if now.Before(k.until) {
+			return k.lease.ended
+		}
+		k.lease.end()
+		return true
 	})
 }
 
--- a/internal/route/btaccount/pace.go
+++ b/internal/route/btaccount/pace.go
@@ -191,3 +191,11 @@
 	})
 	return drawByFreeMemory(targets)
 }
+
+// Divided reports whether prompts are read at other engines of a service than those that hold
+// streams.
+func (t *Table) Divided(s *bramleytack.Snapshot, service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.plan(s, service, t.Timer.Now()) != nil
+}
--- a/internal/route/btaccount/pace_test.go
+++ b/internal/route/btaccount/pace_test.go
@@ -1,7 +1,9 @@
 package btaccount
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -209,3 +211,65 @@
 		})
 	}
 }
+
+// dividedTable returns a table that divides a fleet of engines: the first one is steady, the others
+// are delicate.
+func dividedTable(t *testing.T, timer *bttimer.Service, s *bramleytack.Snapshot) *Table {
+	t.Helper()
+	table := newTable(timer)
+	table.Paces = &btpace.Table{Timer: timer}
+	for i, u := range s.ByService[service] {
+		pace := 1.2
+		if i == 0 {
+			pace = 0.5
+		}
+		table.Paces.Observe(u, pace)
+		table.Paces.Observe(u, 2.5*pace)
+	}
+	table.Paces.MergePauses([]btpace.Pauses{{Service: service, Alone: 30 * time.Millisecond, Beside: 62 * time.Millisecond}})
+	assert.Assert(t, table.Divided(s, service))
+	return table
+}
+
+// long is a generation that holds a sixth of an engine's memory.
+var long = Need{Prompt: 3500, Output: 1000, MaxOutput: 3000, Target: 1800 * time.Millisecond, MaxPause: pauseBound}
+
+// Load: generations that move from engine to engine and leave copies behind, which engines keep for
+// seconds. Guards against moves to holders that have no room for them, and against copies that count
+// for ever or after their end.
+func TestUnusedCopiesTakeRoom(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := pacedFleet(9)
+		table := dividedTable(t, timer, s)
+		first := s.ByService[service][0]
+		for range 10 {
+			table.Begin(first.ID, long)
+		}
+		time.Sleep(planAge)
+		chosen := func() map[bramleytack.UpstreamID]bool {
+			ids := map[bramleytack.UpstreamID]bool{}
+			for range 200 {
+				if u := table.PickHolder(s, first, long); u != nil {
+					ids[u.ID] = true
+				}
+			}
+			return ids
+		}
+		all := chosen()
+		assert.Assert(t, len(all) > 1, "%v", all)
+		full := slices.Min(slices.Collect(maps.Keys(all)))
+		for range 4 {
+			table.BeginCopy(full, long).Keep(5 * time.Second)
+		}
+		assert.Assert(t, !chosen()[full], "a holder with unused copies")
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, chosen()[full])
+		used := table.BeginCopy(full, long)
+		used.Keep(5 * time.Second)
+		used.End()
+		table.BeginCopy(full, long).Keep(0)
+		assert.Equal(t, table.OwnLoads()[full].Copies, 0)
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, table.OwnLoads()[full].Copies, 0, "ended twice")
+	})
+}
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -161,6 +161,7 @@
 	own := map[bramleytack.UpstreamID]Load{}
 	now := t.Timer.Now()
 	for id, a := range t.accounts {
+		a.expire(now)
 		l := a.own
 		if now.Before(a.ejectedUntil) || now.Before(a.pausedUntil) {
 			l.Ejections = 1
@@ -226,6 +227,7 @@
 		}
 	}
 	for id, a := range t.accounts {
+		a.expire(t.Timer.Now())
 		if _, ok := s.Upstreams[id]; !ok && a.own.IsZero() && !t.Timer.Now().Before(a.pausedUntil) {
 			delete(t.accounts, id)
 		}
@@ -345,6 +347,7 @@
 // number that the upstream itself reported recently.
 func (t *Table) load(id bramleytack.UpstreamID, now time.Time) Load {
 	a := t.account(id)
+	a.expire(now)
 	l := a.own.Plus(t.peerTotals[id])
 	if now.Sub(a.reportedAt) < reportValidity {
 		l.Running = max(l.Running, a.reported)
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -29,6 +29,12 @@
 	// enterPeriod is how long after its choice an engine that has begun to leave meanwhile may be
 	// entered. Deployments allow requests to a leaving engine for two seconds or more.
 	enterPeriod = time.Second
+	// fullPeriod is how long a copy still counts at an engine that had no room for it, so that
+	// others look elsewhere. An engine whose memory is full ends about one generation in it.
+	fullPeriod = time.Second
+	// unusedFactor is the factor from the time for which engines keep unused copies to the one
+	// for which they count: engines keep them well longer than they say.
+	unusedFactor = 2
 )
 
 // errStalled ends a segment whose engine sent no event for too long.
@@ -276,7 +282,9 @@
 
 // moveTo starts the move to an engine.
 func (s *relay) moveTo(target *bramleytack.Upstream) {
-	s.moving = &move{relay: s, source: s.cur, target: target, need: s.remainingNeed()}
+	s.moving = &move{relay: s, source: s.cur, target: target}
+	s.moving.lease = s.req.h.Accounts.BeginCopy(target.ID, s.remainingNeed())
+	s.moving.copyLife = s.req.copyLife()
 	s.req.log(btevent.MoveStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(target.ID)).Uint64("lastEvent", s.lastEventID).Send()
 	go s.moving.run()
 }
@@ -286,17 +294,24 @@
 	relay  *relay
 	source *segment
 	target *bramleytack.Upstream
-	need   btaccount.Need
+	// lease counts the copy at the target.
+	lease    *btaccount.CopyLease
+	copyLife time.Duration
 }
 
 func (m *move) run() {
 	s := m.relay
 	r := moveResult{move: m}
-	lease := s.req.h.Accounts.BeginCopy(m.target.ID, m.need)
-	defer lease.End()
 	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
 	defer cancel()
 	r.copy, r.err = s.req.h.Mover.Move(ctx, m.source.upstream.Addr, m.target.Addr, s.req.id, false)
+	if r.err != nil && ctx.Err() == nil {
+		// The target has less room than the loads tell, and all daemons learn of it.
+		m.lease.Keep(min(fullPeriod, m.copyLife))
+	} else {
+		// A copy that came too late stays there, and so does one that is not used.
+		m.lease.Keep(unusedFactor * m.copyLife)
+	}
 	select {
 	case s.moveResults <- r:
 	case <-s.ctx.Done():
@@ -337,6 +352,7 @@
 	if r == nil || !s.req.mayHandOver(r.move.target) {
 		return false
 	}
+	r.move.lease.End()
 	s.startNext(r.move.target, fromCopy, r.copy.String(), "moved", nil)
 	return true
 }
--- a/internal/serve/btentry/pace.go
+++ b/internal/serve/btentry/pace.go
@@ -16,6 +16,8 @@
 	// maxPaceMoves bounds the moves of one generation for the pace of engines, those that
 	// find no free memory included.
 	maxPaceMoves = 6
+	// maxCopyLife bounds the time for which an unused copy counts, whatever the configuration says.
+	maxCopyLife = 30 * time.Second
 	// lagShare is the share of a pause that the daemon has to take before it is its cause.
 	lagShare = 0.5
 )
@@ -126,3 +128,12 @@
 		m.late.WithLabelValues(c.String()).Inc()
 	}
 }
+
+// copyLife returns how long an engine keeps a copy that is not used, zero if that need not count:
+// only where engines are divided do many generations leave copies behind.
+func (req *activeRequest) copyLife() time.Duration {
+	if profile := req.snapshot.Engine(req.service); profile != nil && req.h.Accounts.Divided(req.snapshot, req.service) {
+		return min(profile.CopyLife, maxCopyLife)
+	}
+	return 0
+}
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -213,8 +213,18 @@
 	seg.cancel = nil
 	seg.kept.Close()
 	seg.lease.End(o)
-	seg.copyLease.End()
+	seg.endCopy(o)
 	req := seg.req
 	req.log(btevent.SegmentEnded).Str("upstream", string(seg.upstream.ID)).Stringer("origin", seg.origin).
 		Stringer("health", o).Int("events", seg.eventCount).Dur("took", req.h.Timer.Now().Sub(seg.started)).Send()
 }
+
+// endCopy removes the backup copy from the load of its engine, which keeps it for a while unless
+// the generation has ended successfully or goes on from it.
+func (seg *segment) endCopy(o btaccount.Outcome) {
+	if o == btaccount.Served || seg.backup == nil || seg.eventCount == 0 {
+		seg.copyLease.End()
+		return
+	}
+	seg.copyLease.Keep(seg.req.copyLife())
+}
--- a/routes.go
+++ b/routes.go
@@ -19,6 +19,8 @@
 	// Backups if they can keep a copy of one there.
 	Moves   bool
 	Backups bool
+	// CopyLife is how long an engine keeps a copy that nobody uses. Zero if unknown.
+	CopyLife time.Duration
 }
 
 // ServiceShare is a service's part of a route's requests.
