--- a/btevent/event.go
+++ b/btevent/event.go
@@ -92,6 +92,7 @@
 	AdmissionRejected       = Event{520, zerolog.InfoLevel, "request was rejected by admission"}
 	CallsWait               = Event{530, zerolog.InfoLevel, "calls wait for places of a full service"}
 	CallerRefused           = Event{540, zerolog.WarnLevel, "head of a request or connection of a caller was refused"}
+	AnswerLate              = Event{550, zerolog.InfoLevel, "answer was late"}
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
 	RequestSuspected        = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
 	RequestQuarantined      = Event{603, zerolog.ErrorLevel, "request is quarantined"}
@@ -181,6 +182,7 @@
 		AdmissionRejected,
 		CallsWait,
 		CallerRefused,
+		AnswerLate,
 		ClaimNotStored,
 		RequestSuspected,
 		RequestQuarantined,
--- a/internal/route/btaccount/room.go
+++ b/internal/route/btaccount/room.go
@@ -57,3 +57,10 @@
 	defer t.mu.Unlock()
 	return t.load(id, t.Timer.Now()).Unread
 }
+
+// Load returns the load of all daemons at an upstream.
+func (t *Table) Load(id bramleytack.UpstreamID) Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.load(id, t.Timer.Now())
+}
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -121,7 +121,9 @@
 		return nil, errors.Mark(errRejected, btconn.ErrUnsent)
 	}
 	result.conn = use
-	req.progress.sent(u.ID, req.h.Timer.Now())
+	now := req.h.Timer.Now()
+	req.execution.sent(now)
+	req.progress.sent(u.ID, now)
 	req.sentTo(u)
 	x, err := c.Do(ctx, r)
 	if err != nil {
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -199,6 +199,9 @@
 	req.noteUnread(r.upstream)
 	req.execution.logTo(req.log(btevent.RequestAnswered)).Str("upstream", string(r.upstream.ID)).Int("status", r.status).AnErr("cause", err).Send()
 	req.h.Metrics.responded(req, r.status)
+	if r.status < http.StatusBadRequest {
+		req.reportLate(r.upstream)
+	}
 }
 
 // retryAfter returns a random Retry-After, so that rejected callers do not return
--- a/internal/serve/btentry/execution.go
+++ b/internal/serve/btentry/execution.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 )
 
 // promisesNotRun reports whether a status tells callers that their request has not run and
@@ -25,6 +26,9 @@
 	// not run and will not.
 	conns    []uint64
 	ruledOut int
+	// first and last are when the request was first and last sent.
+	first time.Time
+	last  time.Time
 	// rejected is set once the caller is told that the request has not run.
 	rejected bool
 }
@@ -41,6 +45,23 @@
 	return true
 }
 
+// sent records when a send began.
+func (e *execution) sent(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.first.IsZero() {
+		e.first = now
+	}
+	e.last = now
+}
+
+// sentAt returns when the request was first and last sent, zero if it was not.
+func (e *execution) sentAt() (first, last time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.first, e.last
+}
+
 // sentOn returns the numbers of the connections that the request was sent on.
 func (e *execution) sentOn() []uint64 {
 	e.mu.Lock()
--- a/internal/serve/btentry/metrics.go
+++ b/internal/serve/btentry/metrics.go
@@ -55,7 +55,7 @@
 		handoverPauses:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_handover_pause_seconds", Help: "Pause of a stream that went on at another engine.", Buckets: gapBuckets}),
 		memoryWaits:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "bramleytack_room_wait_seconds", Help: "Time until an engine had room for a generation.", Buckets: latencyBuckets}),
 		limitedSends:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_limited_sends_total", Help: "Requests for permission to send to a limited upstream."}, []string{"result"}),
-		late:              prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_late_answers_total", Help: "Complete streams that were late, by cause."}, []string{"cause"}),
+		late:              prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleytack_late_answers_total", Help: "Complete answers that were late, by kind and cause."}, []string{"kind", "cause"}),
 	}
 	m.waiting = newWaitingMetrics(r)
 	m.admissions, m.admissionWaits = newAdmissionMetrics()
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -75,13 +75,12 @@
 	moved        *moveResult
 	probeResults chan probeResult
 	probing      bool
-	// firstEventLatency and longestPause are measured as the caller sees them.
+	// firstEventLatency, with its parts, and the longest gap are measured as the caller sees them.
 	firstEventLatency time.Duration
-	longestPause      time.Duration
-	// pauseCause is what made the longest pause. paceMoves counts the moves for the pace of
-	// engines.
-	pauseCause lateCause
-	paceMoves  int
+	firstDelay        delay
+	longest           gap
+	// paceMoves counts the moves for the pace of engines.
+	paceMoves int
 	// finalResult is the result to answer with if the caller gets no event.
 	finalResult *attemptResult
 	done        bool
@@ -328,7 +327,7 @@
 	s.lastEventAt = s.req.h.Timer.Now()
 	copyHeader(s.req.w.Header(), s.cur.head.header)
 	s.req.writeHead(s.cur.head.status)
-	s.firstEventLatency = s.lastEventAt.Sub(s.req.received)
+	s.firstEventLatency, s.firstDelay = s.lastEventAt.Sub(s.req.received), s.req.delay(s.lastEventAt)
 	s.req.h.Metrics.firstEvent(s.firstEventLatency)
 }
 
@@ -357,10 +356,10 @@
 	s.learnLength()
 	s.req.h.Suspects.ReportExecuted(s.req.fingerprint())
 	s.req.execution.logTo(s.req.log(btevent.RequestAnswered)).Str("upstream", string(seg.upstream.ID)).Int("status", seg.head.status).
-		Uint64("lastEvent", s.lastEventID).Dur("first", s.firstEventLatency).Dur("longestPause", s.longestPause).
+		Uint64("lastEvent", s.lastEventID).Dur("first", s.firstEventLatency).Dur("longestPause", s.longest.length).
 		Stringer("late", s.late()).Int("paceMoves", s.paceMoves).Send()
 	s.req.h.Metrics.responded(s.req, seg.head.status)
-	s.req.h.Metrics.answeredLate(s.late())
+	s.reportLate()
 }
 
 // learnLength adds the length and the pace of a complete generation to the forecasts.
