Ranks of generations are told to engines

Cause: engines took all generations as equal and preempted any of them when their memory ran out, also the more urgent ones that admission had let go first. Change: where routes or workspaces give the generations of a service several ranks, requests carry them in the header of the dialect (Request-Urgency on the platform). The ranks of a configuration are read once.

--- a/fleet.go
+++ b/fleet.go
@@ -130,6 +130,10 @@
 	// the copy from which a generation continues.
 	Backup string
 	From   string
+	// Urgency ranks a generation at its engine from 0, the most urgent, to LeastUrgent. It is
+	// empty if engines know no ranks.
+	Urgency     string
+	LeastUrgent int
 	// Reserved headers are removed from callers' requests.
 	Reserved []string
 	// ReadyPath and ResolvePath are the paths of the daemon's own calls.
--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -20,14 +20,6 @@
 // that were rejected by admission. All are counted.
 const admissionLogInterval = 200 * time.Millisecond
 
-// rank returns the urgency of the request: that of its workspace goes before its route's.
-func (req *activeRequest) rank() int {
-	if w := req.snapshot.Workspaces[req.workspace]; w != nil && w.Urgency != nil {
-		return *w.Urgency
-	}
-	return req.route.Urgency
-}
-
 // admittedByLoad reports whether admission decides about the request: the first attempt at a
 // generation of a known size, whose route has a target. One that was admitted and not sent, since
 // its engine limits its requests, does not wait again.
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -92,6 +92,7 @@
 	pace     btforecast.Pace
 	requests activeSet
 	waiting  waitingRooms
+	ranks    rankCache
 	// unconfiguredSince is the Unix time in nanoseconds of the first request that came
 	// before the configuration, zero without one.
 	unconfiguredSince atomic.Int64
