Admission costs nothing while nothing waits

Cause: each generation hashed its body and read all routes and the loads of all engines before admission knew that there was nothing to decide. Change: the key of a request is asked for at the first decision, the loads once something waits for the service, and the ranks of routes come from the cache of the configuration. What waits for a service is summed in one place. Visit.Returned is gone; the decision says it. Load of the test (TestCalmAsksForNothing): calm.

--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -64,8 +64,9 @@
 	// Rank is its urgency, 0 is the most urgent.
 	Rank   int
 	Tenant bramleytack.WorkspaceID
-	// Key recognizes the request if its caller sends it again.
-	Key Key
+	// Key recognizes the request if its caller sends it again. It is called under overload only,
+	// once.
+	Key func() Key
 	// Arrived is when it came, Target when its first event is late, and End when its caller
 	// leaves without one or it can no longer end before its deadline.
 	Arrived time.Time
@@ -168,9 +169,12 @@
 
 // Visit is one request at this daemon. Its methods are called by one goroutine.
 type Visit struct {
-	c        *Controller
-	r        Request
-	tenant   uint32
+	c      *Controller
+	r      Request
+	tenant uint32
+	// known is set once it is known whether the caller returned, and with which key.
+	known    bool
+	key      Key
 	returned bool
 	// shared is set for the requests of a tenant that stay behind while it is above its
 	// fair share. Half of them do: a large tenant is not starved.
@@ -186,13 +190,17 @@
 func (c *Controller) Enter(r Request) *Visit {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := &Visit{c: c, r: r, tenant: hashOf(string(r.Tenant)), shared: c.random.IntN(2) == 0}
-	v.returned = c.returns.take(r.Key, c.timer.Now())
-	return v
+	return &Visit{c: c, r: r, tenant: hashOf(string(r.Tenant)), shared: c.random.IntN(2) == 0}
 }
 
-// Returned reports whether the caller was told to come back.
-func (v *Visit) Returned() bool { return v.returned }
+// recognize finds out whether the caller was told to come back. The caller holds the lock.
+func (v *Visit) recognize(now time.Time) {
+	if v.known {
+		return
+	}
+	v.known, v.key = true, v.r.Key()
+	v.returned = v.c.returns.take(v.key, now)
+}
 
 // Wait counts the request among those that wait.
 func (v *Visit) Wait() {
@@ -265,20 +273,19 @@
 	}
 }
 
-// Overloaded reports whether so much waits for the service at all daemons that admission decides.
-// Below that, what waits finds room as engines end their work.
-func (v *Visit) Overloaded(room Room) bool {
+// Overloaded reports whether so much waits for the service at all daemons that admission decides,
+// and returns the room. Below that, what waits finds room as engines end their work. Without
+// anything that waits, it does not ask for the room.
+func (v *Visit) Overloaded(room func() Room) (Room, bool) {
 	v.c.mu.Lock()
-	defer v.c.mu.Unlock()
-	s := v.c.refresh(v.c.timer.Now())
-	service, waiting := hashOf(v.r.Service), 0
-	for k, w := range s.waiting {
-		if k.service == service {
-			waiting += w.Memory
-		}
-	}
+	waiting := v.c.refresh(v.c.timer.Now()).waitingFor(v.r, math.MaxInt, false).Memory
 	few := overloadRequests * v.c.typical.value(float64(v.r.Memory))
-	return room.Capacity > 0 && float64(waiting) >= max(overloadShare*float64(room.Capacity), few)
+	v.c.mu.Unlock()
+	if float64(waiting) < few {
+		return Room{}, false
+	}
+	r := room()
+	return r, r.Capacity > 0 && float64(waiting) >= overloadShare*float64(r.Capacity)
 }
 
 // Decide returns what becomes of the request now. A room without engines is not known: the
@@ -288,17 +295,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.timer.Now()
+	v.recognize(now)
 	if room.Engines == 0 || room.Capacity == 0 {
 		return Decision{Limits: unlimited, Returned: v.returned}
 	}
 	s := c.refresh(now)
-	ahead := s.ahead(v.r, v.waiting)
+	ahead := s.waitingFor(v.r, v.r.Rank, v.waiting)
 	d := Decision{Returned: v.returned, Late: v.late(now), Ahead: ahead.Memory, Forecast: c.forecast(v.r, room, ahead)}
 	// The forecast counts when a request comes and when it turns late. In between the
 	// request has its place.
 	judge := !v.judged || d.Late && !v.lateSeen
 	v.judged, v.lateSeen = true, v.lateSeen || d.Late
-	others := s.othersWait(v.r, v.waiting)
+	others := s.waitingFor(v.r, math.MaxInt, v.waiting).Memory > 0
 	switch {
 	case now.Sub(v.r.Arrived) >= v.patience() && !others:
 		// It does not wait for others, so that loads may be wrong. A full engine is better than
@@ -313,7 +321,7 @@
 	if d.Reason != "" {
 		d.Rejected = true
 		d.RetryAfter = RetryAfter(d.Forecast+c.returns.drain(c.rate(room), now), v.r.Deadline.Sub(now), c.random.Float64())
-		c.returns.tell(v.r.Key, v.r.Memory, now, d.RetryAfter)
+		c.returns.tell(v.key, v.r.Memory, now, d.RetryAfter)
 		return d
 	}
 	d.Limits = v.limits(now, room, s, others)
@@ -401,7 +409,7 @@
 	budget := targetShare * c.readPerMilli() * float64(r.ReadTarget.Milliseconds())
 	if r.LessUrgent && others {
 		budget *= lessUrgentShare
-		if s.moreUrgentWaits(r) {
+		if s.waitingFor(r, r.Rank-1, false).Memory > 0 {
 			l.Memory -= yieldMemory
 			budget *= yieldShare
 		}
--- a/internal/route/btadmission/controller_test.go
+++ b/internal/route/btadmission/controller_test.go
@@ -123,8 +123,9 @@
 			assert.Assert(t, ok)
 			b.SetPeer("a", d)
 			k.now = k.now.Add(c.after)
-			assert.Equal(t, b.Enter(Request{Key: 7}).Returned(), c.want)
-			assert.Equal(t, b.Enter(Request{Key: 7}).Returned(), false, "counts once")
+			r := Request{Key: func() Key { return 7 }}
+			assert.Equal(t, b.Enter(r).Decide(Room{}).Returned, c.want)
+			assert.Equal(t, b.Enter(r).Decide(Room{}).Returned, false, "counts once")
 		})
 	}
 }
@@ -134,7 +135,7 @@
 func TestMissingKnowledge(t *testing.T) {
 	k := newClock()
 	c := New(k, 1)
-	r := Request{Service: "llm", Arrived: k.now, Target: k.now.Add(time.Second), End: k.now.Add(2 * time.Second), Deadline: k.now.Add(9 * time.Second), Memory: 3000, Prompt: 3000}
+	r := Request{Service: "llm", Key: func() Key { return 1 }, Arrived: k.now, Target: k.now.Add(time.Second), End: k.now.Add(2 * time.Second), Deadline: k.now.Add(9 * time.Second), Memory: 3000, Prompt: 3000}
 	assert.Assert(t, !c.Enter(r).Decide(Room{}).Rejected)
 	c.holds = minHolds
 	c.hold.add(10, 1000)
--- a/internal/route/btadmission/demand.go
+++ b/internal/route/btadmission/demand.go
@@ -90,7 +90,7 @@
 	ok, c.last = waits || c.last || len(d.Told) > 0, waits
 	slices.SortFunc(d.Waiting, func(a, b Waiting) int { return cmp.Compare(a.Rank, b.Rank) })
 	d.Waiting = d.Waiting[:min(len(d.Waiting), maxWaiting)]
-	if ok || c.othersWait() {
+	if ok || c.peersWait() {
 		// Fair shares depend on the tenants of all daemons while any request waits.
 		ok = true
 		for t, m := range c.tenants {
@@ -102,8 +102,8 @@
 	return d, ok
 }
 
-// othersWait reports whether requests wait at other daemons.
-func (c *Controller) othersWait() bool {
+// peersWait reports whether requests wait at other daemons.
+func (c *Controller) peersWait() bool {
 	now := c.timer.Now()
 	for _, p := range c.peers {
 		if now.Sub(p.at) < demandValidity && len(p.demand.Waiting) > 0 {
@@ -177,13 +177,13 @@
 	return &c.sums
 }
 
-// ahead returns what waits of the ranks of a request and of more urgent ones. own is set if
-// the request itself waits.
-func (s *sums) ahead(r Request, own bool) Waiting {
+// waitingFor returns what waits for the service of a request, of a rank and of the more urgent
+// ones. own is set if the request itself waits. It is not counted then.
+func (s *sums) waitingFor(r Request, rank int, own bool) Waiting {
 	var sum Waiting
 	service := hashOf(r.Service)
 	for k, w := range s.waiting {
-		if k.service == service && k.rank <= r.Rank {
+		if k.service == service && k.rank <= rank {
 			sum.Memory += w.Memory
 			sum.Prompt += w.Prompt
 		}
@@ -194,32 +194,6 @@
 	return sum
 }
 
-// othersWait reports whether other requests wait for the service of a request. own is set if the
-// request itself waits.
-func (s *sums) othersWait(r Request, own bool) bool {
-	service, memory := hashOf(r.Service), 0
-	for k, w := range s.waiting {
-		if k.service == service {
-			memory += w.Memory
-		}
-	}
-	if own {
-		memory -= r.Memory
-	}
-	return memory > 0
-}
-
-// moreUrgentWaits reports whether requests of a more urgent rank wait for the same service.
-func (s *sums) moreUrgentWaits(r Request) bool {
-	service := hashOf(r.Service)
-	for k := range s.waiting {
-		if k.service == service && k.rank < r.Rank {
-			return true
-		}
-	}
-	return false
-}
-
 // fairShare returns the use of a tenant at which all tenants that want more are alike if what
 // waits is not served: the max-min share of what runs. Without waiting requests it is the
 // largest use.
--- a/internal/route/btadmission/doc.go
+++ b/internal/route/btadmission/doc.go
@@ -13,11 +13,15 @@
 //	v := c.Enter(request)
 //	defer v.Leave()
 //	for {
-//		d := v.Decide(room)
-//		if d.Rejected {
-//			return d.RetryAfter
+//		limits := calm
+//		if room, overloaded := v.Overloaded(loads); overloaded {
+//			d := v.Decide(room)
+//			if d.Rejected {
+//				return d.RetryAfter
+//			}
+//			limits = d.Limits
 //		}
-//		if engine := pick(d.Limits); engine != nil {
+//		if engine := pick(limits); engine != nil {
 //			v.Admit()
 //			return engine
 //		}
--- a/internal/route/btadmission/model_test.go
+++ b/internal/route/btadmission/model_test.go
@@ -215,7 +215,8 @@
 		if m.random.Float64() < m.load.hot {
 			j.r.Tenant = "hot"
 		}
-		j.r.Key = KeyOf(fmt.Sprint(len(m.jobs)))
+		key := KeyOf(fmt.Sprint(len(m.jobs)))
+		j.r.Key = func() Key { return key }
 		m.enter(j)
 		m.jobs = append(m.jobs, j)
 	}
--- a/internal/route/btadmission/visit_test.go
+++ b/internal/route/btadmission/visit_test.go
@@ -16,7 +16,7 @@
 		defer timer.Close()
 		now := timer.Now()
 		f(t, New(timer, 1), Request{
-			Service: "engines", Rank: 1, Tenant: "a", Arrived: now, Target: now.Add(2 * time.Second), End: now.Add(4 * time.Second),
+			Service: "engines", Key: func() Key { return 1 }, Rank: 1, Tenant: "a", Arrived: now, Target: now.Add(2 * time.Second), End: now.Add(4 * time.Second),
 			Deadline: now.Add(time.Minute), ReadTarget: 2 * time.Second, Prompt: 3000, Memory: 4000,
 		})
 	})
@@ -78,3 +78,26 @@
 		assert.Equal(t, c.Enter(r).Decide(room).Reason, "")
 	})
 }
+
+// Load: calm. Guards against admission that costs processor time for each request where it has
+// nothing to decide: the sum of all engines, and a hash of the whole body.
+func TestCalmAsksForNothing(t *testing.T) {
+	withController(t, func(t *testing.T, c *Controller, r Request) {
+		asked := 0
+		room := func() Room { asked++; return Room{Engines: 1, Capacity: 30_000} }
+		r.Key = func() Key { asked++; return 1 }
+		look := func() bool {
+			time.Sleep(2 * refreshPeriod)
+			v := c.Enter(r)
+			_, overloaded := v.Overloaded(room)
+			v.Admit()
+			v.Leave()
+			return overloaded
+		}
+		assert.Assert(t, !look())
+		assert.Equal(t, asked, 0)
+		c.SetPeer("p", Demand{Waiting: []Waiting{{Service: hashOf(r.Service), Memory: overloadRequests * r.Memory}}})
+		assert.Assert(t, look(), "what waits elsewhere counts")
+		assert.Equal(t, asked, 1)
+	})
+}
--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -12,7 +12,6 @@
 
 	"bramleytack"
 	"bramleytack/btevent"
-	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btadmission"
 )
 
@@ -31,34 +30,22 @@
 func (req *activeRequest) admissionRequest() btadmission.Request {
 	r := btadmission.Request{
 		Service: req.service, Rank: req.rank(), Tenant: req.workspace, Arrived: req.received, Deadline: req.deadline,
-		Target: req.received.Add(req.route.TargetLatency), ReadTarget: req.route.TargetLatency,
+		Target: req.received.Add(req.route.TargetLatency), End: req.received.Add(stallLimit(req.route)),
 		Prompt: req.need.Prompt, Memory: req.need.Prompt + req.need.Output, Short: req.need.MaxOutput < minBackupOutput,
-		Key: btadmission.KeyOf(string(req.workspace), req.method, req.target, req.header.Get(req.h.Dialect.PromptParts), strconv.Itoa(req.need.Prompt), string(req.body)),
+		Key: req.admissionKey,
 	}
 	expected, _ := req.durations()
-	r.End = req.received.Add(stallLimit(req.route))
 	if end := req.deadline.Add(req.route.TargetLatency - expected); end.Before(r.End) {
 		// The generation itself takes what durations adds to the target.
 		r.End = end
 	}
-	for _, other := range req.snapshot.Routes.All() {
-		if other.Urgency > r.Rank || other.TargetLatency <= 0 || !other.Streaming || !serves(other, req.service) {
-			continue
-		}
-		r.ReadTarget = min(r.ReadTarget, other.TargetLatency)
-		r.LessUrgent = r.LessUrgent || other.Urgency < r.Rank
-	}
+	r.ReadTarget, r.LessUrgent = req.h.ranks.of(req.snapshot, req.service).least(r.Rank, req.route.TargetLatency)
 	return r
 }
 
-// serves reports whether a route sends requests to a service.
-func serves(r *bramleytack.Route, service string) bool {
-	for _, s := range r.Services {
-		if s.Service == service {
-			return true
-		}
-	}
-	return false
+// admissionKey returns what recognizes the request if its caller sends it again.
+func (req *activeRequest) admissionKey() btadmission.Key {
+	return btadmission.KeyOf(string(req.workspace), req.method, req.target, req.header.Get(req.h.Dialect.PromptParts), strconv.Itoa(req.need.Prompt), string(req.body))
 }
 
 // admitEngine returns an engine for a generation, or nil if there is none. Without overload it
@@ -69,15 +56,13 @@
 	req.visit = req.h.Admission.Enter(req.admissionRequest())
 	for {
 		req.snapshot = req.h.Table.Snapshot()
-		load := req.h.Accounts.ServiceLoad(req.snapshot, req.service)
-		room := btadmission.Room{Engines: load.Engines, Memory: load.Memory, Capacity: load.Capacity, Unread: load.Unread}
-		overloaded := req.visit.Overloaded(room)
+		room, overloaded := req.visit.Overloaded(req.room)
 		var u *bramleytack.Upstream
 		var d btadmission.Decision
 		var wait bool
 		if overloaded {
 			if d = req.visit.Decide(room); d.Rejected {
-				req.rejectedBy(d, load)
+				req.rejectedBy(d, room)
 				return nil
 			}
 			u, wait = req.pickWithin(d.Limits)
@@ -98,6 +83,12 @@
 	}
 }
 
+// room returns the load of the service's engines for admission.
+func (req *activeRequest) room() btadmission.Room {
+	load := req.h.Accounts.ServiceLoad(req.snapshot, req.service)
+	return btadmission.Room{Engines: load.Engines, Memory: load.Memory, Capacity: load.Capacity, Unread: load.Unread}
+}
+
 // pickWithin returns an engine within the limits of admission, or reports that the generation
 // has to wait for one.
 func (req *activeRequest) pickWithin(l btadmission.Limits) (u *bramleytack.Upstream, wait bool) {
@@ -113,7 +104,7 @@
 }
 
 // rejectedBy notes why admission rejects the request.
-func (req *activeRequest) rejectedBy(d btadmission.Decision, load btaccount.ServiceLoad) {
+func (req *activeRequest) rejectedBy(d btadmission.Decision, room btadmission.Room) {
 	req.refusal = &d
 	req.h.Metrics.admissionRejected(d)
 	now := req.h.Timer.Now().UnixNano()
@@ -122,8 +113,8 @@
 		return
 	}
 	req.log(btevent.AdmissionRejected).Str("service", req.service).Str("reason", d.Reason).Int("rank", req.rank()).Str("workspace", string(req.workspace)).
-		Dur("forecast", d.Forecast).Dur("retryAfter", d.RetryAfter).Int("ahead", d.Ahead).Int("engines", load.Engines).Int("memory", load.Memory).
-		Int("capacity", load.Capacity).Int("unread", load.Unread).Bool("late", d.Late).Bool("returned", d.Returned).Dur("left", req.remaining()).Send()
+		Dur("forecast", d.Forecast).Dur("retryAfter", d.RetryAfter).Int("ahead", d.Ahead).Int("engines", room.Engines).Int("memory", room.Memory).
+		Int("capacity", room.Capacity).Int("unread", room.Unread).Bool("late", d.Late).Bool("returned", d.Returned).Dur("left", req.remaining()).Send()
 }
 
 // answerRefusal answers a request that admission rejects. It reports false if there is none.
