Demand passes through hubs

Cause: daemons of large fleets did not learn what waits at others. They rejected nothing by forecast, and fair shares of tenants held at each daemon alone. Change: daemons report to the hubs of their failure domain; hubs exchange sums and tell each daemon the demand of all others (Packet 35 and 36, Demand.daemons 37). Of two hubs, the one that knows more daemons counts. Loads of the tests: one tenant far above its share, mass return, more than can be served. A hub is killed while requests wait.

--- a/internal/fleet/btgossip/node.go
+++ b/internal/fleet/btgossip/node.go
@@ -95,8 +95,11 @@
 	cachedView  atomic.Pointer[view]
 	memberQuery pace
 	// hub and client are used in a fleet with hubs.
-	hub          bthub.Hub
-	client       bthub.Client
+	hub     bthub.Hub
+	client  bthub.Client
+	demands btadmission.Relay
+	// demandHeard is the Unix time in nanoseconds at which a hub last told the demand of others.
+	demandHeard  atomic.Int64
 	remoteTables remoteTables
 	heartbeat    atomic.Uint64
 	// incarnation is Self.Incarnation, or a higher one after outdated.
@@ -153,7 +156,7 @@
 	go (&server{n: n}).run(ctx, l)
 	go (&loadSender{n}).run(ctx)
 	go (&hubSender{n: n}).run(ctx)
-	go (&demandSender{n}).run(ctx)
+	go (&demandSender{n: n}).run(ctx)
 	go n.loop(ctx)
 }
 
--- a/internal/fleet/btgossip/node_test.go
+++ b/internal/fleet/btgossip/node_test.go
@@ -24,6 +24,7 @@
 	"bramleytack/internal/btmemnet"
 	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/route/btaccount"
+	"bramleytack/internal/route/btadmission"
 	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btsuspect"
 )
@@ -225,6 +226,8 @@
 	n.Suspects = btsuspect.New(&btsuspect.Table{Timer: c.timer, Log: log, Share: n.ShareSuspicions, Elected: n.Elected})
 	n.Grants = &btgrant.Table{Timer: c.timer, Log: log, Ask: n.AskGrant, Share: n.ShareWords, Part: n.GrantPart, Daemons: n.Count}
 	n.Rollouts = newRollouts(n)
+	n.Admission = btadmission.New(c.timer, uint64(i))
+	n.Admission.Alone = n.DemandUnknown
 	ctx, stop := context.WithCancel(context.Background())
 	conn := &packetConn{lan: c.lan, addr: addrOf(i), in: make(chan datagram, 256), done: make(chan struct{})}
 	c.lan.mu.Lock()
--- a/internal/fleet/btgossip/receiver.go
+++ b/internal/fleet/btgossip/receiver.go
@@ -96,8 +96,8 @@
 	if len(p.RolloutReports) > 0 || len(p.RolloutDecisions) > 0 {
 		n.handleRollouts(p)
 	}
-	if p.Demand != nil {
-		n.handleDemand(p)
+	if p.Demand != nil || p.DomainDemand != nil || p.OthersDemand != nil {
+		n.handleDemand(p, sender)
 	}
 	if len(p.Unknown) > 0 {
 		n.answerMembers(sender, p.Unknown, now)
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -184,7 +184,7 @@
 	n.accounts.Changed = n.gossip.LoadChanged
 	n.accounts.RemoteLate = n.gossip.HasHubs
 	n.admission.Host = s.Host
-	n.admission.Alone = n.gossip.HasHubs
+	n.admission.Alone = n.gossip.DemandUnknown
 	n.handler = &btentry.Handler{
 		Table: n.table, Accounts: n.accounts, Suspects: n.suspects, Grants: n.grants, Admission: n.admission, Rollouts: n.rollouts, Paces: n.paces, Pool: n.pool, Dialect: a.Dialect, Mover: n.engines,
 		Timer: n.timer, Log: n.log, Metrics: btentry.NewMetrics(n.registry), Leaving: n.isLeaving, Accepts: n.leaving.Accepts,
--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -135,6 +135,7 @@
 	own     map[class]Waiting
 	tenants map[uint32]int
 	peers   map[bramleytack.HostID]peerDemand
+	hubs    sources
 	sums    sums
 	returns returns
 	// hold is the mean time for which memory is held, by tokens, read the tokens that an
@@ -149,7 +150,7 @@
 
 // New returns a controller without samples. The seed spreads what callers are told.
 func New(t bramleytack.Timer, seed uint64) *Controller {
-	return &Controller{timer: t, random: rand.New(rand.NewPCG(seed, 0)), own: map[class]Waiting{}, tenants: map[uint32]int{}, peers: map[bramleytack.HostID]peerDemand{}}
+	return &Controller{timer: t, random: rand.New(rand.NewPCG(seed, 0)), own: map[class]Waiting{}, tenants: map[uint32]int{}, peers: map[bramleytack.HostID]peerDemand{}, hubs: sources{}}
 }
 
 // mean is a weighted mean of which old samples fade.
--- a/internal/route/btadmission/demand.go
+++ b/internal/route/btadmission/demand.go
@@ -45,6 +45,9 @@
 
 // Demand is what a daemon tells the others.
 type Demand struct {
+	// Daemons is the number of daemons at which the requests wait, zero if it is the demand of
+	// one daemon.
+	Daemons int
 	Waiting []Waiting
 	Tenants []TenantUse
 	// Told are the callers that this daemon has told to come back since it last said so.
@@ -93,11 +96,7 @@
 	if ok || c.peersWait() {
 		// Fair shares depend on the tenants of all daemons while any request waits.
 		ok = true
-		for t, m := range c.tenants {
-			d.Tenants = append(d.Tenants, TenantUse{t, m})
-		}
-		slices.SortFunc(d.Tenants, func(a, b TenantUse) int { return cmp.Compare(b.Memory, a.Memory) })
-		d.Tenants = d.Tenants[:min(len(d.Tenants), maxTenants)]
+		d.Tenants = largestTenants(c.tenants, maxTenants)
 	}
 	return d, ok
 }
@@ -106,11 +105,12 @@
 func (c *Controller) peersWait() bool {
 	now := c.timer.Now()
 	for _, p := range c.peers {
-		if now.Sub(p.at) < demandValidity && len(p.demand.Waiting) > 0 {
+		if p.fresh(now) && len(p.demand.Waiting) > 0 {
 			return true
 		}
 	}
-	return false
+	d, _ := c.hubs.fullest(now)
+	return len(d.Waiting) > 0
 }
 
 // SetPeer replaces the demand of another daemon.
@@ -124,6 +124,17 @@
 	}
 }
 
+// SetOthers replaces the demand of all other daemons as a hub tells it.
+func (c *Controller) SetOthers(hub bramleytack.HostID, d Demand) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.timer.Now()
+	c.hubs[hub] = peerDemand{at: now, demand: d}
+	for _, t := range d.Told[:min(len(d.Told), maxTotalTold)] {
+		c.returns.learn(t, now)
+	}
+}
+
 // sums is the demand of all daemons at a time.
 type sums struct {
 	at      time.Time
@@ -140,26 +151,16 @@
 	if now.Sub(c.sums.at) < refreshPeriod && c.sums.waiting != nil {
 		return &c.sums
 	}
-	s := sums{at: now, waiting: map[class]Waiting{}, tenants: map[uint32]int{}}
-	add := func(d Demand) {
-		for _, w := range d.Waiting {
-			k := class{w.Service, w.Rank}
-			sum := s.waiting[k]
-			s.waiting[k] = Waiting{w.Service, w.Rank, sum.Memory + w.Memory, sum.Prompt + w.Prompt}
-		}
-		for _, t := range d.Tenants {
-			s.tenants[t.Tenant] += t.Memory
-		}
-	}
+	all := newTotal()
 	for h, p := range c.peers {
-		if now.Sub(p.at) >= demandValidity {
+		if !p.fresh(now) {
 			delete(c.peers, h)
 			continue
 		}
-		add(p.demand)
-		if len(p.demand.Waiting) > 0 {
-			s.daemons++
-		}
+		all.add(p.demand, 1)
+	}
+	if d, ok := c.hubs.fullest(now); ok {
+		all.add(d, 1)
 	}
 	own := Demand{}
 	for _, w := range c.own {
@@ -168,10 +169,8 @@
 	for t, m := range c.tenants {
 		own.Tenants = append(own.Tenants, TenantUse{t, m})
 	}
-	if len(own.Waiting) > 0 {
-		s.daemons++
-	}
-	add(own)
+	all.add(own, 1)
+	s := sums{at: now, waiting: all.waiting, tenants: all.tenants, daemons: all.daemons}
 	s.fair = s.fairShare()
 	c.sums = s
 	return &c.sums
