--- a/internal/route/btadmission/demand.go
+++ b/internal/route/btadmission/demand.go
@@ -45,6 +45,9 @@
 
 // Demand is what a daemon tells the others.
 type Demand struct {
+	// Daemons is the number of daemons at which the requests wait, zero if it is the demand of
+	// one daemon.
+	Daemons int
 	Waiting []Waiting
 	Tenants []TenantUse
 	// Told are the callers that this daemon has told to come back since it last said so.
@@ -90,27 +93,24 @@
 	ok, c.last = waits || c.last || len(d.Told) > 0, waits
 	slices.SortFunc(d.Waiting, func(a, b Waiting) int { return cmp.Compare(a.Rank, b.Rank) })
 	d.Waiting = d.Waiting[:min(len(d.Waiting), maxWaiting)]
-	if ok || c.othersWait() {
+	if ok || c.peersWait() {
 		// Fair shares depend on the tenants of all daemons while any request waits.
 		ok = true
-		for t, m := range c.tenants {
-			d.Tenants = append(d.Tenants, TenantUse{t, m})
-		}
-		slices.SortFunc(d.Tenants, func(a, b TenantUse) int { return cmp.Compare(b.Memory, a.Memory) })
-		d.Tenants = d.Tenants[:min(len(d.Tenants), maxTenants)]
+		d.Tenants = largestTenants(c.tenants, maxTenants)
 	}
 	return d, ok
 }
 
-// othersWait reports whether requests wait at other daemons.
-func (c *Controller) othersWait() bool {
+// peersWait reports whether requests wait at other daemons.
+func (c *Controller) peersWait() bool {
 	now := c.timer.Now()
 	for _, p := range c.peers {
-		if now.Sub(p.at) < demandValidity && len(p.demand.Waiting) > 0 {
+		if p.fresh(now) && len(p.demand.Waiting) > 0 {
 			return true
 		}
 	}
-	return false
+	d, _ := c.hubs.fullest(now)
+	return len(d.Waiting) > 0
 }
 
 // SetPeer replaces the demand of another daemon.
@@ -124,6 +124,17 @@
 	}
 }
 
+// SetOthers replaces the demand of all other daemons as a hub tells it.
+func (c *Controller) SetOthers(hub bramleytack.HostID, d Demand) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.timer.Now()
+	c.hubs[hub] = peerDemand{at: now, demand: d}
+	for _, t := range d.Told[:min(len(d.Told), maxTotalTold)] {
+		c.returns.learn(t, now)
+	}
+}
+
 // sums is the demand of all daemons at a time.
 type sums struct {
 	at      time.Time
@@ -140,26 +151,16 @@
 	if now.Sub(c.sums.at) < refreshPeriod && c.sums.waiting != nil {
 		return &c.sums
 	}
-	s := sums{at: now, waiting: map[class]Waiting{}, tenants: map[uint32]int{}}
-	add := func(d Demand) {
-		for _, w := range d.Waiting {
-			k := class{w.Service, w.Rank}
-			sum := s.waiting[k]
-			s.waiting[k] = Waiting{w.Service, w.Rank, sum.Memory + w.Memory, sum.Prompt + w.Prompt}
-		}
-		for _, t := range d.Tenants {
-			s.tenants[t.Tenant] += t.Memory
-		}
-	}
+	all := newTotal()
 	for h, p := range c.peers {
-		if now.Sub(p.at) >= demandValidity {
+		if !p.fresh(now) {
 			delete(c.peers, h)
 			continue
 		}
-		add(p.demand)
-		if len(p.demand.Waiting) > 0 {
-			s.daemons++
-		}
+		all.add(p.demand, 1)
+	}
+	if d, ok := c.hubs.fullest(now); ok {
+		all.add(d, 1)
 	}
 	own := Demand{}
 	for _, w := range c.own {
@@ -168,22 +169,20 @@
 	for t, m := range c.tenants {
 		own.Tenants = append(own.Tenants, TenantUse{t, m})
 	}
-	if len(own.Waiting) > 0 {
-		s.daemons++
-	}
-	add(own)
+	all.add(own, 1)
+	s := sums{at: now, waiting: all.waiting, tenants: all.tenants, daemons: all.daemons}
 	s.fair = s.fairShare()
 	c.sums = s
 	return &c.sums
 }
 
-// ahead returns what waits of the ranks of a request and of more urgent ones. own is set if
-// the request itself waits.
-func (s *sums) ahead(r Request, own bool) Waiting {
+// waitingFor returns what waits for the service of a request, of a rank and of the more urgent
+// ones. own is set if the request itself waits. It is not counted then.
+func (s *sums) waitingFor(r Request, rank int, own bool) Waiting {
 	var sum Waiting
 	service := hashOf(r.Service)
 	for k, w := range s.waiting {
-		if k.service == service && k.rank <= r.Rank {
+		if k.service == service && k.rank <= rank {
 			sum.Memory += w.Memory
 			sum.Prompt += w.Prompt
 		}
@@ -194,32 +193,6 @@
 	return sum
 }
 
-// othersWait reports whether other requests wait for the service of a request. own is set if the
-// request itself waits.
-func (s *sums) othersWait(r Request, own bool) bool {
-	service, memory := hashOf(r.Service), 0
-	for k, w := range s.waiting {
-		if k.service == service {
-			memory += w.Memory
-		}
-	}
-	if own {
-		memory -= r.Memory
-	}
-	return memory > 0
-}
-
-// moreUrgentWaits reports whether requests of a more urgent rank wait for the same service.
-func (s *sums) moreUrgentWaits(r Request) bool {
-	service := hashOf(r.Service)
-	for k := range s.waiting {
-		if k.service == service && k.rank < r.Rank {
-			return true
-		}
-	}
-	return false
-}
-
 // fairShare returns the use of a tenant at which all tenants that want more are alike if what
 // waits is not served: the max-min share of what runs. Without waiting requests it is the
 // largest use.
