Callers of calls that were told to return come before new ones

Cause: Ticket.Returned was never set, so a caller that came back when it was told to stood behind all that had come meanwhile, and was rejected again. Load: mass return; more calls than the only upstream serves, before and after the Retry-After. Change: btadmission's memory of callers moves to btreturn and is used by calls too, with the same message between daemons. What is sent late to them tells the time that is left. Two tests of btadmission use the new names, with the same checks.

--- a/internal/fleet/btgossip/demand.go
+++ b/internal/fleet/btgossip/demand.go
@@ -6,6 +6,7 @@
 
 	"bramleytack"
 	"bramleytack/internal/route/btadmission"
+	"bramleytack/internal/route/btreturn"
 )
 
 // demandPeriod is the time between two messages about what waits at this daemon. Queues that
@@ -66,7 +67,7 @@
 		out.Tenants = append(out.Tenants, btadmission.TenantUse{Tenant: t, Memory: int(d.TenantTokens[i])})
 	}
 	for i, k := range d.Told[:min(len(d.Told), len(d.ToldMillis))] {
-		out.Told = append(out.Told, btadmission.Told{Key: btadmission.Key(k), After: time.Duration(d.ToldMillis[i]) * time.Millisecond})
+		out.Told = append(out.Told, btreturn.Told{Key: btreturn.Key(k), After: time.Duration(d.ToldMillis[i]) * time.Millisecond})
 	}
 	return out
 }
--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bramleytack"
+	"bramleytack/internal/route/btreturn"
 )
 
 // A request in time may use an engine up to a share of its memory that grows from
@@ -65,7 +66,7 @@
 	Rank   int
 	Tenant bramleytack.WorkspaceID
 	// Key recognizes the request if its caller sends it again.
-	Key Key
+	Key btreturn.Key
 	// Arrived is when it came, Target when its first event is late, and End when its caller
 	// leaves without one or it can no longer end before its deadline.
 	Arrived time.Time
@@ -135,7 +136,10 @@
 	tenants map[uint32]int
 	peers   map[bramleytack.HostID]peerDemand
 	sums    sums
-	returns returns
+	// returns are the callers that are expected back, at any daemon. told counts those that this
+	// one has rejected.
+	returns *btreturn.Callers
+	told    int
 	// hold is the mean time for which memory is held, by tokens, read the tokens that an
 	// engine reads in a millisecond, typical the memory of a long request and prompt the prompt of any.
 	hold    mean
@@ -148,7 +152,15 @@
 
 // New returns a controller without samples. The seed spreads what callers are told.
 func New(t bramleytack.Timer, seed uint64) *Controller {
-	return &Controller{timer: t, random: rand.New(rand.NewPCG(seed, 0)), own: map[class]Waiting{}, tenants: map[uint32]int{}, peers: map[bramleytack.HostID]peerDemand{}}
+	return &Controller{timer: t, random: rand.New(rand.NewPCG(seed, 0)), own: map[class]Waiting{}, tenants: map[uint32]int{}, peers: map[bramleytack.HostID]peerDemand{}, returns: &btreturn.Callers{}}
+}
+
+// Returns are the callers that are expected back. A nil controller expects nobody.
+func (c *Controller) Returns() *btreturn.Callers {
+	if c == nil {
+		return nil
+	}
+	return c.returns
 }
 
 // mean is a weighted mean of which old samples fade.
@@ -187,7 +199,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v := &Visit{c: c, r: r, tenant: hashOf(string(r.Tenant)), shared: c.random.IntN(2) == 0}
-	v.returned = c.returns.take(r.Key, c.timer.Now())
+	v.returned = c.returns.Take(r.Key, c.timer.Now())
 	return v
 }
 
@@ -312,14 +324,35 @@
 	}
 	if d.Reason != "" {
 		d.Rejected = true
-		d.RetryAfter = RetryAfter(d.Forecast+c.returns.drain(c.rate(room), now), v.r.Deadline.Sub(now), c.random.Float64())
-		c.returns.tell(v.r.Key, v.r.Memory, now, d.RetryAfter)
+		d.RetryAfter = RetryAfter(d.Forecast+c.drain(c.rate(room), now), v.r.Deadline.Sub(now), c.random.Float64())
+		c.tell(v.r, now, d.RetryAfter)
 		return d
 	}
 	d.Limits = v.limits(now, room, s, others)
 	return d
 }
 
+// bookedShare is the share of the callers told to come back that go before new ones. If all
+// did, nearly all would be late while more come than can be served.
+const bookedShare = 0.25
+
+// tell notes a caller that was told to come back, which returns first if a share of them allows
+// it. The caller holds the lock.
+func (c *Controller) tell(r Request, now time.Time, after time.Duration) {
+	c.told++
+	if float64(c.told)*bookedShare < 1 && c.returns.Len() > 0 {
+		return
+	}
+	c.told = 0
+	c.returns.Tell(btreturn.Told{Key: r.Key, After: after}, r.Memory, now)
+}
+
+// drain returns the time in which those that this daemon expects back find room, at a rate of
+// tokens a second.
+func (c *Controller) drain(rate float64, now time.Time) time.Duration {
+	return time.Duration(float64(c.returns.Size(now)) / rate * float64(time.Second))
+}
+
 // alone reports whether this daemon does not learn the demand of others, and rejects nothing
 // by forecast.
 func (c *Controller) alone() bool { return c.Alone != nil && c.Alone() }
--- a/internal/route/btadmission/controller_test.go
+++ b/internal/route/btadmission/controller_test.go
@@ -118,7 +118,7 @@
 		t.Run(c.after.String(), func(t *testing.T) {
 			k := newClock()
 			a, b := New(k, 1), New(k, 2)
-			a.returns.tell(7, 100, k.now, time.Second)
+			a.tell(Request{Key: 7, Memory: 100}, k.now, time.Second)
 			d, ok := a.Demand()
 			assert.Assert(t, ok)
 			b.SetPeer("a", d)
--- a/internal/route/btadmission/demand.go
+++ b/internal/route/btadmission/demand.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bramleytack"
+	"bramleytack/internal/route/btreturn"
 )
 
 const (
@@ -48,7 +49,7 @@
 	Waiting []Waiting
 	Tenants []TenantUse
 	// Told are the callers that this daemon has told to come back since it last said so.
-	Told []Told
+	Told []btreturn.Told
 }
 
 type peerDemand struct {
@@ -85,7 +86,7 @@
 	for _, w := range c.own {
 		d.Waiting = append(d.Waiting, w)
 	}
-	d.Told = c.returns.untold(maxTold)
+	d.Told = c.returns.Untold(maxTold, c.timer.Now())
 	waits := len(d.Waiting) > 0
 	ok, c.last = waits || c.last || len(d.Told) > 0, waits
 	slices.SortFunc(d.Waiting, func(a, b Waiting) int { return cmp.Compare(a.Rank, b.Rank) })
@@ -119,9 +120,7 @@
 	defer c.mu.Unlock()
 	now := c.timer.Now()
 	c.peers[h] = peerDemand{at: now, demand: d}
-	for _, t := range d.Told[:min(len(d.Told), maxTold)] {
-		c.returns.learn(t, now)
-	}
+	c.returns.Learn(d.Told[:min(len(d.Told), maxTold)], now)
 }
 
 // sums is the demand of all daemons at a time.
@@ -273,7 +272,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.refresh(c.timer.Now())
-	out := State{HoldSeconds: c.hold.value(0), ReadPerMilli: c.readPerMilli(), Expected: len(c.returns.due), FairTokens: s.fair}
+	out := State{HoldSeconds: c.hold.value(0), ReadPerMilli: c.readPerMilli(), Expected: c.returns.Len(), FairTokens: s.fair}
 	for _, w := range c.own {
 		out.Waiting = append(out.Waiting, w)
 	}
--- a/internal/route/btadmission/model_test.go
+++ b/internal/route/btadmission/model_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleytack"
+	"bramleytack/internal/route/btreturn"
 )
 
 const (
@@ -215,7 +216,7 @@
 		if m.random.Float64() < m.load.hot {
 			j.r.Tenant = "hot"
 		}
-		j.r.Key = KeyOf(fmt.Sprint(len(m.jobs)))
+		j.r.Key = btreturn.KeyOf(fmt.Sprint(len(m.jobs)))
 		m.enter(j)
 		m.jobs = append(m.jobs, j)
 	}
--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -41,7 +40,7 @@
 		Service: req.service, Rank: req.rank(), Tenant: req.workspace, Arrived: req.received, Deadline: req.deadline,
 		Target: req.received.Add(req.route.TargetLatency), ReadTarget: req.route.TargetLatency,
 		Prompt: req.need.Prompt, Memory: req.need.Prompt + req.need.Output, Short: req.need.MaxOutput < minBackupOutput,
-		Key: btadmission.KeyOf(string(req.workspace), req.method, req.target, req.header.Get(req.h.Dialect.PromptParts), strconv.Itoa(req.need.Prompt), string(req.body)),
+		Key: req.returnKey(),
 	}
 	expected, _ := req.durations()
 	r.End = req.received.Add(stallLimit(req.route))
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -40,6 +40,7 @@
 	var last *attemptResult
 	var unattributed []*bramleytack.Upstream
 	skipped, sent := 0, 0
+	req.returned = req.takeReturn()
 	for ctx.Err() == nil {
 		u, at := req.awaitPlace(ctx, tried)
 		terms := btgrant.Terms{}
@@ -171,13 +172,13 @@
 	case endedByDaemon(ctx):
 		req.reject(http.StatusBadGateway, 0, "daemon ends before the response")
 	case !ran && req.turnedAway:
-		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "no place in time")
+		req.rejectForReturn("no place in time")
 	case !ran && r == nil && req.limitedSends > 0:
-		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "upstreams limit their requests")
+		req.rejectForReturn("upstreams limit their requests")
 	case !ran && r == nil:
-		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "no upstream available")
+		req.rejectForReturn("no upstream available")
 	case !ran:
-		req.reject(http.StatusServiceUnavailable, req.retryAfter(), "upstreams are full")
+		req.rejectForReturn("upstreams are full")
 	case ctx.Err() != nil || req.remaining() <= 0:
 		req.reject(http.StatusGatewayTimeout, 0, "timeout")
 	case r != nil && r.outcome == bramleytack.Unknown && r.err == nil:
--- a/internal/serve/btentry/waiting.go
+++ b/internal/serve/btentry/waiting.go
@@ -187,7 +187,7 @@
 
 // ticket returns the terms on which a call waits, if calls take mean at upstreams.
 func (req *activeRequest) ticket(mean time.Duration) btwaiting.Ticket {
-	t := btwaiting.Ticket{Rank: req.rank(), Workspace: req.workspace, Deadline: req.deadline, Run: time.Duration(runMargin * float64(mean)), Bytes: len(req.body) + headerSize(req.header)}
+	t := btwaiting.Ticket{Rank: req.rank(), Workspace: req.workspace, Returned: req.returned, Deadline: req.deadline, Run: time.Duration(runMargin * float64(mean)), Bytes: len(req.body) + headerSize(req.header)}
 	if req.h.FinishAt != nil {
 		if at, leaving := req.h.FinishAt(); leaving && at.Before(t.Deadline) {
 			t.Deadline = at
