Tests that no daemon's end strands a place of a full service

No fault was found; without the end of a rejected call's count, TestPlannedStopStrandsNoPlace is red.

--- a/internal/route/btwaiting/room_test.go
+++ b/internal/route/btwaiting/room_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -193,3 +194,29 @@
 		r.checkOrder(t, "urgent", "a")
 	})
 }
+
+// frozenTimer is the timer of a process that stands still until Now has jumped.
+type frozenTimer struct {
+	bramleytack.Timer
+	jump atomic.Int64
+}
+
+func (f *frozenTimer) Now() time.Time { return f.Timer.Now().Add(time.Duration(f.jump.Load())) }
+
+// A daemon is frozen while calls wait, and places are free when it wakes. Guards against calls
+// that are sent although their time has passed, and against those with time left that lose
+// their turn.
+func TestFrozenDaemonSendsNothingLate(t *testing.T) {
+	runRoom(t, func(r *roomTest) {
+		frozen := &frozenTimer{Timer: r.room.Timer}
+		r.room.Timer = frozen
+		in := func(d time.Duration) time.Time { return time.Now().Add(d) }
+		r.wait(context.Background(), "short", btwaiting.Ticket{Workspace: "a", Deadline: in(time.Second), Run: 50 * time.Millisecond})
+		r.wait(context.Background(), "no time for its run", btwaiting.Ticket{Workspace: "b", Deadline: in(3*time.Second + 20*time.Millisecond), Run: 50 * time.Millisecond})
+		r.wait(context.Background(), "long", btwaiting.Ticket{Workspace: "c", Deadline: in(10 * time.Second), Run: 50 * time.Millisecond})
+		frozen.jump.Store(int64(3 * time.Second))
+		assert.Equal(t, r.free(), "long")
+		assert.Equal(t, r.result("short").Verdict, btwaiting.Late)
+		assert.Equal(t, r.result("no time for its run").Verdict, btwaiting.Late)
+	})
+}
--- a/internal/serve/btentry/queue_test.go
+++ b/internal/serve/btentry/queue_test.go
@@ -154,3 +154,26 @@
 		s.untold++
 	}
 }
+
+// A daemon is stopped as planned while calls wait in its room for the only upstream. Guards against calls
+// that count after the end of the daemon's requests, so that other daemons leave their
+// places to it.
+func TestPlannedStopStrandsNoPlace(t *testing.T) {
+	run(t, func(h *harness) {
+		h.start("s1", callService, btworker.Config{Work: 250 * time.Millisecond, Slots: 1, Queue: 2})
+		h.orders(1).wg.Wait()
+		stop := h.prepareStop()
+		all := h.orders(20)
+		time.Sleep(50 * time.Millisecond)
+		load := h.accounts.OwnLoads()["s1"]
+		assert.Check(t, load.Waiting > 0 && load.Calls != nil, "%+v", load)
+		stop.run()
+		all.wg.Wait()
+		for _, r := range all.got {
+			runs := h.pool.Runs(r.id)
+			assert.Check(t, r.err == nil && (r.status == http.StatusServiceUnavailable) == (runs == 0), "%s: %d %v, %d runs", r.id, r.status, r.err, runs)
+		}
+		left := h.accounts.Occupancy(h.table.Snapshot(), callService)
+		assert.Check(t, left.OwnWaiting == 0 && left.OwnRunning == 0 && left.OwnCalls == nil, "%+v", left)
+	})
+}
