--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleytack"
+	"bramleytack/internal/route/btwaiting"
 )
 
 const (
@@ -150,6 +151,9 @@
 	Waiting int
 	// Streams is the number of running requests that are long streams.
 	Streams int
+	// Calls are the calls of the upstream's service by workspace, those that wait included. They
+	// count at one upstream of the service. Nil is none.
+	Calls *btwaiting.Demand
 }
 
 // Plus returns the sum of two loads.
@@ -165,6 +169,7 @@
 		Copies: l.Copies + sign*o.Copies, Ejections: l.Ejections + sign*o.Ejections,
 		Waiting: l.Waiting + sign*o.Waiting,
 		Streams: l.Streams + sign*o.Streams,
+		Calls:   l.Calls.Plus(o.Calls, sign),
 	}
 }
 
--- a/internal/route/btadmission/controller_test.go
+++ b/internal/route/btadmission/controller_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"bramleytack"
+	"bramleytack/internal/route/btreturn"
 )
 
 func anyJob(*job) bool    { return true }
@@ -118,12 +119,12 @@
 		t.Run(c.after.String(), func(t *testing.T) {
 			k := newClock()
 			a, b := New(k, 1), New(k, 2)
-			a.returns.tell(7, 100, k.now, time.Second)
+			a.tell(7, 100, k.now, time.Second)
 			d, ok := a.Demand()
 			assert.Assert(t, ok)
 			b.SetPeer("a", d)
 			k.now = k.now.Add(c.after)
-			r := Request{Key: func() Key { return 7 }}
+			r := Request{Key: func() btreturn.Key { return 7 }}
 			assert.Equal(t, b.Enter(r).Decide(Room{}).Returned, c.want)
 			assert.Equal(t, b.Enter(r).Decide(Room{}).Returned, false, "counts once")
 		})
@@ -135,7 +136,7 @@
 func TestMissingKnowledge(t *testing.T) {
 	k := newClock()
 	c := New(k, 1)
-	r := Request{Service: "llm", Key: func() Key { return 1 }, Arrived: k.now, Target: k.now.Add(time.Second), End: k.now.Add(2 * time.Second), Deadline: k.now.Add(9 * time.Second), Memory: 3000, Prompt: 3000}
+	r := Request{Service: "llm", Key: func() btreturn.Key { return 1 }, Arrived: k.now, Target: k.now.Add(time.Second), End: k.now.Add(2 * time.Second), Deadline: k.now.Add(9 * time.Second), Memory: 3000, Prompt: 3000}
 	assert.Assert(t, !c.Enter(r).Decide(Room{}).Rejected)
 	c.holds = minHolds
 	c.hold.add(10, 1000)
--- a/internal/route/btadmission/model_test.go
+++ b/internal/route/btadmission/model_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleytack"
+	"bramleytack/internal/route/btreturn"
 )
 
 const (
@@ -215,8 +216,8 @@
 		if m.random.Float64() < m.load.hot {
 			j.r.Tenant = "hot"
 		}
-		key := KeyOf(fmt.Sprint(len(m.jobs)))
-		j.r.Key = func() Key { return key }
+		key := btreturn.KeyOf(fmt.Sprint(len(m.jobs)))
+		j.r.Key = func() btreturn.Key { return key }
 		m.enter(j)
 		m.jobs = append(m.jobs, j)
 	}
--- a/internal/route/btadmission/relay.go
+++ b/internal/route/btadmission/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleytack"
+	"bramleytack/internal/route/btreturn"
 )
 
 const (
@@ -16,6 +17,8 @@
 	maxTotalWaiting = 16
 	maxTotalTenants = 48
 	maxTotalTold    = 64
+	// maxRelayedTold bounds the callers that a hub has not passed on yet.
+	maxRelayedTold = 4096
 )
 
 // Relay adds up the demand of many daemons at a hub, so that their messages do not grow with the
@@ -27,8 +30,8 @@
 	domains map[bramleytack.FailureDomainID]sources
 	// told are the callers of this failure domain that other domains do not know yet, passed
 	// those of any domain that this one does not know yet.
-	told   []Told
-	passed []Told
+	told   []btreturn.Told
+	passed []btreturn.Told
 }
 
 // SetReport replaces the demand of a daemon of the hub's failure domain.
@@ -74,8 +77,8 @@
 	return best, ok
 }
 
-func appendTold(to, more []Told) []Told {
-	return append(to, more[:min(len(more), max(maxReturns-len(to), 0))]...)
+func appendTold(to, more []btreturn.Told) []btreturn.Told {
+	return append(to, more[:min(len(more), max(maxRelayedTold-len(to), 0))]...)
 }
 
 // Total returns the demand of the hub's failure domain for the hubs of others, and reports
@@ -99,7 +102,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.reports, func(_ bramleytack.HostID, p peerDemand) bool { return !p.fresh(now) })
-	var told []Told
+	var told []btreturn.Told
 	told, r.passed = takeTold(r.passed)
 	known := len(r.reports) + len(told)
 	sum := newTotal()
@@ -131,7 +134,7 @@
 	return out
 }
 
-func takeTold(list []Told) (taken, left []Told) {
+func takeTold(list []btreturn.Told) (taken, left []btreturn.Told) {
 	n := min(len(list), maxTotalTold)
 	return list[:n:n], list[n:]
 }
--- a/internal/route/btadmission/relay_test.go
+++ b/internal/route/btadmission/relay_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	"bramleytack"
+
+	"bramleytack/internal/route/btreturn"
 )
 
 // Load: one tenant far above its share in a fleet with hubs. Guards against daemons that count
@@ -16,11 +18,11 @@
 func TestRelayAddsUpDemand(t *testing.T) {
 	k := newClock()
 	var a, b Relay
-	report := func(memory int, told ...Told) Demand {
+	report := func(memory int, told ...btreturn.Told) Demand {
 		return Demand{Waiting: []Waiting{{Service: 1, Rank: 2, Memory: memory, Prompt: memory}}, Tenants: []TenantUse{{7, memory}}, Told: told}
 	}
 	a.SetReport("a1", report(1000), k.now)
-	a.SetReport("a2", report(200, Told{Key: 5, After: time.Second}), k.now)
+	a.SetReport("a2", report(200, btreturn.Told{Key: 5, After: time.Second}), k.now)
 	b.SetReport("b1", report(30), k.now)
 	total, ok := a.Total(k.now)
 	assert.Assert(t, ok && len(total.Told) == 1 && total.Daemons == 2, "%+v", total)
@@ -49,12 +51,12 @@
 func TestRelayPassesReturns(t *testing.T) {
 	k := newClock()
 	var a, b Relay
-	var told []Told
+	var told []btreturn.Told
 	for i := range 2 * maxTotalTold {
-		told = append(told, Told{Key: Key(i), After: time.Second})
+		told = append(told, btreturn.Told{Key: btreturn.Key(i), After: time.Second})
 	}
 	a.SetReport("a1", Demand{Told: told}, k.now)
-	known := map[Key]bool{}
+	known := map[btreturn.Key]bool{}
 	for range 2 {
 		total, _ := a.Total(k.now)
 		assert.Equal(t, len(total.Told), maxTotalTold)
--- a/internal/route/btadmission/visit_test.go
+++ b/internal/route/btadmission/visit_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	"bramleytack/bttimer"
+
+	"bramleytack/internal/route/btreturn"
 )
 
 func withController(t *testing.T, f func(t *testing.T, c *Controller, r Request)) {
@@ -16,7 +18,7 @@
 		defer timer.Close()
 		now := timer.Now()
 		f(t, New(timer, 1), Request{
-			Service: "engines", Key: func() Key { return 1 }, Rank: 1, Tenant: "a", Arrived: now, Target: now.Add(2 * time.Second), End: now.Add(4 * time.Second),
+			Service: "engines", Key: func() btreturn.Key { return 1 }, Rank: 1, Tenant: "a", Arrived: now, Target: now.Add(2 * time.Second), End: now.Add(4 * time.Second),
 			Deadline: now.Add(time.Minute), ReadTarget: 2 * time.Second, Prompt: 3000, Memory: 4000,
 		})
 	})
@@ -85,7 +87,7 @@
 	withController(t, func(t *testing.T, c *Controller, r Request) {
 		asked := 0
 		room := func() Room { asked++; return Room{Engines: 1, Capacity: 30_000} }
-		r.Key = func() Key { asked++; return 1 }
+		r.Key = func() btreturn.Key { asked++; return 1 }
 		look := func() bool {
 			time.Sleep(2 * refreshPeriod)
 			v := c.Enter(r)
--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -32,7 +31,7 @@
 		Service: req.service, Rank: req.rank(), Tenant: req.workspace, Arrived: req.received, Deadline: req.deadline,
 		Target: req.received.Add(req.route.TargetLatency), End: req.received.Add(stallLimit(req.route)),
 		Prompt: req.need.Prompt, Memory: req.need.Prompt + req.need.Output, Short: req.need.MaxOutput < minBackupOutput,
-		Key: req.admissionKey,
+		Key: req.returnKey,
 	}
 	expected, _ := req.durations()
 	if end := req.deadline.Add(req.route.TargetLatency - expected); end.Before(r.End) {
@@ -43,11 +42,6 @@
 	return r
 }
 
-// admissionKey returns what recognizes the request if its caller sends it again.
-func (req *activeRequest) admissionKey() btadmission.Key {
-	return btadmission.KeyOf(string(req.workspace), req.method, req.target, req.header.Get(req.h.Dialect.PromptParts), strconv.Itoa(req.need.Prompt), string(req.body))
-}
-
 // admitEngine returns an engine for a generation, or nil if there is none. Without overload it
 // chooses as awaitEngine does by itself. Under overload, the generation gets an engine once one
 // is within the limits of admission. The caller admits the visit and ends it.
--- a/internal/serve/btentry/admission_test.go
+++ b/internal/serve/btentry/admission_test.go
@@ -62,6 +62,7 @@
 	}
 }
 
+// retryAfter returns the time after which a rejected caller is to return, zero if it is not told.
 func (r *response) retryAfter() time.Duration {
 	s, _ := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
 	return time.Duration(s * float64(time.Second))
