--- a/internal/route/btrollout/slots_test.go
+++ b/internal/route/btrollout/slots_test.go
@@ -26,3 +26,13 @@
 	}
 	assert.Equal(t, same, 0, "pulses of %d that go to the upstream of the one before", pulses)
 }
+
+// Guards against stages after the trial that reach no upstream of a version that has few.
+func TestStagesReachAnUpstream(t *testing.T) {
+	for _, s := range []Stage{Quarter, Half} {
+		for n := 1; n <= 8; n++ {
+			d := doseOf(s, s.shareOf(), n, time.Minute)
+			assert.Check(t, d.share == 0 || d.upstreams > 0, "stage %v, %d upstreams: %+v", s, n, d)
+		}
+	}
+}
