Momentary pace: prompts and streams keep away from engines that are disturbed now

What a header or a stream showed of that was kept only as the worst pace ever.

Change: an estimate has a momentary part with its age, from load headers and from the pauses of own streams, and shared at the beginning and the end of a disturbance, eight notices a second from a daemon at most, only while placement uses them. Prompts avoid streams at a disturbed engine up to a whole target latency; streams go on at calm holders. After 0.5 s the lasting part holds. BT550 has the engine's role, and eventId: "event" was the key of the event's number. maxPaces is 28, since 32 records with the new fields exceed a frame.

TestPacesFitDatagrams has the new fields.

--- a/internal/fleet/btgossip/pace.go
+++ b/internal/fleet/btgossip/pace.go
@@ -13,7 +13,7 @@
 const (
 	// maxPaces is the number of paces in one datagram, which then stays within
 	// maxPacketSize.
-	maxPaces = 32
+	maxPaces = 28
 	// paceRounds is the number of digest rounds between two datagrams with the paces that a
 	// daemon may have missed. Paces seldom change.
 	paceRounds = 40
@@ -83,6 +83,7 @@
 		out[i] = &Pace{
 			Upstream: string(r.Upstream), Started: r.Started.UnixMilli(), Raised: r.Raised,
 			Lasting: uint32(math.Round(r.Lasting / paceUnit)), Worst: uint32(math.Round(r.Worst / paceUnit)),
+			Moment: uint32(math.Round(r.Moment / paceUnit)), MomentAgeMillis: uint32(r.MomentAge.Milliseconds()),
 		}
 	}
 	return out
@@ -95,6 +96,7 @@
 			out = append(out, btpace.Record{
 				Upstream: bramleytack.UpstreamID(p.Upstream), Started: time.UnixMilli(p.Started), Raised: p.Raised,
 				Lasting: float64(p.Lasting) * paceUnit, Worst: float64(p.Worst) * paceUnit,
+				Moment: float64(p.Moment) * paceUnit, MomentAge: time.Duration(p.MomentAgeMillis) * time.Millisecond,
 			})
 		}
 	}
--- a/internal/fleet/btgossip/pace_test.go
+++ b/internal/fleet/btgossip/pace_test.go
@@ -17,7 +17,7 @@
 	news := btpace.News{Pauses: []btpace.Pauses{{Service: "engines", Alone: 30 * time.Millisecond, Beside: 62 * time.Millisecond}}}
 	for i := range 100 {
 		news.Records = append(news.Records, btpace.Record{
-			Upstream: bramleytack.UpstreamID(fmt.Sprintf("i-%010d", i)), Started: time.UnixMilli(1790000000000), Raised: 3, Lasting: 1.2, Worst: 20,
+			Upstream: bramleytack.UpstreamID(fmt.Sprintf("i-%010d", i)), Started: time.UnixMilli(1790000000000), Raised: 3, Lasting: 1.2, Worst: 20, Moment: 20, MomentAge: 499 * time.Millisecond,
 		})
 	}
 	var got btpace.News
--- a/internal/route/btaccount/pace.go
+++ b/internal/route/btaccount/pace.go
@@ -26,6 +26,9 @@
 	// besideShare is the share of the target latency that reading a prompt elsewhere may
 	// cost for each stream that would pause too long beside it.
 	besideShare = 0.15
+	// disturbedShare replaces it at an engine that is disturbed at this moment: a late stream is worse
+	// than a first event that is as late as it may be.
+	disturbedShare = 1.0
 	// steadyUse is the use of a steady engine from which on its long generations go
 	// elsewhere. Its memory is for prompts, which it reads beside streams without harm.
 	steadyUse = 0.55
@@ -103,6 +106,7 @@
 	if len(delicate) == 0 || steady == 0 || slowest < minSpread*fastest {
 		return p
 	}
+	t.Paces.Want()
 	p.delicate, p.holders = delicate, map[bramleytack.UpstreamID]bool{}
 	for _, d := range byDomain {
 		for _, u := range d.holders(profile.MemoryTokens) {
@@ -148,8 +152,9 @@
 }
 
 // harm returns the delay in milliseconds that is worth avoiding, so that a prompt is not
-// read beside streams that then pause too long.
-func (p *plan) harm(u *bramleytack.Upstream, n Need, l Load) float64 {
+// read beside streams that then pause too long. They surely do at an engine that is disturbed at
+// this moment.
+func (p *plan) harm(t *Table, u *bramleytack.Upstream, n Need, l Load) float64 {
 	if p == nil || n.unread() == 0 || !p.delicate[u.ID] {
 		return 0
 	}
@@ -158,7 +163,11 @@
 		// More of them are to come.
 		beside++
 	}
-	return besideShare * float64(n.Target.Milliseconds()) * float64(beside)
+	share := besideShare
+	if t.Paces.Disturbed(u) {
+		share = disturbedShare
+	}
+	return share * float64(n.Target.Milliseconds()) * float64(beside)
 }
 
 // Reading reports whether an engine has prompts to read, as far as all daemons know.
@@ -189,9 +198,32 @@
 		return !p.holders[e.upstream.ID] || e.upstream.FailureDomain != from.FailureDomain ||
 			e.use > holderUse || t.load(e.upstream.ID, now).Running >= profile.Slots
 	})
+	calm := slices.DeleteFunc(slices.Clone(targets), func(e target) bool {
+		return t.load(e.upstream.ID, now).Unread > 0 || t.Paces.Disturbed(e.upstream)
+	})
+	if u := drawByFreeMemory(calm); u != nil {
+		return u
+	}
 	return drawByFreeMemory(targets)
 }
 
+// Role returns what an engine is for: "steady", "holder" or "reader", empty if the engines of its service
+// are not divided.
+func (t *Table) Role(s *bramleytack.Snapshot, u *bramleytack.Upstream) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.plan(s, u.Service, t.Timer.Now())
+	switch {
+	case p == nil:
+		return ""
+	case p.holders[u.ID]:
+		return "holder"
+	case p.delicate[u.ID]:
+		return "reader"
+	}
+	return "steady"
+}
+
 // Divided reports whether prompts are read at other engines of a service than those that hold
 // streams.
 func (t *Table) Divided(s *bramleytack.Snapshot, service string) bool {
--- a/internal/route/btaccount/pace_test.go
+++ b/internal/route/btaccount/pace_test.go
@@ -273,3 +273,70 @@
 		assert.Equal(t, table.OwnLoads()[full].Copies, 0, "ended twice")
 	})
 }
+
+// Load: neighbours' noise at holders, and prompts that are read there. Guards against streams that pause
+// too long because they go on at an engine that is disturbed at this moment or reads a prompt, while another
+// one is calm.
+func TestHoldersAreCalm(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := pacedFleet(9)
+		table := dividedTable(t, timer, s)
+		first := s.ByService[service][0]
+		for range 16 {
+			table.Begin(first.ID, long)
+		}
+		time.Sleep(time.Second)
+		var holders []*bramleytack.Upstream
+		for _, u := range s.ByService[service] {
+			if table.Role(s, u) == "holder" {
+				holders = append(holders, u)
+			}
+		}
+		assert.Assert(t, len(holders) >= 3, "%d", len(holders))
+		calm := holders[0]
+		for i, u := range holders[1:] {
+			if i%2 == 0 {
+				table.Paces.Observe(u, 3)
+			} else {
+				table.Begin(u.ID, Need{Prompt: 2000})
+			}
+		}
+		for range 50 {
+			assert.Equal(t, table.PickHolder(s, first, long), calm)
+		}
+		table.Paces.Observe(calm, 3)
+		assert.Assert(t, table.PickHolder(s, first, long) != nil, "none is calm")
+		assert.Equal(t, table.Role(s, first), "steady")
+	})
+}
+
+// Load: long prompts at a time at which steady engines are busy, while neighbours disturb one of two slow
+// engines with a stream each. Guards against prompts that are read beside a stream while it surely pauses too
+// long, and against engines that are avoided after the disturbance.
+func TestPromptsAvoidDisturbedEngines(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, timer *bttimer.Service) {
+		s := pacedFleet(3)
+		table := dividedTable(t, timer, s)
+		all := s.ByService[service]
+		for range 3 {
+			table.Begin(all[0].ID, Need{Prompt: 8000, Output: 10})
+		}
+		for _, u := range all[1:] {
+			table.Begin(u.ID, long).PrefillDone()
+		}
+		time.Sleep(time.Second)
+		chosen := func() string {
+			u, _ := table.Pick(s, all, long)
+			return table.Role(s, u)
+		}
+		assert.Equal(t, chosen(), "reader")
+		for _, u := range all {
+			if table.Role(s, u) == "reader" {
+				table.Paces.Observe(u, 3)
+			}
+		}
+		assert.Equal(t, chosen(), "holder", "the reader is disturbed")
+		time.Sleep(time.Second)
+		assert.Equal(t, chosen(), "reader")
+	})
+}
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -332,7 +332,7 @@
 	}
 	p := t.plan(s, u.Service, now)
 	score += (float64(l.Unread)/prefillPerMilli + runningMillis*float64(l.Running)) * p.lastingPace(t, u)
-	score += p.harm(u, n, l)
+	score += p.harm(t, u, n, l)
 	use := float64(l.Memory+l.Copies/2+n.memory()) / float64(max(profile.MemoryTokens, 1))
 	if use > safeMemoryShare {
 		score += memoryMillis * (use - safeMemoryShare)
--- a/internal/route/btpace/table.go
+++ b/internal/route/btpace/table.go
@@ -39,6 +39,10 @@
 	// Lasting is the best pace and Worst the worst one seen since, 1 being the usual one.
 	Lasting float64
 	Worst   float64
+	// Moment is the pace that the instance had MomentAge ago, zero if none was seen. The newest
+	// one holds.
+	Moment    float64
+	MomentAge time.Duration
 }
 
 // Pauses is what a daemon has learned of the streams of a service: the times between two
@@ -66,6 +70,11 @@
 	aboveSince time.Time
 	bestAbove  float64
 	worstAbove float64
+	// momentAt is when Moment was seen.
+	momentAt time.Time
+	// toldDisturbed is what other daemons were last told, or told, of a disturbance, at toldAt.
+	toldDisturbed bool
+	toldAt        time.Time
 }
 
 // ratio is a service's expected ratio of worst to lasting pace.
@@ -91,6 +100,11 @@
 	alone  map[string]*quantile
 	// told are the pauses that other daemons told first, used until this one has seen enough.
 	told map[string]Pauses
+	// wantedUntil is the time until which momentary paces are told. toldSince and notices count
+	// those of the current second.
+	wantedUntil time.Time
+	toldSince   time.Time
+	notices     int
 }
 
 // Observe records a pace that an upstream told. Values that are no positive number are
@@ -107,10 +121,11 @@
 		return
 	}
 	e.service = u.Service
-	before := e.Record
-	e.observe(pace, t.Timer.Now())
+	before, now := e.Record, t.Timer.Now()
+	e.observe(pace, now)
 	news := changed(before, e.Record)
-	r := e.Record
+	news = t.setMoment(e, pace, now) || news
+	r := e.record(now)
 	t.mu.Unlock()
 	if news && t.Share != nil {
 		t.Share(News{Records: []Record{r}})
@@ -169,6 +184,7 @@
 		case r.Raised == e.Raised:
 			e.Lasting, e.Worst = min(e.Lasting, r.Lasting), max(e.Worst, r.Worst)
 		}
+		news = e.mergeMoment(r, t.Timer.Now()) || news
 		news = news || changed(before, e.Record)
 	}
 	return news
@@ -226,7 +242,7 @@
 	var all []Record
 	for _, e := range t.estimates {
 		if e.Lasting > 0 {
-			all = append(all, e.Record)
+			all = append(all, e.record(t.Timer.Now()))
 		}
 	}
 	slices.SortFunc(all, func(a, b Record) int { return cmp.Compare(a.Upstream, b.Upstream) })
@@ -277,8 +293,15 @@
 	if t == nil || pause <= 0 {
 		return
 	}
-	if news, ok := t.learn(u, pause, beside); ok && t.Share != nil {
-		t.Share(News{Pauses: []Pauses{news}})
+	var news News
+	if p, ok := t.learn(u, pause, beside); ok {
+		news.Pauses = append(news.Pauses, p)
+	}
+	if r, ok := t.learnMoment(u, pause, beside); ok {
+		news.Records = append(news.Records, r)
+	}
+	if t.Share != nil && len(news.Pauses)+len(news.Records) > 0 {
+		t.Share(news)
 	}
 }
 
@@ -349,12 +372,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.current(u)
-	p, told := t.pauses(u.Service), t.told[u.Service]
-	usual := cmp.Or(p.Alone, told.Alone)
-	if beside {
-		usual = cmp.Or(p.Beside, told.Beside)
-	}
+	e, usual := t.current(u), t.usual(u.Service, beside)
 	if e == nil || usual == 0 {
 		return 0, false
 	}
@@ -362,6 +380,15 @@
 	return time.Duration(worst * float64(usual)), true
 }
 
+// usual returns the time between two events at pace 1, zero if unknown. The caller holds the lock.
+func (t *Table) usual(service string, beside bool) time.Duration {
+	p, told := t.pauses(service), t.told[service]
+	if beside {
+		return cmp.Or(p.Beside, told.Beside)
+	}
+	return cmp.Or(p.Alone, told.Alone)
+}
+
 // ratio returns how much worse than lasting the pace of a service's upstreams becomes. The
 // caller holds the lock.
 func (t *Table) ratio(service string) float64 {
--- a/internal/serve/btentry/late.go
+++ b/internal/serve/btentry/late.go
@@ -79,6 +79,10 @@
 	// load is that of the engine, lasting its pace.
 	load    btaccount.Load
 	lasting float64
+	// role is what the engine is for where engines are divided, disturbed is set if others slow it
+	// down.
+	role      string
+	disturbed bool
 }
 
 // cause returns what the gap came with.
@@ -111,6 +115,7 @@
 		profile := s.req.snapshot.Engine(s.req.service)
 		g.full = profile != nil && h.Accounts.Wait(s.req.snapshot, seg.upstream, time.Second) > 0
 		g.load, g.lasting = h.Accounts.Load(seg.upstream.ID), h.Paces.Lasting(seg.upstream)
+		g.role, g.disturbed = h.Accounts.Role(s.req.snapshot, seg.upstream), h.Paces.Disturbed(seg.upstream)
 	}
 	s.longest = g
 }
@@ -136,9 +141,9 @@
 	req, g, r := s.req, s.longest, s.req.route
 	line := s.firstDelay.logTo(req.log(btevent.AnswerLate).Stringer("cause", c)).Dur("first", s.firstEventLatency).Dur("target", r.TargetLatency)
 	if g.length > r.MaxPause {
-		line = line.Dur("pause", g.length).Dur("bound", r.MaxPause).Str("upstream", string(g.upstream)).Uint64("event", g.event).
+		line = line.Dur("pause", g.length).Dur("bound", r.MaxPause).Str("upstream", string(g.upstream)).Uint64("eventId", g.event).
 			Dur("pauseEnded", g.at.Sub(req.received)).Dur("held", g.held).Float64("lasting", g.lasting).
-			Int("running", g.load.Running).Int("streams", g.load.Streams).Int("unread", g.load.Unread)
+			Bool("disturbed", g.disturbed).Str("role", g.role).Int("running", g.load.Running).Int("streams", g.load.Streams).Int("unread", g.load.Unread)
 	}
 	line.Send()
 	req.h.Metrics.answeredLate("stream", c)
