Limits on unread prompts follow the pace of engines

Cause: one reading rate stood for all engines, so that a slow one got as many unread prompts as a fast one and read them for longer than the target, and pulled the learned rate of all down. Change: unread tokens at an engine count by its lasting pace, in limits, in the forecast and in what is learned. Engines that tell no pace have the usual one. Tried in the model and not kept: limits on unread tokens that grow with the wait.

--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -92,6 +92,16 @@
 	Memory   int
 	Capacity int
 	Unread   int
+	// Readers is the number of engines of the usual pace that read prompts as fast as all of
+	// them. Zero means that all have the usual pace.
+	Readers float64
+}
+
+func (r Room) readers() float64 {
+	if r.Readers > 0 {
+		return r.Readers
+	}
+	return float64(r.Engines)
 }
 
 // unlimited are limits within which a request may be sent to any engine, one with a full batch
@@ -102,7 +112,8 @@
 type Limits struct {
 	// Memory is a share of the engine's memory, the request included.
 	Memory float64
-	// Unread is the number of prompt tokens that the engine has still to read before it.
+	// Unread is the number of prompt tokens that an engine of the usual pace has still to read
+	// before it.
 	Unread int
 }
 
@@ -139,7 +150,7 @@
 	sums    sums
 	returns returns
 	// hold is the mean time for which memory is held, by tokens, read the tokens that an
-	// engine reads in a millisecond, typical the memory of a long request and prompt the prompt of any.
+	// engine of the usual pace reads in a millisecond, typical the memory of a long request and prompt the prompt of any.
 	hold    mean
 	read    mean
 	typical mean
@@ -234,8 +245,8 @@
 	v.c.prompt.add(float64(v.r.Prompt), 1)
 }
 
-// FirstEvent learns how fast engines read, from the unread tokens of its engine when the
-// request was sent.
+// FirstEvent learns how fast engines of the usual pace read, from the tokens that one of them would
+// have read before the request in as long as its engine took.
 func (v *Visit) FirstEvent(unread int, sent time.Time) {
 	if v == nil {
 		return
@@ -380,7 +391,7 @@
 func (c *Controller) forecast(r Request, room Room, ahead Waiting) time.Duration {
 	free := max(lastMemory*float64(room.Capacity)-float64(room.Memory), 0)
 	memory := max(float64(ahead.Memory+r.Memory)-free, 0) / c.rate(room)
-	read := float64(room.Unread+ahead.Prompt) / (float64(room.Engines) * c.readPerMilli() * 1e3)
+	read := float64(room.Unread+ahead.Prompt) / (room.readers() * c.readPerMilli() * 1e3)
 	return time.Duration(max(memory, read)*float64(time.Second)) + c.readTime(r.Prompt)
 }
 
--- a/internal/route/btadmission/visit_test.go
+++ b/internal/route/btadmission/visit_test.go
@@ -101,3 +101,16 @@
 		assert.Equal(t, asked, 1)
 	})
 }
+
+// Load: more than can be served, at slow engines. Guards against requests that wait for engines
+// which cannot read their prompts in time, since all are taken to have the usual pace.
+func TestForecastFollowsPace(t *testing.T) {
+	withController(t, func(t *testing.T, c *Controller, r Request) {
+		room := Room{Engines: 2, Memory: 1000, Capacity: 60_000, Unread: 20_000}
+		usual := c.Enter(r).Decide(room).Forecast
+		room.Readers = 1
+		slow := c.Enter(r).Decide(room).Forecast
+		reading := c.readTime(r.Prompt)
+		assert.Equal(t, (slow - reading).Round(time.Millisecond), (2 * (usual - reading)).Round(time.Millisecond))
+	})
+}
--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -70,7 +70,7 @@
 			u, wait = req.pickOrWait(tried, req.h.Timer.Now().Sub(started))
 		}
 		if u != nil {
-			req.unreadAhead = req.h.Accounts.Unread(u.ID)
+			req.unreadAhead = req.h.Accounts.UnreadBefore(u, req.need.Prompt)
 			req.h.Metrics.admitted(req.h.Timer.Now().Sub(req.received), d)
 		}
 		if !wait {
@@ -86,14 +86,14 @@
 // room returns the load of the service's engines for admission.
 func (req *activeRequest) room() btadmission.Room {
 	load := req.h.Accounts.ServiceLoad(req.snapshot, req.service)
-	return btadmission.Room{Engines: load.Engines, Memory: load.Memory, Capacity: load.Capacity, Unread: load.Unread}
+	return btadmission.Room{Engines: load.Engines, Memory: load.Memory, Capacity: load.Capacity, Unread: load.Unread, Readers: load.Readers}
 }
 
 // pickWithin returns an engine within the limits of admission, or reports that the generation
 // has to wait for one.
 func (req *activeRequest) pickWithin(l btadmission.Limits) (u *bramleytack.Upstream, wait bool) {
 	candidates := req.eligible(nil)
-	within := slices.DeleteFunc(req.h.Accounts.WithUnread(candidates, l.Unread), func(u *bramleytack.Upstream) bool { return !req.h.Admission.Offered(u.ID) })
+	within := slices.DeleteFunc(req.h.Accounts.WithUnread(candidates, l.Unread, req.need.Prompt), func(u *bramleytack.Upstream) bool { return !req.h.Admission.Offered(u.ID) })
 	u, expected, full := req.h.Accounts.PickWithMemoryLimit(req.snapshot, within, req.need, l.Memory)
 	if u != nil {
 		req.expectedDelay = expected
