--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -180,8 +180,10 @@
 	method    string
 	target    string
 	host      string
-	header    http.Header
-	body      []byte
+	// caller is the address of the caller's end of the connection.
+	caller string
+	header http.Header
+	body   []byte
 	// kept counts the body, and unread what the caller has not been sent yet of responses.
 	kept   *btmemory.Account
 	unread *btmemory.Account
@@ -243,7 +245,7 @@
 		req.reject(http.StatusUnauthorized, 0, "unknown API key")
 		return false
 	}
-	req.method, req.target, req.host = r.Method, r.RequestURI, r.Host
+	req.method, req.target, req.host, req.caller = r.Method, r.RequestURI, r.Host, r.RemoteAddr
 	req.service = req.route.Service(rand.Float64())
 	req.setDeadline(r)
 	req.setHeader(r)
