--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -156,7 +156,8 @@
 	typical mean
 	prompt  mean
 	holds   int
-	last    bool
+	// toldWaiting is set if requests waited here when the others were last told.
+	toldWaiting bool
 }
 
 // New returns a controller without samples. The seed spreads what callers are told.
--- a/internal/route/btadmission/demand.go
+++ b/internal/route/btadmission/demand.go
@@ -90,7 +90,7 @@
 	}
 	d.Told = c.returns.untold(maxTold)
 	waits := len(d.Waiting) > 0
-	ok, c.last = waits || c.last || len(d.Told) > 0, waits
+	ok, c.toldWaiting = waits || c.toldWaiting || len(d.Told) > 0, waits
 	slices.SortFunc(d.Waiting, func(a, b Waiting) int { return cmp.Compare(a.Rank, b.Rank) })
 	d.Waiting = d.Waiting[:min(len(d.Waiting), maxWaiting)]
 	if ok || c.peersWait() {
