--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -64,7 +64,7 @@
 			u, wait = req.pickOrWait(tried, req.h.Timer.Now().Sub(started))
 		}
 		if u != nil {
-			req.unreadAhead = req.h.Accounts.Unread(u.ID)
+			req.unreadAhead = req.h.Accounts.UnreadBefore(u, req.need.Prompt)
 			req.h.Metrics.admitted(req.h.Timer.Now().Sub(req.received), d)
 		}
 		if !wait {
@@ -80,14 +80,14 @@
 // room returns the load of the service's engines for admission.
 func (req *activeRequest) room() btadmission.Room {
 	load := req.h.Accounts.ServiceLoad(req.snapshot, req.service)
-	return btadmission.Room{Engines: load.Engines, Memory: load.Memory, Capacity: load.Capacity, Unread: load.Unread}
+	return btadmission.Room{Engines: load.Engines, Memory: load.Memory, Capacity: load.Capacity, Unread: load.Unread, Readers: load.Readers}
 }
 
 // pickWithin returns an engine within the limits of admission, or reports that the generation
 // has to wait for one.
 func (req *activeRequest) pickWithin(l btadmission.Limits) (u *bramleytack.Upstream, wait bool) {
 	candidates := req.eligible(nil)
-	within := slices.DeleteFunc(req.h.Accounts.WithUnread(candidates, l.Unread), func(u *bramleytack.Upstream) bool { return !req.h.Admission.Offered(u.ID) })
+	within := slices.DeleteFunc(req.h.Accounts.WithUnread(candidates, l.Unread, req.need.Prompt), func(u *bramleytack.Upstream) bool { return !req.h.Admission.Offered(u.ID) })
 	u, expected, full := req.h.Accounts.PickWithMemoryLimit(req.snapshot, within, req.need, l.Memory)
 	if u != nil {
 		req.expectedDelay = expected
@@ -111,6 +111,16 @@
 		Int("capacity", room.Capacity).Int("unread", room.Unread).Bool("late", d.Late).Bool("returned", d.Returned).Dur("left", req.remaining()).Send()
 }
 
+// roomIn returns the time after which the request finds room at the engines of its service, as far
+// as admission knows, spread by a quarter. It is zero without overload and for other services.
+func (req *activeRequest) roomIn() time.Duration {
+	if req.h.Admission == nil || req.snapshot == nil || req.snapshot.Engine(req.service) == nil {
+		return 0
+	}
+	r := btadmission.Request{Service: req.service, Rank: req.rank(), Prompt: req.need.Prompt, Memory: req.need.Prompt + req.need.Output}
+	return time.Duration((0.75 + 0.5*rand.Float64()) * float64(req.h.Admission.RoomIn(r, req.room)))
+}
+
 // answerRefusal answers a request that admission rejects. It reports false if there is none.
 func (req *activeRequest) answerRefusal() bool {
 	if req.refusal == nil {
--- a/internal/serve/btentry/returning.go
+++ b/internal/serve/btentry/returning.go
@@ -1,15 +1,21 @@
 package btentry
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 
 	"bramleytack/internal/route/btreturn"
 )
 
-// returnKey is the same for all attempts of a caller at a request.
+// returnKey is the same for all attempts of a caller at a request, from any of its connections.
+// Callers without an API key are told apart by their addresses.
 func (req *activeRequest) returnKey() btreturn.Key {
-	return btreturn.KeyOf(string(req.workspace), req.method, req.target, req.header.Get(req.h.Dialect.PromptParts), strconv.Itoa(req.need.Prompt), string(req.body))
+	caller := string(req.workspace)
+	if caller == "" {
+		caller, _, _ = net.SplitHostPort(req.caller)
+	}
+	return btreturn.KeyOf(caller, req.method, req.target, req.header.Get(req.h.Dialect.PromptParts), strconv.Itoa(req.need.Prompt), string(req.body))
 }
 
 // takeReturn reports whether the caller was told to come back now, by any daemon.
