Calls go to upstreams with free places, the first of them first

Cause: the choice between upstreams that are as good ignored places, and calls chosen for in one moment did not count yet: one of three got more than its places and rejected. A call that may reach one upstream only was then bound to it, and refused when its domain was evacuated. A place that became free between the looks of two waiting calls went to the second. Load: one of three plain workers left: two domains evacuated, or one and a worker that crashes or leaves, while 22 calls wait and nearly as many come as the last one serves. Change: a chosen upstream counts the call until its attempt does (Call.Reserve); of a service with bounded places only upstreams with a free one are chosen; a look for a place tells whether there is none at all. TestOrder and the others of the room use the new result of a look, with the same checks.

--- a/internal/route/btaccount/occupancy.go
+++ b/internal/route/btaccount/occupancy.go
@@ -41,11 +41,10 @@
 		}
 		bounded = bounded && u.WarmLimit > 0
 		shown = shown || !a.reportedAt.IsZero() || !a.rejectedAt.IsZero() && now.Sub(a.rejectedAt) < fullValidity
-		places := int(btwaiting.PlacesFactor * float64(u.WarmLimit))
 		running := max(t.load(u.ID, now).Running, 0)
-		o.Places += places
+		o.Places += places(u)
 		o.Running += running
-		o.Free += max(places-running, 0)
+		o.Free += max(places(u)-running, 0)
 	}
 	if !bounded || !shown && o.Waiting == 0 {
 		o.Places = 0
@@ -54,6 +53,26 @@
 	return o
 }
 
+// WithPlaces returns the candidates that have fewer requests than places. Upstreams without a
+// registered number of places have any.
+func (t *Table) WithPlaces(candidates []*bramleytack.Upstream) []*bramleytack.Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	var list []*bramleytack.Upstream
+	for _, u := range candidates {
+		if u.WarmLimit <= 0 || t.load(u.ID, now).Running < places(u) {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// places returns the number of requests that an upstream gets while its service is full.
+func places(u *bramleytack.Upstream) int {
+	return int(btwaiting.PlacesFactor * float64(u.WarmLimit))
+}
+
 // Avoids reports whether this daemon sends no work to an upstream because of failures, as long
 // as there are others.
 func (t *Table) Avoids(id bramleytack.UpstreamID) bool {
@@ -68,6 +87,8 @@
 	id        bramleytack.UpstreamID
 	workspace btwaiting.WorkspaceKey
 	waits     bool
+	// reserved is the upstream at which the call takes a place before it is sent, or empty.
+	reserved bramleytack.UpstreamID
 }
 
 // BeginCall adds a call of a workspace to the load of one of a service's upstreams, by which
@@ -119,6 +140,36 @@
 	}
 }
 
+// Reserve counts the call at an upstream that was chosen for it, until Release is called. Calls
+// that are chosen for before it is sent then see its place taken. A nil c has no effect.
+func (c *Call) Reserve(id bramleytack.UpstreamID) {
+	if c == nil {
+		return
+	}
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.release()
+	c.reserved = id
+	c.table.account(id).own.Running++
+}
+
+// Release undoes Reserve. A nil c has no effect.
+func (c *Call) Release() {
+	if c == nil {
+		return
+	}
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.release()
+}
+
+func (c *Call) release() {
+	if c.reserved != "" {
+		c.table.account(c.reserved).own.Running--
+		c.reserved = ""
+	}
+}
+
 // End removes the call from the load. It may be called once. A nil c has no effect.
 func (c *Call) End() {
 	if c == nil {
@@ -127,6 +178,7 @@
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	c.endWaiting()
+	c.release()
 	a := c.table.account(c.id)
 	a.own.Calls = a.own.Calls.Add(c.workspace, -1)
 }
--- a/internal/route/btwaiting/doc.go
+++ b/internal/route/btwaiting/doc.go
@@ -20,7 +20,12 @@
 //
 //	share := &btwaiting.Share{Timer: timer}
 //	room := &btwaiting.Room{Timer: timer}
-//	try := func() bool { return share.Enter(occupancy()) }
+//	try := func() btwaiting.Look {
+//		if !share.Enter(occupancy()) {
+//			return btwaiting.NoPlace
+//		}
+//		return btwaiting.Taken
+//	}
 //	if !room.Enter(try) {
 //		result := room.Wait(ctx, btwaiting.Ticket{Rank: 2, Deadline: deadline, Run: run}, try)
 //		if result.Verdict != btwaiting.Admitted {
--- a/internal/route/btwaiting/load_test.go
+++ b/internal/route/btwaiting/load_test.go
@@ -240,7 +240,12 @@
 	d.count(c.workspace, 1)
 	defer d.count(c.workspace, -1)
 	for range 3 {
-		enter := func() bool { return c.f.direct || d.share.Enter(d.occupancy()) }
+		enter := func() btwaiting.Look {
+			if c.f.direct || d.share.Enter(d.occupancy()) {
+				return btwaiting.Taken
+			}
+			return btwaiting.NoPlace
+		}
 		if !d.room.Enter(enter) {
 			d.waiting.Add(1)
 			if now := time.Now().UnixMilli(); now-d.waitingTold.Load() >= 100 {
--- a/internal/route/btwaiting/room.go
+++ b/internal/route/btwaiting/room.go
@@ -56,12 +56,25 @@
 	Bytes int
 }
 
+// Look is the result of a request's look for a place.
+type Look uint8
+
+// The looks.
+const (
+	// NoPlace is the result if there is none for any request.
+	NoPlace Look = iota
+	// Unfit is the result if there is one that this request cannot use.
+	Unfit
+	// Taken is the result if the request has taken a place, or knows that there is none to wait for.
+	Taken
+)
+
 // Verdict is how a wait ended.
 type Verdict uint8
 
 // The verdicts.
 const (
-	// Admitted requests have a place, or know from try that there is none to wait for.
+	// Admitted requests have a place, or know that there is none to wait for.
 	Admitted Verdict = iota
 	// Late requests cannot be answered in time.
 	Late
@@ -119,7 +132,7 @@
 	// above is set if the workspace has had, or waits for, more than others.
 	above bool
 	since time.Time
-	try   func() bool
+	try   func() Look
 	// result is set before done is closed.
 	result Result
 	done   chan struct{}
@@ -153,10 +166,10 @@
 
 // Enter reports whether a request gets a place without waiting: nobody waits, and try finds
 // one.
-func (r *Room) Enter(try func() bool) bool {
+func (r *Room) Enter(try func() Look) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.waiting) == 0 && try()
+	return len(r.waiting) == 0 && try() == Taken
 }
 
 // Wake makes the room look for places now.
@@ -171,10 +184,10 @@
 	}
 }
 
-// Wait keeps a request until try returns true, it cannot be answered in time any more, or
+// Wait keeps a request until try returns Taken, it cannot be answered in time any more, or
 // the context ends. try must neither block nor use the room. It is called in the order of
-// the requests, and not again after it has returned true.
-func (r *Room) Wait(ctx context.Context, t Ticket, try func() bool) Result {
+// the requests, and not again after it has returned Taken.
+func (r *Room) Wait(ctx context.Context, t Ticket, try func() Look) Result {
 	w, result := r.join(t, try)
 	if w == nil {
 		return result
@@ -189,7 +202,7 @@
 }
 
 // join adds a request, or returns why it does not wait.
-func (r *Room) join(t Ticket, try func() bool) (*waiter, Result) {
+func (r *Room) join(t Ticket, try func() Look) (*waiter, Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Timer.Now()
@@ -321,7 +334,11 @@
 		order = append([]*waiter{low}, order...)
 	}
 	for _, w := range order {
-		if !w.try() {
+		switch w.try() {
+		case NoPlace:
+			// One that is freed now belongs to the first request that can use it.
+			return false
+		case Unfit:
 			continue
 		}
 		r.countRank(w)
--- a/internal/route/btwaiting/room_test.go
+++ b/internal/route/btwaiting/room_test.go
@@ -21,8 +21,10 @@
 	room btwaiting.Room
 	wg   sync.WaitGroup
 
-	mu       sync.Mutex
-	places   int
+	mu     sync.Mutex
+	places int
+	// unfit is a request that can use no place.
+	unfit    string
 	admitted []string
 	results  map[string]btwaiting.Result
 }
@@ -45,7 +47,7 @@
 		t.Deadline = time.Now().Add(time.Minute)
 	}
 	r.wg.Go(func() {
-		result := r.room.Wait(ctx, t, func() bool { return r.take(name) })
+		result := r.room.Wait(ctx, t, func() btwaiting.Look { return r.take(name) })
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.results[name] = result
@@ -53,15 +55,18 @@
 	synctest.Wait()
 }
 
-func (r *roomTest) take(name string) bool {
+func (r *roomTest) take(name string) btwaiting.Look {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.places == 0 {
-		return false
+		return btwaiting.NoPlace
+	}
+	if r.unfit == name {
+		return btwaiting.Unfit
 	}
 	r.places--
 	r.admitted = append(r.admitted, name)
-	return true
+	return btwaiting.Taken
 }
 
 // result returns how the wait of a request ended.
@@ -133,6 +138,43 @@
 	})
 }
 
+// A place is freed while the room looks for one. Guards against a request that gets it before
+// those ahead of it, and against a place that waits for a request that cannot use it.
+func TestPlaceIsFreedDuringLook(t *testing.T) {
+	ctx := context.Background()
+	t.Run("freed", func(t *testing.T) {
+		runRoom(t, func(r *roomTest) {
+			r.wg.Go(func() {
+				looks := 0
+				r.room.Wait(ctx, btwaiting.Ticket{Deadline: time.Now().Add(time.Minute)}, func() btwaiting.Look {
+					if looks++; looks > 1 {
+						return r.take("first")
+					}
+					r.mu.Lock()
+					defer r.mu.Unlock()
+					r.places = 1
+					return btwaiting.NoPlace
+				})
+			})
+			synctest.Wait()
+			r.wait(ctx, "second", btwaiting.Ticket{})
+			time.Sleep(50 * time.Millisecond)
+			assert.DeepEqual(t, r.admitted, []string{"first"})
+			r.free()
+		})
+	})
+	t.Run("unfit", func(t *testing.T) {
+		runRoom(t, func(r *roomTest) {
+			r.unfit = "first"
+			r.wait(ctx, "first", btwaiting.Ticket{})
+			r.wait(ctx, "second", btwaiting.Ticket{})
+			r.checkOrder(t, "second")
+			r.unfit = ""
+			r.checkOrder(t, "first")
+		})
+	})
+}
+
 // Guards against a less urgent rank that gets nothing as long as more urgent requests come.
 func TestLowRanksAreNotStarved(t *testing.T) {
 	runRoom(t, func(r *roomTest) {
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -256,6 +256,7 @@
 	defer cancel()
 	check := req.checkVersion(u)
 	lease := req.h.Accounts.Begin(u.ID, req.need)
+	req.place.release()
 	started := req.h.Timer.Now()
 	r := req.exchange(limited, u, terms)
 	health := req.health(r)
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -55,6 +55,7 @@
 			break
 		}
 		tried[u.ID] = true
+		req.place = at
 		started := req.h.Timer.Now()
 		r := req.attempt(ctx, u, terms, req.attemptTimeout(tried))
 		at.leave(r, req.h.Timer.Now().Sub(started))
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -206,6 +206,8 @@
 	// turnedAway is set if the call got no place in time, returnIn is when one is expected.
 	turnedAway bool
 	returnIn   time.Duration
+	// place is that of the call's newest attempt, or nil.
+	place *place
 	// returned is set if the caller was told before to return.
 	returned bool
 	// fullAt are the upstreams that have rejected the call because they were full, returns
--- a/internal/serve/btentry/waiting.go
+++ b/internal/serve/btentry/waiting.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// release lets the call's attempt count at its upstream in place of the place itself.
+func (p *place) release() {
+	if p != nil {
+		p.call.Release()
+	}
+}
+
 // leave ends the use of a place after an attempt that took some time.
 func (p *place) leave(r *attemptResult, took time.Duration) {
 	switch {
@@ -134,16 +141,21 @@
 	p := &place{w, req.h.Accounts.BeginCall(req.h.Table.Snapshot(), req.service, req.workspace)}
 	var u *bramleytack.Upstream
 	var occupancy btwaiting.Occupancy
-	try := func() bool {
+	try := func() btwaiting.Look {
 		occupancy = req.h.Accounts.Occupancy(req.h.Table.Snapshot(), req.service)
 		if !w.share.Enter(occupancy) {
-			return false
+			return btwaiting.NoPlace
 		}
 		var early bool
-		if u, early = req.pickForCall(tried); u == nil {
-			w.share.Return()
+		if u, early = req.pickForCall(tried, occupancy.Places > 0); u != nil {
+			p.call.Reserve(u.ID)
+			return btwaiting.Taken
 		}
-		return u != nil || !early && !req.awaitsReturn(w)
+		w.share.Return()
+		if early || req.awaitsReturn(w) {
+			return btwaiting.Unfit
+		}
+		return btwaiting.Taken
 	}
 	if !w.room.Enter(try) {
 		req.wait(ctx, p, occupancy, try)
@@ -160,7 +172,7 @@
 }
 
 // wait keeps a call in the room. If it is rejected, its caller is told when to return.
-func (req *activeRequest) wait(ctx context.Context, p *place, o btwaiting.Occupancy, try func() bool) {
+func (req *activeRequest) wait(ctx context.Context, p *place, o btwaiting.Occupancy, try func() btwaiting.Look) {
 	w := p.room
 	p.call.BeginWaiting()
 	defer p.call.EndWaiting()
@@ -206,10 +218,19 @@
 
 // pickForCall returns an upstream that is not in tried or, once the call has been sent to as
 // many as its route allows or no other is left, one that has rejected it because it was full.
-// early is set if it is too early for that.
-func (req *activeRequest) pickForCall(tried map[bramleytack.UpstreamID]bool) (u *bramleytack.Upstream, early bool) {
+// early is set if it is too early for that, or no upstream that the call may use has a place: of
+// upstreams that are as good, one would be chosen beyond its places by chance.
+func (req *activeRequest) pickForCall(tried map[bramleytack.UpstreamID]bool, bounded bool) (u *bramleytack.Upstream, early bool) {
 	if req.attempts < max(req.route.MaxAttempts, 1) {
-		if u := req.pickUpstream(req.unreached(tried)); u != nil || len(req.fullAt) == 0 {
+		req.snapshot = req.h.Table.Snapshot()
+		list := req.eligible(req.unreached(tried))
+		if bounded && len(list) > 0 {
+			if list = req.h.Accounts.WithPlaces(list); len(list) == 0 && len(req.fullAt) == 0 {
+				return nil, true
+			}
+		}
+		u, req.expectedDelay = req.h.Accounts.Pick(req.snapshot, list, req.need)
+		if u != nil || len(req.fullAt) == 0 {
 			return u, false
 		}
 	}
@@ -220,8 +241,13 @@
 			again = append(again, u)
 		}
 	}
-	if len(again) > 0 && req.h.Timer.Now().Before(req.againAt) {
-		return nil, true
+	if len(again) > 0 {
+		if bounded {
+			again = req.h.Accounts.WithPlaces(again)
+		}
+		if len(again) == 0 || req.h.Timer.Now().Before(req.againAt) {
+			return nil, true
+		}
 	}
 	u, req.expectedDelay = req.h.Accounts.Pick(req.snapshot, again, req.need)
 	return u, false
--- a/internal/serve/btentry/waiting_test.go
+++ b/internal/serve/btentry/waiting_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"bramleytack"
+	"bramleytack/internal/fleet/btreplica"
 	"bramleytack/internal/standin/btworker"
 )
 
@@ -180,3 +182,67 @@
 		})
 	})
 }
+
+// evacuate publishes that failure domains are to be emptied.
+func (h *harness) evacuate(names ...string) {
+	h.revision++
+	b := btreplica.Batch{Kind: bramleytack.KindEvacuations, Full: true, Upto: h.revision}
+	for _, name := range names {
+		b.Objects = append(b.Objects, bramleytack.Object{Key: bramleytack.Key{Kind: bramleytack.KindEvacuations, Name: name}, Version: h.revision})
+	}
+	for _, d := range h.running() {
+		d.handler.Table.Apply(b)
+	}
+}
+
+// One of three upstreams is left: the domains of the others are evacuated, or one is and the other
+// crashes, while calls wait for all three. Calls go on to come, nearly as many as the one that is left serves.
+// Guards against calls that are refused although it can answer them in time, that are sent to
+// an evacuated domain, and against places that wait for one that is gone.
+func TestOneOfThreeUpstreamsIsLeft(t *testing.T) {
+	for name, end := range map[string]func(h *harness){
+		"two domains evacuated": func(h *harness) { h.evacuate("d1", "d2") },
+		"one evacuated, one crashed": func(h *harness) {
+			h.evacuate("d1")
+			h.workers["s2"].Crash()
+		},
+		"one evacuated, one leaves": func(h *harness) {
+			h.evacuate("d1")
+			h.setLeaving("s2")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(h *harness) {
+				for i := range 3 {
+					shop := fmt.Sprint("s", i)
+					h.startSmallShop(shop)
+					h.upstreams[shop].FailureDomain = bramleytack.FailureDomainID(fmt.Sprint("d", i))
+				}
+				h.publish()
+				h.orders(3).check(t, 3)
+				time.Sleep(time.Second)
+				first := h.orders(22)
+				time.Sleep(10 * time.Millisecond)
+				end(h)
+				ended := time.Now()
+				var later []*crowd
+				for range 30 {
+					time.Sleep(60 * time.Millisecond)
+					later = append(later, h.orders(1))
+				}
+				for _, c := range later {
+					c.check(t, 1)
+				}
+				first.wg.Wait()
+				for _, r := range first.got {
+					// A call that was at the one that has crashed must not be repeated.
+					crashed := name == "one evacuated, one crashed" && r.status == http.StatusBadGateway
+					assert.Check(t, r.status == http.StatusOK || crashed, "%s: %d %q, %d runs", r.id, r.status, r.body, h.pool.Runs(r.id))
+				}
+				for _, shop := range []string{"s1", "s2"} {
+					assert.Check(t, h.workers[shop].ArrivedAfter(ended.Add(10*time.Millisecond)) == 0, "%s: %d arrivals", shop, h.workers[shop].ArrivedAfter(ended))
+				}
+			})
+		})
+	}
+}
