Calls wait for their turn at cold upstreams

Cause: a call that exceeded the limit of a cold upstream was rejected at once, though the limit tells when its turn comes. The buckets of all daemons were full as a plain upstream started, so that 59 daemons with waiting calls sent 59 in a second where 42 are tolerated. Load: mass return to the only upstream, which has just started. Change: ColdTurn tells the time of a daemon's next turn and between turns; the room's forecast uses them. First turns at a cold upstream of a plain service come at different times. Engines are served as before. Only if others than those that a call may use have a free place does it wait for one; in a full service the share decides.

--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -199,8 +199,10 @@
 	// asked for.
 	pausedUntil time.Time
 	pausedStart time.Time
-	// cold limits the rate of requests while the upstream is cold.
-	cold bucket
+	// cold limits the rate of requests while the upstream is cold, which it is until coldUntil
+	// as far as the bucket knows.
+	cold      bucket
+	coldUntil time.Time
 }
 
 // avoided reports whether this daemon currently sends no work to the upstream.
@@ -299,6 +301,15 @@
 	at    time.Time
 }
 
+// left returns the time until take finds a token.
+func (b *bucket) left(now time.Time, perSecond, burst float64) time.Duration {
+	spent := b.spent
+	if !b.at.IsZero() {
+		spent = max(0, spent-now.Sub(b.at).Seconds()*perSecond)
+	}
+	return time.Duration(max(spent+1-burst, 0) / perSecond * float64(time.Second))
+}
+
 // take spends one token if the rate and the burst allow it, and reports whether
 // it did.
 func (b *bucket) take(now time.Time, perSecond, burst float64) bool {
--- a/internal/route/btaccount/table.go
+++ b/internal/route/btaccount/table.go
@@ -358,22 +358,3 @@
 	}
 	return l
 }
-
-// coldAllows reports whether the cold limit of an upstream allows a request now. If
-// spend is set, it also counts the request.
-func (t *Table) coldAllows(s *bramleytack.Snapshot, u *bramleytack.Upstream, now time.Time, spend bool) bool {
-	r := s.Services[u.Service]
-	if r == nil || r.ColdPerSecond <= 0 || !now.Before(u.ColdUntil) {
-		return true
-	}
-	n := 1
-	if t.Daemons != nil {
-		n = max(t.Daemons(), 1)
-	}
-	b := t.account(u.ID).cold
-	ok := b.take(now, r.ColdPerSecond/float64(n), coldBurst)
-	if ok && spend {
-		t.account(u.ID).cold = b
-	}
-	return ok
-}
--- a/internal/route/btaccount/table_test.go
+++ b/internal/route/btaccount/table_test.go
@@ -437,3 +437,50 @@
 		assert.Equal(t, list[0].ID, s.ByService[service][7].ID)
 	})
 }
+
+// Calls wait at 59 daemons when the only upstream of a plain service starts or becomes cold again.
+// Guards against daemons that together send more than the upstream tolerates, which is half as much again as
+// its limit and five more in a second.
+func TestColdUpstreamOfWaitingCalls(t *testing.T) {
+	withFakeTime(t, func(t *testing.T, timer *bttimer.Service) {
+		const daemons, limit = 59, 25
+		u := &bramleytack.Upstream{ID: "s0", Service: "shop", FailureDomain: "d", WarmLimit: 6}
+		s := &bramleytack.Snapshot{
+			Services:       map[string]*bramleytack.ServiceRecord{"shop": {ColdPerSecond: limit}},
+			Upstreams:      map[bramleytack.UpstreamID]*bramleytack.Upstream{u.ID: u},
+			ByService:      map[string][]*bramleytack.Upstream{u.Service: {u}},
+			FailureDomains: map[bramleytack.FailureDomainID]*bramleytack.FailureDomain{"d": {State: bramleytack.DomainActive}},
+		}
+		tables := make([]*Table, daemons)
+		for i := range tables {
+			tables[i] = newTable(timer)
+			tables[i].Daemons = func() int { return daemons }
+		}
+		for range 3 {
+			u.ColdUntil = time.Now().Add(5 * time.Second)
+			var sent []time.Time
+			for time.Now().Before(u.ColdUntil) {
+				for _, table := range tables {
+					first, each := table.ColdTurn(s, u.Service)
+					picked, _ := table.Pick(s, table.Eligible(s, u.Service, nil), Need{})
+					assert.Assert(t, (picked != nil) == (first == 0) && each > 2*time.Second, "%v, %v", first, each)
+					if picked != nil {
+						sent = append(sent, time.Now())
+					}
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			assert.Assert(t, len(sent) >= 4*limit, "%d in five seconds", len(sent))
+			for i := range sent {
+				n := 0
+				for _, at := range sent[i:] {
+					if at.Sub(sent[i]) < time.Second {
+						n++
+					}
+				}
+				assert.Assert(t, n <= limit*3/2+5, "%d in a second", n)
+			}
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
--- a/internal/route/btwaiting/room.go
+++ b/internal/route/btwaiting/room.go
@@ -107,6 +107,9 @@
 	// Interval returns the expected time between two places for this room, zero if it is not
 	// known. Nil means that the room measures it. The room is locked during the call.
 	Interval func() time.Duration
+	// First returns the time until the first place is expected, beyond the intervals. Nil means
+	// at once. The room is locked during the call.
+	First func() time.Duration
 
 	mu      sync.Mutex
 	waiting []*waiter
@@ -258,7 +261,11 @@
 	} else if now.Sub(r.admittedAt) > paceValidity {
 		interval = 0
 	}
-	return time.Duration(n) * interval
+	first := time.Duration(0)
+	if r.First != nil {
+		first = r.First()
+	}
+	return first + time.Duration(n)*interval
 }
 
 // leave ends the wait of a request whose context has ended, unless it has ended before.
--- a/internal/serve/btentry/waiting.go
+++ b/internal/serve/btentry/waiting.go
@@ -76,7 +76,13 @@
 		w = &waitingRoom{}
 		w.room.Timer, w.share.Timer = h.Timer, h.Timer
 		w.room.Interval = func() time.Duration {
-			return w.share.Interval(h.Accounts.Occupancy(h.Table.Snapshot(), service))
+			s := h.Table.Snapshot()
+			_, each := h.Accounts.ColdTurn(s, service)
+			return max(w.share.Interval(h.Accounts.Occupancy(s, service)), each)
+		}
+		w.room.First = func() time.Duration {
+			first, _ := h.Accounts.ColdTurn(h.Table.Snapshot(), service)
+			return first
 		}
 		if s.byService == nil {
 			s.byService = map[string]*waitingRoom{}
@@ -147,7 +153,7 @@
 			return btwaiting.NoPlace
 		}
 		var early bool
-		if u, early = req.pickForCall(tried, occupancy.Places > 0); u != nil {
+		if u, early = req.pickForCall(tried, occupancy); u != nil {
 			p.call.Reserve(u.ID)
 			return btwaiting.Taken
 		}
@@ -218,20 +224,20 @@
 
 // pickForCall returns an upstream that is not in tried or, once the call has been sent to as
 // many as its route allows or no other is left, one that has rejected it because it was full.
-// early is set if it is too early for that, or no upstream that the call may use has a place: of
+// early is set if it is too early for that, or no upstream that the call may use has a place, or is
+// allowed one by its cold limit: of
 // upstreams that are as good, one would be chosen beyond its places by chance.
-func (req *activeRequest) pickForCall(tried map[bramleytack.UpstreamID]bool, bounded bool) (u *bramleytack.Upstream, early bool) {
+func (req *activeRequest) pickForCall(tried map[bramleytack.UpstreamID]bool, o btwaiting.Occupancy) (u *bramleytack.Upstream, early bool) {
 	if req.attempts < max(req.route.MaxAttempts, 1) {
 		req.snapshot = req.h.Table.Snapshot()
 		list := req.eligible(req.unreached(tried))
-		if bounded && len(list) > 0 {
-			if list = req.h.Accounts.WithPlaces(list); len(list) == 0 && len(req.fullAt) == 0 {
-				return nil, true
-			}
+		if list, early = req.withPlaces(list, o); early && len(req.fullAt) == 0 {
+			return nil, true
 		}
 		u, req.expectedDelay = req.h.Accounts.Pick(req.snapshot, list, req.need)
 		if u != nil || len(req.fullAt) == 0 {
-			return u, false
+			// The cold limits of those that are left allow none now.
+			return u, u == nil && len(list) > 0
 		}
 	}
 	req.snapshot = req.h.Table.Snapshot()
@@ -241,18 +247,27 @@
 			again = append(again, u)
 		}
 	}
-	if len(again) > 0 {
-		if bounded {
-			again = req.h.Accounts.WithPlaces(again)
-		}
-		if len(again) == 0 || req.h.Timer.Now().Before(req.againAt) {
-			return nil, true
-		}
+	if again, early = req.withPlaces(again, o); early || len(again) > 0 && req.h.Timer.Now().Before(req.againAt) {
+		return nil, true
 	}
 	u, req.expectedDelay = req.h.Accounts.Pick(req.snapshot, again, req.need)
 	return u, false
 }
 
+// withPlaces returns the upstreams of a list that have a free place, and reports whether the call
+// has to wait because only others have one. If none of the service has any, the share alone decides: what is
+// known of the others' requests is too old to leave a full upstream alone.
+func (req *activeRequest) withPlaces(list []*bramleytack.Upstream, o btwaiting.Occupancy) ([]*bramleytack.Upstream, bool) {
+	if o.Places == 0 || len(list) == 0 {
+		return list, false
+	}
+	free := req.h.Accounts.WithPlaces(list)
+	if len(free) == 0 && o.Free == 0 {
+		return list, false
+	}
+	return free, len(free) == 0
+}
+
 // unreached returns tried without the upstreams that the call did not reach and that this
 // daemon does not avoid any more.
 func (req *activeRequest) unreached(tried map[bramleytack.UpstreamID]bool) map[bramleytack.UpstreamID]bool {
