Places of versions that a call may not get do not count

Cause: the occupancy of a service had the free places of all its upstreams, also of a version that was taken back or is on trial. Calls then entered a service that was full for them, and waited until their deadline without a chance, since the forecast saw free places. Load: mass return of calls while one of two versions is taken back. Change: Occupancy counts upstreams that any request may go to, OccupancyOf those of a call drawn for a version.

--- a/internal/route/btaccount/cold.go
+++ b/internal/route/btaccount/cold.go
@@ -61,7 +61,7 @@
 	now, sum := t.Timer.Now(), 0.0
 	for _, u := range s.ByService[service] {
 		a := t.account(u.ID)
-		if !s.Accepts(u.ID) || a.avoided(now) || a.paused(u, now) || t.held(u, now) {
+		if !s.Accepts(u.ID) || a.avoided(now) || a.paused(u, now) || t.held(u, now) || !t.admits(u) {
 			continue
 		}
 		rate := t.coldRate(s, u, now)
--- a/internal/route/btaccount/occupancy.go
+++ b/internal/route/btaccount/occupancy.go
@@ -22,8 +22,15 @@
 // Occupancy returns how the requests of all daemons fill a plain service, as far as this
 // daemon knows. Upstreams that it avoids or that asked it for a pause do not count. Places
 // is zero if an upstream has no bound, or nothing shows that registered bounds hold: no
-// upstream reports its load or has rejected a request, and nothing waits.
+// upstream reports its load or has rejected a request, and nothing waits. Only upstreams of versions
+// that any request may go to count.
 func (t *Table) Occupancy(s *bramleytack.Snapshot, service string) btwaiting.Occupancy {
+	return t.OccupancyOf(s, service, t.admits)
+}
+
+// OccupancyOf is Occupancy for the upstreams that are allowed. The table is locked during the calls of
+// allowed.
+func (t *Table) OccupancyOf(s *bramleytack.Snapshot, service string, allowed func(*bramleytack.Upstream) bool) btwaiting.Occupancy {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
@@ -36,7 +43,7 @@
 		o.OwnRunning += a.own.Running
 		o.OwnCalls = o.OwnCalls.Plus(a.own.Calls, 1)
 		o.Calls = o.Calls.Plus(t.peerTotals[u.ID].Calls, 1)
-		if !s.Accepts(u.ID) || a.avoided(now) || a.paused(u, now) || t.held(u, now) {
+		if !s.Accepts(u.ID) || a.avoided(now) || a.paused(u, now) || t.held(u, now) || !allowed(u) {
 			continue
 		}
 		bounded = bounded && u.WarmLimit > 0
--- a/internal/serve/btentry/waiting.go
+++ b/internal/serve/btentry/waiting.go
@@ -148,8 +148,11 @@
 	var u *bramleytack.Upstream
 	var occupancy btwaiting.Occupancy
 	try := func() btwaiting.Look {
-		occupancy = req.h.Accounts.Occupancy(req.h.Table.Snapshot(), req.service)
-		if !w.share.Enter(occupancy) {
+		var all bool
+		if occupancy, all = req.occupancy(); !w.share.Enter(occupancy) {
+			if !all {
+				return btwaiting.Unfit
+			}
 			return btwaiting.NoPlace
 		}
 		var early bool
@@ -254,6 +257,18 @@
 	return u, false
 }
 
+// occupancy returns how the upstreams are filled that may get the call, and reports whether any
+// call may go to them: one that is drawn for a version on trial has only those of the version.
+func (req *activeRequest) occupancy() (o btwaiting.Occupancy, all bool) {
+	req.snapshot = req.h.Table.Snapshot()
+	// The choice falls to the old version if the one on trial has no upstream.
+	list := req.eligible(nil)
+	if req.choice == nil || len(list) == 0 {
+		return req.h.Accounts.Occupancy(req.snapshot, req.service), true
+	}
+	return req.h.Accounts.OccupancyOf(req.snapshot, req.service, req.choice.Allows), false
+}
+
 // withPlaces returns the upstreams of a list that have a free place, and reports whether the call
 // has to wait because only others have one. If none of the service has any, the share alone decides: what is
 // known of the others' requests is too old to leave a full upstream alone.
--- a/internal/serve/btentry/waiting_test.go
+++ b/internal/serve/btentry/waiting_test.go
@@ -246,3 +246,37 @@
 		})
 	}
 }
+
+// One of two versions has been taken back, so that one small upstream is left for the calls of a mass
+// return. Guards against calls without a chance that wait until their deadline for places of
+// upstreams which they may not get, and against more calls at the one that is left than it takes.
+func TestPlacesOfTakenBackVersionDoNotCount(t *testing.T) {
+	run(t, func(h *harness) {
+		for i, name := range []string{"v1", "v2"} {
+			h.startSmallShop(name)
+			h.upstreams[name].Version = fmt.Sprint(1 + i)
+		}
+		r := h.order(callService, time.Minute)
+		defer r.stop()
+		h.workers["v2"].Set(btworker.Broken)
+		h.checks(600, 120*time.Millisecond)
+		assert.Assert(t, r.state().RolledBack)
+		arrived := h.workers["v1"].ArrivedAfter(time.Time{})
+		all := h.orders(100)
+		time.Sleep(100 * time.Millisecond)
+		all.mu.Lock()
+		early := len(all.got)
+		all.mu.Unlock()
+		assert.Check(t, early >= 25, "%d calls were rejected at once", early)
+		all.wg.Wait()
+		n := 0
+		for _, r := range all.got {
+			if r.status == http.StatusOK {
+				n++
+			}
+		}
+		assert.Check(t, n >= 18, "%d answered", n)
+		arrived = h.workers["v1"].ArrivedAfter(time.Time{}) - arrived
+		assert.Check(t, arrived <= n+5, "%d arrivals, %d answered", arrived, n)
+	})
+}
