--- a/internal/route/btaccount/account.go
+++ b/internal/route/btaccount/account.go
@@ -200,8 +200,10 @@
 	// asked for.
 	pausedUntil time.Time
 	pausedStart time.Time
-	// cold limits the rate of requests while the upstream is cold.
-	cold bucket
+	// cold limits the rate of requests while the upstream is cold, which it is until coldUntil
+	// as far as the bucket knows.
+	cold      bucket
+	coldUntil time.Time
 	// kept are the copies of this daemon that nobody will use.
 	kept []keptCopy
 }
@@ -347,6 +349,15 @@
 	at    time.Time
 }
 
+// left returns the time until take finds a token.
+func (b *bucket) left(now time.Time, perSecond, burst float64) time.Duration {
+	spent := b.spent
+	if !b.at.IsZero() {
+		spent = max(0, spent-now.Sub(b.at).Seconds()*perSecond)
+	}
+	return time.Duration(max(spent+1-burst, 0) / perSecond * float64(time.Second))
+}
+
 // take spends one token if the rate and the burst allow it, and reports whether
 // it did.
 func (b *bucket) take(now time.Time, perSecond, burst float64) bool {
--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -323,7 +323,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.timer.Now()
-	return c.forecast(r, room, c.refresh(now).waitingFor(r, r.Rank, false)) + c.returns.drain(c.rate(room), now)
+	return c.forecast(r, room, c.refresh(now).waitingFor(r, r.Rank, false)) + c.drain(c.rate(room), now)
 }
 
 // Decide returns what becomes of the request now. A room without engines is not known: the
--- a/internal/serve/btentry/admissionkey_test.go
+++ b/internal/serve/btentry/returnkey_test.go
@@ -15,7 +15,7 @@
 func TestCallersWithoutKeyAreToldApart(t *testing.T) {
 	key := func(workspace bramleytack.WorkspaceID, caller string) uint32 {
 		req := &activeRequest{h: &Handler{}, workspace: workspace, caller: caller, method: http.MethodPost, target: "/a", body: []byte("x")}
-		return uint32(req.admissionKey())
+		return uint32(req.returnKey())
 	}
 	assert.Equal(t, key("", "10.0.0.1:1000"), key("", "10.0.0.1:2000"))
 	assert.Assert(t, key("", "10.0.0.1:1000") != key("", "10.0.0.2:1000"))
--- a/internal/serve/btentry/waiting.go
+++ b/internal/serve/btentry/waiting.go
@@ -76,7 +76,13 @@
 		w = &waitingRoom{}
 		w.room.Timer, w.share.Timer = h.Timer, h.Timer
 		w.room.Interval = func() time.Duration {
-			return w.share.Interval(h.Accounts.Occupancy(h.Table.Snapshot(), service))
+			s := h.Table.Snapshot()
+			_, each := h.Accounts.ColdTurn(s, service)
+			return max(w.share.Interval(h.Accounts.Occupancy(s, service)), each)
+		}
+		w.room.First = func() time.Duration {
+			first, _ := h.Accounts.ColdTurn(h.Table.Snapshot(), service)
+			return first
 		}
 		if s.byService == nil {
 			s.byService = map[string]*waitingRoom{}
@@ -101,6 +107,13 @@
 	}
 }
 
+// release lets the call's attempt count at its upstream in place of the place itself.
+func (p *place) release() {
+	if p != nil {
+		p.call.Release()
+	}
+}
+
 // leave ends the use of a place after an attempt that took some time.
 func (p *place) leave(r *attemptResult, took time.Duration) {
 	switch {
@@ -134,16 +147,24 @@
 	p := &place{w, req.h.Accounts.BeginCall(req.h.Table.Snapshot(), req.service, req.workspace)}
 	var u *bramleytack.Upstream
 	var occupancy btwaiting.Occupancy
-	try := func() bool {
-		occupancy = req.h.Accounts.Occupancy(req.h.Table.Snapshot(), req.service)
-		if !w.share.Enter(occupancy) {
-			return false
+	try := func() btwaiting.Look {
+		var all bool
+		if occupancy, all = req.occupancy(); !w.share.Enter(occupancy) {
+			if !all {
+				return btwaiting.Unfit
+			}
+			return btwaiting.NoPlace
 		}
 		var early bool
-		if u, early = req.pickForCall(tried); u == nil {
-			w.share.Return()
+		if u, early = req.pickForCall(tried, occupancy); u != nil {
+			p.call.Reserve(u.ID)
+			return btwaiting.Taken
 		}
-		return u != nil || !early && !req.awaitsReturn(w)
+		w.share.Return()
+		if early || req.awaitsReturn(w) {
+			return btwaiting.Unfit
+		}
+		return btwaiting.Taken
 	}
 	if !w.room.Enter(try) {
 		req.wait(ctx, p, occupancy, try)
@@ -160,7 +181,7 @@
 }
 
 // wait keeps a call in the room. If it is rejected, its caller is told when to return.
-func (req *activeRequest) wait(ctx context.Context, p *place, o btwaiting.Occupancy, try func() bool) {
+func (req *activeRequest) wait(ctx context.Context, p *place, o btwaiting.Occupancy, try func() btwaiting.Look) {
 	w := p.room
 	p.call.BeginWaiting()
 	defer p.call.EndWaiting()
@@ -206,11 +227,20 @@
 
 // pickForCall returns an upstream that is not in tried or, once the call has been sent to as
 // many as its route allows or no other is left, one that has rejected it because it was full.
-// early is set if it is too early for that.
-func (req *activeRequest) pickForCall(tried map[bramleytack.UpstreamID]bool) (u *bramleytack.Upstream, early bool) {
+// early is set if it is too early for that, or no upstream that the call may use has a place, or is
+// allowed one by its cold limit: of
+// upstreams that are as good, one would be chosen beyond its places by chance.
+func (req *activeRequest) pickForCall(tried map[bramleytack.UpstreamID]bool, o btwaiting.Occupancy) (u *bramleytack.Upstream, early bool) {
 	if req.attempts < max(req.route.MaxAttempts, 1) {
-		if u := req.pickUpstream(req.unreached(tried)); u != nil || len(req.fullAt) == 0 {
-			return u, false
+		req.snapshot = req.h.Table.Snapshot()
+		list := req.eligible(req.unreached(tried))
+		if list, early = req.withPlaces(list, o); early && len(req.fullAt) == 0 {
+			return nil, true
+		}
+		u, req.expectedDelay = req.h.Accounts.Pick(req.snapshot, list, req.need)
+		if u != nil || len(req.fullAt) == 0 {
+			// The cold limits of those that are left allow none now.
+			return u, u == nil && len(list) > 0
 		}
 	}
 	req.snapshot = req.h.Table.Snapshot()
@@ -220,13 +250,39 @@
 			again = append(again, u)
 		}
 	}
-	if len(again) > 0 && req.h.Timer.Now().Before(req.againAt) {
+	if again, early = req.withPlaces(again, o); early || len(again) > 0 && req.h.Timer.Now().Before(req.againAt) {
 		return nil, true
 	}
 	u, req.expectedDelay = req.h.Accounts.Pick(req.snapshot, again, req.need)
 	return u, false
 }
 
+// occupancy returns how the upstreams are filled that may get the call, and reports whether any
+// call may go to them: one that is drawn for a version on trial has only those of the version.
+func (req *activeRequest) occupancy() (o btwaiting.Occupancy, all bool) {
+	req.snapshot = req.h.Table.Snapshot()
+	// The choice falls to the old version if the one on trial has no upstream.
+	list := req.eligible(nil)
+	if req.choice == nil || len(list) == 0 {
+		return req.h.Accounts.Occupancy(req.snapshot, req.service), true
+	}
+	return req.h.Accounts.OccupancyOf(req.snapshot, req.service, req.choice.Allows), false
+}
+
+// withPlaces returns the upstreams of a list that have a free place, and reports whether the call
+// has to wait because only others have one. If none of the service has any, the share alone decides: what is
+// known of the others' requests is too old to leave a full upstream alone.
+func (req *activeRequest) withPlaces(list []*bramleytack.Upstream, o btwaiting.Occupancy) ([]*bramleytack.Upstream, bool) {
+	if o.Places == 0 || len(list) == 0 {
+		return list, false
+	}
+	free := req.h.Accounts.WithPlaces(list)
+	if len(free) == 0 && o.Free == 0 {
+		return list, false
+	}
+	return free, len(free) == 0
+}
+
 // unreached returns tried without the upstreams that the call did not reach and that this
 // daemon does not avoid any more.
 func (req *activeRequest) unreached(tried map[bramleytack.UpstreamID]bool) map[bramleytack.UpstreamID]bool {
