Tests of hand-overs: changes one after the other

Race detector: the tests changed upstreams, the budget and the dial function while the daemon read them.

--- a/internal/serve/btentry/copyretry_test.go
+++ b/internal/serve/btentry/copyretry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,44 +18,78 @@
 // deployments' pages allow requests to it.
 const enterBound = 2 * time.Second
 
-// onConnect calls f when the daemon connects to an upstream, before it is connected.
-func (h *harness) onConnect(name string, f func()) {
-	dial, addr := h.handler.Pool.Dial, h.upstreams[name].Addr.String()
+// changes makes the changes of a test one after the other.
+type changes struct {
+	*harness
+	mu sync.Mutex
+	// connecting is called when the daemon connects to an address. It may be nil.
+	connecting func(addr string)
+}
+
+// newChanges returns the changes of a test that has not sent anything yet.
+func newChanges(h *harness) *changes {
+	c := &changes{harness: h}
+	dial := h.handler.Pool.Dial
 	h.handler.Pool.Dial = func(ctx context.Context, network, to string) (net.Conn, error) {
+		c.do(func() {
+			if c.connecting != nil {
+				c.connecting(to)
+			}
+		})
+		return dial(ctx, network, to)
+	}
+	return c
+}
+
+// do makes a change.
+func (c *changes) do(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+// after makes a change once d has passed.
+func (c *changes) after(d time.Duration, f func()) { after(d, func() { c.do(f) }) }
+
+// onConnect calls f when the daemon connects to an upstream, before it is connected.
+func (c *changes) onConnect(name string, f func()) {
+	addr := c.upstreams[name].Addr.String()
+	c.connecting = func(to string) {
 		if to == addr {
 			f()
 		}
-		return dial(ctx, network, to)
 	}
 }
 
 // moveAway starts a generation at e1, which leaves then, so that e2 takes it over.
-func (h *harness) moveAway() response {
-	h.startGenerator("e1", 250*time.Millisecond)
-	after(500*time.Millisecond, func() {
-		h.startGenerator("e2", 20*time.Millisecond)
-		h.setLeaving("e1")
+func (c *changes) moveAway() response {
+	c.startGenerator("e1", 250*time.Millisecond)
+	c.after(500*time.Millisecond, func() {
+		c.startGenerator("e2", 20*time.Millisecond)
+		c.setLeaving("e1")
 	})
-	return h.generate("/guide/a")
+	return c.generate("/guide/a")
 }
 
 // The target of a move begins to leave after the source was closed. Guards against a generation
 // that ends although its copy lies there, and is not left behind there either.
 func TestGenerationEntersEngineThatBeginsToLeave(t *testing.T) {
 	run(t, func(h *harness) {
-		left := false
-		after(510*time.Millisecond, func() {
-			h.onConnect("e2", func() {
+		c, left := newChanges(h), false
+		c.after(510*time.Millisecond, func() {
+			c.onConnect("e2", func() {
 				if !left {
 					left = true
 					h.setLeaving("e2")
-					after(300*time.Millisecond, func() { h.startGenerator("e3", 20*time.Millisecond) })
+					c.after(300*time.Millisecond, func() { h.startGenerator("e3", 20*time.Millisecond) })
 				}
 			})
 		})
-		got := h.moveAway()
+		got := c.moveAway()
 		h.checkComplete(got)
-		assert.Check(t, left && h.workers["e3"].ArrivedAfter(time.Time{}) == 1, "it leaves again")
+		c.do(func() {
+			assert.Check(t, left && h.workers["e3"].ArrivedAfter(time.Time{}) == 1, "it leaves again")
+		})
 		h.checkRuns(got)
 	})
 }
@@ -64,41 +99,50 @@
 func TestGenerationDoesNotEnterEngineThatLeftBefore(t *testing.T) {
 	run(t, func(h *harness) {
 		var leftAt, latest time.Time
+		c := newChanges(h)
 		h.pool.Calls = func(_ http.ResponseWriter, r *http.Request) bool {
 			if r.Header.Get(dialect.From) != "" {
-				latest = time.Now()
+				c.do(func() { latest = time.Now() })
 				time.Sleep(enterBound / 2)
 			}
 			return false
 		}
-		after(510*time.Millisecond, func() {
+		c.after(510*time.Millisecond, func() {
 			h.workers["e2"].Set(btworker.Full)
-			h.onConnect("e2", func() {
+			c.onConnect("e2", func() {
 				if leftAt.IsZero() {
 					leftAt = time.Now()
 					h.setLeaving("e2")
 				}
 			})
 		})
-		got := h.moveAway()
+		got := c.moveAway()
 		assert.Check(t, got.err != nil)
-		assert.Check(t, !latest.Before(leftAt) && latest.Before(leftAt.Add(enterBound)), "%v after it left", latest.Sub(leftAt))
+		c.do(func() {
+			assert.Check(t, !latest.Before(leftAt) && latest.Before(leftAt.Add(enterBound)), "%v after it left", latest.Sub(leftAt))
+		})
 		h.checkRuns(got)
 	})
 }
 
-// handOverAt sends a generation whose copy at e2 is complete late after the engine is
-// found leaving, and returns how often e2 was asked.
-func (h *harness) handOverAt(late time.Duration) (got response, asked int) {
+// handOverAt sends a generation whose copy at another engine is complete late after its engine
+// is found leaving, and returns how often the other one was asked.
+func (h *harness) handOverAt(late time.Duration, prepare func(h *harness)) (got response, asked int) {
 	const leaves = 1500 * time.Millisecond
 	h.pool.CopyDelay = leaves + late
 	h.startGenerator("e1", 100*time.Millisecond)
 	h.startGenerator("e2", 20*time.Millisecond)
-	after(leaves, func() { h.setLeaving(h.runningEngine()) })
-	got = h.generate("/guide/a")
-	for _, name := range []string{"e1", "e2"} {
-		asked += h.workers[name].ArrivedAfter(time.Time{})
+	if prepare != nil {
+		prepare(h)
 	}
+	c := newChanges(h)
+	c.after(leaves, func() { h.setLeaving(h.runningEngine()) })
+	got = h.generate("/guide/a")
+	c.do(func() {
+		for _, name := range []string{"e1", "e2"} {
+			asked += h.workers[name].ArrivedAfter(time.Time{})
+		}
+	})
 	return got, asked - 1
 }
 
@@ -130,12 +174,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(h *harness) {
-				after(time.Second, func() {
-					if c.prepare != nil {
-						c.prepare(h)
-					}
-				})
-				got, asked := h.handOverAt(c.late)
+				got, asked := h.handOverAt(c.late, c.prepare)
 				assert.Check(t, asked == c.asked, "asked %d times", asked)
 				if c.complete {
 					h.checkComplete(got)
