--- a/internal/route/btaccount/pace.go
+++ b/internal/route/btaccount/pace.go
@@ -207,25 +207,6 @@
 	return drawByFreeMemory(targets)
 }
 
-// lastingTargets returns the targets at which a long stream may stay, none if engines are not
-// divided: steady engines and holders, up to the use from which on streams leave them or do not come. From others the
-// stream would have to move once more. The caller holds the lock.
-func (t *Table) lastingTargets(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need, targets []target) []target {
-	p := t.plan(s, primary.Service, t.Timer.Now())
-	if p == nil || n.streams() == 0 {
-		return nil
-	}
-	return slices.DeleteFunc(slices.Clone(targets), func(e target) bool {
-		switch {
-		case p.holders[e.upstream.ID]:
-			return e.use > holderUse
-		case p.delicate[e.upstream.ID]:
-			return true
-		}
-		return e.use >= steadyUse
-	})
-}
-
 // Role returns what an engine is for: "steady", "holder" or "reader", empty if the engines of its service
 // are not divided.
 func (t *Table) Role(s *bramleytack.Snapshot, u *bramleytack.Upstream) string {
--- a/internal/route/btaccount/target.go
+++ b/internal/route/btaccount/target.go
@@ -47,15 +47,18 @@
 
 // PickTarget returns an engine that a generation at primary can move to, or nil if
 // there is none. It prefers an engine with free memory in the same failure domain:
-// a move to another domain takes twice as long on the link of the leaving engine. Where engines
-// are divided, it prefers those at which a stream may stay.
+// a move to another domain takes twice as long on the link of the leaving engine.
 func (t *Table) PickTarget(s *bramleytack.Snapshot, primary *bramleytack.Upstream, n Need) *bramleytack.Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	targets, _ := t.otherEngines(s, primary, n)
-	sameDomain := sameDomainOnly(targets, primary)
-	lasting := t.lastingTargets(s, primary, n, sameDomain)
-	for _, list := range [][]target{lasting, sameDomain, targets} {
+	var sameDomain []target
+	for _, e := range targets {
+		if e.upstream.FailureDomain == primary.FailureDomain {
+			sameDomain = append(sameDomain, e)
+		}
+	}
+	for _, list := range [][]target{sameDomain, targets} {
 		if u := drawByFreeMemory(list); u != nil {
 			return u
 		}
@@ -63,17 +66,6 @@
 	return lessUsedOfTwo(targets, maxMoveUse)
 }
 
-// sameDomainOnly returns the targets in the failure domain of primary.
-func sameDomainOnly(targets []target, primary *bramleytack.Upstream) []target {
-	var same []target
-	for _, e := range targets {
-		if e.upstream.FailureDomain == primary.FailureDomain {
-			same = append(same, e)
-		}
-	}
-	return same
-}
-
 // drawByFreeMemory draws an engine at random, weighted by its free memory and
 // against its queue, or returns nil if no engine has free memory. When engines
 // leave, all daemons move their generations at once; always choosing the least
