Engines are told ranks under overload only

Change: requests that admission sends under overload and that are more urgent than others of their service are told to the engine as more urgent than usual. The least urgent keep the engine's usual rank, which all have that began in calm. The dialect names the usual rank.

--- a/fleet.go
+++ b/fleet.go
@@ -130,10 +130,10 @@
 	// the copy from which a generation continues.
 	Backup string
 	From   string
-	// Urgency ranks a generation at its engine from 0, the most urgent, to LeastUrgent. It is
-	// empty if engines know no ranks.
-	Urgency     string
-	LeastUrgent int
+	// Urgency ranks a generation at its engine, 0 is the most urgent. Without it a generation has
+	// UsualUrgency. It is empty if engines know no ranks.
+	Urgency      string
+	UsualUrgency int
 	// Reserved headers are removed from callers' requests.
 	Reserved []string
 	// ReadyPath and ResolvePath are the paths of the daemon's own calls.
--- a/internal/serve/btentry/rank.go
+++ b/internal/serve/btentry/rank.go
@@ -12,9 +12,8 @@
 	// targets are the least target latencies of its routes by rank. Routes without a target
 	// are left out.
 	targets map[int]time.Duration
-	// several is set if its streams may have more than one rank.
-	several bool
-	first   int
+	// last is the least urgent rank that its streams may have.
+	last int
 }
 
 // rankTable holds the ranks of all services under one configuration.
@@ -26,28 +25,30 @@
 // newRankTable reads the ranks of a configuration.
 func newRankTable(s *bramleytack.Snapshot) *rankTable {
 	t := &rankTable{routes: s.Routes, byService: map[string]*serviceRanks{}}
-	byWorkspace := false
+	last := 0
 	for _, w := range s.Workspaces {
-		byWorkspace = byWorkspace || w.Urgency != nil
+		if w.Urgency != nil {
+			last = max(last, *w.Urgency)
+		}
 	}
 	for _, r := range s.Routes.All() {
 		if !r.Streaming {
 			continue
 		}
 		for _, share := range r.Services {
-			t.add(share.Service, r, byWorkspace)
+			t.add(share.Service, r, last)
 		}
 	}
 	return t
 }
 
-func (t *rankTable) add(service string, r *bramleytack.Route, byWorkspace bool) {
+func (t *rankTable) add(service string, r *bramleytack.Route, last int) {
 	ranks := t.byService[service]
 	if ranks == nil {
-		ranks = &serviceRanks{targets: map[int]time.Duration{}, several: byWorkspace, first: r.Urgency}
+		ranks = &serviceRanks{targets: map[int]time.Duration{}, last: last}
 		t.byService[service] = ranks
 	}
-	ranks.several = ranks.several || r.Urgency != ranks.first
+	ranks.last = max(ranks.last, r.Urgency)
 	if r.TargetLatency <= 0 {
 		return
 	}
@@ -94,11 +95,14 @@
 }
 
 // engineUrgency returns the rank that the request has at its engine, and reports whether the
-// engine is told. Where all generations of a service have the same rank, engines are not told.
+// engine is told: under overload, for requests that are more urgent than others of the service.
+// An engine preempts the less urgent, also where all could be served. The least urgent have the
+// usual rank, as all have that began before.
 func (req *activeRequest) engineUrgency() (urgency int, ok bool) {
 	d := req.h.Dialect
-	if d.Urgency == "" || !req.route.Streaming || req.snapshot.Engine(req.service) == nil || !req.h.ranks.of(req.snapshot, req.service).several {
+	if d.Urgency == "" || !req.overloaded {
 		return 0, false
 	}
-	return min(max(req.rank(), 0), d.LeastUrgent), true
+	above := req.h.ranks.of(req.snapshot, req.service).last - req.rank()
+	return max(d.UsualUrgency-above, 0), above > 0
 }
