--- a/fleet.go
+++ b/fleet.go
@@ -130,10 +130,6 @@
 	// the copy from which a generation continues.
 	Backup string
 	From   string
-	// Urgency ranks a generation at its engine, 0 is the most urgent. Without it a generation has
-	// UsualUrgency. It is empty if engines know no ranks.
-	Urgency      string
-	UsualUrgency int
 	// Reserved headers are removed from callers' requests.
 	Reserved []string
 	// ReadyPath and ResolvePath are the paths of the daemon's own calls.
--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -76,7 +76,6 @@
 			u, wait = req.pickOrWait(tried, req.h.Timer.Now().Sub(started))
 		}
 		if u != nil {
-			req.overloaded = overloaded
 			req.unreadAhead = req.h.Accounts.UnreadBefore(u, req.need.Prompt)
 			req.h.Metrics.admitted(req.h.Timer.Now().Sub(req.received), d)
 		}
--- a/internal/serve/btentry/attempt.go
+++ b/internal/serve/btentry/attempt.go
@@ -86,9 +86,6 @@
 	d := req.h.Dialect
 	header := maps.Clone(req.header)
 	header.Set(d.ExpectInstance, string(u.ID))
-	if urgency, ok := req.engineUrgency(); ok {
-		header.Set(d.Urgency, strconv.Itoa(urgency))
-	}
 	return &btconn.Request{ID: req.id, Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body, Kept: kept}
 }
 
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -204,8 +204,6 @@
 	visit       *btadmission.Visit
 	unreadAhead int
 	refusal     *btadmission.Decision
-	// overloaded is set if admission decided that the request is sent.
-	overloaded bool
 	// limitedSends counts the sends that an upstream's limit did not allow.
 	limitedSends int
 	// turnedAway is set if the call got no place in time, returnIn is when one is expected.
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -43,8 +43,8 @@
 var dialect = bramleytack.FleetDialect{
 	RequestID: "X-Request", DeadlineMillis: "X-Deadline", Workspace: "X-Workspace", ExpectInstance: "X-Instance",
 	NotRun: "X-Not-Run", Load: "X-Load", Leaving: "X-Leaving", Limit: "X-Limit", Seal: "X-Seal", TokenCounts: "X-Tokens", LengthHint: "X-Hint", PromptParts: "X-Parts",
-	LastEvent: "X-Last-Event", Backup: "X-Backup", From: "X-From", Urgency: "X-Urgency", UsualUrgency: 5,
-	Reserved: []string{"X-Workspace", "X-Instance", "X-Backup", "X-From", "X-Urgency", "Authorization"},
+	LastEvent: "X-Last-Event", Backup: "X-Backup", From: "X-From",
+	Reserved: []string{"X-Workspace", "X-Instance", "X-Backup", "X-From", "Authorization"},
 }
 
 const (
--- a/internal/serve/btentry/rank.go
+++ b/internal/serve/btentry/rank.go
@@ -12,8 +12,6 @@
 	// targets are the least target latencies of its routes by rank. Routes without a target
 	// are left out.
 	targets map[int]time.Duration
-	// last is the least urgent rank that its streams may have.
-	last int
 }
 
 // rankTable holds the ranks of all services under one configuration.
@@ -22,33 +20,26 @@
 	byService map[string]*serviceRanks
 }
 
-// newRankTable reads the ranks of a configuration.
+// newRankTable reads the ranks of the routes of a configuration.
 func newRankTable(s *bramleytack.Snapshot) *rankTable {
 	t := &rankTable{routes: s.Routes, byService: map[string]*serviceRanks{}}
-	last := 0
-	for _, w := range s.Workspaces {
-		if w.Urgency != nil {
-			last = max(last, *w.Urgency)
-		}
-	}
 	for _, r := range s.Routes.All() {
 		if !r.Streaming {
 			continue
 		}
 		for _, share := range r.Services {
-			t.add(share.Service, r, last)
+			t.add(share.Service, r)
 		}
 	}
 	return t
 }
 
-func (t *rankTable) add(service string, r *bramleytack.Route, last int) {
+func (t *rankTable) add(service string, r *bramleytack.Route) {
 	ranks := t.byService[service]
 	if ranks == nil {
-		ranks = &serviceRanks{targets: map[int]time.Duration{}, last: last}
+		ranks = &serviceRanks{targets: map[int]time.Duration{}}
 		t.byService[service] = ranks
 	}
-	ranks.last = max(ranks.last, r.Urgency)
 	if r.TargetLatency <= 0 {
 		return
 	}
@@ -93,16 +84,3 @@
 	}
 	return req.route.Urgency
 }
-
-// engineUrgency returns the rank that the request has at its engine, and reports whether the
-// engine is told: under overload, for requests that are more urgent than others of the service.
-// An engine preempts the less urgent, also where all could be served. The least urgent have the
-// usual rank, as all have that began before.
-func (req *activeRequest) engineUrgency() (urgency int, ok bool) {
-	d := req.h.Dialect
-	if d.Urgency == "" || !req.overloaded {
-		return 0, false
-	}
-	above := req.h.ranks.of(req.snapshot, req.service).last - req.rank()
-	return max(d.UsualUrgency-above, 0), above > 0
-}
