--- a/internal/serve/btentry/rank.go
+++ b/internal/serve/btentry/rank.go
@@ -12,9 +12,6 @@
 	// targets are the least target latencies of its routes by rank. Routes without a target
 	// are left out.
 	targets map[int]time.Duration
-	// several is set if its streams may have more than one rank.
-	several bool
-	first   int
 }
 
 // rankTable holds the ranks of all services under one configuration.
@@ -23,31 +20,26 @@
 	byService map[string]*serviceRanks
 }
 
-// newRankTable reads the ranks of a configuration.
+// newRankTable reads the ranks of the routes of a configuration.
 func newRankTable(s *bramleytack.Snapshot) *rankTable {
 	t := &rankTable{routes: s.Routes, byService: map[string]*serviceRanks{}}
-	byWorkspace := false
-	for _, w := range s.Workspaces {
-		byWorkspace = byWorkspace || w.Urgency != nil
-	}
 	for _, r := range s.Routes.All() {
 		if !r.Streaming {
 			continue
 		}
 		for _, share := range r.Services {
-			t.add(share.Service, r, byWorkspace)
+			t.add(share.Service, r)
 		}
 	}
 	return t
 }
 
-func (t *rankTable) add(service string, r *bramleytack.Route, byWorkspace bool) {
+func (t *rankTable) add(service string, r *bramleytack.Route) {
 	ranks := t.byService[service]
 	if ranks == nil {
-		ranks = &serviceRanks{targets: map[int]time.Duration{}, several: byWorkspace, first: r.Urgency}
+		ranks = &serviceRanks{targets: map[int]time.Duration{}}
 		t.byService[service] = ranks
 	}
-	ranks.several = ranks.several || r.Urgency != ranks.first
 	if r.TargetLatency <= 0 {
 		return
 	}
@@ -92,13 +84,3 @@
 	}
 	return req.route.Urgency
 }
-
-// engineUrgency returns the rank that the request has at its engine, and reports whether the
-// engine is told. Where all generations of a service have the same rank, engines are not told.
-func (req *activeRequest) engineUrgency() (urgency int, ok bool) {
-	d := req.h.Dialect
-	if d.Urgency == "" || !req.route.Streaming || req.snapshot.Engine(req.service) == nil || !req.h.ranks.of(req.snapshot, req.service).several {
-		return 0, false
-	}
-	return min(max(req.rank(), 0), d.LeastUrgent), true
-}
