One spread of Retry-After and one pace of log lines

Change: btreturn.Spread replaces the copies of btwaiting and of daemons without a configuration, btevent.Pace those of the callers' gate, admission and the waiting room.

--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -101,8 +101,7 @@
 	idle    list.List
 	reading list.List
 	refused [reasonCount]atomic.Uint64
-	// logged is the Unix time in nanoseconds of the last log entry.
-	logged [reasonCount]atomic.Int64
+	logged  [reasonCount]btevent.Pace
 }
 
 // Conns returns the number of open connections.
@@ -248,9 +247,7 @@
 // note counts a reason and logs it, at most once in each logPeriod.
 func (g *Gate) note(r Reason, from string) {
 	count := g.refused[r].Add(1)
-	now := g.Timer.Now().UnixNano()
-	last := g.logged[r].Load()
-	if now-last < int64(logPeriod) || !g.logged[r].CompareAndSwap(last, now) {
+	if !g.logged[r].Due(g.Timer.Now(), logPeriod) {
 		return
 	}
 	g.Log.Event(btevent.CallerRefused).Stringer("reason", r).Uint64("count", count).Str("from", from).Send()
--- a/internal/route/btreturn/callers.go
+++ b/internal/route/btreturn/callers.go
@@ -1,6 +1,7 @@
 package btreturn
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -29,6 +30,14 @@
 	lateReturn = 2 * time.Second
 )
 
+// spread is the part of a Retry-After by which it varies.
+const spread = 0.5
+
+// Spread varies the time after which a rejected caller returns, so that not all return at once.
+func Spread(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Float64()*spread*float64(d))
+}
+
 // Told is a caller that was told to come back.
 type Told struct {
 	Key   Key
--- a/internal/route/btwaiting/room.go
+++ b/internal/route/btwaiting/room.go
@@ -3,12 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"bramleytack"
+	"bramleytack/internal/route/btreturn"
 )
 
 // Defaults of a Room.
@@ -34,8 +34,6 @@
 	paceWeight = 0.2
 	// paceValidity is how long a measured interval is used.
 	paceValidity = 5 * time.Second
-	// returnSpread is the part of a Retry-After value by which it varies.
-	returnSpread = 0.5
 	// maxWorkspaces bounds the workspaces whose use is remembered.
 	maxWorkspaces = 1024
 )
@@ -220,12 +218,12 @@
 	})
 	ahead := r.forecast(at, now)
 	if now.Add(ahead + t.Run).After(t.Deadline) {
-		return nil, Result{Verdict: Late, RetryAfter: spread(ahead)}
+		return nil, Result{Verdict: Late, RetryAfter: btreturn.Spread(ahead)}
 	}
 	for len(r.waiting) >= positiveOr(r.MaxEntries, DefaultMaxEntries) || r.bytes+t.Bytes > positiveOr(r.MaxBytes, DefaultMaxBytes) {
 		last := len(r.waiting) - 1
 		if at > last {
-			return nil, Result{Verdict: Full, RetryAfter: spread(ahead)}
+			return nil, Result{Verdict: Full, RetryAfter: btreturn.Spread(ahead)}
 		}
 		r.end(r.waiting[last], Full, r.forecast(last, now), now)
 	}
@@ -282,7 +280,7 @@
 	if f := r.finish[w.Workspace] - w.Cost; f >= r.virtual {
 		r.finish[w.Workspace] = f
 	}
-	r.remove(w, Result{Verdict: v, Waited: now.Sub(w.since), RetryAfter: spread(retryAfter)})
+	r.remove(w, Result{Verdict: v, Waited: now.Sub(w.since), RetryAfter: btreturn.Spread(retryAfter)})
 }
 
 func (r *Room) remove(w *waiter, result Result) {
@@ -390,12 +388,6 @@
 	}
 }
 
-// spread varies the time after which a rejected caller returns, so that not all return at
-// once.
-func spread(d time.Duration) time.Duration {
-	return d + time.Duration(rand.Float64()*returnSpread*float64(d))
-}
-
 func positiveOr(v, fallback int) int {
 	if v > 0 {
 		return v
--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -123,9 +123,7 @@
 func (req *activeRequest) rejectedBy(d btadmission.Decision, load btaccount.ServiceLoad) {
 	req.refusal = &d
 	req.h.Metrics.admissionRejected(d)
-	now := req.h.Timer.Now().UnixNano()
-	last := req.h.admissionLogged.Load()
-	if now-last < int64(admissionLogInterval) || !req.h.admissionLogged.CompareAndSwap(last, now) {
+	if !req.h.admissionLogged.Due(req.h.Timer.Now(), admissionLogInterval) {
 		return
 	}
 	req.log(btevent.AdmissionRejected).Str("service", req.service).Str("reason", d.Reason).Int("rank", req.rank()).Str("workspace", string(req.workspace)).
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -29,6 +29,7 @@
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btpace"
+	"bramleytack/internal/route/btreturn"
 	"bramleytack/internal/route/btrollout"
 	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/upstream/btconn"
@@ -96,9 +97,8 @@
 	// before the configuration, zero without one.
 	unconfiguredSince atomic.Int64
 	crashes           crashDetector
-	// admissionLogged is the Unix time in nanoseconds of the last log line about a request
-	// that admission rejected.
-	admissionLogged atomic.Int64
+	// admissionLogged is for log lines about requests that admission rejected.
+	admissionLogged btevent.Pace
 }
 
 // Active returns the number of requests that are being served. It is safe for
@@ -276,7 +276,7 @@
 	now := req.received.UnixNano()
 	req.h.unconfiguredSince.CompareAndSwap(0, now)
 	d := max(daemonRetryAfter, time.Duration(now-req.h.unconfiguredSince.Load()))
-	d = min(d+rand.N(d/2), maxConfigRetryAfter)
+	d = min(btreturn.Spread(d), maxConfigRetryAfter)
 	if ms, err := strconv.ParseInt(r.Header.Get(req.h.Dialect.DeadlineMillis), 10, 64); err == nil && ms > 0 {
 		d = min(d, time.Duration(configRetryShare*float64(ms)*float64(time.Millisecond)))
 	}
--- a/internal/serve/btentry/waiting.go
+++ b/internal/serve/btentry/waitingroom.go
@@ -5,11 +5,11 @@
 	"maps"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bramleytack"
 	"bramleytack/btevent"
-	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btwaiting"
 )
 
@@ -34,9 +34,11 @@
 	room  btwaiting.Room
 	share btwaiting.Share
 
-	mu       sync.Mutex
-	loggedAt time.Time
-	rejected int
+	logged btevent.Pace
+	// rejected counts the calls that were rejected since the last log line.
+	rejected atomic.Int64
+
+	mu sync.Mutex
 	// answeredAt is when an upstream last answered, outageAt when none was usable first since.
 	answeredAt time.Time
 	outageAt   time.Time
@@ -92,44 +94,6 @@
 	return w
 }
 
-// place is a place of a service that a call uses. A nil place is none.
-type place struct {
-	room *waitingRoom
-	call *btaccount.Call
-}
-
-// giveBack ends the use of a place if the call was not sent.
-func (p *place) giveBack() {
-	if p != nil {
-		p.call.End()
-		p.room.share.Return()
-		p.room.room.Wake()
-	}
-}
-
-// release lets the call's attempt count at its upstream in place of the place itself.
-func (p *place) release() {
-	if p != nil {
-		p.call.Release()
-	}
-}
-
-// leave ends the use of a place after an attempt that took some time.
-func (p *place) leave(r *attemptResult, took time.Duration) {
-	switch {
-	case p == nil:
-	case r.unsent, r.misdirected:
-		p.giveBack()
-	default:
-		p.call.End()
-		p.room.share.Leave(took, r.full())
-		if r.usable() || r.full() {
-			p.room.answered(p.room.room.Timer.Now())
-		}
-		p.room.room.Wake()
-	}
-}
-
 // full reports whether the upstream declared that it did not run the request because it has
 // no place, and asked for no pause.
 func (r *attemptResult) full() bool {
@@ -191,27 +155,14 @@
 	if result.Verdict == btwaiting.Late || result.Verdict == btwaiting.Full {
 		req.turnedAway, req.returnIn = true, result.RetryAfter
 	}
-	if n, due := w.logDue(req.h.Timer.Now(), req.turnedAway); due {
+	if req.turnedAway {
+		w.rejected.Add(1)
+	}
+	if w.logged.Due(req.h.Timer.Now(), waitingLogPeriod) {
 		req.log(btevent.CallsWait).Str("service", req.service).Stringer("verdict", result.Verdict).Dur("waited", result.Waited).
 			Int("places", o.Places).Int("free", o.Free).Int("running", o.Running).Int("waiting", o.Waiting).Int("ownWaiting", o.OwnWaiting).
-			Int("rejected", n).Send()
-	}
-}
-
-// logDue counts a call that has waited, and reports whether a log line is due, with the
-// number of calls that were rejected since the last one.
-func (w *waitingRoom) logDue(now time.Time, rejected bool) (int, bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if rejected {
-		w.rejected++
-	}
-	if now.Sub(w.loggedAt) < waitingLogPeriod {
-		return 0, false
+			Int64("rejected", w.rejected.Swap(0)).Send()
 	}
-	n := w.rejected
-	w.loggedAt, w.rejected = now, 0
-	return n, true
 }
 
 // ticket returns the terms on which a call waits, if calls take mean at upstreams.
