--- a/internal/route/btwaiting/demand.go
+++ b/internal/route/btwaiting/demand.go
@@ -78,6 +78,14 @@
 	return 0
 }
 
+// Workspaces returns the number of workspaces that have calls.
+func (d *Demand) Workspaces() int {
+	if d == nil {
+		return 0
+	}
+	return len(*d)
+}
+
 // Largest returns the n workspaces with the most calls.
 func (d *Demand) Largest(n int) *Demand {
 	if d == nil || len(*d) <= n {
--- a/internal/serve/btentry/waitingroom.go
+++ b/internal/serve/btentry/waitingroom.go
@@ -151,7 +151,7 @@
 	defer p.call.EndWaiting()
 	req.h.Metrics.waitBegins()
 	result := w.room.Wait(ctx, req.ticket(w.share.Mean()), try)
-	req.h.Metrics.waitEnded(result)
+	req.h.Metrics.waitEnded(result, req.returned)
 	if result.Verdict == btwaiting.Late || result.Verdict == btwaiting.Full {
 		req.turnedAway, req.returnIn = true, result.RetryAfter
 	}
@@ -159,9 +159,12 @@
 		w.rejected.Add(1)
 	}
 	if w.logged.Due(req.h.Timer.Now(), waitingLogPeriod) {
+		turn, _ := req.h.Accounts.ColdTurn(req.snapshot, req.service)
 		req.log(btevent.CallsWait).Str("service", req.service).Stringer("verdict", result.Verdict).Dur("waited", result.Waited).
 			Int("places", o.Places).Int("free", o.Free).Int("running", o.Running).Int("waiting", o.Waiting).Int("ownWaiting", o.OwnWaiting).
-			Int64("rejected", w.rejected.Swap(0)).Send()
+			Int64("rejected", w.rejected.Swap(0)).
+			Bool("returned", req.returned).Str("workspace", string(req.workspace)).Int("workspaceCalls", o.Calls.Of(btwaiting.KeyOf(req.workspace))).
+			Int("workspaces", o.Calls.Workspaces()).Dur("coldTurn", turn).Send()
 	}
 }
 
