The time to return is bounded by the caller's time, not by the route's timeout

Load: mass return; 60 callers with 2.5 s each at an upstream that serves 20 calls a second. Change: the caller's own deadline bounds it. Nothing is held back: the rejection goes out as before.

--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -220,7 +220,8 @@
 }
 
 // maxRetryAfter returns the longest Retry-After that leaves the caller time for another
-// attempt.
+// attempt. The route's timeout bounds one attempt only: a call that has waited for most of it comes
+// back later than at once if its caller has the time.
 func (req *activeRequest) maxRetryAfter() time.Duration {
-	return time.Duration(maxRetryAfterShare * float64(req.remaining()))
+	return time.Duration(maxRetryAfterShare * float64(req.callerDeadline.Sub(req.h.Timer.Now())))
 }
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -174,13 +174,15 @@
 	outlasts bool
 	// deadline is the end of the route's timeout or the caller's own deadline,
 	// whichever is earlier.
-	deadline  time.Time
-	workspace bramleytack.WorkspaceID
-	method    string
-	target    string
-	host      string
-	header    http.Header
-	body      []byte
+	deadline time.Time
+	// callerDeadline is the caller's own deadline, or the same without one.
+	callerDeadline time.Time
+	workspace      bramleytack.WorkspaceID
+	method         string
+	target         string
+	host           string
+	header         http.Header
+	body           []byte
 	// kept counts the body, and unread what the caller has not been sent yet of responses.
 	kept   *btmemory.Account
 	unread *btmemory.Account
@@ -304,11 +306,14 @@
 
 func (req *activeRequest) setDeadline(r *http.Request) {
 	req.deadline = req.received.Add(req.route.Timeout)
+	req.callerDeadline = req.deadline
 	ms, err := strconv.ParseInt(r.Header.Get(req.h.Dialect.DeadlineMillis), 10, 64)
 	if err != nil || ms < 0 {
 		return
 	}
-	if d := req.received.Add(time.Duration(ms) * time.Millisecond); req.route.Timeout <= 0 || d.Before(req.deadline) {
+	d := req.received.Add(time.Duration(ms) * time.Millisecond)
+	req.callerDeadline = d
+	if req.route.Timeout <= 0 || d.Before(req.deadline) {
 		req.deadline = d
 	}
 }
--- a/internal/serve/btentry/returning_test.go
+++ b/internal/serve/btentry/returning_test.go
@@ -1,6 +1,7 @@
 package btentry_test
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -50,3 +51,41 @@
 		})
 	}
 }
+
+// Mass return: 60 callers come at once to an upstream that serves 20 calls a second. Each waits for
+// 2.5 s and returns once, when it is told to. Guards against callers that are told to return before
+// there is room, because the timeout of their first attempt bounds the time.
+func TestReturnTimesUseTheCallersTime(t *testing.T) {
+	run(t, func(h *harness) {
+		h.startSmallShop("s1")
+		h.orders(5).wg.Wait()
+		time.Sleep(time.Second)
+		const callers, patience = 60, 2500 * time.Millisecond
+		answered := make(chan int)
+		for i := range callers {
+			go func() {
+				start := time.Now()
+				send := func(n int) response {
+					left := patience - time.Since(start)
+					return h.send(fmt.Sprintf("back-%d-%d", i, n), http.MethodPost, fmt.Sprintf("/order/%d", i), map[string]string{dialect.DeadlineMillis: strconv.Itoa(int(left.Milliseconds()))}, left)
+				}
+				r := send(1)
+				if r.status == http.StatusServiceUnavailable {
+					again := r.retryAfter(t)
+					assert.Check(t, again <= (patience-time.Since(start))/3, "return after %v", again)
+					time.Sleep(again)
+					r = send(2)
+				}
+				answered <- r.status
+			}()
+		}
+		n := 0
+		for range callers {
+			if status := <-answered; status == http.StatusOK {
+				n++
+			}
+		}
+		// Four fifths of the 50 that the upstream can serve in their time.
+		assert.Check(t, n >= 40, "%d answered", n)
+	})
+}
