--- a/internal/route/btaccount/call.go
+++ b/internal/route/btaccount/call.go
@@ -1,59 +1,108 @@
 package btaccount
 
 import (
-	"time"
-
 	"bramleytack"
+	"bramleytack/internal/route/btwaiting"
 )
 
-// runWeight is the share of the newest call in the mean run time of a service's calls.
-const runWeight = 0.05
+// Call counts one call of a plain service for its workspace, until End is called.
+type Call struct {
+	table     *Table
+	id        bramleytack.UpstreamID
+	workspace btwaiting.WorkspaceKey
+	waits     bool
+	// reserved is the upstream at which the call takes a place before it is sent, or empty.
+	reserved bramleytack.UpstreamID
+}
 
-// ObserveRun records how long an upstream of a plain service took for a call.
-func (t *Table) ObserveRun(u *bramleytack.Upstream, took time.Duration) {
-	if t.Paces.Empty() || took <= 0 {
-		return
+// BeginCall adds a call of a workspace to the load of one of a service's upstreams, by which
+// other daemons learn of it while calls wait. It returns nil if there is no upstream.
+func (t *Table) BeginCall(s *bramleytack.Snapshot, service string, workspace bramleytack.WorkspaceID) *Call {
+	list := s.ByService[service]
+	if len(list) == 0 {
+		return nil
 	}
-	pace, _ := t.Paces.Now(u)
-	run := float64(took.Milliseconds()) / pace
+	c := &Call{table: t, id: list[0].ID, workspace: btwaiting.KeyOf(workspace)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	mean, ok := t.runs[u.Service]
-	if !ok {
-		mean = run
+	a := t.account(c.id)
+	a.own.Calls = a.own.Calls.Add(c.workspace, 1)
+	return c
+}
+
+// BeginWaiting counts the call among those that wait in the daemon until EndWaiting is called.
+// A nil c has no effect.
+func (c *Call) BeginWaiting() {
+	if c == nil {
+		return
+	}
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.waits = true
+	c.table.account(c.id).own.Waiting++
+	c.table.notifyWaiting()
+}
+
+// EndWaiting undoes BeginWaiting. A nil c has no effect.
+func (c *Call) EndWaiting() {
+	if c == nil {
+		return
+	}
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.endWaiting()
+}
+
+func (c *Call) endWaiting() {
+	if !c.waits {
+		return
 	}
-	if t.runs == nil {
-		t.runs = map[string]float64{}
+	c.waits = false
+	a := c.table.account(c.id)
+	if a.own.Waiting--; a.own.Waiting == 0 {
+		c.table.notifyWaiting()
 	}
-	t.runs[u.Service] = mean + runWeight*(run-mean)
 }
 
-// callRun returns the mean run time at the usual pace, in milliseconds, by which calls choose among
-// upstreams of a plain service. It is zero unless their paces differ at this moment. The caller holds the lock.
-func (t *Table) callRun(s *bramleytack.Snapshot, candidates []*bramleytack.Upstream) float64 {
-	if t.Paces == nil || len(candidates) < 2 || s.Engine(candidates[0].Service) != nil || t.runs[candidates[0].Service] == 0 {
-		return 0
+// Reserve counts the call at an upstream that was chosen for it, until Release is called. Calls
+// that are chosen for before it is sent then see its place taken. A nil c has no effect.
+func (c *Call) Reserve(id bramleytack.UpstreamID) {
+	if c == nil {
+		return
 	}
-	t.Paces.Want()
-	least, most := 0.0, 0.0
-	for _, u := range candidates {
-		pace, _ := t.Paces.Now(u)
-		if least == 0 || pace < least {
-			least = pace
-		}
-		most = max(most, pace)
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.release()
+	c.reserved = id
+	c.table.account(id).own.Running++
+}
+
+// Release undoes Reserve. A nil c has no effect.
+func (c *Call) Release() {
+	if c == nil {
+		return
 	}
-	if most < minSpread*least {
-		return 0
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.release()
+}
+
+func (c *Call) release() {
+	if c.reserved != "" {
+		c.table.account(c.reserved).own.Running--
+		c.reserved = ""
 	}
-	return t.runs[candidates[0].Service]
 }
 
-// callDelay returns the expected time to the answer of a call in milliseconds: that of its own run and
-// of the wait for a place.
-func (t *Table) callDelay(u *bramleytack.Upstream, l Load, run float64) float64 {
-	pace, _ := t.Paces.Now(u)
-	places := max(u.WarmLimit, 1)
-	ahead := max(l.Running+1-places, 0)
-	return pace * run * (1 + float64(ahead)/float64(places))
+// End removes the call from the load. It may be called once. A nil c has no effect.
+func (c *Call) End() {
+	if c == nil {
+		return
+	}
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.endWaiting()
+	c.release()
+	a := c.table.account(c.id)
+	a.own.Calls = a.own.Calls.Add(c.workspace, -1)
 }
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -29,6 +29,7 @@
 	"bramleytack/internal/route/btforecast"
 	"bramleytack/internal/route/btgrant"
 	"bramleytack/internal/route/btpace"
+	"bramleytack/internal/route/btreturn"
 	"bramleytack/internal/route/btrollout"
 	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/upstream/btconn"
@@ -97,9 +98,8 @@
 	// before the configuration, zero without one.
 	unconfiguredSince atomic.Int64
 	crashes           crashDetector
-	// admissionLogged is the Unix time in nanoseconds of the last log line about a request
-	// that admission rejected.
-	admissionLogged atomic.Int64
+	// admissionLogged is for log lines about requests that admission rejected.
+	admissionLogged btevent.Pace
 }
 
 // Active returns the number of requests that are being served. It is safe for
@@ -175,11 +175,13 @@
 	outlasts bool
 	// deadline is the end of the route's timeout or the caller's own deadline,
 	// whichever is earlier.
-	deadline  time.Time
-	workspace bramleytack.WorkspaceID
-	method    string
-	target    string
-	host      string
+	deadline time.Time
+	// callerDeadline is the caller's own deadline, or the same without one.
+	callerDeadline time.Time
+	workspace      bramleytack.WorkspaceID
+	method         string
+	target         string
+	host           string
 	// caller is the address of the caller's end of the connection.
 	caller string
 	header http.Header
@@ -279,7 +281,7 @@
 	now := req.received.UnixNano()
 	req.h.unconfiguredSince.CompareAndSwap(0, now)
 	d := max(daemonRetryAfter, time.Duration(now-req.h.unconfiguredSince.Load()))
-	d = min(d+rand.N(d/2), maxConfigRetryAfter)
+	d = min(btreturn.Spread(d), maxConfigRetryAfter)
 	if ms, err := strconv.ParseInt(r.Header.Get(req.h.Dialect.DeadlineMillis), 10, 64); err == nil && ms > 0 {
 		d = min(d, time.Duration(configRetryShare*float64(ms)*float64(time.Millisecond)))
 	}
@@ -307,11 +309,14 @@
 
 func (req *activeRequest) setDeadline(r *http.Request) {
 	req.deadline = req.received.Add(req.route.Timeout)
+	req.callerDeadline = req.deadline
 	ms, err := strconv.ParseInt(r.Header.Get(req.h.Dialect.DeadlineMillis), 10, 64)
 	if err != nil || ms < 0 {
 		return
 	}
-	if d := req.received.Add(time.Duration(ms) * time.Millisecond); req.route.Timeout <= 0 || d.Before(req.deadline) {
+	d := req.received.Add(time.Duration(ms) * time.Millisecond)
+	req.callerDeadline = d
+	if req.route.Timeout <= 0 || d.Before(req.deadline) {
 		req.deadline = d
 	}
 }
