--- a/internal/route/btrollout/rollout_test.go
+++ b/internal/route/btrollout/rollout_test.go
@@ -146,7 +146,7 @@
 
 // Guards against the same of seeds that break a bound still.
 func TestBadVersionsOfRedSeeds(t *testing.T) {
-	playBadSeeds(t, 85, 138)
+	playBadSeeds(t, 85, 138, 433, 521, 601, 619, 775, 992)
 }
 
 func playBadSeeds(t *testing.T, seeds ...uint64) {
