--- a/internal/route/btrollout/counts.go
+++ b/internal/route/btrollout/counts.go
@@ -18,7 +18,7 @@
 	groups    = 8
 	oldGroups = 8
 	allGroups = groups + oldGroups
-	// maxKeys bounds the keys of one report, which then has at most about 3 KB.
+	// maxKeys bounds the keys of one report, which then has some 3.3 KB if each has a dozen classes of durations.
 	maxKeys = 64
 	// buckets is the number of classes of durations, four for each doubling from a millisecond
 	// to 16 s.
