--- a/internal/serve/btentry/waitingroom.go
+++ b/internal/serve/btentry/waitingroom.go
@@ -185,8 +185,8 @@
 // allowed one by its cold limit: of
 // upstreams that are as good, one would be chosen beyond its places by chance.
 func (req *activeRequest) pickForCall(tried map[bramleytack.UpstreamID]bool, o btwaiting.Occupancy) (u *bramleytack.Upstream, early bool) {
+	req.snapshot = req.h.Table.Snapshot()
 	if req.attempts < max(req.route.MaxAttempts, 1) {
-		req.snapshot = req.h.Table.Snapshot()
 		list := req.eligible(req.unreached(tried))
 		if list, early = req.withPlaces(list, o); early && len(req.fullAt) == 0 {
 			return nil, true
@@ -197,7 +197,6 @@
 			return u, u == nil && len(list) > 0
 		}
 	}
-	req.snapshot = req.h.Table.Snapshot()
 	var again []*bramleytack.Upstream
 	for _, u := range req.eligible(nil) {
 		if req.fullAt[u.ID] {
@@ -256,7 +255,8 @@
 // the service has none that can be reached, and had one not long before the call began to wait.
 // One that asked for a pause, or limits its requests, tells itself when to return.
 func (req *activeRequest) awaitsReturn(w *waitingRoom) bool {
-	s := req.h.Table.Snapshot()
+	// In a newer snapshot there may be one that the call has not been offered yet.
+	s := req.snapshot
 	for _, u := range s.ByService[req.service] {
 		if s.Accepts(u.ID) && !req.h.Accounts.Avoids(u.ID) {
 			return false
