Rejections that are not admission's keep their Retry-After

Cause: callers that were told the forecast of admission by other rejections came back later and were rejected again. Change: the forecast is told by rejections of admission only, as before.

--- a/internal/route/btadmission/controller.go
+++ b/internal/route/btadmission/controller.go
@@ -301,19 +301,6 @@
 	return r, r.Capacity > 0 && float64(waiting) >= overloadShare*float64(r.Capacity)
 }
 
-// RoomIn returns the time after which a request that admission does not decide about finds room
-// behind what waits for its service, zero without overload.
-func (c *Controller) RoomIn(r Request, loads func() Room) time.Duration {
-	room, overloaded := (&Visit{c: c, r: r}).Overloaded(loads)
-	if !overloaded {
-		return 0
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.timer.Now()
-	return c.forecast(r, room, c.refresh(now).waitingFor(r, r.Rank, false)) + c.returns.drain(c.rate(room), now)
-}
-
 // Decide returns what becomes of the request now. A room without engines is not known: the
 // request may then go anywhere.
 func (v *Visit) Decide(room Room) Decision {
--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -123,16 +123,6 @@
 		Int("capacity", room.Capacity).Int("unread", room.Unread).Bool("late", d.Late).Bool("returned", d.Returned).Dur("left", req.remaining()).Send()
 }
 
-// roomIn returns the time after which the request finds room at the engines of its service, as far
-// as admission knows, spread by a quarter. It is zero without overload and for other services.
-func (req *activeRequest) roomIn() time.Duration {
-	if req.h.Admission == nil || req.snapshot == nil || req.snapshot.Engine(req.service) == nil {
-		return 0
-	}
-	r := btadmission.Request{Service: req.service, Rank: req.rank(), Prompt: req.need.Prompt, Memory: req.need.Prompt + req.need.Output}
-	return time.Duration((0.75 + 0.5*rand.Float64()) * float64(req.h.Admission.RoomIn(r, req.room)))
-}
-
 // answerRefusal answers a request that admission rejects. It reports false if there is none.
 func (req *activeRequest) answerRefusal() bool {
 	if req.refusal == nil {
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -203,7 +203,7 @@
 
 // retryAfter returns a random Retry-After, so that rejected callers do not return
 // all at once. It is not less than the time for which all upstreams are paused, until
-// their limits allow the request, or until a place at an upstream or room at an engine is expected.
+// their limits allow the request, or until a place is expected to be free.
 func (req *activeRequest) retryAfter() time.Duration {
 	d := time.Duration((0.5 + rand.Float64()) * float64(meanRetryAfter))
 	s := req.h.Table.Snapshot()
@@ -213,7 +213,7 @@
 			accepting = append(accepting, u)
 		}
 	}
-	d += max(req.h.Accounts.PauseLeft(s, req.service), req.h.Grants.ReturnAfter(req.service, accepting), req.returnIn, req.roomIn())
+	d += max(req.h.Accounts.PauseLeft(s, req.service), req.h.Grants.ReturnAfter(req.service, accepting), req.returnIn)
 	return max(min(d, req.maxRetryAfter()), 0)
 }
 
