--- a/internal/serve/btentry/waitingroom.go
+++ b/internal/serve/btentry/waitingroom.go
@@ -181,9 +181,8 @@
 
 // pickForCall returns an upstream that is not in tried or, once the call has been sent to as
 // many as its route allows or no other is left, one that has rejected it because it was full.
-// early is set if it is too early for that, or no upstream that the call may use has a place, or is
-// allowed one by its cold limit: of
-// upstreams that are as good, one would be chosen beyond its places by chance.
+// early is set if the call has to wait: it is too early for that, or no upstream that the call may use
+// has a place, or a request left by its cold limit.
 func (req *activeRequest) pickForCall(tried map[bramleytack.UpstreamID]bool, o btwaiting.Occupancy) (u *bramleytack.Upstream, early bool) {
 	req.snapshot = req.h.Table.Snapshot()
 	if req.attempts < max(req.route.MaxAttempts, 1) {
