--- a/internal/route/btrollout/writer.go
+++ b/internal/route/btrollout/writer.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// writeRetry is the time after which a write of the same state and stage is repeated. It has
-	// succeeded, or may have taken effect without an answer: the replica shows it by then.
+	// writeRetry is the time after which a failed write is repeated. One without an answer may
+	// have taken effect: the replica shows it by then.
 	writeRetry = 1500 * time.Millisecond
 	// standIn is how long a status is wrong before judges that are not the first by rank write.
 	standIn = 1500 * time.Millisecond
@@ -24,15 +24,7 @@
 type writerState struct {
 	// wrongSince is when the status in the store was first seen to be wrong, zero if it is right.
 	wrongSince time.Time
-	// notBefore is when the state and stage of the last write may be written again.
-	notBefore time.Time
-	state     bramleytack.RolloutState
-	stage     int
-}
-
-// waits reports whether a status has just been written.
-func (w *writerState) waits(s bramleytack.RolloutStatus, now time.Time) bool {
-	return now.Before(w.notBefore) && s.State == w.state && s.Stage == w.stage
+	notBefore  time.Time
 }
 
 // Writer keeps the status of orders in the store. Its fields are set before Run.
@@ -109,7 +101,7 @@
 	if o.writer.wrongSince.IsZero() {
 		o.writer.wrongSince = now
 	}
-	if o.writer.waits(s, now) || !first && now.Sub(o.writer.wrongSince) < standIn {
+	if now.Before(o.writer.notBefore) || !first && now.Sub(o.writer.wrongSince) < standIn {
 		return dueStatus{}, false
 	}
 	return dueStatus{service, o.id, s, o.rollout.Revision}, true
@@ -145,7 +137,7 @@
 	now := t.Timer.Now()
 	o := t.orders[d.service]
 	if o != nil && o.id == d.order {
-		o.writer.notBefore, o.writer.state, o.writer.stage = now.Add(writeRetry), d.status.State, d.status.Stage
+		o.writer.notBefore = now.Add(writeRetry)
 		if errors.Is(err, bramleytack.ErrConflict) {
 			o.writer.notBefore = now.Add(TickPeriod)
 		}
