--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -55,7 +55,7 @@
 }
 
 func (c *clients) exchange(id, path string, header map[string]string, deadline time.Duration) {
-	i := rand.IntN(daemons)
+	i := rand.IntN(c.fleet.size)
 	if c.only {
 		i = 0
 	}
@@ -65,6 +65,7 @@
 	}
 	a := answer{id: id, path: path, sent: time.Now()}
 	r.Host = "shop.example"
+	r.Header.Set("Daemon", strconv.Itoa(i))
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	r.Header.Set("Sent-Nanos", strconv.FormatInt(a.sent.UnixNano(), 10))
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -31,7 +31,9 @@
 	network int
 	base    int
 	store   *store
-	cmds    []*exec.Cmd
+	cmds    [daemons]*exec.Cmd
+	// size is the number of daemons.
+	size int
 	// gap is the time between two events of a generation.
 	gap time.Duration
 	// memory is that of a machine in MB.
@@ -50,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{gap: 40 * time.Millisecond, memory: 284, rec: rec, program: program, dir: dir, workers: map[string]*worker{}}
+	f := &fleet{size: daemons, gap: 40 * time.Millisecond, memory: 284, rec: rec, program: program, dir: dir, workers: map[string]*worker{}}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -131,13 +133,13 @@
 
 // startDaemons starts the daemons and waits until all are ready.
 func (f *fleet) startDaemons() error {
-	for i := range daemons {
+	for i := range f.size {
 		if err := f.startDaemon(i); err != nil {
 			return err
 		}
 	}
 	deadline := time.Now().Add(20 * time.Second)
-	for i := range daemons {
+	for i := range f.size {
 		for !f.isReady(i) {
 			if time.Now().After(deadline) {
 				return fmt.Errorf("daemon %d is not ready", i)
@@ -186,7 +188,7 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		return err
 	}
-	logs, err := os.Create(filepath.Join(f.dir, name+".log"))
+	logs, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -197,13 +199,16 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	f.cmds = append(f.cmds, cmd)
+	f.cmds[i] = cmd
 	return nil
 }
 
 // stop ends all processes and removes the temporary files.
 func (f *fleet) stop() {
 	for _, c := range f.cmds {
+		if c == nil {
+			continue
+		}
 		_ = c.Process.Kill()
 		_ = c.Wait()
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,6 +20,7 @@
 	"deaf":         deafEngine,
 	"crowd":        crowd,
 	"stale-copy":   staleCopy,
+	"restored":     restored,
 }
 
 func main() { os.Exit(start(os.Args[1:])) }
--- /dev/null
+++ b/review/standin2/restored.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+// The figures of the rounds in which the store comes back from an older copy.
+const (
+	restoredRounds = 6
+	roundLength    = 16500 * time.Millisecond
+	leaversOfRound = 4
+	drainLimit     = 2 * time.Second
+	stableWindow   = 3 * time.Second
+)
+
+// departure is when the store had accepted the removal of a worker's entry.
+type departure struct {
+	worker string
+	at     time.Time
+}
+
+// restored has workers that leave, and then a store that comes back from a copy from before. One
+// daemon is killed while the store is away and starts again, another one is frozen meanwhile.
+func restored(f *fleet, trouble bool) (bool, error) {
+	f.size = 3
+	f.store.put("config", "main", config(0, false))
+	desk := workerConfig{service: "orders", slots: 6}
+	start := func(n int) (ws []*worker) {
+		for i := range n {
+			desk.zone = zones[i%len(zones)]
+			ws = append(ws, f.startWorker(desk))
+		}
+		return ws
+	}
+	start(6)
+	if err := f.startDaemons(); err != nil {
+		return false, err
+	}
+	c := newClients(f)
+	end := time.Now().Add(restoredRounds * roundLength)
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		c.each(60, end, func() { c.send(order, nil, 2500*time.Millisecond) })
+	}()
+	var gone []departure
+	// Between the times in calm and those in next all machines are in touch, by round.
+	var calm, next []time.Time
+	for range restoredRounds {
+		began := time.Now()
+		leavers := start(leaversOfRound)
+		time.Sleep(2 * time.Second)
+		old := f.store.copy()
+		f.rec.line("the store is copied")
+		time.Sleep(300 * time.Millisecond)
+		for _, w := range leavers {
+			w.leaveSilently()
+			gone = append(gone, departure{w.id, time.Now()})
+			f.rec.line("the entry of worker %s is removed; the worker serves on", w.id)
+		}
+		time.Sleep(time.Second)
+		next = append(next, time.Now())
+		if trouble {
+			if err := f.returnFromCopy(old, leavers); err != nil {
+				return false, err
+			}
+		}
+		calm = append(calm, time.Now().Add(stableWindow))
+		time.Sleep(time.Until(began.Add(roundLength)))
+	}
+	c.wg.Wait()
+	return f.judgeGone(gone, calm, append(next[1:], time.Now())), nil
+}
+
+// returnFromCopy takes the store away for a second and brings it back from a copy. What was written
+// since is written again within a second.
+func (f *fleet) returnFromCopy(old storeCopy, leavers []*worker) error {
+	f.rec.line("the store goes away")
+	f.store.setDown(true)
+	f.rec.line("daemon 1 is frozen, daemon 0 is killed")
+	_ = f.cmds[1].Process.Signal(syscall.SIGSTOP)
+	_ = f.cmds[0].Process.Kill()
+	_ = f.cmds[0].Wait()
+	time.Sleep(300 * time.Millisecond)
+	if err := f.startDaemon(0); err != nil {
+		return fmt.Errorf("restart: %w", err)
+	}
+	f.rec.line("daemon 0 starts again")
+	time.Sleep(700 * time.Millisecond)
+	f.store.restore(old)
+	f.rec.line("the store is back from the copy")
+	for _, w := range leavers {
+		time.Sleep(250 * time.Millisecond)
+		f.store.remove("servers", w.id)
+		f.rec.line("the removal of worker %s is written again", w.id)
+	}
+	time.Sleep(300 * time.Millisecond)
+	_ = f.cmds[1].Process.Signal(syscall.SIGCONT)
+	f.rec.line("daemon 1 goes on")
+	return nil
+}
+
+// judgeGone reports whether requests reached workers that had gone, later than allowed, while all
+// machines and the store were without disruption.
+func (f *fleet) judgeGone(gone []departure, calm, next []time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	late, byDaemon := 0, map[string]int{}
+	for _, a := range f.arrivals {
+		for i, d := range gone {
+			round := i / leaversOfRound
+			if a.worker != d.worker || a.at.Sub(d.at) <= drainLimit || a.at.Before(calm[round]) || a.at.After(next[round]) {
+				continue
+			}
+			late++
+			byDaemon[a.daemon]++
+			f.rec.line("request %s reached worker %s from daemon %s %.3f s after the store had accepted that it was gone", a.id, a.worker, a.daemon, a.at.Sub(d.at).Seconds())
+		}
+	}
+	f.rec.say("requests at workers that had gone, sent by machines in touch: %d, by daemon: %v", late, byDaemon)
+	return late > 0
+}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -41,6 +42,10 @@
 	objects  map[string]map[string]object
 	history  map[string][]change
 	changed  chan struct{}
+	// era counts the returns from an older copy, known is the revision of the newest one: watches
+	// from an earlier revision get 410.
+	era   int
+	known uint64
 	// down is set while the store answers 503 and cuts waiting watches off.
 	down bool
 	// calls counts the calls.
@@ -50,7 +55,7 @@
 
 // newStore returns an empty store that serves at a listener.
 func newStore(l net.Listener) *store {
-	s := &store{revision: 100, objects: map[string]map[string]object{}, history: map[string][]change{}, changed: make(chan struct{})}
+	s := &store{era: 3, revision: 100, objects: map[string]map[string]object{}, history: map[string][]change{}, changed: make(chan struct{})}
 	go func() { _ = http.Serve(l, s) }()
 	return s
 }
@@ -69,6 +74,33 @@
 	s.wake()
 }
 
+// storeCopy is an older copy of the store.
+type storeCopy struct {
+	revision uint64
+	objects  map[string]map[string]object
+}
+
+// copy returns a copy of the store.
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := storeCopy{s.revision, map[string]map[string]object{}}
+	for kind, objects := range s.objects {
+		c.objects[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// restore brings the store back from a copy, in the next era.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.known, s.objects, s.history = c.revision, c.revision, c.objects, map[string][]change{}
+	s.era++
+	s.down = false
+	s.wake()
+}
+
 // put writes an object as the operator or a worker. It reports false while the store is down.
 func (s *store) put(kind, name string, spec any) bool {
 	data, err := json.Marshal(spec)
@@ -127,6 +159,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
 	if s.down {
 		http.Error(w, "away", http.StatusServiceUnavailable)
 		return
@@ -189,6 +222,11 @@
 	from, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	if from < s.known || from > s.revision {
+		http.Error(w, "history is gone", http.StatusGone)
+		return
+	}
+	era := s.era
 	for {
 		events := []change{}
 		for _, c := range s.history[kind] {
@@ -210,7 +248,7 @@
 			timedOut = true
 		}
 		s.mu.Lock()
-		if s.down {
+		if s.down || s.era != era {
 			panic(http.ErrAbortHandler)
 		}
 		if timedOut {
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -43,6 +43,8 @@
 	sent   time.Time
 	id     string
 	worker string
+	// daemon is the address of the daemon that sent it.
+	daemon string
 	cold   bool
 	from   bool
 }
@@ -80,6 +82,8 @@
 	runs map[string]int
 	next int
 	dead bool
+	// gone workers write no entry any more, and serve on for a while.
+	gone bool
 }
 
 // startWorker starts a worker at a free address and registers it.
@@ -121,9 +125,9 @@
 	last := ""
 	for {
 		w.mu.Lock()
-		dead, cold, state := w.dead, max(time.Until(w.coldUntil), 0), w.state
+		dead, gone, cold, state := w.dead, w.gone, max(time.Until(w.coldUntil), 0), w.state
 		w.mu.Unlock()
-		if dead {
+		if dead || gone {
 			return
 		}
 		key := state + strconv.FormatBool(cold > 0)
@@ -145,6 +149,14 @@
 	w.mu.Unlock()
 }
 
+// leaveSilently makes the worker leave without saying so. It serves on for a while.
+func (w *worker) leaveSilently() {
+	w.mu.Lock()
+	w.gone = true
+	w.mu.Unlock()
+	w.fleet.store.remove("servers", w.id)
+}
+
 // turnCold makes a warm worker cold.
 func (w *worker) turnCold(d time.Duration) {
 	w.mu.Lock()
@@ -207,8 +219,8 @@
 	if n, err := strconv.ParseInt(r.Header.Get("Sent-Nanos"), 10, 64); err == nil {
 		sent = time.Unix(0, n)
 	}
-	w.fleet.arrived(arrival{at: now, sent: sent, id: id, worker: w.id, cold: cold, from: r.Header.Get("Kv-From") != ""})
-	w.fleet.rec.line("request %s reaches worker %s, cold %v, Kv-From %q, Last-Event-Id %q, Kv-Backup %q", id, w.id, cold, r.Header.Get("Kv-From"), r.Header.Get("Last-Event-Id"), r.Header.Get("Kv-Backup"))
+	w.fleet.arrived(arrival{at: now, sent: sent, id: id, worker: w.id, daemon: r.Header.Get("Daemon"), cold: cold, from: r.Header.Get("Kv-From") != ""})
+	w.fleet.rec.line("request %s reaches worker %s from daemon %s, cold %v, Kv-From %q, Last-Event-Id %q, Kv-Backup %q", id, w.id, r.Header.Get("Daemon"), cold, r.Header.Get("Kv-From"), r.Header.Get("Last-Event-Id"), r.Header.Get("Kv-Backup"))
 	if w.overrun(now, cold) {
 		w.crash()
 	}
