Memory: callers leave responses their reserve at every step

Cause: the limit for bytes falls with each connection and each open request, but the reserve for responses was checked only when a request took bytes or began. Connections that were counted later pushed the limit below what held requests keep, and each event of a stream then ended its account. Bodies that were being read could not be ended, and nothing was kept for requests of ordinary size.

Change: a connection has one account for its requests, from the first byte on (OpenCaller, Begin, Hold, Finish). All that callers take, connections included, has to leave the reserve; requests that arrive, bodies included, make room by size and age; a body of known length finds memory before it is read.

--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -45,7 +45,7 @@
 	net.Conn
 	gate *Gate
 	raw  bool
-	// account counts the head until it is handed over.
+	// account counts each request from its first byte on.
 	account *btmemory.Account
 	state   state
 	// head and lines are the bytes and lines of the head so far, and charged what counts for
@@ -53,6 +53,8 @@
 	head    int
 	lines   int
 	charged int
+	// handedOver is set from HandOver until the handler returns.
+	handedOver bool
 	// recent counts the lines that net/http may have in its buffer, and early those that may
 	// belong to a head that it has read before the request in front of it was served.
 	recent recentLines
@@ -74,21 +76,35 @@
 
 type connKey struct{}
 
-// HandOver moves the head of a request from its connection to the request's account, after
-// which the connection is not dropped for want of memory. It reports false if there is no
-// memory: the request must not be passed on. A request that came by no Gate has nothing to
-// hand over; ok is false then.
-func HandOver(ctx context.Context, to *btmemory.Account) (fits, ok bool) {
+// Admit counts a request as open. The account counts what the request keeps, besides its head,
+// until its handler returns. Fits is false if there is no memory: the request must not be passed
+// on. A request that came by no Gate has no account; ok is false then.
+func Admit(ctx context.Context) (account *btmemory.Account, fits, ok bool) {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return nil, true, false
+	}
+	return c.account, c.noteMemory(c.account.Begin()), true
+}
+
+// HandOver keeps the connection of a request from being dropped for want of memory until its
+// handler returns. It reports false if there is no memory for the request or its connection has
+// been dropped: the request must not be passed on. For a request that came by no Gate, ok is
+// false.
+func HandOver(ctx context.Context) (fits, ok bool) {
 	c, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
 		return true, false
 	}
-	if c.dropped.Load() || !c.account.MoveToRequest(to) {
+	c.handedOver = c.noteMemory(c.account.Hold())
+	return c.handedOver, true
+}
+
+func (c *Conn) noteMemory(fits bool) bool {
+	if !fits {
 		c.gate.note(NoMemory, c.RemoteAddr().String())
-		return false, true
 	}
-	c.charged = 0
-	return true, true
+	return fits
 }
 
 // Dropped reports whether a request's connection has been dropped before HandOver.
@@ -262,6 +278,14 @@
 	c.bound(time.Time{})
 }
 
+// finish notes that the handler of a request has returned.
+func (c *Conn) finish() {
+	if c.handedOver {
+		c.handedOver, c.charged = false, 0
+	}
+	c.account.Finish(c.charged)
+}
+
 // rest notes that a request was served.
 func (c *Conn) rest() {
 	c.account.Release(c.charged)
--- a/internal/node/btlistener/doc.go
+++ b/internal/node/btlistener/doc.go
@@ -9,7 +9,8 @@
 // connections, the one that has been idle for longest closes, then the one whose head has been
 // incomplete for longest.
 //
-// A connection is never dropped once its request has been handed over: see HandOver.
+// A connection is not dropped between the hand-over of its request and the return of the handler:
+// see HandOver.
 //
 // # Usage
 //
@@ -18,9 +19,11 @@
 //	gate.Bind(server)
 //	go server.Serve(gate.Listen(listener))
 //
-// The handler, once it has read the request's body:
+// The handler:
 //
-//	if !btlistener.HandOver(r.Context(), account) {
+//	account, fits, _ := btlistener.Admit(r.Context())
+//	body, err := btmemory.ReadAll(r.Body, -1, maxBytes, account)
+//	if fits, _ := btlistener.HandOver(r.Context()); !fits {
 //		// no memory: the request has not run
 //	}
 package btlistener
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -27,8 +27,6 @@
 	closeWait = 20 * time.Millisecond
 	// logPeriod is the least time between two log entries with the same reason.
 	logPeriod = time.Second
-	// headSource is the source of the bytes of heads.
-	headSource btmemory.Source = "heads"
 )
 
 // Reason is why a head was refused or a connection closed.
@@ -125,7 +123,7 @@
 	s.MaxHeaderBytes = math.MaxInt32
 }
 
-// servingHandler notes that a request is served before it calls a handler. net/http does not
+// servingHandler notes that a request is served while it calls a handler. net/http does not
 // report a connection as active whose request was in its buffer already.
 type servingHandler struct{ next http.Handler }
 
@@ -133,6 +131,7 @@
 func (h *servingHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
 		c.serve()
+		defer c.finish()
 	}
 	h.next.ServeHTTP(w, r)
 }
@@ -168,7 +167,7 @@
 // admit returns the connection, or closes it and returns nil if there is no room for it.
 func (g *Gate) admit(nc net.Conn, raw bool) *Conn {
 	c := &Conn{Conn: nc, gate: g, raw: raw, closed: make(chan struct{})}
-	c.account = g.Memory.Open(headSource, func() { c.drop(NoMemory) })
+	c.account = g.Memory.OpenCaller(func() { c.drop(NoMemory) })
 	old, ok := g.enter(c)
 	if !ok {
 		c.account.Close()
@@ -204,15 +203,20 @@
 func (g *Gate) enter(c *Conn) (dropped *Conn, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.MaxConns > 0 && g.conns >= g.MaxConns {
-		if dropped = g.oldest(); dropped == nil {
+	full := g.MaxConns > 0 && g.conns >= g.MaxConns
+	if full || !g.Memory.OpenConn(false) {
+		if dropped = g.oldest(); dropped == nil && full {
+			return nil, false
+		}
+		if dropped != nil {
+			g.uncount(dropped)
+			dropped.drop(TooManyConns)
+		}
+		if !g.Memory.OpenConn(true) {
 			return nil, false
 		}
-		g.uncount(dropped)
-		dropped.drop(TooManyConns)
 	}
 	g.conns++
-	g.Memory.OpenConn()
 	c.counted = true
 	c.place(&g.idle)
 	return dropped, true
@@ -254,17 +258,15 @@
 	g.Log.Event(btevent.CallerRefused).Stringer("reason", r).Uint64("count", count).Str("from", from).Send()
 }
 
-// Handler returns a handler that opens an account for each request and takes over its head. A
-// request that finds no memory is answered 503. Handlers that keep bodies call HandOver
-// themselves.
+// Handler returns a handler that takes over each request before its body is read. A request that
+// finds no memory is answered 503. Handlers that keep bodies call Admit and HandOver themselves.
 func (g *Gate) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		account, opened := g.Memory.OpenRequest()
-		defer account.Close()
-		if !opened {
-			g.note(NoMemory, r.RemoteAddr)
+		_, fits, _ := Admit(r.Context())
+		if fits {
+			fits, _ = HandOver(r.Context())
 		}
-		if fits, _ := HandOver(r.Context(), account); !opened || !fits {
+		if !fits {
 			w.Header().Set("Retry-After", seconds(retryAfter))
 			http.Error(w, refusal(NoMemory), http.StatusServiceUnavailable)
 			return
--- a/internal/node/btlistener/gate_test.go
+++ b/internal/node/btlistener/gate_test.go
@@ -40,10 +40,9 @@
 
 // ServeHTTP reads the body, takes the request over and answers its size.
 func (f *fixture) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	account, opened := f.gate.Memory.OpenRequest()
-	defer account.Close()
-	body, err := io.ReadAll(r.Body)
-	if fits, counted := HandOver(r.Context(), account); err != nil || !opened || !counted || !fits {
+	account, opened, counted := Admit(r.Context())
+	body, err := btmemory.ReadAll(r.Body, int(r.ContentLength), 1<<20, account)
+	if fits, _ := HandOver(r.Context()); err != nil || !opened || !counted || !fits {
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/node/btmemory/budget.go
+++ b/internal/node/btmemory/budget.go
@@ -48,9 +48,9 @@
 type Budget struct {
 	// Limit is the limit in bytes. It does not change.
 	Limit int64
-	// Total bounds the sum of all bytes and of RequestCost for each open request. Where
-	// Limit would exceed it, a lower limit holds. A request that would leave less than the
-	// reserve for bytes is not opened. Zero means no bound.
+	// Total bounds the sum of all bytes, of RequestCost for each open request and of ConnCost
+	// for each connection. Where Limit would exceed it, a lower limit holds. What would leave
+	// less than the reserve for responses is not opened. Zero means no bound.
 	Total int64
 	// RequestCost is the memory that a request takes besides what it keeps, in bytes, and
 	// ConnCost that of a caller's connection.
@@ -60,13 +60,16 @@
 	Timer bramleytack.Timer
 
 	mu sync.Mutex
-	// open is the number of open requests, and requests their bytes.
+	// open is the number of open requests, and requests the bytes of those that are never ended.
 	open     int64
 	requests int64
-	// conns is the number of callers' connections.
-	conns   int64
-	sources map[Source]*source
-	// others is the sum of all accounts but those of requests.
+	// conns is the number of callers' connections, and arriving has those of them whose
+	// requests may be ended. order numbers them by their first byte.
+	conns    int64
+	arriving source
+	order    uint64
+	sources  map[Source]*source
+	// others is the sum of the accounts of all sources.
 	others int64
 	// ending is the sum of what accounts held that have ended and are not closed.
 	ending int64
@@ -74,21 +77,28 @@
 	released chan struct{}
 }
 
-// source has the open accounts of one Source.
+// source has the open accounts of one Source, or those that arrive.
 type source struct {
 	bytes    int64
 	accounts map[*Account]struct{}
 }
 
+func newSource() source { return source{accounts: map[*Account]struct{}{}} }
+
 // Account counts the bytes of one connection, response or request. A nil Account counts
 // nothing. It is safe for concurrent use.
 type Account struct {
 	budget *Budget
-	// source is empty for a request.
+	// source is empty for a caller.
 	source Source
 	end    func()
 	// Guarded by the budget's mu.
 	bytes int64
+	// arrival is when the request of a caller began, begun whether it counts as open, and held
+	// whether it is never ended.
+	arrival arrival
+	begun   bool
+	held    bool
 	// dropping is what the account held when it ended, until it closes.
 	dropping int64
 	// ended is set if the account was ended for want of memory, closed by Close.
@@ -109,27 +119,13 @@
 		b.sources = map[Source]*source{}
 	}
 	if b.sources[s] == nil {
-		b.sources[s] = &source{accounts: map[*Account]struct{}{}}
+		added := newSource()
+		b.sources[s] = &added
 	}
 	b.sources[s].accounts[a] = struct{}{}
 	return a
 }
 
-// OpenRequest returns an account for a request of a caller. It is never ended. It reports
-// false if there is no memory for one more request; the account takes nothing then.
-func (b *Budget) OpenRequest() (*Account, bool) {
-	if b == nil {
-		return nil, true
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.Total > 0 && (b.open+1)*b.RequestCost+b.conns*b.ConnCost+b.reserve() > b.Total {
-		return &Account{budget: b, closed: true}, false
-	}
-	b.open++
-	return &Account{budget: b}, true
-}
-
 // limit returns the limit for the bytes of all accounts.
 func (b *Budget) limit() int64 {
 	if b.Total == 0 {
@@ -138,22 +134,6 @@
 	return min(b.Limit, b.Total-b.open*b.RequestCost-b.conns*b.ConnCost)
 }
 
-// OpenConn counts a caller's connection, until CloseConn. Whoever accepts connections bounds
-// their number.
-func (b *Budget) OpenConn() { b.addConns(1) }
-
-// CloseConn ends the count of a connection.
-func (b *Budget) CloseConn() { b.addConns(-1) }
-
-func (b *Budget) addConns(n int64) {
-	if b == nil {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.conns += n
-}
-
 // Kept returns the number of bytes in all accounts.
 func (b *Budget) Kept() int64 {
 	if b == nil {
@@ -161,18 +141,10 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.requests + b.others
+	return b.kept()
 }
 
-// FitsRequest reports whether n bytes of a request could be taken now.
-func (b *Budget) FitsRequest(n int64) bool {
-	if b == nil {
-		return true
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.requests+n <= b.limit()-b.reserve()
-}
+func (b *Budget) kept() int64 { return b.requests + b.arriving.bytes + b.others }
 
 func (b *Budget) reserve() int64 { return int64(reserveShare * float64(b.Limit)) }
 
@@ -197,7 +169,13 @@
 func (b *Budget) take(a *Account, n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.ended || a.closed || !b.makeRoom(a, n) {
+	if a.ended || a.closed {
+		return false
+	}
+	if a.arrives() && a.bytes == 0 {
+		b.stamp(a)
+	}
+	if !b.makeRoom(a, n) {
 		return false
 	}
 	b.add(a, n)
@@ -226,7 +204,7 @@
 func (b *Budget) overdue() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.requests+b.others+b.ending <= b.limit() {
+	if b.kept()+b.ending <= b.limit() {
 		return nil
 	}
 	if b.released == nil {
@@ -236,31 +214,37 @@
 }
 
 // makeRoom ends accounts until n bytes of a fit. It reports false if they do not: a itself
-// has ended then, or is a request.
+// has ended then, or is a request that is held.
 func (b *Budget) makeRoom(a *Account, n int64) bool {
-	if a.source == "" && b.requests+n > b.limit()-b.reserve() {
+	if a.source == "" && !b.makeCallerRoom(a, n, 0) {
 		return false
 	}
-	for b.requests+b.others+n > b.limit() {
-		largest := b.largest(a, n)
-		if largest == nil {
+	for b.kept()+n > b.limit() {
+		victim := b.largest(a, n)
+		if victim == nil {
 			return false
 		}
-		largest.dropping = largest.bytes
-		b.ending += largest.bytes
-		b.add(largest, -largest.bytes)
-		largest.ended = true
-		b.forget(largest)
-		largest.end()
-		if largest == a {
+		b.endAccount(victim)
+		if victim == a {
 			return false
 		}
 	}
 	return true
 }
 
-// largest returns the account that holds most, of the source that holds most. The n bytes
-// that a asks for count as if it had them.
+// endAccount ends an account for want of memory.
+func (b *Budget) endAccount(a *Account) {
+	a.dropping = a.bytes
+	b.ending += a.bytes
+	b.add(a, -a.bytes)
+	b.stopRequest(a)
+	a.ended = true
+	b.forget(a)
+	a.end()
+}
+
+// largest returns the account that holds most, of the source that holds most, where all that
+// arrives is one source. The n bytes that a asks for count as if it had them.
 func (b *Budget) largest(a *Account, n int64) *Account {
 	var most *source
 	var mostBytes int64
@@ -273,6 +257,9 @@
 			most, mostBytes = s, bytes
 		}
 	}
+	if bytes := b.arriving.bytes; len(b.arriving.accounts) > 0 && (most == nil || bytes > mostBytes || a.arrives() && bytes+n > mostBytes) {
+		return b.largestArriving(a, n)
+	}
 	if most == nil {
 		return nil
 	}
@@ -293,12 +280,15 @@
 // add changes the bytes of an account.
 func (b *Budget) add(a *Account, n int64) {
 	a.bytes += n
-	if a.source == "" {
+	switch {
+	case a.held:
 		b.requests += n
-		return
+	case a.source == "":
+		b.arriving.bytes += n
+	default:
+		b.others += n
+		b.sources[a.source].bytes += n
 	}
-	b.others += n
-	b.sources[a.source].bytes += n
 }
 
 // drop takes off what an ended account held.
@@ -313,6 +303,10 @@
 
 // forget removes an account without bytes from its source.
 func (b *Budget) forget(a *Account) {
+	if a.source == "" {
+		delete(b.arriving.accounts, a)
+		return
+	}
 	s := b.sources[a.source]
 	if delete(s.accounts, a); len(s.accounts) == 0 {
 		delete(b.sources, a.source)
@@ -342,21 +336,6 @@
 	return a.budget.move(a, to, int64(n))
 }
 
-// MoveToRequest moves all bytes to the account of a request, which is never ended. It reports
-// false and moves nothing if requests have no memory for them, or if either account has ended.
-func (a *Account) MoveToRequest(to *Account) bool {
-	if a == nil {
-		return true
-	}
-	b := a.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if to.closed || b.requests+a.bytes > b.limit()-b.reserve() {
-		return false
-	}
-	return b.move(a, to, a.bytes)
-}
-
 // MoveAllTo is MoveTo with all bytes.
 func (a *Account) MoveAllTo(to *Account) bool {
 	if a == nil {
@@ -405,10 +384,7 @@
 		return
 	}
 	b.add(a, -a.bytes)
+	b.stopRequest(a)
 	a.closed = true
-	if a.source == "" {
-		b.open--
-		return
-	}
 	b.forget(a)
 }
--- a/internal/node/btmemory/budget_test.go
+++ b/internal/node/btmemory/budget_test.go
@@ -212,32 +212,3 @@
 	_, err := ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), -1, 10, nil)
 	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF))
 }
-
-// Guards against connections that are not counted, or stay counted, and against a head that
-// requests take over although they have no memory left, or that is still ended then.
-func TestHeadsAndConnections(t *testing.T) {
-	b := &Budget{Limit: 600, Total: 1000, RequestCost: 100, ConnCost: 10}
-	for range 50 {
-		b.OpenConn()
-	}
-	head := open(b, "heads")
-	assert.Assert(t, head.Take(400) && !open(b, "other").Take(450))
-	r, ok := b.OpenRequest()
-	assert.Assert(t, ok)
-	assert.Assert(t, !head.MoveToRequest(r), "400 of 400 leave no reserve")
-	assert.Equal(t, b.Kept(), int64(400))
-	for range 50 {
-		b.CloseConn()
-	}
-	assert.Assert(t, head.MoveToRequest(r))
-	flood := open(b, "a")
-	assert.Assert(t, flood.Take(200) && !flood.Take(1))
-	assert.Assert(t, !head.dropped && head.Take(50), "the account counts the next head")
-	r.Close()
-	head.Close()
-	assert.Equal(t, b.Kept(), int64(0))
-	head = open(b, "heads")
-	assert.Assert(t, head.Take(100))
-	assert.Assert(t, !head.MoveToRequest(r), "the request has ended")
-	assert.Equal(t, b.Kept(), int64(100))
-}
--- a/internal/node/btmemory/read.go
+++ b/internal/node/btmemory/read.go
@@ -60,6 +60,19 @@
 	}
 }
 
+// ReadSized reads data of a length to its end. All of it counts in the account before the first
+// byte is read.
+func ReadSized(r io.Reader, size int, a *Account) ([]byte, error) {
+	if !a.Take(size) {
+		return nil, ErrFull
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return nil, err
+	}
+	return data, readEnd(r)
+}
+
 // readEnd returns nil if nothing is left to read.
 func readEnd(r io.Reader) error {
 	var b [1]byte
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -118,9 +118,10 @@
 	defer h.requests.remove(req)
 	defer req.answerPanic()
 	// The body counts from its first byte on, also if the request is rejected.
-	opened := false
-	req.kept, opened = h.Memory.OpenRequest()
-	defer req.kept.Close()
+	opened := req.openAccount(r)
+	if req.closeAccount != nil {
+		defer req.closeAccount()
+	}
 	req.unread = h.Memory.Open(btmemory.Callers, req.dropCaller)
 	defer req.unread.Close()
 	if !opened {
@@ -189,7 +190,9 @@
 	// kept counts the body, and unread what the caller has not been sent yet of responses.
 	kept   *btmemory.Account
 	unread *btmemory.Account
-	need   btaccount.Need
+	// closeAccount closes kept, unless that belongs to the connection.
+	closeAccount func()
+	need         btaccount.Need
 	// parts are the ids of the shared parts of the prompt.
 	parts []string
 	// ownKeys is set by keys.
@@ -410,10 +413,7 @@
 		// its body has come.
 		_ = conn.SetReadDeadline(req.deadline)
 	}
-	body, err := btmemory.ReadAll(http.MaxBytesReader(req.w, r.Body, limit), int(r.ContentLength), math.MaxInt, req.kept)
-	if err != nil {
-		req.kept.Close()
-	}
+	body, err := req.readAll(r, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err != nil && btlistener.Dropped(r.Context()):
@@ -438,6 +438,16 @@
 	return true
 }
 
+// readAll reads a body of at most limit bytes. If its length is known, all of it finds memory
+// before any of it is read: callers that stop short of the end keep no more.
+func (req *activeRequest) readAll(r *http.Request, limit int64) ([]byte, error) {
+	body := http.MaxBytesReader(req.w, r.Body, limit)
+	if r.ContentLength > 0 {
+		return btmemory.ReadSized(body, int(r.ContentLength), req.kept)
+	}
+	return btmemory.ReadAll(body, int(r.ContentLength), math.MaxInt, req.kept)
+}
+
 // dropCaller ends a response whose caller does not read it: what is not written yet fails.
 func (req *activeRequest) dropCaller() {
 	// Only a connection without deadlines returns an error.
