Gate: a request counts until net/http has dropped it, and what follows its handler is bounded

What callers saw: 1,500 requests of legal size with very many lines, held open at the directory, readiness or metrics port, took a daemon of 112 MB to 426 MB and more, over the memory of its machine. A caller whose body did not come got no answer either, and its connection never closed.

Cause: the head's bytes were released when the handler returned. A handler that had not read the body left net/http waiting for it before the answer's head, without a deadline, with all header lines in memory. An answer that was not read was written for as long as the caller liked, too. Trailers were kept with the request and counted nowhere.

Change: the head counts until net/http is done with it, and its connection may be dropped again after the handler. What is left of a body is read for 1 s and up to 256 KiB, the most that net/http reads; the rest of an answer is written for 10 s. The ports other than the entry refuse bodies with 413 and close. Trailers are dropped once the body is read.

--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -45,7 +45,7 @@
 	net.Conn
 	gate *Gate
 	raw  bool
-	// account counts each request from its first byte on.
+	// account counts each request from its first byte on until net/http has dropped it.
 	account *btmemory.Account
 	state   state
 	// head and lines are the bytes and lines of the head so far, and charged what counts for
@@ -53,12 +53,17 @@
 	head    int
 	lines   int
 	charged int
-	// handedOver is set from HandOver until the handler returns.
-	handedOver bool
 	// recent counts the lines that net/http may have in its buffer, and early those that may
 	// belong to a head that it has read before the request in front of it was served.
 	recent recentLines
 	early  int
+	// finishing is set from the return of a handler on, while what is left of its answer is written
+	// and what is left of the body is read. drained counts the bytes of that, which are read until
+	// drainUntil, a Unix time in nanoseconds. incomplete is set if that does not reach its end.
+	finishing  atomic.Bool
+	drained    int
+	drainUntil atomic.Int64
+	incomplete atomic.Bool
 	// dropped is set if the connection must not serve another request, for the reason in why.
 	dropped atomic.Bool
 	why     atomic.Uint32
@@ -96,8 +101,7 @@
 	if !ok {
 		return true, false
 	}
-	c.handedOver = c.noteMemory(c.account.Hold())
-	return c.handedOver, true
+	return c.noteMemory(c.account.Hold()), true
 }
 
 func (c *Conn) noteMemory(fits bool) bool {
@@ -146,6 +150,9 @@
 	c.why.Store(uint32(r))
 	c.dropped.Store(true)
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	if c.finishing.Load() {
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+	}
 }
 
 // setDeadline ends reads after a time, zero for never.
@@ -180,9 +187,11 @@
 		return c.Conn.Read(p)
 	}
 	if c.state == stateServing {
-		n, err := c.Conn.Read(p)
-		c.recent.add(len(p), p[:n])
-		return n, err
+		// net/http reads single bytes ahead in a goroutine of its own.
+		if c.finishing.Load() && len(p) > 1 {
+			return c.drain(p)
+		}
+		return c.readBody(p)
 	}
 	// net/http has used up all bytes of the head that it has got, and needs more.
 	l := c.gate.Limits()
@@ -214,6 +223,43 @@
 	return n, err
 }
 
+// readBody reads a part of a body, or the first byte of the next request.
+func (c *Conn) readBody(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.recent.add(len(p), p[:n])
+	if err != nil {
+		c.noteDrained()
+	}
+	return n, err
+}
+
+// drain reads a part of what a handler has left of a body.
+func (c *Conn) drain(p []byte) (int, error) {
+	if c.drainUntil.Load() == 0 {
+		at := c.gate.Timer.Now().Add(drainTime)
+		c.drainUntil.Store(at.UnixNano())
+		c.bound(at)
+	}
+	if c.drained >= drainBytes {
+		c.incomplete.Store(true)
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errRefused}
+	}
+	n, err := c.Conn.Read(p)
+	c.recent.add(len(p), p[:n])
+	c.drained += n
+	if err != nil {
+		c.noteDrained()
+	}
+	return n, err
+}
+
+// noteDrained notes that a read has failed, unless net/http has ended it before its time.
+func (c *Conn) noteDrained() {
+	if until := c.drainUntil.Load(); until != 0 && c.gate.Timer.Now().UnixNano() >= until {
+		c.incomplete.Store(true)
+	}
+}
+
 // Write implements net.Conn. net/http answers 400 where a line of a head is cut off, although
 // the head was refused already.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -278,16 +324,23 @@
 	c.bound(time.Time{})
 }
 
-// finish notes that the handler of a request has returned.
+// finish notes that the handler of a request has returned. net/http keeps the head until it has
+// read the rest of the body, so that the connection may be dropped again.
 func (c *Conn) finish() {
-	if c.handedOver {
-		c.handedOver, c.charged = false, 0
-	}
+	c.drained = 0
+	c.drainUntil.Store(0)
+	c.finishing.Store(true)
+	_ = c.Conn.SetWriteDeadline(c.gate.Timer.Now().Add(flushTime))
 	c.account.Finish(c.charged)
 }
 
 // rest notes that a request was served.
 func (c *Conn) rest() {
+	c.finishing.Store(false)
+	if c.incomplete.Load() {
+		// What follows is no request, and net/http has ended the context of the connection.
+		c.drop(Late)
+	}
 	c.account.Release(c.charged)
 	c.state, c.head, c.lines, c.charged = stateIdle, 0, 0, 0
 	c.early, c.recent = c.recent.lines(), recentLines{}
--- a/internal/node/btlistener/doc.go
+++ b/internal/node/btlistener/doc.go
@@ -10,7 +10,7 @@
 // incomplete for longest.
 //
 // A connection is not dropped between the hand-over of its request and the return of the handler:
-// see HandOver.
+// see HandOver. A request counts until net/http has dropped it, which may wait for a body.
 //
 // # Usage
 //
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -27,6 +27,12 @@
 	closeWait = 20 * time.Millisecond
 	// logPeriod is the least time between two log entries with the same reason.
 	logPeriod = time.Second
+	// drainTime and drainBytes bound what is read of a body after its request was answered.
+	// net/http reads at most as many bytes of a body, framing not counted.
+	drainTime  = time.Second
+	drainBytes = 256 << 10
+	// flushTime bounds the write of what is left of an answer when its handler returns, a few KiB.
+	flushTime = 10 * time.Second
 )
 
 // Reason is why a head was refused or a connection closed.
--- a/internal/node/btlistener/gate_test.go
+++ b/internal/node/btlistener/gate_test.go
@@ -34,12 +34,18 @@
 	l      net.Listener
 	// work is the time that a request takes after its hand-over.
 	work time.Duration
+	// handler replaces ServeHTTP.
+	handler http.HandlerFunc
 }
 
 func (f *fixture) run() { _ = f.server.Serve(f.l) }
 
 // ServeHTTP reads the body, takes the request over and answers its size.
 func (f *fixture) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.handler != nil {
+		f.handler(w, r)
+		return
+	}
 	account, opened, counted := Admit(r.Context())
 	body, err := btmemory.ReadAll(r.Body, int(r.ContentLength), 1<<20, account)
 	if fits, _ := HandOver(r.Context()); err != nil || !opened || !counted || !fits {
--- a/internal/node/btnode/callers.go
+++ b/internal/node/btnode/callers.go
@@ -125,6 +125,19 @@
 	l.next.ServeHTTP(w, r)
 }
 
+// withoutBody returns a handler that refuses requests with a body, and closes their connections
+// instead of reading it.
+func withoutBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close")
+			http.Error(w, "request takes no body", http.StatusRequestEntityTooLarge)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // registerCallerMetrics registers the metrics of connections and heads.
 func (n *Node) registerCallerMetrics() {
 	n.registry.MustRegister(
--- a/internal/node/btnode/node.go
+++ b/internal/node/btnode/node.go
@@ -351,7 +351,7 @@
 	})
 	mux.Handle("GET /metrics", limited(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
 	mux.Handle("GET /debug/state", limited(&n.dump))
-	return n.gate.Handler(mux)
+	return n.gate.Handler(withoutBody(mux))
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/btnode/server_test.go
+++ b/internal/node/btnode/server_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"bramleytack"
 	"bramleytack/internal/upstream/btconn"
 )
 
@@ -45,6 +47,30 @@
 	}
 }
 
+// Guards against a body that is read although nobody wants it: callers sent chunks without end to
+// the directory, and no other request was served.
+func TestInfoTakesNoBody(t *testing.T) {
+	n := New(Settings{Host: "h"}, Adapter{Engines: func(*btconn.Pool) Engines { return noEngines{} }, Dialect: bramleytack.FleetDialect{ReadyPath: "/ready", ResolvePath: "/resolve"}}, io.Discard)
+	defer n.timer.Close()
+	mux := n.infoMux()
+	for _, c := range []struct {
+		name   string
+		body   io.Reader
+		status int
+	}{
+		{"none", nil, http.StatusNotFound},
+		{"known length", strings.NewReader("b"), http.StatusRequestEntityTooLarge},
+		{"chunks", io.MultiReader(strings.NewReader("b")), http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/nothing", c.body))
+			assert.Equal(t, w.Code, c.status)
+			assert.Equal(t, w.Header().Get("Connection") == "close", c.status == http.StatusRequestEntityTooLarge)
+		})
+	}
+}
+
 // textWriter writes to a connection that may close before its end.
 type textWriter struct {
 	w    io.Writer
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -414,6 +414,8 @@
 		_ = conn.SetReadDeadline(req.deadline)
 	}
 	body, err := req.readAll(r, limit)
+	// A trailer may have very many lines and is not passed on.
+	r.Trailer = nil
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err != nil && btlistener.Dropped(r.Context()):
