Gate: requests of very many parts take turns

What callers saw: beside 300 bodies of legal size in chunks of one byte an ordinary call took a second at the entry.

Cause: the process runs one thread. A caller whose next bytes have always arrived already parses for a whole time slice of 10 ms, and each step of an ordinary request (accept, read, connection to the upstream, its answer) waits for one slice of each such caller. By a dump, nothing waited for memory.

Change: parts with more than 64 lines are parsed eight at a time and each after what is ready to run. A turn covers the parsing between two reads: of heads, of bodies between Pace and its stop, and of what a handler has left. It ends before any wait, so that no handler keeps one.

--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,9 @@
 	// bufferBytes is the size of net/http's read buffer. A following head may be in it when a
 	// handler ends.
 	bufferBytes = 4 << 10
+	// maxAtOnce is the most lines of a part of a request that is parsed at once. Ordinary heads have
+	// some ten lines, and ordinary bodies are not made of short chunks.
+	maxAtOnce = 64
 	// lastLook is how long a read waits again after its deadline. Bytes that arrived while the
 	// process was paused are read.
 	lastLook = 10 * time.Millisecond
@@ -57,6 +61,10 @@
 	// belong to a head that it has read before the request in front of it was served.
 	recent recentLines
 	early  int
+	// parsing is set while the connection has an element in the gate's parsing, and paced while
+	// a handler reads a body.
+	parsing atomic.Bool
+	paced   atomic.Bool
 	// finishing is set from the return of a handler on, while what is left of its answer is written
 	// and what is left of the body is read. drained counts the bytes of that, which are read until
 	// drainUntil, a Unix time in nanoseconds. incomplete is set if that does not reach its end.
@@ -92,6 +100,18 @@
 	return c.account, c.noteMemory(c.account.Begin()), true
 }
 
+// Pace makes a connection wait for its turn where it has got a part of a body, until stop is
+// called. Callers that send very many chunks do not delay others then. The caller of Pace must not
+// wait for anything but the body.
+func Pace(ctx context.Context) (stop func()) {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return func() {}
+	}
+	c.paced.Store(true)
+	return c.stopPacing
+}
+
 // HandOver keeps the connection of a request from being dropped for want of memory until its
 // handler returns. It reports false if there is no memory for the request or its connection has
 // been dropped: the request must not be passed on. For a request that came by no Gate, ok is
@@ -155,6 +175,31 @@
 	}
 }
 
+// beginParse waits until net/http may parse a part of a request that was read, which it may until
+// endParse. A part of few lines is parsed at once. Of others few are parsed at a time, and what is
+// ready to run runs before each: a caller whose next part has always arrived already would use up
+// whole time slices.
+func (c *Conn) beginParse(part []byte) {
+	if len(part) > bufferBytes || bytes.Count(part, []byte{'\n'}) <= maxAtOnce {
+		return
+	}
+	c.gate.parse() <- struct{}{}
+	c.parsing.Store(true)
+	runtime.Gosched()
+}
+
+// endParse lets another connection parse.
+func (c *Conn) endParse() {
+	if c.parsing.Swap(false) {
+		<-c.gate.parse()
+	}
+}
+
+func (c *Conn) stopPacing() {
+	c.paced.Store(false)
+	c.endParse()
+}
+
 // setDeadline ends reads after a time, zero for never.
 func (c *Conn) setDeadline(d time.Duration) {
 	var at time.Time
@@ -186,6 +231,7 @@
 	if c.raw {
 		return c.Conn.Read(p)
 	}
+	c.endParse()
 	if c.state == stateServing {
 		// net/http reads single bytes ahead in a goroutine of its own.
 		if c.finishing.Load() && len(p) > 1 {
@@ -220,6 +266,7 @@
 		c.drop(Late)
 		return n, c.refuse()
 	}
+	c.beginParse(p[:n])
 	return n, err
 }
 
@@ -230,6 +277,11 @@
 	if err != nil {
 		c.noteDrained()
 	}
+	if c.paced.Load() {
+		if c.beginParse(p[:n]); !c.paced.Load() {
+			c.endParse()
+		}
+	}
 	return n, err
 }
 
@@ -250,6 +302,7 @@
 	if err != nil {
 		c.noteDrained()
 	}
+	c.beginParse(p[:n])
 	return n, err
 }
 
@@ -263,6 +316,7 @@
 // Write implements net.Conn. net/http answers 400 where a line of a head is cut off, although
 // the head was refused already.
 func (c *Conn) Write(p []byte) (int, error) {
+	c.endParse()
 	if c.refused {
 		return len(p), nil
 	}
@@ -309,6 +363,7 @@
 
 // serve notes that a head was read, or could not be.
 func (c *Conn) serve() {
+	c.endParse()
 	if c.state == stateServing {
 		return
 	}
@@ -327,6 +382,7 @@
 // finish notes that the handler of a request has returned. net/http keeps the head until it has
 // read the rest of the body, so that the connection may be dropped again.
 func (c *Conn) finish() {
+	c.stopPacing()
 	c.drained = 0
 	c.drainUntil.Store(0)
 	c.finishing.Store(true)
@@ -336,6 +392,7 @@
 
 // rest notes that a request was served.
 func (c *Conn) rest() {
+	c.endParse()
 	c.finishing.Store(false)
 	if c.incomplete.Load() {
 		// What follows is no request, and net/http has ended the context of the connection.
@@ -380,6 +437,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
+	c.endParse()
 	c.once.Do(func() {
 		c.account.Close()
 		c.gate.leave(c)
--- a/internal/node/btlistener/doc.go
+++ b/internal/node/btlistener/doc.go
@@ -10,7 +10,8 @@
 // incomplete for longest.
 //
 // A connection is not dropped between the hand-over of its request and the return of the handler:
-// see HandOver. A request counts until net/http has dropped it, which may wait for a body.
+// see HandOver. A request counts until net/http has dropped it, which may wait for a body. Few
+// incomplete requests are parsed at a time, so that they do not delay others.
 //
 // # Usage
 //
@@ -22,7 +23,9 @@
 // The handler:
 //
 //	account, fits, _ := btlistener.Admit(r.Context())
+//	stop := btlistener.Pace(r.Context())
 //	body, err := btmemory.ReadAll(r.Body, -1, maxBytes, account)
+//	stop()
 //	if fits, _ := btlistener.HandOver(r.Context()); !fits {
 //		// no memory: the request has not run
 //	}
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -27,6 +27,8 @@
 	closeWait = 20 * time.Millisecond
 	// logPeriod is the least time between two log entries with the same reason.
 	logPeriod = time.Second
+	// maxParsing bounds the parts of requests with very many lines that are parsed at a time.
+	maxParsing = 8
 	// drainTime and drainBytes bound what is read of a body after its request was answered.
 	// net/http reads at most as many bytes of a body, framing not counted.
 	drainTime  = time.Second
@@ -98,6 +100,10 @@
 	// Limits returns the limits in force.
 	Limits func() Limits
 
+	// parsing has an element for each part with very many lines that is parsed.
+	parsingOnce sync.Once
+	parsing     chan struct{}
+
 	mu    sync.Mutex
 	conns int
 	// refusing has the connections that close because their head was refused, idle those
@@ -109,6 +115,12 @@
 	logged   [reasonCount]btevent.Pace
 }
 
+// parse returns the channel that has an element for each request that is parsed.
+func (g *Gate) parse() chan struct{} {
+	g.parsingOnce.Do(func() { g.parsing = make(chan struct{}, maxParsing) })
+	return g.parsing
+}
+
 // Conns returns the number of open connections.
 func (g *Gate) Conns() int {
 	g.mu.Lock()
--- a/internal/node/btlistener/gate_test.go
+++ b/internal/node/btlistener/gate_test.go
@@ -47,7 +47,9 @@
 		return
 	}
 	account, opened, counted := Admit(r.Context())
+	stop := Pace(r.Context())
 	body, err := btmemory.ReadAll(r.Body, int(r.ContentLength), 1<<20, account)
+	stop()
 	if fits, _ := HandOver(r.Context()); err != nil || !opened || !counted || !fits {
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -443,6 +443,7 @@
 // readAll reads a body of at most limit bytes. If its length is known, all of it finds memory
 // before any of it is read: callers that stop short of the end keep no more.
 func (req *activeRequest) readAll(r *http.Request, limit int64) ([]byte, error) {
+	defer btlistener.Pace(r.Context())()
 	body := http.MaxBytesReader(req.w, r.Body, limit)
 	if r.ContentLength > 0 {
 		return btmemory.ReadSized(body, int(r.ContentLength), req.kept)
