Gate: a new connection is not dropped for the next one while there is spare memory

Cause: once connections and requests had used up the memory but the spare part, each new connection replaced the oldest idle one. That was often an ordinary one that had just been accepted, and whose request was on its way.

Change: for want of memory, a connection that has been idle, or whose head has been incomplete, for less than a second is not replaced while the spare part has room. Nothing changes where descriptors are short.

--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -81,8 +81,9 @@
 	// closed is closed after the connection.
 	closed chan struct{}
 	// The gate's mutex guards the rest. list has the connection as elem while it may be dropped
-	// for another one; counted is set until then.
+	// for another one, since placed; counted is set until then.
 	list    *list.List
+	placed  time.Time
 	elem    *list.Element
 	counted bool
 }
@@ -154,7 +155,7 @@
 // place puts the connection into a list. The gate's mutex must be locked.
 func (c *Conn) place(l *list.List) {
 	c.unplace()
-	c.list, c.elem = l, l.PushBack(c)
+	c.list, c.elem, c.placed = l, l.PushBack(c), c.gate.Timer.Now()
 }
 
 func (c *Conn) unplace() {
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -27,6 +27,9 @@
 	closeWait = 20 * time.Millisecond
 	// logPeriod is the least time between two log entries with the same reason.
 	logPeriod = time.Second
+	// minQuiet is how long a connection is idle, or its head incomplete, before it is dropped for
+	// want of memory. A request arrives sooner.
+	minQuiet = time.Second
 	// maxParsing bounds the parts of requests with very many lines that are parsed at a time.
 	maxParsing = 8
 	// drainTime and drainBytes bound what is read of a body after its request was answered.
@@ -217,27 +220,40 @@
 
 // enter counts a connection as idle. If there are too many, it drops one that closes anyway, or
 // the one that has been idle for longest, or else the one whose head has been incomplete for
-// longest, and returns it. It reports false if there is no such one.
+// longest, and returns it. It reports false if there is no such one. For want of memory it rather
+// uses the spare part than to drop one whose request may be on its way.
 func (g *Gate) enter(c *Conn) (dropped *Conn, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	full := g.MaxConns > 0 && g.conns >= g.MaxConns
 	if full || !g.Memory.OpenConn(false) {
-		if dropped = g.oldest(); dropped == nil && full {
+		old := g.oldest()
+		switch {
+		case old == nil && full:
 			return nil, false
+		case full || old != nil && g.Timer.Now().Sub(old.placed) >= minQuiet:
+		case g.Memory.OpenConn(true):
+			g.count(c)
+			return nil, true
 		}
-		if dropped != nil {
-			g.uncount(dropped)
-			dropped.drop(TooManyConns)
+		if old != nil {
+			g.uncount(old)
+			old.drop(TooManyConns)
 		}
 		if !g.Memory.OpenConn(true) {
 			return nil, false
 		}
+		dropped = old
 	}
+	g.count(c)
+	return dropped, true
+}
+
+// count counts a connection as idle. The gate's mutex must be locked.
+func (g *Gate) count(c *Conn) {
 	g.conns++
 	c.counted = true
 	c.place(&g.idle)
-	return dropped, true
 }
 
 // oldest returns the connection that is dropped for a new one, or nil.
--- a/internal/node/btlistener/gate_test.go
+++ b/internal/node/btlistener/gate_test.go
@@ -263,6 +263,39 @@
 	})
 }
 
+// Requests are served on as many connections as find memory beside the spare part. Guards against a
+// new connection that is dropped for the next one before its request can arrive, against a quiet one
+// that is kept instead, and against more connections than the memory allows.
+func TestNewConnectionFindsMemory(t *testing.T) {
+	const served, spare = 15, 3
+	// What the heads take is much less than a connection.
+	budget := &btmemory.Budget{Limit: 60_000, Total: 1_850_000, ConnCost: 100_000}
+	serve(t, budget, 100, Limits{HeadBytes: 8000}, func(f *fixture) {
+		f.work = time.Minute
+		for range served {
+			f.dial().write(requestLine + "Content-Length: 0\r\n\r\n")
+			time.Sleep(time.Millisecond)
+		}
+		var fresh []*client
+		for range spare {
+			fresh = append(fresh, f.dial())
+		}
+		f.work = 0
+		for i, c := range fresh[1:] {
+			assert.Check(t, c.send(requestLine+"Content-Length: 0\r\n\r\n") == 200, "%d", i)
+			time.Sleep(time.Millisecond)
+		}
+		assert.Check(t, is.Equal(f.gate.Conns(), served+spare))
+		next := f.dial()
+		assert.Check(t, fresh[0].closed() && !next.closed(), "the oldest one makes room")
+		assert.Check(t, is.Equal(f.gate.Conns(), served+spare))
+		fresh[1].Close()
+		time.Sleep(minQuiet)
+		f.dial()
+		assert.Check(t, fresh[2].closed() && !next.closed(), "a quiet one makes room although there is a spare part")
+	})
+}
+
 // Guards against heads that follow a body in one buffer and are not counted.
 func TestPipelinedHeadsCount(t *testing.T) {
 	serve(t, memory(), 10, Limits{HeadBytes: 16_000}, func(f *fixture) {
