Memory: a request counts as open once it is complete

What callers saw: beside 1,500 callers that send all but the last byte of a small request most ordinary calls got 503.

Cause: each request counted RequestCost from its head on. Those whose bodies did not come used up the memory for open requests, and equally large ones do not end each other within a second, so that an ordinary one that was complete got no room.

Change: a request counts as open from its hand-over on; before, it has neither an upstream nor more than its connection, its head and its body, which count. A complete request ends equally large ones that still arrive, whatever their age. Admit tells at once whether it could be held.

--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -90,15 +90,15 @@
 
 type connKey struct{}
 
-// Admit counts a request as open. The account counts what the request keeps, besides its head,
-// until its handler returns. Fits is false if there is no memory: the request must not be passed
-// on. A request that came by no Gate has no account; ok is false then.
+// Admit returns the account of what a request keeps, its head included, until its handler returns.
+// Fits is false if there is no memory to serve it now: then it need not be read, and must not be
+// passed on. A request that came by no Gate has no account; ok is false then.
 func Admit(ctx context.Context) (account *btmemory.Account, fits, ok bool) {
 	c, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
 		return nil, true, false
 	}
-	return c.account, c.noteMemory(c.account.Begin()), true
+	return c.account, c.noteMemory(c.account.FitsHeld()), true
 }
 
 // Pace makes a connection wait for its turn where it has got a part of a body, until stop is
--- a/internal/node/btmemory/budget.go
+++ b/internal/node/btmemory/budget.go
@@ -94,10 +94,8 @@
 	end    func()
 	// Guarded by the budget's mu.
 	bytes int64
-	// arrival is when the request of a caller began, begun whether it counts as open, and held
-	// whether it is never ended.
+	// arrival is when the request of a caller began, and held whether it is open and never ended.
 	arrival arrival
-	begun   bool
 	held    bool
 	// dropping is what the account held when it ended, until it closes.
 	dropping int64
@@ -216,7 +214,7 @@
 // makeRoom ends accounts until n bytes of a fit. It reports false if they do not: a itself
 // has ended then, or is a request that is held.
 func (b *Budget) makeRoom(a *Account, n int64) bool {
-	if a.source == "" && !b.makeCallerRoom(a, n, 0) {
+	if a.source == "" && !b.makeCallerRoom(a, n, 0, minArrival) {
 		return false
 	}
 	for b.kept()+n > b.limit() {
@@ -237,7 +235,6 @@
 	a.dropping = a.bytes
 	b.ending += a.bytes
 	b.add(a, -a.bytes)
-	b.stopRequest(a)
 	a.ended = true
 	b.forget(a)
 	a.end()
@@ -258,7 +255,7 @@
 		}
 	}
 	if bytes := b.arriving.bytes; len(b.arriving.accounts) > 0 && (most == nil || bytes > mostBytes || a.arrives() && bytes+n > mostBytes) {
-		return b.largestArriving(a, n)
+		return b.largestArriving(a, n, minArrival)
 	}
 	if most == nil {
 		return nil
@@ -384,7 +381,9 @@
 		return
 	}
 	b.add(a, -a.bytes)
-	b.stopRequest(a)
+	if a.held {
+		b.open--
+	}
 	a.closed = true
 	b.forget(a)
 }
--- a/internal/node/btmemory/caller.go
+++ b/internal/node/btmemory/caller.go
@@ -35,10 +35,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := &Account{budget: b, held: true}
-	if !b.startRequest(a) {
+	if !b.makeCallerRoom(a, 0, b.RequestCost, minArrival) {
 		a.closed = true
 		return a, false
 	}
+	b.open++
 	return a, true
 }
 
@@ -68,7 +69,7 @@
 	if !replaces {
 		left -= spare(b.Total)
 	}
-	if b.Total > 0 && b.overhead()+b.requests+b.ConnCost > left || !b.makeCallerRoom(&Account{held: true}, 0, b.ConnCost) {
+	if b.Total > 0 && b.overhead()+b.requests+b.ConnCost > left || !b.makeCallerRoom(&Account{held: true}, 0, b.ConnCost, minArrival) {
 		return false
 	}
 	b.conns++
@@ -95,19 +96,20 @@
 	return b.fitsHeld(n, 0)
 }
 
-// Begin counts the request of a caller as open, until Finish. It reports false if there is no
-// memory for one more request.
-func (a *Account) Begin() bool {
+// FitsHeld reports whether the request of a caller could be held now, with what it has got so far.
+func (a *Account) FitsHeld() bool {
 	if a == nil {
 		return true
 	}
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	return !a.ended && !a.closed && a.budget.startRequest(a)
+	return !a.ended && !a.closed && a.budget.fitsHeld(a.bytes, a.budget.RequestCost)
 }
 
-// Hold keeps the request of a caller from being ended until Finish. It reports false if there is
-// no memory for it, or if it was ended before: then it must not be passed on.
+// Hold counts the request of a caller, which is complete, as open and keeps it from being ended
+// until Finish. It makes room as Take does, also at the cost of equally large requests that have
+// just begun to arrive. It reports false if there is no memory, or if the request was ended
+// before: then it must not be passed on.
 func (a *Account) Hold() bool {
 	if a == nil {
 		return true
@@ -120,7 +122,7 @@
 		return false
 	case a.held:
 		return true
-	case !b.fitsHeld(a.bytes, 0):
+	case !b.fitsHeld(a.bytes, b.RequestCost) || !b.makeCallerRoom(a, 0, b.RequestCost, 0):
 		return false
 	}
 	n := a.bytes
@@ -128,6 +130,7 @@
 	b.forget(a)
 	a.held = true
 	b.add(a, n)
+	b.open++
 	return true
 }
 
@@ -144,8 +147,10 @@
 	}
 	left := min(a.bytes, int64(n))
 	b.add(a, -a.bytes)
-	b.stopRequest(a)
-	a.held = false
+	if a.held {
+		b.open--
+		a.held = false
+	}
 	b.arrive(a)
 	b.add(a, left)
 }
@@ -171,26 +176,6 @@
 // arrives reports whether the account has a caller's request that may be ended.
 func (a *Account) arrives() bool { return a.source == "" && !a.held }
 
-// startRequest counts a request as open, if it fits.
-func (b *Budget) startRequest(a *Account) bool {
-	if a.begun {
-		return true
-	}
-	if a.bytes > maxSmall && !b.fitsHeld(a.bytes, b.RequestCost) || !b.makeCallerRoom(a, 0, b.RequestCost) {
-		return false
-	}
-	a.begun = true
-	b.open++
-	return true
-}
-
-func (b *Budget) stopRequest(a *Account) {
-	if a.begun {
-		a.begun = false
-		b.open--
-	}
-}
-
 // overhead is what requests and connections take besides their bytes.
 func (b *Budget) overhead() int64 { return b.open*b.RequestCost + b.conns*b.ConnCost }
 
@@ -218,9 +203,9 @@
 
 // makeCallerRoom ends requests that arrive until n bytes and some overhead of a fit beside the
 // reserve for responses. It reports false if they do not: a may have ended then.
-func (b *Budget) makeCallerRoom(a *Account, n, overhead int64) bool {
+func (b *Budget) makeCallerRoom(a *Account, n, overhead int64, minAge time.Duration) bool {
 	for !b.fits(n, overhead) {
-		victim := b.largestArriving(a, n)
+		victim := b.largestArriving(a, n, minAge)
 		if victim == nil {
 			return false
 		}
@@ -233,14 +218,13 @@
 }
 
 // largestArriving returns the request that is ended for n bytes of a: of the largest ones that
-// arrive the one that began first, or a itself if none of them is larger and they have not
-// arrived for minArrival. Requests without bytes or overhead make no room. It returns nil if
-// there is none.
-func (b *Budget) largestArriving(a *Account, n int64) *Account {
+// arrive the one that began first, or a itself if none of them is larger and that one has not
+// arrived for minAge. Requests without bytes make no room. It returns nil if there is none.
+func (b *Budget) largestArriving(a *Account, n int64, minAge time.Duration) *Account {
 	var largest *Account
 	class := -1
 	for c := range b.arriving.accounts {
-		if c == a || c.bytes == 0 && !c.begun {
+		if c == a || c.bytes == 0 {
 			continue
 		}
 		size := classOf(c.bytes)
@@ -252,15 +236,18 @@
 		return largest
 	}
 	own := classOf(a.bytes + n)
-	if largest == nil || own > class || own == class && !b.late(largest) {
+	if largest == nil || own > class || own == class && b.age(largest) < minAge {
 		return a
 	}
 	return largest
 }
 
-// late reports whether a request has arrived for minArrival. Without a timer all have.
-func (b *Budget) late(a *Account) bool {
-	return b.Timer == nil || b.Timer.Now().Sub(a.arrival.at) >= minArrival
+// age returns how long a request has arrived. Without a timer it is minArrival.
+func (b *Budget) age(a *Account) time.Duration {
+	if b.Timer == nil {
+		return minArrival
+	}
+	return b.Timer.Now().Sub(a.arrival.at)
 }
 
 func classOf(n int64) int { return bits.Len64(uint64(n) / sizeClass) }
--- a/internal/node/btmemory/caller_test.go
+++ b/internal/node/btmemory/caller_test.go
@@ -28,13 +28,15 @@
 	}
 	head := openCaller(b)
 	assert.Assert(t, head.Take(400) && !open(b, "other").Take(450))
-	assert.Assert(t, !head.Begin() && head.dropped, "400 bytes of 400 leave no reserve")
-	assert.Assert(t, !head.Hold() && !head.Take(1), "an ended request")
+	assert.Assert(t, !head.FitsHeld() && !head.Hold(), "400 of 400 leave no reserve")
+	assert.Equal(t, b.Kept(), int64(400))
+	assert.Assert(t, !head.Take(200) && head.dropped)
+	assert.Assert(t, !head.FitsHeld() && !head.Hold() && !head.Take(1), "an ended request")
 	for range 50 {
 		b.CloseConn()
 	}
 	head = openCaller(b)
-	assert.Assert(t, head.Take(400) && head.Begin() && head.Hold())
+	assert.Assert(t, head.Take(400) && head.FitsHeld() && head.Hold())
 	assert.Equal(t, b.Kept(), int64(400))
 	flood := open(b, "a")
 	assert.Assert(t, flood.Take(200) && !flood.Take(1))
@@ -46,7 +48,7 @@
 	assert.Assert(t, head.Take(50), "the account counts the next head")
 	head.Close()
 	assert.Equal(t, b.Kept(), int64(0))
-	assert.Assert(t, !head.Hold() && !head.Begin() && !head.Take(1), "the connection has closed")
+	assert.Assert(t, !head.Hold() && !head.FitsHeld() && !head.Take(1), "the connection has closed")
 	assert.Equal(t, b.overhead(), int64(0))
 }
 
@@ -73,8 +75,6 @@
 				callers[rng.IntN(n)].Finish(rng.IntN(2000))
 			case rng.IntN(4) == 0:
 				callers[rng.IntN(n)].Hold()
-			case rng.IntN(4) == 0:
-				callers[rng.IntN(n)].Begin()
 			default:
 				callers[rng.IntN(n)].Take(rng.IntN(20_000))
 			}
@@ -104,7 +104,7 @@
 	b := &Budget{Limit: 16 * mb, Total: 30 * mb, RequestCost: 25 << 10, ConnCost: 10 << 10}
 	held := 0
 	for range 1000 {
-		if a := openCaller(b); a.Take(40<<10) && a.Begin() && a.Hold() {
+		if a := openCaller(b); a.Take(40<<10) && a.Hold() {
 			held++
 		}
 		b.OpenConn(false)
@@ -113,7 +113,7 @@
 	assert.Assert(t, !b.FitsRequest(500<<10) && b.FitsRequest(maxSmall))
 	small := 0
 	for range 1000 {
-		if a := openCaller(b); a.Take(2<<10) && a.Begin() && a.Hold() {
+		if a := openCaller(b); a.Take(2<<10) && a.Hold() {
 			small++
 		}
 	}
@@ -140,6 +140,35 @@
 	})
 }
 
+// Requests of ordinary size wait for a part of their bodies. Guards against one that is complete and
+// finds no memory beside them, and against more of them than the memory has room for.
+func TestCompleteRequestsComeFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := bttimer.New(1)
+		defer timer.Close()
+		b := &Budget{Limit: 400_000, Total: 500_000, RequestCost: 25_000, ConnCost: 100, Timer: timer}
+		for range 60 {
+			assert.Assert(t, openCaller(b).Take(2400) && b.OpenConn(false))
+		}
+		var complete []*account
+		for range 14 {
+			a := openCaller(b)
+			assert.Assert(t, a.Take(2400))
+			complete = append(complete, a)
+		}
+		for i, a := range complete {
+			assert.Assert(t, a.FitsHeld() && a.Hold(), "request %d", i)
+		}
+		time.Sleep(minArrival)
+		for range 100 {
+			if a := openCaller(b); a.Take(2400) {
+				a.Hold()
+			}
+		}
+		assert.Assert(t, b.open < 20 && b.overhead()+b.Kept() <= b.Total-b.reserve())
+	})
+}
+
 // Guards against a request that is ended as one that began long ago although only its connection
 // did, or its handler has just returned.
 func TestArrivalBeginsWithFirstByte(t *testing.T) {
--- a/internal/node/btmemory/doc.go
+++ b/internal/node/btmemory/doc.go
@@ -8,7 +8,7 @@
 //
 // Responses have a reserve that callers leave to them, with their connections, open requests
 // and bytes. A request that arrives may be ended for others, the largest ones first, until it
-// is held. One that finds no memory is rejected before it runs. Small requests have a spare
+// is complete and held. One that finds no memory is rejected before it runs. Small requests have a spare
 // part of what callers may use.
 //
 // # Usage
@@ -23,7 +23,7 @@
 //
 //	caller := budget.OpenCaller(drop)
 //	defer caller.Close()
-//	ok := caller.Take(len(head)) && caller.Begin() // the request arrives
-//	ok = ok && caller.Hold()                       // the request is served
+//	ok := caller.Take(len(head)) // the request arrives
+//	ok = ok && caller.Hold()     // the request is served
 //	caller.Finish(0)
 package btmemory
