Gate: a body that is late is answered at once

Seen in fake time: a caller whose body did not come got 408 a second after its deadline.

Change: after a read of a body has failed while its handler ran, nothing more of it is read; the answer is written and the connection closes.

--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -67,7 +67,7 @@
 	paced   atomic.Bool
 	// finishing is set from the return of a handler on, while what is left of its answer is written
 	// and what is left of the body is read. drained counts the bytes of that, which are read until
-	// drainUntil, a Unix time in nanoseconds. incomplete is set if that does not reach its end.
+	// drainUntil, a Unix time in nanoseconds. incomplete is set if a body cannot be read to its end.
 	finishing  atomic.Bool
 	drained    int
 	drainUntil atomic.Int64
@@ -276,7 +276,7 @@
 	n, err := c.Conn.Read(p)
 	c.recent.add(len(p), p[:n])
 	if err != nil {
-		c.noteDrained()
+		c.noteFailure()
 	}
 	if c.paced.Load() {
 		if c.beginParse(p[:n]); !c.paced.Load() {
@@ -295,20 +295,27 @@
 	}
 	if c.drained >= drainBytes {
 		c.incomplete.Store(true)
+	}
+	if c.incomplete.Load() {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errRefused}
 	}
 	n, err := c.Conn.Read(p)
 	c.recent.add(len(p), p[:n])
 	c.drained += n
 	if err != nil {
-		c.noteDrained()
+		c.noteFailure()
 	}
 	c.beginParse(p[:n])
 	return n, err
 }
 
-// noteDrained notes that a read has failed, unless net/http has ended it before its time.
-func (c *Conn) noteDrained() {
+// noteFailure notes that a read of a body has failed. Once the handler has returned, net/http ends
+// its read ahead by a deadline, which is no failure.
+func (c *Conn) noteFailure() {
+	if !c.finishing.Load() {
+		c.incomplete.Store(true)
+		return
+	}
 	if until := c.drainUntil.Load(); until != 0 && c.gate.Timer.Now().UnixNano() >= until {
 		c.incomplete.Store(true)
 	}
--- a/internal/node/btmemory/caller.go
+++ b/internal/node/btmemory/caller.go
@@ -69,7 +69,11 @@
 	if !replaces {
 		left -= spare(b.Total)
 	}
-	if b.Total > 0 && b.overhead()+b.requests+b.ConnCost > left || !b.makeCallerRoom(&Account{held: true}, 0, b.ConnCost, minArrival) {
+	if b.Total > 0 && b.overhead()+b.requests+b.ConnCost > left {
+		return false
+	}
+	// A connection without a request may end any request that arrives.
+	if !b.makeCallerRoom(&Account{held: true}, 0, b.ConnCost, minArrival) {
 		return false
 	}
 	b.conns++
--- a/internal/serve/btentry/head_test.go
+++ b/internal/serve/btentry/head_test.go
@@ -128,3 +128,21 @@
 		h.checkComplete(h.generate("/guide/a"))
 	})
 }
+
+// Guards against a caller whose body is late and that learns it only after a further wait for the
+// body.
+func TestLateBodyIsAnsweredAtOnce(t *testing.T) {
+	run(t, func(h *harness) {
+		h.startShop("s1")
+		h.serveBehindGate(2<<20, 100)
+		c, err := h.dialEntry(h.entryAddr)
+		assert.NilError(t, err)
+		defer c.Close()
+		const deadline = 500 * time.Millisecond
+		started := time.Now()
+		go (&headWriter{c, strings.Replace(lineRequest("late", 10, "bo"), "Content-Length", fmt.Sprintf("%s: %d\r\nContent-Length", dialect.DeadlineMillis, deadline.Milliseconds()), 1)}).run()
+		assert.Check(t, answer(c) == http.StatusRequestTimeout)
+		took := time.Since(started)
+		assert.Check(t, took >= deadline && took < deadline+100*time.Millisecond, "after %v", took)
+	})
+}
