Entry: the engine before is told to stop where a generation goes on elsewhere

Cause: a move was asked for without last, the successor began from the copy while the run went on, and the close of the connection counted as the stop. An engine need not notice that. The same on every path that starts a generation elsewhere: backup copy of a leaving engine, broken connection, silence, version taken back, return, loser of two runs.

Where its stream runs, the copy is made first, and the successor begins when the stream has ended. An engine that confirms and sends on keeps its generation. What a stopped engine keeps is freed once the generation goes on. Orders dial for 150 ms at a time, so that an engine that is reached again has the order well within 400 ms. EngineMover has Stop and Free in place of a parameter of Move.

Failed tries: the source as target of its own order (503 without a handle, the run goes on). The tests first counted the work of crashed stand-ins that had been deafened; the stand-in now ends its work when it crashes.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -91,6 +91,8 @@
 	RejectionWithheld       = Event{518, zerolog.ErrorLevel, "request may have run and was not rejected as not run"}
 	ExtraResponse           = Event{519, zerolog.InfoLevel, "extra response to an earlier request was skipped"}
 	AdmissionRejected       = Event{520, zerolog.InfoLevel, "request was rejected by admission"}
+	GenerationStopped       = Event{521, zerolog.InfoLevel, "engine was told to stop a generation that goes on elsewhere"}
+	HandoverGivenUp         = Event{522, zerolog.WarnLevel, "engine did not stop a generation and keeps it"}
 	CallsWait               = Event{530, zerolog.InfoLevel, "calls wait for places of a full service"}
 	CallerRefused           = Event{540, zerolog.WarnLevel, "head of a request or connection of a caller was refused"}
 	AnswerLate              = Event{550, zerolog.InfoLevel, "answer was late"}
@@ -182,6 +184,8 @@
 		RejectionWithheld,
 		ExtraResponse,
 		AdmissionRejected,
+		GenerationStopped,
+		HandoverGivenUp,
 		CallsWait,
 		CallerRefused,
 		AnswerLate,
--- a/fleet.go
+++ b/fleet.go
@@ -68,11 +68,17 @@
 	Report(ctx context.Context, addr netip.AddrPort) (EngineReport, error)
 }
 
-// EngineMover copies a running generation's memory between engines.
+// EngineMover copies a running generation's memory between engines and stops generations.
 type EngineMover interface {
-	// Move copies the part of the generation's memory that the target lacks. With
-	// stop the generation ends at the source first, and its stream breaks off.
-	Move(ctx context.Context, source, target netip.AddrPort, id string, stop bool) (EngineCopy, error)
+	// Move copies the part of the generation's memory that the target lacks, while the
+	// generation runs.
+	Move(ctx context.Context, source, target netip.AddrPort, id string) (EngineCopy, error)
+	// Stop ends a generation that the target goes on with. Its stream breaks off at once. Stop
+	// returns without an error if the source says that it does not work on the generation any
+	// more, with what the source keeps of it. That has no Handle if it keeps nothing.
+	Stop(ctx context.Context, source, target netip.AddrPort, id string) (EngineCopy, error)
+	// Free ends what an engine keeps of a generation that it was told to stop.
+	Free(ctx context.Context, c EngineCopy) error
 }
 
 // CatalogCodec decodes replicated objects into the product's types.
--- a/internal/node/btnode/node_test.go
+++ b/internal/node/btnode/node_test.go
@@ -17,10 +17,16 @@
 // noEngines fails all calls.
 type noEngines struct{}
 
-func (noEngines) Move(context.Context, netip.AddrPort, netip.AddrPort, string, bool) (bramleytack.EngineCopy, error) {
+func (noEngines) Move(context.Context, netip.AddrPort, netip.AddrPort, string) (bramleytack.EngineCopy, error) {
 	return bramleytack.EngineCopy{}, bramleytack.ErrNotFound
 }
 
+func (noEngines) Stop(context.Context, netip.AddrPort, netip.AddrPort, string) (bramleytack.EngineCopy, error) {
+	return bramleytack.EngineCopy{}, bramleytack.ErrNotFound
+}
+
+func (noEngines) Free(context.Context, bramleytack.EngineCopy) error { return bramleytack.ErrNotFound }
+
 func (noEngines) Report(context.Context, netip.AddrPort) (bramleytack.EngineReport, error) {
 	return bramleytack.EngineReport{}, bramleytack.ErrNotFound
 }
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -59,7 +59,7 @@
 // backup engine if its copy is complete, and by a move otherwise.
 func (s *relay) checkLeaving() {
 	s.req.snapshot = s.req.h.Table.Snapshot()
-	if s.moving != nil || s.next != nil || s.cur.cancel == nil || s.cur.eventCount == 0 || !isLeaving(s.req.snapshot, s.cur.upstream) && !s.req.h.Rollouts.Vacates(s.cur.upstream) {
+	if s.moving != nil || s.next != nil || !s.mayReplaceCurrent() || s.cur.eventCount == 0 || !isLeaving(s.req.snapshot, s.cur.upstream) && !s.req.h.Rollouts.Vacates(s.cur.upstream) {
 		return
 	}
 	if s.req.need.MaxOutput < minBackupOutput {
@@ -106,7 +106,7 @@
 // or be reading long prompts. The backup engine is checked before the current
 // segment is ended in favor of the copy. Without a backup, probe does nothing.
 func (s *relay) probe(u *bramleytack.Upstream) {
-	if s.probing || s.cur.backup == nil || s.cur.cancel == nil {
+	if s.probing || s.cur.backup == nil && s.stopping == nil || s.cur.cancel == nil {
 		return
 	}
 	s.probing = true
@@ -148,10 +148,12 @@
 	}
 	switch {
 	case r.upstream == s.cur.upstream && r.err != nil && r.silent:
-		if s.givenUp() {
-			s.continueFromBackup("silent")
+		if s.stopping != nil {
+			s.begin(*s.stopping.then)
+		} else if n := s.backupSuccessor("silent"); n != nil && s.givenUp() {
+			s.begin(*n)
 		}
-	case r.upstream == s.cur.upstream:
+	case r.upstream == s.cur.upstream || s.stopping != nil:
 	case r.err != nil || !s.continueFromBackup("leaving"):
 		s.cur.backup = nil
 		s.move()
@@ -169,23 +171,29 @@
 	return s.req.h.Timer.Now().Sub(s.cur.lastEventAt) >= fullBackupSilence
 }
 
-// continueFromBackup closes the current segment and starts one from the copy at
-// the backup engine. It reports false if there is no backup or it accepts no work.
+// continueFromBackup starts a segment from the copy at the backup engine. It reports false if there is no backup or it accepts no work.
 func (s *relay) continueFromBackup(reason string) bool {
-	seg := s.cur
-	if seg.backup == nil {
+	n := s.backupSuccessor(reason)
+	if n == nil {
 		return false
 	}
+	s.startNext(*n)
+	return true
+}
+
+// backupSuccessor returns what goes on from the copy at the backup engine, or nil if there is no
+// backup or it accepts no work.
+func (s *relay) backupSuccessor(reason string) *successor {
+	if s.cur.backup == nil {
+		return nil
+	}
 	s.req.snapshot = s.req.h.Table.Snapshot()
-	u := s.req.snapshot.Upstreams[seg.backup.ID]
+	u := s.req.snapshot.Upstreams[s.cur.backup.ID]
 	if u == nil || !s.req.mayHandOver(u) || s.req.daemonFinishes() {
-		return false
+		return nil
 	}
-	// A copy can be used once, and only after its generation has stopped.
-	seg.backup = nil
 	name := bramleytack.EngineCopy{Holder: u.Addr, Handle: s.req.id}.String()
-	s.startNext(u, fromCopy, name, reason, nil)
-	return true
+	return &successor{upstream: u, origin: fromCopy, copyName: name, reason: reason, fromBackup: true}
 }
 
 // mayHandOver reports whether an upstream now takes a generation from another one.
@@ -193,25 +201,56 @@
 	return req.h.Table.Snapshot().Accepts(u.ID) && !req.h.Accounts.Paused(u) && req.h.Rollouts.Admits(u)
 }
 
-// startNext starts the next segment. Nothing else does, and what the segment replaces is
-// closed: a next segment, and the current one unless both run the request from the start.
-// retried is the rejected segment that it repeats, or nil.
-func (s *relay) startNext(u *bramleytack.Upstream, from origin, copyName, reason string, retried *segment) {
-	s.next.close(btaccount.Abandoned)
-	if from == fromCopy || s.headSent {
-		s.cur.close(btaccount.Abandoned)
+// successor describes the segment that is to go on with a request at another engine.
+type successor struct {
+	upstream *bramleytack.Upstream
+	origin   origin
+	// copyName is empty unless the segment continues from a copy, fromBackup set if that is the
+	// backup of the current segment.
+	copyName   string
+	fromBackup bool
+	reason     string
+	// retried is the rejected segment that it repeats, or nil.
+	retried *segment
+}
+
+// startNext makes another engine go on with the request. If the current engine sends a stream that
+// the other one is to continue, it is stopped first.
+func (s *relay) startNext(n successor) {
+	if s.cur.running() && (n.origin == fromCopy || s.headSent) {
+		s.stopCurrent(n)
+		return
+	}
+	s.begin(n)
+}
+
+// begin starts the next segment, although the current engine may not have stopped: it does not
+// answer, or its connection has broken. Orders to stop go on until it answers. The current segment
+// is closed, unless both run the request from the start.
+func (s *relay) begin(n successor) {
+	ordered := s.stopping != nil
+	s.stopping = nil
+	if n.fromBackup {
+		// A copy can be used once.
+		s.cur.backup = nil
+	}
+	if n.origin == fromCopy || s.headSent {
+		if ordered {
+			s.cur.close(btaccount.Abandoned)
+		}
+		s.replace(s.cur)
 	}
-	s.next = s.newSegment(u, from, copyName)
+	s.next = s.newSegment(n.upstream, n.origin, n.copyName)
 	s.next.terms = btgrant.Terms{Wait: handoverWait, Urgent: s.headSent}
-	if from == fromCopy {
+	if n.origin == fromCopy {
 		s.next.enterUntil = s.req.h.Timer.Now().Add(enterPeriod)
 	}
-	if retried != nil {
-		s.next.enterUntil, s.next.retries = retried.enterUntil, retried.retries+1
+	if n.retried != nil {
+		s.next.enterUntil, s.next.retries = n.retried.enterUntil, n.retried.retries+1
 	}
-	s.next.start(s.ctx)
-	s.req.log(btevent.HandoverStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(u.ID)).Stringer("origin", from).
-		Str("reason", reason).Uint64("lastEvent", s.lastEventID).Str("backup", s.next.backupName()).Send()
+	s.launch(s.next)
+	s.req.log(btevent.HandoverStarted).Str("from", string(s.cur.upstream.ID)).Str("to", string(n.upstream.ID)).Stringer("origin", n.origin).
+		Str("reason", n.reason).Uint64("lastEvent", s.lastEventID).Str("backup", s.next.backupName()).Send()
 }
 
 // resume sends a resumable request to another engine, to continue after the last
@@ -227,7 +266,7 @@
 	}
 	s.tried[u.ID] = true
 	s.req.attempts++
-	s.startNext(u, fromEvent, "", reason, nil)
+	s.startNext(successor{upstream: u, origin: fromEvent, reason: reason})
 	return true
 }
 
@@ -304,7 +343,7 @@
 	r := moveResult{move: m}
 	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
 	defer cancel()
-	r.copy, r.err = s.req.h.Mover.Move(ctx, m.source.upstream.Addr, m.target.Addr, s.req.id, false)
+	r.copy, r.err = s.req.h.Mover.Move(ctx, m.source.upstream.Addr, m.target.Addr, s.req.id)
 	if r.err != nil && ctx.Err() == nil {
 		// The target has less room than the loads tell, and all daemons learn of it.
 		m.lease.Keep(min(fullPeriod, m.copyLife))
@@ -353,7 +392,7 @@
 		return false
 	}
 	r.move.lease.End()
-	s.startNext(r.move.target, fromCopy, r.copy.String(), "moved", nil)
+	s.startNext(successor{upstream: r.move.target, origin: fromCopy, copyName: r.copy.String(), reason: "moved"})
 	return true
 }
 
@@ -370,6 +409,6 @@
 	if s.req.h.Timer.Sleep(s.ctx, copyRetryPause) != nil {
 		return false
 	}
-	s.startNext(seg.upstream, fromCopy, seg.copyName, "previous attempt rejected", seg)
+	s.startNext(successor{upstream: seg.upstream, origin: fromCopy, copyName: seg.copyName, reason: "previous attempt rejected", retried: seg})
 	return true
 }
--- a/internal/serve/btentry/handover_test.go
+++ b/internal/serve/btentry/handover_test.go
@@ -93,10 +93,22 @@
 	}
 }
 
+// The same faults at engines that never notice a closed connection. Guards against generations
+// that go on elsewhere while the engine before works on.
+func TestHandoversOfDeafEngines(t *testing.T) {
+	for seed := range *handoverSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			run(t, func(h *harness) { (&handovers{harness: h, rng: rand.New(rand.NewPCG(seed, 1)), deaf: true}).run() })
+		})
+	}
+}
+
 // handovers is one run of TestHandovers.
 type handovers struct {
 	*harness
 	rng *rand.Rand
+	// deaf engines never notice a closed connection, and work on when a caller leaves.
+	deaf bool
 	// disturbing keeps faults from beginning at the same time.
 	disturbing sync.Mutex
 }
@@ -105,12 +117,15 @@
 	h.pool.CopyDelay, h.pool.MoveTime = h.between(50, 1500), h.between(20, 700)
 	engines := 2 + h.rng.IntN(4)
 	for i := range engines {
-		h.startGenerator(fmt.Sprintf("e%d", i+1), h.between(20, 1500))
+		w := h.startGenerator(fmt.Sprintf("e%d", i+1), h.between(20, 1500))
+		if h.deaf {
+			w.DeafenForGood()
+		}
 	}
 	for range 1 + h.rng.IntN(6) {
 		h.disturb(fmt.Sprintf("e%d", 1+h.rng.IntN(engines)))
 	}
-	if h.rng.IntN(20) == 0 {
+	if h.rng.IntN(20) == 0 && !h.deaf {
 		after(h.between(500, 3000), h.daemons[0].stop)
 	}
 	var all sync.WaitGroup
@@ -136,7 +151,11 @@
 			}
 			got := h.exchange(c, id, http.MethodPost, target, header, timeout)
 			h.checkOrder(got, header[dialect.LastEvent])
-			h.checkRuns(got)
+			if h.deaf {
+				h.checkRunsBeside(got)
+			} else {
+				h.checkRuns(got)
+			}
 		})
 	}
 	all.Wait()
@@ -180,8 +199,8 @@
 }
 
 // startGenerator starts an engine whose first event takes some time.
-func (h *harness) startGenerator(name string, read time.Duration) {
-	h.start(name, engineService, btworker.Config{Events: streamEvents, Read: read, Gap: eventGap})
+func (h *harness) startGenerator(name string, read time.Duration) *btworker.Worker {
+	return h.start(name, engineService, btworker.Config{Events: streamEvents, Read: read, Gap: eventGap})
 }
 
 // loss is the time in which the path between the daemon and an engine is lost.
@@ -218,18 +237,32 @@
 	after(d, func() { block(false) })
 }
 
+// spans returns the work of engines on a request, in the order in which it began.
+func (h *harness) spans(id string) []btworker.Span {
+	return slices.DeleteFunc(h.pool.Spans(), func(s btworker.Span) bool { return s.ID != id })
+}
+
 // checkRuns fails the test if engines work on a request beside those at which it went on,
 // or after its end, which is now.
 func (h *harness) checkRuns(got response) {
 	h.t.Helper()
 	ended := time.Now()
-	time.Sleep(longestLoss + overlapBound)
-	spans := slices.DeleteFunc(h.pool.Spans(), func(s btworker.Span) bool { return s.ID != got.id })
-	for i, a := range spans {
+	h.checkRunsBeside(got)
+	for _, a := range h.spans(got.id) {
 		if late := a.To.Sub(h.reachedFrom(a.Worker, ended)); a.To.IsZero() || late > overlapBound {
 			h.t.Errorf("%s works on %s for %v after its end", a.Worker, a.ID, late)
 		}
-		for _, b := range spans[i+1:] {
+	}
+}
+
+// checkRunsBeside fails the test if engines work on a request beside those at which it went on.
+func (h *harness) checkRunsBeside(got response) {
+	h.t.Helper()
+	time.Sleep(longestLoss + overlapBound)
+	spans := h.spans(got.id)
+	for i, a := range spans {
+		a.To = h.workedUntil(a, spans[i+1:])
+		for j, b := range spans[i+1:] {
 			from, either := b.From, false
 			if a.Run != b.Run && a.Last == b.Last && (got.firstEventAt.IsZero() || !got.firstEventAt.Before(from)) {
 				// Both may run until the caller has got the first event.
@@ -238,13 +271,28 @@
 			if from.IsZero() || a.To.Sub(h.reachedFrom(a.Worker, from)) <= overlapBound {
 				continue
 			}
-			if !either || b.To.Sub(h.reachedFrom(b.Worker, from)) > overlapBound {
+			if !either || h.workedUntil(b, spans[i+j+2:]).Sub(h.reachedFrom(b.Worker, from)) > overlapBound {
 				h.t.Errorf("%s works on %s for %v beside %s (runs %d after %d, %d after %d)", a.Worker, a.ID, a.To.Sub(from), b.Worker, a.Run, a.Last, b.Run, b.Last)
 			}
 		}
 	}
 }
 
+// workedUntil returns when an engine ended its work, or when it was asked once more for the request,
+// if it notices no closed connection: from then on the generation is there, and the engine knows of
+// both.
+func (h *harness) workedUntil(a btworker.Span, later []btworker.Span) time.Time {
+	if a.To.IsZero() {
+		a.To = time.Now()
+	}
+	for _, b := range later {
+		if b.Worker == a.Worker && h.workers[a.Worker].Deaf() && b.From.Before(a.To) {
+			return b.From
+		}
+	}
+	return a.To
+}
+
 // checkOrder fails the test if pieces are missing or come twice, if a stream looks complete
 // that is not, or if a piece of another run follows that did not begin after the piece before.
 func (h *handovers) checkOrder(got response, last string) {
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -55,6 +55,8 @@
 	// keptMemory is room for bodies of 24 MiB, and for heads.
 	keptMemory   = 24<<20 + 64<<10
 	streamEvents = 60
+	// orderDialTimeout bounds the connection of an order to an engine, as in platform.
+	orderDialTimeout = 150 * time.Millisecond
 )
 
 // codec fills snapshots from the harness and ignores the encoded objects.
@@ -130,6 +132,7 @@
 			},
 		}
 		defer h.timer.Close()
+		h.pool.Reach = h.reach
 		h.pool.Listen = func(addr netip.AddrPort) (net.Listener, error) { return h.net.Listen(addr), nil }
 		h.startDaemon(h.entryAddr)
 		d := h.daemons[0]
@@ -151,6 +154,17 @@
 	})
 }
 
+// reach connects to an upstream from the first daemon's host, as an order to it does.
+func (h *harness) reach(ctx context.Context, addr netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, orderDialTimeout)
+	defer cancel()
+	c, err := btmemnet.Dialer{Network: h.net, From: h.entryAddr.Addr()}.DialPeer(ctx, addr)
+	if err == nil {
+		err = c.Close()
+	}
+	return err
+}
+
 // daemon is one daemon of the harness. Daemons exchange nothing but suspects.
 type daemon struct {
 	addr     netip.AddrPort
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -87,6 +87,8 @@
 	enterUntil time.Time
 	// beside is set if the engine had prompts to read at the last event.
 	beside bool
+	// unstoppable is set if the engine did not obey an order to stop.
+	unstoppable bool
 }
 
 // origin is the state that a segment continues from.
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -75,6 +75,15 @@
 	moved        *moveResult
 	probeResults chan probeResult
 	probing      bool
+	// stopping is the order to the current engine to stop, before another one goes on, or nil.
+	stopping    *stop
+	stopResults chan stopResult
+	// unstopped are the engines of closed segments that may still work on the request.
+	unstopped []*bramleytack.Upstream
+	// orders are the last orders to stop by their engines.
+	orders map[bramleytack.UpstreamID]*stop
+	// kept is what engines keep that have stopped, until the generation goes on.
+	kept []bramleytack.EngineCopy
 	// firstEventLatency, with its parts, and the longest gap are measured as the caller sees them.
 	firstEventLatency time.Duration
 	firstDelay        delay
@@ -89,7 +98,10 @@
 // stream serves a request whose response is an event stream.
 func (req *activeRequest) stream(ctx context.Context) {
 	flusher, _ := req.w.(http.Flusher)
-	s := &relay{req: req, ctx: ctx, flusher: flusher, tried: map[bramleytack.UpstreamID]bool{}, moveResults: make(chan moveResult), probeResults: make(chan probeResult, 1)}
+	s := &relay{
+		req: req, ctx: ctx, flusher: flusher, tried: map[bramleytack.UpstreamID]bool{}, moveResults: make(chan moveResult), probeResults: make(chan probeResult, 1),
+		stopResults: make(chan stopResult), orders: map[bramleytack.UpstreamID]*stop{},
+	}
 	if v, err := strconv.ParseUint(req.header.Get(req.h.Dialect.LastEvent), 10, 64); err == nil {
 		s.lastEventID = v
 	}
@@ -120,6 +132,8 @@
 			s.handleMove(m)
 		case r := <-s.probeResults:
 			s.handleProbe(r)
+		case r := <-s.stopResults:
+			s.handleStop(r)
 		case <-changed:
 			_, changed = s.req.h.Table.Current()
 			s.checkLeaving()
@@ -159,7 +173,7 @@
 	s.tried[u.ID] = true
 	s.cur = s.newSegment(u, fromStart, "")
 	s.cur.terms = terms
-	s.cur.start(s.ctx)
+	s.launch(s.cur)
 	s.req.log(btevent.AttemptStarted).Str("upstream", string(u.ID)).Int("prompt", s.req.need.Prompt).
 		Int("output", s.req.need.Output).Str("backup", s.cur.backupName()).Dur("expected", s.req.expectedDelay).Dur("waited", waited).Uint64("version", s.req.snapshot.Version).Send()
 	return true
@@ -287,8 +301,9 @@
 	}
 	s.delivered++
 	if s.next != nil && !s.mayFollow(s.next) {
-		s.next.close(btaccount.Abandoned)
+		s.replace(s.next)
 		s.next = nil
+		s.stopOthers(s.cur.upstream)
 	}
 	if seg.eventCount%growthReportEvents == 0 {
 		seg.lease.Grow(s.tokensSent())
@@ -336,7 +351,9 @@
 	old := s.cur
 	s.cur, s.next = s.next, nil
 	s.moving, s.moved = nil, nil
-	old.close(btaccount.Abandoned)
+	s.replace(old)
+	s.stopOthers(s.cur.upstream)
+	s.freeKept()
 	s.req.log(btevent.StreamMoved).Str("from", string(old.upstream.ID)).Str("to", string(s.cur.upstream.ID)).
 		Stringer("origin", s.cur.origin).Uint64("lastEvent", s.lastEventID).Dur("pause", s.req.h.Timer.Now().Sub(s.lastEventAt)).Send()
 }
@@ -375,6 +392,9 @@
 	s.req.logAttempt(r, seg.started)
 	health := s.req.health(r)
 	seg.close(health)
+	if r.outcome == bramleytack.Unknown && r.err != nil {
+		s.unstopped = append(s.unstopped, seg.upstream)
+	}
 	seg.version.ended(r, health)
 	if r.err != nil && !r.unsent && !r.window.cutShort(s.req.h.Timer.Now()) {
 		s.inspectBreak(seg, r.err)
@@ -426,6 +446,11 @@
 
 // segmentBroken handles a segment that ended before its stream was complete.
 func (s *relay) segmentBroken(seg *segment, err error) {
+	if seg == s.cur && s.stopping != nil {
+		s.begin(*s.stopping.then)
+		return
+	}
+	s.unstopped = append(s.unstopped, seg.upstream)
 	s.req.noteLimit(seg.upstream, err)
 	// The engine may have run the request, even if a later attempt does not run.
 	s.noteResult(&attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown, err: err})
@@ -484,6 +509,7 @@
 func (s *relay) close() {
 	s.cur.close(btaccount.Abandoned)
 	s.next.close(btaccount.Abandoned)
+	s.freeKept()
 }
 
 // silenceLimit returns the time without events after which an engine is probed.
--- a/internal/standin/btworker/pool.go
+++ b/internal/standin/btworker/pool.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +28,8 @@
 	// Calls serves the calls of engines that are no requests, and says whether
 	// it did. Nil serves none.
 	Calls func(w http.ResponseWriter, r *http.Request) bool
+	// Reach connects to an upstream for an order. Nil reaches all of them.
+	Reach func(ctx context.Context, addr netip.AddrPort) error
 	// CopyDelay is the time until a copy has arrived, MoveTime the length of a
 	// move.
 	CopyDelay time.Duration
@@ -37,6 +42,8 @@
 	runs    map[string]int
 	visits  map[string][]*Visit
 	spans   []*Span
+	// kept is what stopped upstreams keep.
+	kept []bramleytack.EngineCopy
 }
 
 // Span is the time in which an upstream worked on a request that it began to run or to go
@@ -61,7 +68,7 @@
 
 // Start starts an upstream.
 func (p *Pool) Start(cfg Config) *Worker {
-	w := &Worker{pool: p, places: places{count: cfg.Slots, queue: cfg.Queue}, cfg: cfg, copies: map[string]heldCopy{}, active: map[string]*Span{}}
+	w := &Worker{pool: p, places: places{count: cfg.Slots, queue: cfg.Queue}, cfg: cfg, copies: map[string]heldCopy{}, active: map[string]*Span{}, cancels: map[string]context.CancelFunc{}}
 	p.mu.Lock()
 	if p.workers == nil {
 		p.workers, p.runs = map[netip.AddrPort]*Worker{}, map[string]int{}
@@ -137,7 +144,7 @@
 }
 
 // Move implements bramleytack.EngineMover.
-func (p *Pool) Move(ctx context.Context, source, target netip.AddrPort, id string, _ bool) (bramleytack.EngineCopy, error) {
+func (p *Pool) Move(ctx context.Context, source, target netip.AddrPort, id string) (bramleytack.EngineCopy, error) {
 	from, to := p.at(source), p.at(target)
 	if from == nil || to == nil || from.running(id) == nil || to.crashed.Load() {
 		return bramleytack.EngineCopy{}, errNoRun
@@ -151,7 +158,52 @@
 	if run == nil || to.crashed.Load() {
 		return bramleytack.EngineCopy{}, errNoRun
 	}
-	c := bramleytack.EngineCopy{Holder: source, Handle: "move-" + id}
+	c := moveCopy(source, id)
 	to.keep(c.String(), run, 0)
 	return c, nil
 }
+
+// moveCopy returns the handle of a move.
+func moveCopy(source netip.AddrPort, id string) bramleytack.EngineCopy {
+	return bramleytack.EngineCopy{Holder: source, Handle: "move-" + id}
+}
+
+// Stop implements bramleytack.EngineMover. The order takes a round trip, on the path that the
+// caller of a generation has.
+func (p *Pool) Stop(ctx context.Context, source, _ netip.AddrPort, id string) (c bramleytack.EngineCopy, _ error) {
+	if p.Reach != nil {
+		if err := p.Reach(ctx, source); err != nil {
+			return c, err
+		}
+	}
+	w := p.at(source)
+	if w == nil || w.crashed.Load() {
+		return c, syscall.ECONNREFUSED
+	}
+	if w.stop(id) {
+		c = moveCopy(source, id)
+		p.mu.Lock()
+		p.kept = append(p.kept, c)
+		p.mu.Unlock()
+	}
+	return c, nil
+}
+
+// Free implements bramleytack.EngineMover. It frees both ends of a copy.
+func (p *Pool) Free(_ context.Context, c bramleytack.EngineCopy) error {
+	p.mu.Lock()
+	p.kept = slices.DeleteFunc(p.kept, func(o bramleytack.EngineCopy) bool { return o == c })
+	workers := slices.Collect(maps.Values(p.workers))
+	p.mu.Unlock()
+	for _, w := range workers {
+		w.drop(c.String())
+	}
+	return nil
+}
+
+// Kept returns what stopped upstreams keep of generations.
+func (p *Pool) Kept() []bramleytack.EngineCopy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.kept)
+}
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -79,10 +79,13 @@
 	fault  atomic.Uint32
 	// stalled holds streams back, as a preemption does.
 	stalled atomic.Bool
-	// deaf upstreams do not notice that callers leave.
-	deaf    atomic.Bool
-	places  places
-	crashed atomic.Bool
+	// deaf upstreams do not notice that callers leave, those that are deafForGood never.
+	deaf        atomic.Bool
+	deafForGood atomic.Bool
+	// unstoppable upstreams do not obey orders to stop.
+	unstoppable atomic.Bool
+	places      places
+	crashed     atomic.Bool
 	// retryAfter is the Retry-After value of a full upstream's rejections, empty for none.
 	retryAfter atomic.Pointer[string]
 	// rejection is the status of undeclared rejections, zero for 503.
@@ -99,8 +102,10 @@
 	mu     sync.Mutex
 	copies map[string]heldCopy
 	active map[string]*Span
-	last   *http.Request
-	body   string
+	// cancels end the work on requests.
+	cancels map[string]context.CancelFunc
+	last    *http.Request
+	body    string
 	// arrivals are the requests that arrived, in order.
 	arrivals []Arrival
 	// limitedAt is when the first answer with a limit was sent, told when the first one
@@ -137,7 +142,17 @@
 // Crash ends the upstream and cuts its connections.
 func (w *Worker) Crash() {
 	w.crashed.Store(true)
+	w.end()
+}
+
+// end cuts the connections and ends the work, also of an upstream that hears nothing.
+func (w *Worker) end() {
 	_ = w.server.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, cancel := range w.cancels {
+		cancel()
+	}
 }
 
 // Set sets the fault of later requests.
@@ -150,6 +165,15 @@
 // ends that.
 func (w *Worker) Deafen(on bool) { w.deaf.Store(on) }
 
+// DeafenForGood keeps the upstream from ever noticing that callers leave.
+func (w *Worker) DeafenForGood() { w.deafForGood.Store(true) }
+
+// Deaf reports whether the upstream never notices that callers leave.
+func (w *Worker) Deaf() bool { return w.deafForGood.Load() }
+
+// IgnoreStops makes the upstream work on after an order to stop, which it confirms.
+func (w *Worker) IgnoreStops() { w.unstoppable.Store(true) }
+
 // SetLeaving makes the upstream say that it is leaving, or end that.
 func (w *Worker) SetLeaving(on bool) { w.leaving.Store(on) }
 
@@ -253,6 +277,13 @@
 	w.copies[name] = heldCopy{work.Run, work.Start, time.Now().Add(d)}
 }
 
+// drop frees a copy.
+func (w *Worker) drop(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.copies, name)
+}
+
 // use takes a copy that has arrived, nil without one.
 func (w *Worker) use(name string) *heldCopy {
 	w.mu.Lock()
@@ -318,7 +349,7 @@
 	work := w.pool.begin(w.cfg.ID, id, from, last)
 	w.nameLoad(rw.Header())
 	w.mu.Lock()
-	w.active[id] = work
+	w.active[id], w.cancels[id] = work, done
 	w.mu.Unlock()
 	defer func() {
 		done()
@@ -326,6 +357,7 @@
 		w.mu.Lock()
 		if w.active[id] == work {
 			delete(w.active, id)
+			delete(w.cancels, id)
 		}
 		w.mu.Unlock()
 	}()
@@ -368,7 +400,9 @@
 		for w.deaf.Load() {
 			time.Sleep(deafPoll)
 		}
-		cancel()
+		if !w.deafForGood.Load() {
+			cancel()
+		}
 	})
 	return ctx, func() {
 		stop()
@@ -393,7 +427,7 @@
 // Restart.
 func (w *Worker) CrashAndRestart() {
 	if w.crashed.CompareAndSwap(false, true) {
-		_ = w.server.Close()
+		w.end()
 		time.AfterFunc(w.cfg.Restart, w.restart)
 	}
 }
@@ -469,15 +503,31 @@
 				panic(http.ErrAbortHandler)
 			}
 		}
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d, run %d from %d of %s\n\n", n, n, work.Run, work.Start, work.ID); err != nil && !w.deaf.Load() {
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d, run %d from %d of %s\n\n", n, n, work.Run, work.Start, work.ID); err != nil && w.hears() {
 			return
 		}
-		if err := http.NewResponseController(rw).Flush(); err != nil && !w.deaf.Load() || !pause(ctx, time.Duration(slow)*w.cfg.Gap) {
+		if err := http.NewResponseController(rw).Flush(); err != nil && w.hears() || !pause(ctx, time.Duration(slow)*w.cfg.Gap) {
 			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
+// stop ends the work on a request, unless the upstream ignores that. It reports whether there was
+// any.
+func (w *Worker) stop(id string) bool {
+	w.mu.Lock()
+	cancel := w.cancels[id]
+	w.mu.Unlock()
+	if cancel == nil || w.unstoppable.Load() {
+		return false
+	}
+	cancel()
+	return true
+}
+
+// hears reports whether the upstream notices now that callers leave.
+func (w *Worker) hears() bool { return !w.deaf.Load() && !w.Deaf() }
+
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
