Connections: a body without a length is whole only if its request was written whole

What callers saw: a cut answer as a whole 200.

Cause: the error of a broken connection goes to one system call. While a large request is being sent, its write may take it, and reads then get what has arrived and a plain end.

Change: Exchange.Read, through which answers, events, skipped answers and engines' answers go, returns an unexpected end for a body without length or chunks unless the request was written whole; a write that is under way is ended and waited for.

--- a/internal/btforward/forwarder.go
+++ b/internal/btforward/forwarder.go
@@ -1,6 +1,11 @@
 package btforward
 
-import "net/http"
+import (
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
 
 // copyBytes is the buffer of one copy.
 const copyBytes = 4 << 10
@@ -39,9 +44,12 @@
 				return
 			}
 		}
-		if err != nil {
-			// An early end of the answer can't be told from its end here.
+		if errors.Is(err, io.EOF) {
 			return
 		}
+		if err != nil {
+			// net/http closes the connection without ending the response.
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
--- a/internal/btforward/path_test.go
+++ b/internal/btforward/path_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -84,6 +85,23 @@
 	assert.Equal(t, read(t, forward.URL+"/v1/generations", engineBody("r0", 3)), 3)
 }
 
+// Guards against an answer that breaks off and looks whole behind the forwarder.
+func TestForwarderBreaksOff(t *testing.T) {
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer engine.Close()
+	forward := httptest.NewServer(&Forwarder{Target: engine.URL, Client: http.DefaultClient})
+	defer forward.Close()
+	resp, err := http.Get(forward.URL + "/")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	assert.Check(t, err != nil, "the answer looks whole")
+}
+
 // cost is what a run used.
 type cost struct {
 	cpu        time.Duration
--- a/internal/serve/btentry/fault_test.go
+++ b/internal/serve/btentry/fault_test.go
@@ -26,6 +26,8 @@
 	answer func(w io.Writer, id string, before int) bool
 	// written counts the bytes that were taken from the upstream.
 	written atomic.Int64
+	// unread upstreams answer before they have read the body of the request.
+	unread atomic.Bool
 }
 
 func (u *rawUpstream) run() {
@@ -51,7 +53,10 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil || !c.u.answer(c, req.Header.Get(dialect.RequestID), before) {
+		if !c.u.unread.Load() {
+			_, err = io.Copy(io.Discard, req.Body)
+		}
+		if err != nil || !c.u.answer(c, req.Header.Get(dialect.RequestID), before) {
 			return
 		}
 	}
--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -324,15 +324,30 @@
 	}
 }
 
-// Read reads the response body.
+// Read reads the response body. It returns an error that wraps io.ErrUnexpectedEOF if the body ends
+// with the connection and the request was not written whole: the error of a connection that breaks
+// goes to one call, and if the write of the request takes it, the read sees a plain end.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.body.Read(p)
 	if errors.Is(err, io.EOF) {
+		if !x.Framed() && !x.written() {
+			return n, errors.Wrap(io.ErrUnexpectedEOF, "btconn: request was not written whole")
+		}
 		x.complete = true
 	}
 	return n, err
 }
 
+// written reports whether the request was written whole. The upstream has ended the connection: a
+// write that is still under way ends at once.
+func (x *Exchange) written() bool {
+	if err := x.conn.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		x.conn.conn.Close()
+	}
+	<-x.bodySent
+	return !x.writeErr.Load()
+}
+
 // Complete reports whether the response body was read to its end.
 func (x *Exchange) Complete() bool { return x.complete }
 
