Connections: a request that is still being written may become whole after its answer

Cause: the write that was under way was ended when the answer had ended.

Evidence and change: TestAnswerToReadRequestIsWhole has the case; the write is waited for.

--- a/internal/upstream/btconn/conn.go
+++ b/internal/upstream/btconn/conn.go
@@ -338,12 +338,10 @@
 	return n, err
 }
 
-// written reports whether the request was written whole. The upstream has ended the connection: a
-// write that is still under way ends at once.
+// written reports whether the request was written whole. It waits for a write that is under way: an
+// upstream that has closed its side may read on. One that does not is given up after userTimeout, or
+// when the context of the exchange ends.
 func (x *Exchange) written() bool {
-	if err := x.conn.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
-		x.conn.conn.Close()
-	}
 	<-x.bodySent
 	return !x.writeErr.Load()
 }
--- a/internal/upstream/btconn/unread_test.go
+++ b/internal/upstream/btconn/unread_test.go
@@ -177,6 +177,11 @@
 			_, _ = io.WriteString(c, unframed+body)
 			read(c)
 		}},
+		{"answered and half-closed first", func(c *net.TCPConn) {
+			_, _ = io.WriteString(c, unframed+body)
+			_ = c.CloseWrite()
+			read(c)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			addr := listen(t, func(conn *net.TCPConn) {
