Entry: orders to stop are repeated more slowly

What was seen: by reading, an engine with 24 generations that answers orders by an error would get about 1,000 of them a second for 4 s.

Change: the pause between two orders doubles from 25 to 100 ms. With the 150 ms of a dial an engine that is reached again has the order within 250 ms. docs/design/handovers.md also names the order that crosses a return.

--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -171,7 +171,8 @@
 	return s.req.h.Timer.Now().Sub(s.cur.lastEventAt) >= fullBackupSilence
 }
 
-// continueFromBackup starts a segment from the copy at the backup engine. It reports false if there is no backup or it accepts no work.
+// continueFromBackup starts a segment from the copy at the backup engine. It reports false if there
+// is no backup or it accepts no work.
 func (s *relay) continueFromBackup(reason string) bool {
 	n := s.backupSuccessor(reason)
 	if n == nil {
--- a/internal/serve/btentry/stop.go
+++ b/internal/serve/btentry/stop.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// stopRetryPause is the time between two orders to an engine that has not confirmed the
-	// first one.
-	stopRetryPause = 25 * time.Millisecond
+	// The time between two orders to an engine that has not confirmed the first one doubles from
+	// stopRetryPause to maxStopRetryPause, which leaves most of the 400 ms of the rule TWICE.
+	stopRetryPause    = 25 * time.Millisecond
+	maxStopRetryPause = 100 * time.Millisecond
 	// stopTimeout bounds the orders to one engine. Paths that are lost for longer have taken the
 	// engine's connections with them.
 	stopTimeout = 4 * time.Second
@@ -27,8 +28,8 @@
 	freeTimeout = time.Second
 )
 
-// stop is an order to an engine to end a generation that goes on at another one. The close of a
-// connection is no such order: not every engine notices it.
+// stop is an order to an engine to end a generation that goes on at another one
+// (docs/design/handovers.md). The close of a connection is no such order: not every engine notices it.
 type stop struct {
 	req    *activeRequest
 	source *bramleytack.Upstream
@@ -85,12 +86,12 @@
 // source keeps. An error means that the source may still work on the generation.
 func (o *stop) untilStopped(ctx context.Context) (kept bramleytack.EngineCopy, err error) {
 	h := o.req.h
-	for !h.crashes.known(btsuspect.CrashOf(o.source), h.Timer.Now()) {
+	for pause := stopRetryPause; !h.crashes.known(btsuspect.CrashOf(o.source), h.Timer.Now()); pause = min(2*pause, maxStopRetryPause) {
 		kept, err = h.Mover.Stop(ctx, o.source.Addr, o.target.Addr, o.req.id)
 		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 			return kept, nil
 		}
-		if h.Timer.Sleep(ctx, stopRetryPause) != nil {
+		if h.Timer.Sleep(ctx, pause) != nil {
 			return kept, err
 		}
 	}
