Entry, stand-ins: long files are split, and a repeated piece of two tests is one

Change: segments are made in segment.go; stand-ins' copies and stops have files of their own; requestOfTwo serves both tests. Nothing else changed.

--- a/internal/serve/btentry/handover_test.go
+++ b/internal/serve/btentry/handover_test.go
@@ -53,15 +53,7 @@
 func TestStreamIsOfOneRun(t *testing.T) {
 	run(t, func(h *harness) {
 		h.startEngines(2)
-		for _, w := range h.workers {
-			w.Stall(true)
-		}
-		after(1300*time.Millisecond, func() {
-			for _, w := range h.workers {
-				w.Stall(false)
-			}
-		})
-		got := h.request(http.MethodPost, "/tag/a", map[string]string{dialect.TokenCounts: "100,40"}, 6*time.Second)
+		got := h.requestOfTwo()
 		h.checkComplete(got)
 		assert.Equal(t, h.pool.Runs(got.id), 2)
 		(&handovers{harness: h}).checkOrder(got, "")
@@ -69,6 +61,13 @@
 	})
 }
 
+// requestOfTwo sends a resumable request that two engines begin at one time.
+func (h *harness) requestOfTwo() response {
+	h.stall(true)
+	after(1300*time.Millisecond, func() { h.stall(false) })
+	return h.request(http.MethodPost, "/tag/a", map[string]string{dialect.TokenCounts: "100,40"}, 6*time.Second)
+}
+
 // The first engine of a resumable stream crashes before its response while a second one
 // runs the request. Guards against ending the request with the first one.
 func TestStreamGoesOnAtSecondEngine(t *testing.T) {
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"bramleytack"
@@ -109,6 +110,56 @@
 // String returns the origin's name.
 func (o origin) String() string { return originNames[o] }
 
+// newSegment returns a segment at u that has not been started. copyName is empty
+// unless the segment continues from a copy.
+func (s *relay) newSegment(u *bramleytack.Upstream, from origin, copyName string) *segment {
+	req, d := s.req, s.req.h.Dialect
+	seg := &segment{req: req, upstream: u, origin: from, after: s.delivered, need: s.remainingNeed(), copyName: copyName, request: req.upstreamRequest(u, nil)}
+	seg.need.Copied = from == fromCopy
+	if from != fromStart && (s.headSent || s.lastEventID > 0) {
+		seg.request.Header.Set(d.LastEvent, strconv.FormatUint(s.lastEventID, 10))
+	}
+	if copyName != "" {
+		seg.request.Header.Set(d.From, copyName)
+		seg.head = s.cur.head
+	}
+	profile := req.snapshot.Engine(req.service)
+	if profile != nil && profile.Backups && req.need.MaxOutput >= minBackupOutput {
+		seg.backup = req.h.Accounts.PickBackup(req.snapshot, u, seg.need)
+		if s.cur.running() && s.cur.backup != nil && seg.backup != nil && s.cur.backup.ID == seg.backup.ID {
+			// Copies of two runs of a request have the same name at an engine.
+			seg.backup = nil
+		}
+		if seg.backup != nil {
+			seg.request.Header.Set(d.Backup, seg.backup.Addr.String())
+		}
+	}
+	return seg
+}
+
+func (seg *segment) backupName() string {
+	if seg.backup == nil {
+		return ""
+	}
+	return string(seg.backup.ID)
+}
+
+// remainingNeed returns what the rest of the generation needs of an engine.
+func (s *relay) remainingNeed() btaccount.Need {
+	n := s.req.need
+	n.Generated = s.tokensSent()
+	return n
+}
+
+// tokensSent returns the number of tokens that the caller has got, by the id of the
+// last event.
+func (s *relay) tokensSent() int {
+	if p := s.req.snapshot.Engine(s.req.service); p != nil {
+		return int(s.lastEventID) * p.TokensPerEvent
+	}
+	return 0
+}
+
 // start sends the segment's request in a new goroutine and enters the segment in
 // the upstreams' accounts. Its items arrive in stream order.
 func (seg *segment) start(ctx context.Context) {
--- a/internal/serve/btentry/stop_test.go
+++ b/internal/serve/btentry/stop_test.go
@@ -129,15 +129,7 @@
 func TestDeafLoserIsStopped(t *testing.T) {
 	run(t, func(h *harness) {
 		h.startDeaf(2)
-		for _, w := range h.workers {
-			w.Stall(true)
-		}
-		after(1300*time.Millisecond, func() {
-			for _, w := range h.workers {
-				w.Stall(false)
-			}
-		})
-		got := h.request(http.MethodPost, "/tag/a", map[string]string{dialect.TokenCounts: "100,40"}, 6*time.Second)
+		got := h.requestOfTwo()
 		h.checkStopped(got)
 	})
 }
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -114,13 +114,6 @@
 	told      map[netip.Addr]time.Time
 }
 
-// heldCopy is a copy of a run's memory, complete from a time on.
-type heldCopy struct {
-	run   int
-	start int
-	at    time.Time
-}
-
 // Arrival is a request that reached an upstream.
 type Arrival struct {
 	At   time.Time
@@ -161,19 +154,6 @@
 // Stall holds streams back, or lets them go on.
 func (w *Worker) Stall(on bool) { w.stalled.Store(on) }
 
-// Deafen keeps the upstream from noticing that callers leave, as the loss of a path does, or
-// ends that.
-func (w *Worker) Deafen(on bool) { w.deaf.Store(on) }
-
-// DeafenForGood keeps the upstream from ever noticing that callers leave.
-func (w *Worker) DeafenForGood() { w.deafForGood.Store(true) }
-
-// Deaf reports whether the upstream never notices that callers leave.
-func (w *Worker) Deaf() bool { return w.deafForGood.Load() }
-
-// IgnoreStops makes the upstream work on after an order to stop, which it confirms.
-func (w *Worker) IgnoreStops() { w.unstoppable.Store(true) }
-
 // SetLeaving makes the upstream say that it is leaving, or end that.
 func (w *Worker) SetLeaving(on bool) { w.leaving.Store(on) }
 
@@ -270,32 +250,6 @@
 	return w.active[id]
 }
 
-// keep stores a copy of a run that arrives after d.
-func (w *Worker) keep(name string, work *Span, d time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.copies[name] = heldCopy{work.Run, work.Start, time.Now().Add(d)}
-}
-
-// drop frees a copy.
-func (w *Worker) drop(name string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.copies, name)
-}
-
-// use takes a copy that has arrived, nil without one.
-func (w *Worker) use(name string) *heldCopy {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	c, ok := w.copies[name]
-	if !ok || time.Now().Before(c.at) {
-		return nil
-	}
-	delete(w.copies, name)
-	return &c
-}
-
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	d := w.pool.Dialect
@@ -512,22 +466,6 @@
 	}
 }
 
-// stop ends the work on a request, unless the upstream ignores that. It reports whether there was
-// any.
-func (w *Worker) stop(id string) bool {
-	w.mu.Lock()
-	cancel := w.cancels[id]
-	w.mu.Unlock()
-	if cancel == nil || w.unstoppable.Load() {
-		return false
-	}
-	cancel()
-	return true
-}
-
-// hears reports whether the upstream notices now that callers leave.
-func (w *Worker) hears() bool { return !w.deaf.Load() && !w.Deaf() }
-
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
