--- a/internal/serve/btentry/doc.go
+++ b/internal/serve/btentry/doc.go
@@ -5,7 +5,7 @@
 // the whole response has arrived. An event stream is relayed event by event. If
 // the engine of a generation shuts down or crashes, another engine continues the
 // generation inside the same response, from a copy of its key-value memory or
-// after the last event.
+// after the last event. The engine before is told to stop (docs/design/handovers.md).
 //
 // The daemon rejects a request with status 408, 421, 429 or 503 only if no
 // upstream has executed it and none will. If an upstream may have executed it,
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -256,7 +256,7 @@
 func (seg *segment) running() bool { return seg != nil && seg.cancel != nil }
 
 // close ends the segment with an outcome for the upstream's health. It closes the
-// connection, which makes the engine stop the generation. Closing a nil or closed
+// connection, which most engines take as the end of the generation. Closing a nil or closed
 // segment has no effect.
 func (seg *segment) close(o btaccount.Outcome) {
 	if seg == nil || seg.cancel == nil {
