Entry: the test of the old version's engine sets the roll-out before its request

Cause: the test gave the handler its table of roll-outs while a request ran. The order is now there before the request, and the new version's engine comes during it.

--- a/internal/serve/btentry/stop_test.go
+++ b/internal/serve/btentry/stop_test.go
@@ -114,11 +114,9 @@
 			h.publish()
 		}
 		start("1")
-		after(500*time.Millisecond, func() {
-			start("2")
-			r := h.order(engineService, 3*time.Second)
-			after(12*time.Second, r.stop)
-		})
+		r := h.order(engineService, 3*time.Second)
+		defer r.stop()
+		after(500*time.Millisecond, func() { start("2") })
 		got := h.generate("/guide/a")
 		h.checkStopped(got)
 	})
