Entry: a next segment that is replaced is closed again, and two checks stand once

No path reaches it with one now; the guard is back, and the engine of the replaced segment is told to stop as others are. move repeated the check of canStop, which is canMove now and serves both. checkPace looked the engine's profile up at each event; it does after the cheap checks again, as on.

--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -227,10 +227,11 @@
 
 // begin starts the next segment, although the current engine may not have stopped: it does not
 // answer, or its connection has broken. Orders to stop go on until it answers. The current segment
-// is closed, unless both run the request from the start.
+// is closed, unless both run the request from the start, and so is a next one: nothing else sets it.
 func (s *relay) begin(n successor) {
 	ordered := s.stopping != nil
 	s.stopping = nil
+	s.replace(s.next)
 	if n.fromBackup {
 		// A copy can be used once.
 		s.cur.backup = nil
@@ -309,8 +310,7 @@
 // That engine recomputes the tokens produced since the copy was taken, which takes
 // less time than a second copy that queues behind those of other generations.
 func (s *relay) move() {
-	profile := s.req.snapshot.Engine(s.req.service)
-	if s.moving != nil || profile == nil || !profile.Moves || s.req.h.Mover == nil {
+	if s.moving != nil || !s.canMove() {
 		return
 	}
 	target := s.req.h.Accounts.PickTarget(s.req.snapshot, s.cur.upstream, s.remainingNeed())
--- a/internal/serve/btentry/pace.go
+++ b/internal/serve/btentry/pace.go
@@ -47,13 +47,13 @@
 // pause too long. It is called after each event and acts on the first one and then as
 // often as sizes are reported.
 func (s *relay) checkPace() {
-	if s.moving != nil || s.next != nil || !s.mayReplaceCurrent() || s.paceMoves >= maxPaceMoves || s.req.daemonFinishes() {
+	if s.moving != nil || s.next != nil || s.paceMoves >= maxPaceMoves || s.req.daemonFinishes() {
 		return
 	}
 	if s.cur.eventCount != 1 && s.cur.eventCount%growthReportEvents != 0 {
 		return
 	}
-	if isLeaving(s.req.snapshot, s.cur.upstream) {
+	if !s.mayReplaceCurrent() || isLeaving(s.req.snapshot, s.cur.upstream) {
 		return
 	}
 	s.req.snapshot = s.req.h.Table.Snapshot()
--- a/internal/serve/btentry/stop.go
+++ b/internal/serve/btentry/stop.go
@@ -118,8 +118,8 @@
 	s.kept = nil
 }
 
-// canStop reports whether engines take the order to stop a generation.
-func (s *relay) canStop() bool {
+// canMove reports whether engines move generations, and take the order to stop one.
+func (s *relay) canMove() bool {
 	profile := s.req.snapshot.Engine(s.req.service)
 	return profile != nil && profile.Moves && s.req.h.Mover != nil
 }
@@ -127,7 +127,7 @@
 // mayReplaceCurrent reports whether the running current segment may be handed over to another
 // engine.
 func (s *relay) mayReplaceCurrent() bool {
-	return s.cur.running() && s.stopping == nil && !s.cur.unstoppable && s.canStop()
+	return s.cur.running() && s.stopping == nil && !s.cur.unstoppable && s.canMove()
 }
 
 // stopCurrent starts n once the engine of the current segment has stopped. What the engine still
@@ -171,7 +171,7 @@
 // request goes on at an engine.
 func (s *relay) stopOthers(at *bramleytack.Upstream) {
 	for _, u := range s.unstopped {
-		if u.ID != at.ID && s.canStop() {
+		if u.ID != at.ID && s.canMove() {
 			s.order(u, at, nil)
 		}
 	}
