--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin3"
 mkdir -p ../../target
-go build -o ../../target/review-standin3 .
+GOFLAGS= GOWORK=off CGO_ENABLED=0 go build -buildvcs=false -o ../../target/review-standin3 .
