--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -177,7 +177,7 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"handle": handle, "created_rev": made})
 }
 
-func (e *engine) free(w http.ResponseWriter, r *http.Request) {
+func (e *engine) free(_ http.ResponseWriter, r *http.Request) {
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
 	for name := range e.fleet.copies {
