Suspects: the place of a crash, and how far others got, decide about parts

Cause: the first event of any stream cleared the parts of its prompt, and a crash after an event was not charged to parts.

Change: a crash has a place, the number of events that the request had got; requests with the key that get further clear it. Three crashes at about the furthest place quarantine a key, if requests without it get further and few crashes come without it; crashes within 100 ms count once. Only btsuspect decides; btentry reports runs, their events and their ends. A stream that breaks off waits for the check of its engine where that may end its repeats; a trial is not repeated by the daemon, and one that goes on is not replaced. Records carry places and ages; those of earlier versions are read.

--- a/internal/fleet/btgossip/suspicion.go
+++ b/internal/fleet/btgossip/suspicion.go
@@ -64,25 +64,69 @@
 func encodeSuspicions(records []btsuspect.Record) []*Suspicion {
 	out := make([]*Suspicion, len(records))
 	for i, r := range records {
-		out[i] = &Suspicion{
-			Key: uint64(r.Key), Crashes: convert[uint64](r.Crashes), Cleared: convert[uint64](r.Cleared), Companions: convert[uint64](r.Companions),
-			AgeMillis: uint64(max(r.Age.Milliseconds(), 0)), Trials: uint32(r.Trials),
-		}
+		out[i] = encodeSuspicion(r)
 	}
 	return out
 }
 
+func encodeSuspicion(r btsuspect.Record) *Suspicion {
+	s := &Suspicion{Key: uint64(r.Key), Companions: convert[uint64](r.Companions), AgeMillis: millis(r.Age), Trials: uint32(r.Trials), Apart: uint32(r.Apart)}
+	for _, c := range r.Crashes {
+		s.Crashes = append(s.Crashes, uint64(c.Crash))
+		s.CrashEvents = append(s.CrashEvents, uint32(c.Events))
+		s.CrashAgeMillis = append(s.CrashAgeMillis, millis(c.Age))
+	}
+	for _, l := range r.Cleared {
+		s.Cleared = append(s.Cleared, uint64(l.Crash))
+		s.ClearedEvents = append(s.ClearedEvents, uint32(l.Events))
+	}
+	return s
+}
+
+// millis returns a duration in milliseconds, zero for a negative one.
+func millis(d time.Duration) uint64 { return uint64(max(d.Milliseconds(), 0)) }
+
 func decodeSuspicions(list []*Suspicion) []btsuspect.Record {
 	records := make([]btsuspect.Record, len(list))
 	for i, s := range list {
-		records[i] = btsuspect.Record{
-			Key: btsuspect.Key(s.Key), Crashes: convert[btsuspect.Crash](s.Crashes), Cleared: convert[btsuspect.Crash](s.Cleared),
-			Companions: convert[btsuspect.Key](s.Companions), Trials: int(min(s.Trials, math.MaxInt16)), Age: time.Duration(min(s.AgeMillis, math.MaxInt32)) * time.Millisecond,
-		}
+		records[i] = decodeSuspicion(s)
 	}
 	return records
 }
 
+// decodeSuspicion returns a record. Daemons of earlier versions tell neither events nor times.
+func decodeSuspicion(s *Suspicion) btsuspect.Record {
+	age := func(millis uint64) time.Duration { return time.Duration(min(millis, math.MaxInt32)) * time.Millisecond }
+	r := btsuspect.Record{
+		Key: btsuspect.Key(s.Key), Companions: convert[btsuspect.Key](s.Companions), Trials: int(min(s.Trials, math.MaxInt16)), Age: age(s.AgeMillis),
+		Apart: events(s.Apart),
+	}
+	if len(s.CrashAgeMillis) < len(s.Crashes) {
+		r.Apart = btsuspect.AllEvents
+	}
+	for i, c := range s.Crashes {
+		counted := btsuspect.CountedCrash{Crash: btsuspect.Crash(c), Age: btsuspect.AgeOfUntimed(i, r.Age)}
+		if i < len(s.CrashEvents) {
+			counted.Events = events(s.CrashEvents[i])
+		}
+		if i < len(s.CrashAgeMillis) {
+			counted.Age = age(s.CrashAgeMillis[i])
+		}
+		r.Crashes = append(r.Crashes, counted)
+	}
+	for i, c := range s.Cleared {
+		l := btsuspect.Clearing{Crash: btsuspect.Crash(c), Events: btsuspect.AllEvents}
+		if i < len(s.ClearedEvents) {
+			l.Events = events(s.ClearedEvents[i])
+		}
+		r.Cleared = append(r.Cleared, l)
+	}
+	return r
+}
+
+// events returns a number of events within the bounds of the table.
+func events(n uint32) int { return int(min(n, btsuspect.AllEvents)) }
+
 // convert returns a list with its elements converted.
 func convert[T, F ~uint64](list []F) []T {
 	out := make([]T, len(list))
--- a/internal/route/btsuspect/archive.go
+++ b/internal/route/btsuspect/archive.go
@@ -52,8 +52,12 @@
 
 // archivedRecord is a Record in the store.
 type archivedRecord struct {
-	Key        Key     `json:"key"`
-	Crashes    []Crash `json:"crashes"`
+	Key     Key     `json:"key"`
+	Crashes []Crash `json:"crashes"`
+	// Events and Times belong to Crashes, Times in Unix milliseconds. They are shorter in archives
+	// of earlier versions.
+	Events     []int   `json:"events,omitempty"`
+	Times      []int64 `json:"times,omitempty"`
 	Cleared    []Crash `json:"cleared,omitempty"`
 	Companions []Key   `json:"companions,omitempty"`
 	Trials     int     `json:"trials,omitempty"`
@@ -151,12 +155,42 @@
 	return data, len(records), err
 }
 
+// archive returns the record of a quarantined key.
+func (s *suspect) archive(key Key, now time.Time) archivedRecord {
+	r := archivedRecord{Key: key, Companions: slices.Clone(s.companions), Trials: s.trials, Newest: s.newest.UnixMilli()}
+	for _, k := range s.settled(now) {
+		r.Crashes, r.Events, r.Times = append(r.Crashes, k.crash), append(r.Events, k.events), append(r.Times, k.at.UnixMilli())
+	}
+	for _, l := range s.cleared {
+		r.Cleared = append(r.Cleared, l.Crash)
+	}
+	return r
+}
+
 // decode returns the record. The time of day may differ between daemons.
 func (r archivedRecord) decode(now time.Time) Record {
-	return Record{
-		Key: r.Key, Crashes: bounded(r.Crashes, maxCrashes), Cleared: bounded(r.Cleared, maxCrashes), Companions: bounded(r.Companions, maxCompanions),
-		Trials: min(max(r.Trials, 0), maxTrials), Age: max(now.Sub(time.UnixMilli(r.Newest)), 0),
+	age := func(millis int64) time.Duration { return max(now.Sub(time.UnixMilli(millis)), 0) }
+	decoded := Record{Key: r.Key, Companions: bounded(r.Companions, maxCompanions), Trials: min(max(r.Trials, 0), maxTrials), Age: age(r.Newest), Apart: AllEvents}
+	for i, c := range bounded(r.Crashes, maxCrashes) {
+		counted := CountedCrash{Crash: c, Age: AgeOfUntimed(i, decoded.Age)}
+		if i < len(r.Events) {
+			counted.Events = min(max(r.Events[i], 0), AllEvents)
+		}
+		if i < len(r.Times) {
+			counted.Age = age(r.Times[i])
+		}
+		decoded.Crashes = append(decoded.Crashes, counted)
+	}
+	for _, c := range bounded(r.Cleared, maxCleared) {
+		decoded.Cleared = append(decoded.Cleared, Clearing{Crash: c, Events: AllEvents})
 	}
+	return decoded
+}
+
+// AgeOfUntimed returns the age to assume for the crash in a place of a record whose newest crash has an
+// age. Earlier versions of the daemon tell no times, and counted each crash.
+func AgeOfUntimed(place int, newest time.Duration) time.Duration {
+	return newest + time.Duration(place)*momentLength
 }
 
 // bounded returns at most n elements of a list.
@@ -173,11 +207,8 @@
 	now := t.Timer.Now()
 	t.expire(now)
 	for key, s := range t.suspects {
-		if s.quarantined(now) {
-			r := s.record(key, now)
-			records = append(records, archivedRecord{
-				Key: key, Crashes: r.Crashes, Cleared: r.Cleared, Companions: r.Companions, Trials: r.Trials, Newest: s.newest.UnixMilli(),
-			})
+		if t.quarantined(key, s, now) {
+			records = append(records, s.archive(key, now))
 		}
 	}
 	return records
--- a/internal/route/btsuspect/doc.go
+++ b/internal/route/btsuspect/doc.go
@@ -1,22 +1,39 @@
 // Package btsuspect contains requests that crash the upstreams that run them.
 //
-// A request has one or more keys: fingerprints of what it may share with later requests.
-// When an upstream crashes, the keys of the requests that it may have begun to run become
-// suspects. A key that has caused no crash is cleared as soon as some request with it
-// has run. A suspect that several crashes have in common and that no request has cleared
-// is quarantined: requests with it are rejected at every daemon.
+// A request has one or more keys: fingerprints of what it may share with later requests. The first
+// is that of the whole request, the others are those of parts of its prompt. When an upstream
+// crashes, the keys of the requests that it may have begun to run become suspects.
 //
-// An execution clears the crashes known when it is reported, and those reported within
-// the next executedWindow. A crash counts only after settleTime, so that clearings of
-// other daemons can arrive first. When many upstreams crash at once,
-// what their requests have in common is cleared by its recent executions.
+// # Evidence
 //
-// A quarantine is not final: after trialAfter, one elected daemon runs a single request.
-// Each crash in a trial makes the time to the next one four times as long.
+// A crash has a place: the number of events that the request had got from the upstream. A request
+// with the key that gets further clears the crash, whatever becomes of it; a fatal key lets none get
+// further. A key is quarantined by three crashes, of which
+//
+//   - nothing clears any,
+//   - those of one moment count once: upstreams that end together have a cause of their own,
+//   - all came at about the furthest place of the key's crashes, and at most a third of the others
+//     that came after an event did not,
+//   - requests without the key have got further meanwhile, which is not asked of whole requests.
+//
+// If they came after an event, two more crashes without the key take one more crash with it. Upstreams
+// that end by themselves do so anywhere, and under any request.
+//
+// Parts of prompts are not suspected for crashes after partEvents, which are long after an upstream has
+// begun to write.
+//
+// A clearing counts for the crashes known when it is reported, and those reported within the next
+// executedWindow if the request has ended well. A crash counts only after settleTime, so that
+// clearings of other daemons can arrive first. Requests with a quarantined key are rejected at every
+// daemon.
+//
+// A quarantine is not final: after trialAfter, one elected daemon runs a single request, which clears
+// the key once it has got clearly further than the crashes. Each crash in a trial makes the time to the
+// next one four times as long.
 //
 // # Several daemons
 //
-// Records of suspects are sets of crashes and of cleared crashes, merged by union.
+// Records of suspects are sets of crashes and of clearings, merged by union.
 // They may arrive late, repeatedly or in any order. After a lost record a daemon
 // counts fewer crashes until it receives one of the records that are sent periodically.
 //
@@ -31,6 +48,9 @@
 //	t := btsuspect.New(&btsuspect.Table{Timer: timers, Log: log, Share: send, Elected: elected})
 //	go t.Run(ctx)
 //	if key, yes := t.Quarantined(requestID, keys); yes { reject(key) }
-//	t.ReportCrash(btsuspect.CrashOf(upstream), keys)
-//	t.ReportExecuted(keys)
+//	r := t.Begin(requestID, keys)     // at the first event
+//	r.Advance(events)                 // at each event
+//	r.Complete()                      // or r.End() if the run ends otherwise
+//	t.ReportCrash(btsuspect.CrashOf(upstream), events, keys...)
+//	t.ReportExecuted(0, keys...)      // an answer without events
 package btsuspect
--- a/internal/route/btsuspect/suspect.go
+++ b/internal/route/btsuspect/suspect.go
@@ -12,13 +12,8 @@
 	"bramleytack"
 )
 
-const (
-	// maxCrashes bounds the crashes of one suspect, counted and cleared ones each. The
-	// oldest are dropped.
-	maxCrashes = 12
-	// maxCompanions bounds the companions of one suspect.
-	maxCompanions = 8
-)
+// maxCompanions bounds the companions of one suspect.
+const maxCompanions = 8
 
 // Key is the hash of what requests may have in common. Forging a request for a given key
 // takes 2^64 attempts.
@@ -61,22 +56,23 @@
 
 // Record is the state of one suspect as daemons send it to each other.
 type Record struct {
-	Key Key
-	// Crashes count against the key, Cleared do not.
-	Crashes []Crash
-	Cleared []Crash
+	Key     Key
+	Crashes []CountedCrash
+	Cleared []Clearing
 	// Companions are the keys that the requests of all crashes had besides.
 	Companions []Key
 	// Trials is the number of trials that ended with a crash.
 	Trials int
 	// Age is the time since the newest crash.
 	Age time.Duration
+	// Apart is the largest number of events that requests without the key have got since the first of
+	// the crashes, AllEvents if that does not matter.
+	Apart int
 }
 
 // suspect is the state of one key.
 type suspect struct {
-	crashes []countedCrash
-	cleared []Crash
+	evidence
 	// companions are the keys that the requests of all crashes had besides this one, at
 	// most maxCompanions of them.
 	companions []Key
@@ -87,69 +83,26 @@
 	// trial is the request that may run although the key is quarantined.
 	trial   bramleytack.RequestID
 	trialAt time.Time
+	// held is set while the key is quarantined.
+	held bool
 	// logged is set once the quarantine has been logged.
 	logged bool
 }
 
-// countedCrash is a crash with the time from which on it counts.
-type countedCrash struct {
-	crash Crash
-	from  time.Time
-}
-
-// add adds a crash, and reports false if it is known.
-func (s *suspect) add(c Crash, from time.Time) bool {
-	if slices.Contains(s.cleared, c) || slices.ContainsFunc(s.crashes, func(k countedCrash) bool { return k.crash == c }) {
-		return false
-	}
-	s.crashes = append(s.crashes, countedCrash{c, from})
-	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
-	return true
-}
+// suspected reports whether crashes that nothing clears are in common, even if they do not
+// count yet.
+func (s *suspect) suspected() bool { return len(s.crashes) >= commonCrashes }
 
-// hasAll reports whether all of some crashes count against s too.
-func (s *suspect) hasAll(crashes []countedCrash) bool {
-	for _, c := range crashes {
-		if !slices.ContainsFunc(s.crashes, func(k countedCrash) bool { return k.crash == c.crash }) {
+// hasAll reports whether all crashes that count against another suspect are known here.
+func (s *suspect) hasAll(other *suspect, now time.Time) bool {
+	for _, k := range other.settled(now) {
+		if !s.had(k.crash) {
 			return false
 		}
 	}
 	return true
 }
 
-// clear clears one crash, and reports false if that is known.
-func (s *suspect) clear(c Crash) bool {
-	if slices.Contains(s.cleared, c) {
-		return false
-	}
-	s.cleared = append(s.cleared, c)
-	s.cleared = s.cleared[max(0, len(s.cleared)-maxCrashes):]
-	s.crashes = slices.DeleteFunc(s.crashes, func(k countedCrash) bool { return k.crash == c })
-	return true
-}
-
-// clearAll clears all crashes that count.
-func (s *suspect) clearAll() {
-	for _, k := range slices.Clone(s.crashes) {
-		s.clear(k.crash)
-	}
-	s.trials = 0
-}
-
-// count returns the number of crashes that count now.
-func (s *suspect) count(now time.Time) int {
-	n := 0
-	for _, k := range s.crashes {
-		if !now.Before(k.from) {
-			n++
-		}
-	}
-	return n
-}
-
-// quarantined reports whether enough crashes count now.
-func (s *suspect) quarantined(now time.Time) bool { return s.count(now) >= quarantineCrashes }
-
 // accompany keeps the companions that are among the other keys of one more request.
 func (s *suspect) accompany(others []Key, first bool) {
 	if first {
@@ -160,9 +113,9 @@
 }
 
 func (s *suspect) record(key Key, now time.Time) Record {
-	r := Record{Key: key, Cleared: slices.Clone(s.cleared), Companions: slices.Clone(s.companions), Trials: s.trials, Age: now.Sub(s.newest)}
+	r := Record{Key: key, Cleared: slices.Clone(s.cleared), Companions: slices.Clone(s.companions), Trials: s.trials, Age: now.Sub(s.newest), Apart: s.apart}
 	for _, k := range s.crashes {
-		r.Crashes = append(r.Crashes, k.crash)
+		r.Crashes = append(r.Crashes, CountedCrash{k.crash, k.events, now.Sub(k.at)})
 	}
 	return r
 }
--- a/internal/route/btsuspect/table.go
+++ b/internal/route/btsuspect/table.go
@@ -16,7 +16,8 @@
 
 const (
 	// quarantineCrashes is the number of crashes in common from which on a key is
-	// quarantined. Two can meet by chance when several upstreams crash.
+	// quarantined, those of one moment counted once. Two can meet by chance when several
+	// upstreams crash.
 	quarantineCrashes = 3
 	// settleTime is the time from a crash until it counts. It exceeds
 	// shareJitter by the time that a record takes to reach all daemons.
@@ -62,7 +63,10 @@
 
 	mu       sync.Mutex
 	suspects map[Key]*suspect
+	runs     map[Key]map[*Run]struct{}
 	executed executed
+	recent   recentCrashes
+	control  control
 	// unshared holds the suspects whose clearing the other daemons must learn.
 	unshared map[Key]bool
 	wake     chan struct{}
@@ -70,7 +74,7 @@
 
 // New prepares t and returns it.
 func New(t *Table) *Table {
-	t.suspects, t.unshared = map[Key]*suspect{}, map[Key]bool{}
+	t.suspects, t.runs, t.unshared = map[Key]*suspect{}, map[Key]map[*Run]struct{}{}, map[Key]bool{}
 	t.wake = make(chan struct{}, 1)
 	return t
 }
@@ -92,11 +96,50 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.rejecting(request, keys, true)
+}
+
+// MayRepeat reports whether the daemon itself may send a request to one more upstream after a
+// failure: its first key, that of the whole request, has no crashes in common, and none is
+// quarantined.
+func (t *Table) MayRepeat(request bramleytack.RequestID, keys []Key) bool {
+	if t.Len() == 0 {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.suspects[keys[0]]; s != nil && s.suspected() {
+		return false
+	}
+	_, rejected := t.rejecting(request, keys, false)
+	return !rejected
+}
+
+// Awaited reports whether a request must not go on at another upstream before it is known whether
+// the one that it broke off at has crashed: a crash may be the one after which MayRepeat is false.
+func (t *Table) Awaited(keys []Key) bool {
+	if t.Len() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Timer.Now()
+	for i, key := range keys {
+		if s := t.suspects[key]; s != nil && (i == 0 && len(s.crashes) > 0 || t.quarantined(key, s, now)) {
+			return true
+		}
+	}
+	return false
+}
+
+// rejecting returns the quarantined key for which a request is rejected, if there is one. With
+// mayTry the request may become a trial. The caller holds the lock.
+func (t *Table) rejecting(request bramleytack.RequestID, keys []Key, mayTry bool) (Key, bool) {
 	now := t.Timer.Now()
 	var lead Key
 	for _, key := range keys {
 		s := t.suspects[key]
-		if s == nil || !s.quarantined(now) {
+		if s == nil || !t.quarantined(key, s, now) {
 			continue
 		}
 		t.logQuarantined(key, s, now)
@@ -106,32 +149,47 @@
 		if lead == 0 {
 			lead = key
 		}
-		if !t.try(key, lead, s, request, now) {
+		if !s.tries(request, now) && (!mayTry || !t.try(key, lead, s, request, now)) {
 			return key, true
 		}
 	}
 	return 0, false
 }
 
-// Suspected reports whether a key has crashes in common that no execution has cleared,
-// even if they do not count yet.
-func (t *Table) Suspected(key Key) bool {
-	if t.Len() == 0 {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.suspects[key]
-	return s != nil && len(s.crashes) >= commonCrashes
-}
-
 // logQuarantined logs that a suspect is quarantined, once.
 func (t *Table) logQuarantined(key Key, s *suspect, now time.Time) {
 	if s.logged {
 		return
 	}
 	s.logged = true
-	t.Log.Event(btevent.KeyQuarantined).Stringer("key", key).Int("crashes", s.count(now)).Dur("age", now.Sub(s.newest)).Send()
+	t.Log.Event(btevent.KeyQuarantined).Stringer("key", key).Int("crashes", moments(s.standing(now))).Dur("age", now.Sub(s.newest)).Send()
+}
+
+// quarantined reports whether enough crashes count against a suspect now: requests with the key get no
+// further than these, others do, and most crashes of the time in which they came are among them. The
+// latter shows only as long as requests with the key run.
+func (t *Table) quarantined(key Key, s *suspect, now time.Time) bool {
+	if len(s.crashes) < quarantineCrashes {
+		s.held = false
+		return false
+	}
+	t.compare(key, s)
+	n := moments(s.standing(now))
+	if s.furthest() == 0 {
+		s.held = n >= quarantineCrashes
+		return s.held
+	}
+	began := slices.DeleteFunc(s.settled(now), func(k knownCrash) bool { return k.events == 0 })
+	alike := n >= quarantineCrashes && 3*n > 2*moments(began)
+	s.held = alike && (s.held || 2*(n-quarantineCrashes) >= t.recent.without(&s.evidence, now))
+	return s.held
+}
+
+// compare learns how far requests without a key have got since its first crash.
+func (t *Table) compare(key Key, s *suspect) {
+	if len(s.crashes) > 0 {
+		s.apart = max(s.apart, t.control.without(key, s.crashes[0].at))
+	}
 }
 
 // accompanied reports whether a request with some keys has all companions of a suspect
@@ -140,7 +198,7 @@
 func (t *Table) accompanied(s *suspect, keys []Key, now time.Time) bool {
 	for _, c := range s.companions {
 		other := t.suspects[c]
-		if other != nil && other.quarantined(now) && !slices.Contains(keys, c) {
+		if other != nil && t.quarantined(c, other, now) && !slices.Contains(keys, c) {
 			return false
 		}
 	}
@@ -153,50 +211,67 @@
 func (t *Table) explained(key Key, s *suspect, now time.Time) bool {
 	for other, n := range t.suspects {
 		narrower := slices.Contains(n.companions, key) && !slices.Contains(s.companions, other)
-		if narrower && n.quarantined(now) && n.hasAll(s.crashes) {
+		if narrower && t.quarantined(other, n, now) && n.hasAll(s, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// tries reports whether a request is the trial of the key, and no crash has ended it.
+func (s *suspect) tries(request bramleytack.RequestID, now time.Time) bool {
+	return s.trial == request && now.Sub(s.trialAt) < trialTimeout && s.newest.Before(s.trialAt)
+}
+
 // try reports whether a request may run a quarantined key as its trial. A request with
 // several such keys tries all of them, at the daemon that is elected for the first one,
 // lead.
 func (t *Table) try(key, lead Key, s *suspect, request bramleytack.RequestID, now time.Time) bool {
-	if s.trial == request && now.Sub(s.trialAt) < trialTimeout && s.newest.Before(s.trialAt) {
-		return true
-	}
 	due := s.newest.Add(trialAfter << (trialGrowth * min(s.trials, maxTrials)))
 	if now.Before(due) || now.Sub(s.trialAt) < trialTimeout || t.Elected != nil && !t.Elected(lead) {
 		return false
 	}
 	s.trial, s.trialAt = request, now
-	t.Log.Event(btevent.KeyTried).Stringer("key", key).Str("request", string(request)).Int("crashes", s.count(now)).Send()
+	t.Log.Event(btevent.KeyTried).Stringer("key", key).Str("request", string(request)).Int("crashes", moments(s.standing(now))).Send()
 	return true
 }
 
 // ReportCrash makes the keys of a request that an upstream may have begun to run before
-// its crash suspects, and sends them to the other daemons.
-func (t *Table) ReportCrash(c Crash, keys []Key) {
+// its crash suspects, and sends them to the other daemons. events is the number of events
+// that the request had got from the upstream. After more than partEvents its parts, which are
+// all keys but the first, do not count.
+func (t *Table) ReportCrash(c Crash, events int, keys ...Key) {
 	if t == nil {
 		return
 	}
+	if events > partEvents {
+		keys = keys[:1]
+	}
 	t.mu.Lock()
 	now := t.Timer.Now()
 	var changed []Record
-	candidates := slices.DeleteFunc(slices.Clone(keys), func(key Key) bool { return t.executed.recent(key, now) })
+	t.recent.add(c, now)
+	candidates := slices.DeleteFunc(slices.Clone(keys), func(key Key) bool { return further(t.executed.recent(key, now), events) })
 	for i, key := range candidates {
 		s, found := t.suspect(key, now)
 		s.accompany(slices.Concat(candidates[:i], candidates[i+1:]), !found)
-		quarantined := s.quarantined(now)
-		if s.add(c, now.Add(settleTime)) {
+		quarantined, known := t.quarantined(key, s, now), s.find(c) >= 0
+		if !s.add(c, events, now) {
+			continue
+		}
+		if !known {
 			if quarantined && now.Sub(s.newest) >= trialAfter {
 				s.trials++
 			}
 			s.newest = now
-			changed = append(changed, s.record(key, now))
 		}
+		if key == keys[0] {
+			// Other requests are no control of one that is repeated.
+			s.apart = AllEvents
+		}
+		t.compare(key, s)
+		t.askRuns(key, s, now)
+		changed = append(changed, s.record(key, now))
 	}
 	t.mu.Unlock()
 	if len(changed) > 0 && t.Share != nil {
@@ -204,33 +279,55 @@
 	}
 }
 
-// ReportExecuted clears the keys that a request has run with.
-func (t *Table) ReportExecuted(keys ...Key) {
+// askRuns lets the runs of this daemon clear crashes of a suspect.
+func (t *Table) askRuns(key Key, s *suspect, now time.Time) {
+	for r := range t.runs[key] {
+		r.speakFor(key, s, now)
+	}
+}
+
+// ReportExecuted clears the keys that a request has run with to its end, after a number of events.
+func (t *Table) ReportExecuted(events int, keys ...Key) {
 	if t == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Timer.Now()
+	if len(keys) > 1 && events == 0 {
+		t.control.add(wholeAnswer(keys, now))
+	}
 	for _, key := range keys {
-		t.executed.add(key, now)
+		t.executed.add(key, beyond(events), now)
 		if s := t.suspects[key]; s != nil {
-			t.clear(key, s)
+			t.outlive(key, s, beyond(events), now)
 		}
 	}
 }
 
-// clear clears a suspect. The other daemons learn of it if it concerns them.
-func (t *Table) clear(key Key, s *suspect) {
-	n := len(s.crashes)
-	if n == 0 {
+// outlive clears the crashes of a suspect that a request with some events has got further than. The
+// other daemons learn of it if the suspect concerns them.
+func (t *Table) outlive(key Key, s *suspect, events int, now time.Time) {
+	before := len(s.crashes)
+	if s.outlive(events) == 0 {
 		return
 	}
-	s.clearAll()
-	t.logCleared(key, s, n)
-	if n < commonCrashes {
-		return
+	t.endTrial(s)
+	t.logCleared(key, s, now)
+	if before >= commonCrashes {
+		t.tell(key)
 	}
+}
+
+// endTrial forgets the trials of a suspect without crashes.
+func (t *Table) endTrial(s *suspect) {
+	if len(s.crashes) == 0 {
+		s.trials, s.trial = 0, ""
+	}
+}
+
+// tell makes Run send the record of a suspect to the other daemons.
+func (t *Table) tell(key Key) {
 	t.unshared[key] = true
 	select {
 	case t.wake <- struct{}{}:
@@ -238,13 +335,12 @@
 	}
 }
 
-// logCleared ends the trial of a suspect without crashes, and logs the end of its
-// quarantine.
-func (t *Table) logCleared(key Key, s *suspect, crashes int) {
-	if s.logged {
-		t.Log.Event(btevent.KeyCleared).Stringer("key", key).Int("crashes", crashes).Send()
+// logCleared logs the end of a quarantine.
+func (t *Table) logCleared(key Key, s *suspect, now time.Time) {
+	if s.logged && !t.quarantined(key, s, now) {
+		s.logged = false
+		t.Log.Event(btevent.KeyCleared).Stringer("key", key).Int("crashes", len(s.crashes)).Send()
 	}
-	s.trial, s.logged = "", false
 }
 
 // Merge adds the records of another daemon and reports whether any of them was news.
@@ -269,24 +365,31 @@
 	s, found := t.suspect(r.Key, at)
 	s.accompany(r.Companions, !found)
 	s.trials = max(s.trials, r.Trials)
+	s.apart = max(s.apart, r.Apart)
 	news, crashed := false, false
-	for _, c := range r.Cleared {
-		news = s.clear(c) || news
+	for _, l := range r.Cleared {
+		news = s.clear(l) || news
 	}
 	for _, c := range r.Crashes {
-		crashed = s.add(c, at.Add(settleTime)) || crashed
+		at := now.Add(-max(c.Age, r.Age))
+		t.recent.add(c.Crash, at)
+		crashed = s.add(c.Crash, c.Events, at) || crashed
 	}
 	if len(s.crashes) == 0 {
 		delete(t.unshared, r.Key)
-		t.logCleared(r.Key, s, len(r.Cleared))
 	}
-	if crashed && at.After(s.newest) {
-		s.newest = at
+	t.endTrial(s)
+	t.logCleared(r.Key, s, now)
+	if !crashed {
+		return news
 	}
-	if crashed && t.executed.recent(r.Key, now) {
-		t.clear(r.Key, s)
+	if at.After(s.newest) {
+		s.newest = at
 	}
-	return news || crashed
+	t.compare(r.Key, s)
+	t.outlive(r.Key, s, t.executed.recent(r.Key, now), now)
+	t.askRuns(r.Key, s, now)
+	return true
 }
 
 // Records returns the records that concern daemons which have seen none of the crashes,
@@ -359,8 +462,8 @@
 	all := make([]State, 0, len(t.suspects))
 	for key, s := range t.suspects {
 		all = append(all, State{
-			Key: key, Crashes: len(s.crashes), Cleared: len(s.cleared), Age: now.Sub(s.newest).Milliseconds(),
-			Companions: append([]Key{}, s.companions...), Quarantined: s.quarantined(now),
+			Key: key, Crashes: len(s.settled(now)), Cleared: len(s.cleared), Age: now.Sub(s.newest).Milliseconds(),
+			Companions: append([]Key{}, s.companions...), Quarantined: t.quarantined(key, s, now),
 		})
 	}
 	slices.SortFunc(all, func(a, b State) int { return cmp.Compare(a.Key, b.Key) })
--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -191,7 +191,7 @@
 
 // forward sends an upstream's response to the caller unchanged.
 func (req *activeRequest) forward(r *attemptResult) {
-	req.h.Suspects.ReportExecuted(req.keys()...)
+	req.h.Suspects.ReportExecuted(0, req.keys()...)
 	copyHeader(req.w.Header(), r.header)
 	if req.method != http.MethodHead {
 		req.w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
--- a/internal/serve/btentry/crash.go
+++ b/internal/serve/btentry/crash.go
@@ -122,8 +122,7 @@
 type breakCheck struct {
 	req      *activeRequest
 	upstream *bramleytack.Upstream
-	// begun is set if an upstream had sent an event. events counts those of the upstream.
-	begun  bool
+	// events counts the events that the upstream had sent.
 	events int
 	sends  int
 	cause  error
@@ -135,12 +134,7 @@
 	if req.h.inspect(ctx, u, b.cause) != verdictCrashed {
 		return
 	}
-	keys := req.keys()
-	if b.begun {
-		// An engine that has begun to write has survived the parts of the prompt.
-		keys = keys[:1]
-	}
-	req.h.Suspects.ReportCrash(btsuspect.CrashOf(u), keys)
+	req.h.Suspects.ReportCrash(btsuspect.CrashOf(u), b.events, req.keys()...)
 	req.log(btevent.RequestSuspected).Str("upstream", string(u.ID)).Time("started", u.Started).
 		Str("fingerprint", req.fingerprint().String()).Strs("parts", req.parts).Int("events", b.events).Int("sends", b.sends).Send()
 }
@@ -161,7 +155,10 @@
 // mayRepeat reports whether the daemon itself may send the request to one more upstream,
 // as far as crashes are concerned.
 func (req *activeRequest) mayRepeat() bool {
-	return !req.h.Suspects.Suspected(req.fingerprint())
+	if req.h.Suspects.Len() == 0 {
+		return true
+	}
+	return req.h.Suspects.MayRepeat(bramleytack.RequestID(req.id), req.keys())
 }
 
 // rejectQuarantined answers a quarantined request with a status after which callers do
@@ -185,8 +182,6 @@
 
 func (req *activeRequest) fingerprint() btsuspect.Key { return req.keys()[0] }
 
-func (req *activeRequest) partKeys() []btsuspect.Key { return req.keys()[1:] }
-
 // readParts returns the ids of the prompt's parts that requests share, which are all but
 // the last, at most maxParts of them.
 func readParts(list string) []string {
@@ -213,10 +208,15 @@
 }
 
 // inspectBreak checks the upstream of a segment that broke off. A stream whose caller has
-// got events does not wait for the check.
+// got events waits for the check only if it may show that the request must not go on.
 func (s *relay) inspectBreak(seg *segment, err error) {
-	b := &breakCheck{req: s.req, upstream: seg.upstream, begun: s.headSent || seg.eventCount > 0, events: seg.eventCount, sends: s.req.attempts, cause: err}
-	if s.headSent {
+	b := &breakCheck{req: s.req, upstream: seg.upstream, events: seg.eventCount, sends: s.req.attempts, cause: err}
+	if s.broken {
+		// How far the request gets elsewhere after its first crash tells nothing.
+		b.events = 0
+	}
+	s.broken = true
+	if s.headSent && !s.req.h.Suspects.Awaited(s.req.keys()) {
 		go b.run(s.ctx)
 		return
 	}
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -240,11 +240,13 @@
 	suspects.Share = func(records []btsuspect.Record) { h.share(d, records) }
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stopRun = cancel
-	go suspects.Run(ctx)
 	isFirst := func() bool {
 		all := h.running()
 		return len(all) > 0 && all[0] == d
 	}
+	// One daemon runs trials, as in a fleet.
+	suspects.Elected = func(btsuspect.Key) bool { return isFirst() }
+	go suspects.Run(ctx)
 	go (&btsuspect.Archive{Table: suspects, Feed: h.store, Registry: h.store, Timer: h.timer, Reads: isFirst, Writes: isFirst}).Run(ctx)
 	d.handler = &btentry.Handler{
 		Table: table, Accounts: &btaccount.Table{Timer: h.timer}, Suspects: suspects, Dialect: dialect, Mover: h.pool, Timer: h.timer, Log: log,
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -11,6 +11,7 @@
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btgrant"
+	"bramleytack/internal/route/btsuspect"
 	"bramleytack/internal/serve/btstream"
 	"bramleytack/internal/upstream/btconn"
 
@@ -50,6 +51,9 @@
 	copyLease *btaccount.CopyLease
 	// backup is the engine that keeps a copy of the generation's memory, or nil.
 	backup *bramleytack.Upstream
+	// watched is the run with which the segment speaks for its request's keys from its first event
+	// on, or nil.
+	watched *btsuspect.Run
 	// version is what the segment shows of the upstream's version, or nil.
 	version *versionCheck
 	origin  origin
@@ -269,6 +273,7 @@
 	seg.kept.Close()
 	seg.lease.End(o)
 	seg.endCopy(o)
+	seg.watched.End()
 	req := seg.req
 	req.log(btevent.SegmentEnded).Str("upstream", string(seg.upstream.ID)).Stringer("origin", seg.origin).
 		Stringer("health", o).Int("events", seg.eventCount).Dur("took", req.h.Timer.Now().Sub(seg.started)).Send()
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -93,6 +93,8 @@
 	firstEventLatency time.Duration
 	firstDelay        delay
 	longest           gap
+	// broken is set once a segment has broken off.
+	broken bool
 	// paceMoves counts the moves for the pace of engines.
 	paceMoves int
 	// finalResult is the result to answer with if the caller gets no event.
@@ -235,10 +237,12 @@
 	if seg.eventCount == 1 {
 		seg.lease.PrefillDone()
 		seg.firstEventAt = now
+		seg.watched = s.req.h.Suspects.Begin(bramleytack.RequestID(s.req.id), s.req.keys())
 		if seg.origin == fromStart {
 			s.req.visit.FirstEvent(s.req.unreadAhead, seg.started)
 		}
 	}
+	seg.watched.Advance(seg.eventCount)
 	seg.version.event(seg, now)
 	if !s.headSent && !s.req.mayBegin() {
 		s.req.daemonEnds()
@@ -293,7 +297,6 @@
 		return
 	}
 	s.headSent = true
-	s.req.h.Suspects.ReportExecuted(s.req.partKeys()...)
 	s.lastEventAt = s.req.h.Timer.Now()
 	copyHeader(s.req.w.Header(), s.cur.head.header)
 	s.req.writeHead(s.cur.head.status)
@@ -324,9 +327,12 @@
 	}
 	s.sendHead()
 	s.done = true
+	seg.watched.Complete()
 	seg.close(btaccount.Served)
 	s.learnLength()
-	s.req.h.Suspects.ReportExecuted(s.req.fingerprint())
+	if seg.eventCount == 0 {
+		s.req.h.Suspects.ReportExecuted(0, s.req.keys()...)
+	}
 	s.req.execution.logTo(s.req.log(btevent.RequestAnswered)).Str("upstream", string(seg.upstream.ID)).Int("status", seg.head.status).
 		Uint64("lastEvent", s.lastEventID).Dur("first", s.firstEventLatency).Dur("longestPause", s.longest.length).
 		Stringer("late", s.late()).Int("paceMoves", s.paceMoves).Send()
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -33,7 +33,10 @@
 	Queue int
 	// Fatal reports whether a request crashes the upstream as it begins to run it. Nil
 	// means that none does. The upstream starts again after Restart and calls Restarted.
-	Fatal     func(r *http.Request, body string) bool
+	Fatal func(r *http.Request, body string) bool
+	// FatalAt returns the event of a stream that a fatal request crashes the upstream at instead,
+	// after it was sent. last is the event that the upstream goes on after. Nil means the begin.
+	FatalAt   func(last int) int
 	Restart   time.Duration
 	Restarted func(*Worker)
 	// Flaw makes a part of the answers bad. Nil makes none bad.
@@ -452,7 +455,11 @@
 	if !pause(ctx, time.Duration(slow)*w.cfg.Read) || Fault(w.fault.Load()) == Lost {
 		panic(http.ErrAbortHandler)
 	}
-	if fatal {
+	crashAt := 0
+	if fatal && w.cfg.FatalAt != nil {
+		crashAt = w.cfg.FatalAt(work.Last)
+	}
+	if fatal && crashAt <= work.Last {
 		w.crashByRequest()
 	}
 	for n := work.Last + 1; n <= w.cfg.Events; n++ {
@@ -467,6 +474,9 @@
 		if err := http.NewResponseController(rw).Flush(); err != nil && w.hears() || !pause(ctx, time.Duration(slow)*w.cfg.Gap) {
 			panic(http.ErrAbortHandler)
 		}
+		if n == crashAt {
+			w.crashByRequest()
+		}
 	}
 }
 
