Entry: the log of a crash names the events of the engine again

What was seen, on reading the diff: a request that breaks off a second time was logged (BT602) with no events, since its place is reported as zero. Change: the place is set where it is reported.

--- a/internal/serve/btentry/crash.go
+++ b/internal/serve/btentry/crash.go
@@ -122,8 +122,10 @@
 type breakCheck struct {
 	req      *activeRequest
 	upstream *bramleytack.Upstream
-	// events counts the events that the upstream had sent.
+	// events counts the events that the upstream had sent. again is set if the request had broken off
+	// elsewhere before.
 	events int
+	again  bool
 	sends  int
 	cause  error
 }
@@ -134,7 +136,12 @@
 	if req.h.inspect(ctx, u, b.cause) != verdictCrashed {
 		return
 	}
-	req.h.Suspects.ReportCrash(btsuspect.CrashOf(u), b.events, req.keys()...)
+	place := b.events
+	if b.again {
+		// How far the request gets elsewhere after its first crash tells nothing.
+		place = 0
+	}
+	req.h.Suspects.ReportCrash(btsuspect.CrashOf(u), place, req.keys()...)
 	req.log(btevent.RequestSuspected).Str("upstream", string(u.ID)).Time("started", u.Started).
 		Str("fingerprint", req.fingerprint().String()).Strs("parts", req.parts).Int("events", b.events).Int("sends", b.sends).Send()
 }
@@ -210,11 +217,7 @@
 // inspectBreak checks the upstream of a segment that broke off. A stream whose caller has
 // got events waits for the check only if it may show that the request must not go on.
 func (s *relay) inspectBreak(seg *segment, err error) {
-	b := &breakCheck{req: s.req, upstream: seg.upstream, events: seg.eventCount, sends: s.req.attempts, cause: err}
-	if s.broken {
-		// How far the request gets elsewhere after its first crash tells nothing.
-		b.events = 0
-	}
+	b := &breakCheck{req: s.req, upstream: seg.upstream, events: seg.eventCount, again: s.broken, sends: s.req.attempts, cause: err}
 	s.broken = true
 	if s.headSent && !s.req.h.Suspects.Awaited(s.req.keys()) {
 		go b.run(s.ctx)
