--- a/internal/serve/btentry/crash_test.go
+++ b/internal/serve/btentry/crash_test.go
@@ -171,19 +171,31 @@
 // later than stableWindow after the given crash, and sound requests were served once the
 // last upstream had returned.
 func (f *fatalFleet) checkContained(crashes int) {
+	f.h.t.Helper()
+	f.checkLateSends(crashes)
+	served, last := f.servedLast()
+	assert.Check(f.h.t, served == last, "%d of %d sound requests served in the end", served, last)
+}
+
+// checkLateSends fails the test unless upstreams got at most maxLateSends fatal requests later than
+// stableWindow after the given crash.
+func (f *fatalFleet) checkLateSends(crashes int) {
 	f.h.t.Helper()
 	late := f.lateSends(crashes)
+	assert.Check(f.h.t, late <= maxLateSends, "%d sends %v after crash %d; %d in all", late, stableWindow, crashes, len(f.sends))
+}
+
+// servedLast returns how many of the last half of the sound requests were served, and their number.
+func (f *fatalFleet) servedLast() (served, last int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	assert.Check(f.h.t, late <= maxLateSends, "%d sends %v after crash %d; %d in all", late, stableWindow, crashes, len(f.sends))
-	served := 0
-	last := f.sound[len(f.sound)/2:]
-	for _, r := range last {
+	half := f.sound[len(f.sound)/2:]
+	for _, r := range half {
 		if r.err == nil && r.status == http.StatusOK {
 			served++
 		}
 	}
-	assert.Check(f.h.t, served == len(last), "%d of %d sound requests served in the end", served, len(last))
+	return served, len(half)
 }
 
 // Guards against a request that ends one upstream after the other because its caller
--- a/internal/serve/btentry/crashafter_test.go
+++ b/internal/serve/btentry/crashafter_test.go
@@ -59,11 +59,11 @@
 						engine := btworker.Config{Events: streamEvents, Read: 100 * time.Millisecond, Gap: eventGap, FatalAt: at}
 						f := newFatalFleetOf(h, engine, hasPart("dead"))
 						f.repeat(int(30*time.Second/gap), gap, func(i int) string { return fmt.Sprintf("/%s/%d", route, i) }, partHeader("dead"))
-						late := f.lateSends(5)
-						assert.Check(t, late <= maxLateSends, "%d sends %v after crash 5; %d in all", late, stableWindow, len(f.sends))
+						f.checkLateSends(5)
 						assert.Check(t, f.rejectedSound() <= f.mayDeny(), "%d of %d sound requests rejected as quarantined", f.rejectedSound(), len(f.sound))
 						// A trial takes the streams beside it with its engine.
-						assert.Check(t, 2*f.servedLast() >= len(f.sound)/2, "%d of the last %d sound requests served", f.servedLast(), len(f.sound)/2)
+						served, last := f.servedLast()
+						assert.Check(t, 2*served >= last, "%d of the last %d sound requests served", served, last)
 					})
 				})
 			}
@@ -71,19 +71,6 @@
 	}
 }
 
-// servedLast returns the number of sound requests among the last half that were served.
-func (f *fatalFleet) servedLast() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, r := range f.sound[len(f.sound)/2:] {
-		if r.err == nil && r.status == http.StatusOK {
-			n++
-		}
-	}
-	return n
-}
-
 // mayDeny returns the number of sound requests that may be rejected for good: five and one in 500.
 func (f *fatalFleet) mayDeny() int {
 	f.mu.Lock()
--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -378,28 +378,6 @@
 	}
 }
 
-// crashByRequest ends the upstream during a request, which gets no answer.
-func (w *Worker) crashByRequest() {
-	w.CrashAndRestart()
-	panic(http.ErrAbortHandler)
-}
-
-// CrashAndRestart ends the upstream, cuts its connections, and starts it again after
-// Restart.
-func (w *Worker) CrashAndRestart() {
-	if w.crashed.CompareAndSwap(false, true) {
-		w.end()
-		time.AfterFunc(w.cfg.Restart, w.restart)
-	}
-}
-
-func (w *Worker) restart() {
-	next := w.pool.Start(w.cfg)
-	if w.cfg.Restarted != nil {
-		w.cfg.Restarted(next)
-	}
-}
-
 func (w *Worker) answer(ctx context.Context, rw http.ResponseWriter, id string, slow int) {
 	if !pause(ctx, time.Duration(slow)*w.cfg.Work) {
 		rw.WriteHeader(http.StatusGatewayTimeout)
