Gate: logs and metrics tell who ended a connection before a whole answer

No line of a daemon told a connection that it had closed itself from one that its caller had closed, so that the hypotheses of docs/incidents/lost-requests.md could not be told apart: a flush that fails after the handler was logged nowhere, nor was an aborted handler without events.

Change: the gate follows each request from its first byte to the last byte of its answer. BT541 names a connection that the daemon closes before that, with the request's id, the stage and the cause; bramleytack_callers_cut_total counts the ends by who made them. The state of a connection is atomic, since net/http's read ahead may read it before the handler runs.

Result: TestCutsAreToldApart; the package's tests pass with the race detector.

--- a/btevent/event.go
+++ b/btevent/event.go
@@ -95,6 +95,7 @@
 	HandoverGivenUp         = Event{522, zerolog.WarnLevel, "engine did not stop a generation and keeps it"}
 	CallsWait               = Event{530, zerolog.InfoLevel, "calls wait for places of a full service"}
 	CallerRefused           = Event{540, zerolog.WarnLevel, "head of a request or connection of a caller was refused"}
+	CallerCut               = Event{541, zerolog.WarnLevel, "daemon has closed a caller's connection before a whole answer"}
 	AnswerLate              = Event{550, zerolog.InfoLevel, "answer was late"}
 	ClaimNotStored          = Event{600, zerolog.ErrorLevel, "outcome of a claim could not be stored"}
 	RequestSuspected        = Event{602, zerolog.WarnLevel, "request was running when an upstream crashed"}
@@ -188,6 +189,7 @@
 		HandoverGivenUp,
 		CallsWait,
 		CallerRefused,
+		CallerCut,
 		AnswerLate,
 		ClaimNotStored,
 		RequestSuspected,
--- /dev/null
+++ b/internal/node/btlistener/answer_test.go
@@ -0,0 +1,67 @@
+package btlistener
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"bramleytack/btevent"
+)
+
+// Guards against logs and metrics that do not tell a connection that the daemon closes under a
+// request from one that its caller has closed, or that count whole answers and refusals.
+func TestCutsAreToldApart(t *testing.T) {
+	abort := func(w http.ResponseWriter, r *http.Request) {
+		Identify(r.Context(), "r1")
+		w.WriteHeader(http.StatusOK)
+		panic(http.ErrAbortHandler)
+	}
+	wait := func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	for _, c := range []struct {
+		name             string
+		handler          http.HandlerFunc
+		text             string
+		leaves           bool
+		daemon, byCaller uint64
+	}{
+		{"answered", nil, request("", "body"), true, 0, 0},
+		{"refused", nil, requestLine + strings.Repeat("a:\n", 500), false, 0, 0},
+		{"aborted", abort, request("", ""), false, 1, 0},
+		{"caller leaves", wait, request("", ""), true, 0, 1},
+		{"caller leaves in its head", nil, requestLine, true, 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			serve(t, memory(), 10, Limits{HeadLines: 100}, func(f *fixture) {
+				var log bytes.Buffer
+				f.gate.Log = btevent.New(&log, zerolog.InfoLevel, "h")
+				f.handler = c.handler
+				conn := f.dial()
+				conn.write(c.text)
+				time.Sleep(time.Second)
+				if !c.leaves || c.handler == nil && c.byCaller == 0 {
+					conn.status()
+				}
+				if c.leaves {
+					conn.Close()
+				}
+				time.Sleep(time.Second)
+				synctest.Wait()
+				assert.Check(t, is.Equal(f.gate.Cut(ByDaemon), c.daemon))
+				assert.Check(t, is.Equal(f.gate.Cut(ByCaller), c.byCaller))
+				logged := strings.Contains(log.String(), "BT541")
+				assert.Check(t, is.Equal(logged, c.daemon > 0), log.String())
+				assert.Check(t, !logged || strings.Contains(log.String(), `"request":"r1","stage":"serving"`), log.String())
+			})
+		})
+	}
+}
--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -33,11 +33,10 @@
 // errRefused ends the read of a head that was refused.
 var errRefused = errors.New("btlistener: connection was refused")
 
-type state uint8
-
+// The states of a connection.
 const (
 	// stateIdle connections have no request.
-	stateIdle state = iota
+	stateIdle uint32 = iota
 	// stateReading connections have sent a part of a head.
 	stateReading
 	// stateServing connections have a request whose head was read.
@@ -51,7 +50,8 @@
 	raw  bool
 	// account counts each request from its first byte on until net/http has dropped it.
 	account *btmemory.Account
-	state   state
+	// state is one of the states. net/http's read ahead may begin before stateServing is set.
+	state atomic.Uint32
 	// head and lines are the bytes and lines of the head so far, and charged what counts for
 	// them in account.
 	head    int
@@ -77,7 +77,9 @@
 	why     atomic.Uint32
 	once    sync.Once
 	// refused is set once nothing may be written any more.
-	refused bool
+	refused atomic.Bool
+	// exchange is what has become of the request and its answer.
+	exchange exchange
 	// closed is closed after the connection.
 	closed chan struct{}
 	// The gate's mutex guards the rest. list has the connection as elem while it may be dropped
@@ -221,7 +223,7 @@
 // SetReadDeadline implements net.Conn. Deadlines that net/http sets for heads and idle
 // connections are ignored: those of Limits hold.
 func (c *Conn) SetReadDeadline(at time.Time) error {
-	if c.raw || c.state == stateServing {
+	if c.raw || c.state.Load() == stateServing {
 		c.bound(at)
 	}
 	return nil
@@ -233,7 +235,7 @@
 		return c.Conn.Read(p)
 	}
 	c.endParse()
-	if c.state == stateServing {
+	if c.state.Load() == stateServing {
 		// net/http reads single bytes ahead in a goroutine of its own.
 		if c.finishing.Load() && len(p) > 1 {
 			return c.drain(p)
@@ -254,6 +256,9 @@
 	}
 	n, err := c.read(p)
 	c.recent.add(len(p), p[:n])
+	if err != nil {
+		c.exchange.readFailed(err)
+	}
 	if n > 0 {
 		c.begin(l)
 		if !c.count(n, bytes.Count(p[:n], []byte{'\n'})) {
@@ -263,7 +268,7 @@
 	if c.dropped.Load() {
 		return 0, c.refuse()
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.state == stateReading {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.state.Load() == stateReading {
 		c.drop(Late)
 		return n, c.refuse()
 	}
@@ -276,6 +281,7 @@
 	n, err := c.Conn.Read(p)
 	c.recent.add(len(p), p[:n])
 	if err != nil {
+		c.exchange.readFailed(err)
 		c.noteFailure()
 	}
 	if c.paced.Load() {
@@ -303,6 +309,7 @@
 	c.recent.add(len(p), p[:n])
 	c.drained += n
 	if err != nil {
+		c.exchange.readFailed(err)
 		c.noteFailure()
 	}
 	c.beginParse(p[:n])
@@ -325,10 +332,12 @@
 // the head was refused already.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.endParse()
-	if c.refused {
+	if c.refused.Load() {
 		return len(p), nil
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.exchange.wrote(n, err)
+	return n, err
 }
 
 // read waits once more for a moment after its deadline.
@@ -343,15 +352,16 @@
 
 // begin notes the first byte of a head.
 func (c *Conn) begin(l Limits) {
-	if c.state != stateIdle {
+	if c.state.Load() != stateIdle {
 		return
 	}
-	c.state = stateReading
+	c.state.Store(stateReading)
 	c.gate.mu.Lock()
 	if c.elem != nil {
 		c.place(&c.gate.reading)
 	}
 	c.gate.mu.Unlock()
+	c.exchange.begin(c.gate.Timer.Now())
 	c.setDeadline(l.HeadTimeout)
 }
 
@@ -372,18 +382,18 @@
 // serve notes that a head was read, or could not be.
 func (c *Conn) serve() {
 	c.endParse()
-	if c.state == stateServing {
+	if c.state.Load() == stateServing {
 		return
 	}
 	if c.early > 0 && !c.count(0, 0) {
 		c.drop(NoMemory)
 	}
-	if !c.refused {
+	if !c.refused.Load() {
 		c.gate.mu.Lock()
 		c.unplace()
 		c.gate.mu.Unlock()
 	}
-	c.state = stateServing
+	c.state.Store(stateServing)
 	c.bound(time.Time{})
 }
 
@@ -407,7 +417,9 @@
 		c.drop(Late)
 	}
 	c.account.Release(c.charged)
-	c.state, c.head, c.lines, c.charged = stateIdle, 0, 0, 0
+	c.state.Store(stateIdle)
+	c.head, c.lines, c.charged = 0, 0, 0
+	c.exchange.reset()
 	c.early, c.recent = c.recent.lines(), recentLines{}
 	c.gate.mu.Lock()
 	if c.counted {
@@ -420,8 +432,8 @@
 // refuse answers a head, unless the connection is idle, and returns the error with which
 // net/http closes the connection without another answer. net/http may read once more after it.
 func (c *Conn) refuse() error {
-	if !c.refused {
-		c.refused = true
+	if !c.refused.Load() {
+		c.refused.Store(true)
 		c.gate.mu.Lock()
 		if c.counted {
 			c.place(&c.gate.refusing)
@@ -429,7 +441,7 @@
 		c.gate.mu.Unlock()
 		r := Reason(c.why.Load())
 		c.gate.note(r, c.RemoteAddr().String())
-		if c.state == stateReading {
+		if c.state.Load() == stateReading {
 			c.answer(r)
 		}
 	}
@@ -447,6 +459,7 @@
 	err := c.Conn.Close()
 	c.endParse()
 	c.once.Do(func() {
+		c.noteCut()
 		c.account.Close()
 		c.gate.leave(c)
 		close(c.closed)
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -116,6 +116,8 @@
 	reading  list.List
 	refused  [reasonCount]atomic.Uint64
 	logged   [reasonCount]btevent.Pace
+	// cuts counts the connections that ended without a whole answer, by who ended them.
+	cuts [enderCount]atomic.Uint64
 }
 
 // parse returns the channel that has an element for each request that is parsed.
@@ -150,11 +152,16 @@
 
 // ServeHTTP implements http.Handler.
 func (h *servingHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
-		c.serve()
-		defer c.finish()
+	c, ok := r.Context().Value(connKey{}).(*Conn)
+	if !ok {
+		h.next.ServeHTTP(w, r)
+		return
 	}
+	c.serve()
+	defer c.finish()
+	c.exchange.aborted.Store(true)
 	h.next.ServeHTTP(w, r)
+	c.exchange.aborted.Store(false)
 }
 
 // Listen returns a listener for a server that is bound to the gate.
--- a/internal/node/btnode/callers.go
+++ b/internal/node/btnode/callers.go
@@ -145,6 +145,12 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bramleytack_peer_connections", Help: "Open connections of other daemons."}, func() float64 { return float64(n.peerGate.Conns()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "bramleytack_peer_connections_refused_total", Help: "Connections of other daemons that were refused because there were too many."}, func() float64 { return float64(n.peerGate.Refused(btlistener.TooManyConns)) }),
 	)
+	for _, e := range btlistener.Enders() {
+		n.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "bramleytack_callers_cut_total", Help: "Connections of callers that ended before a whole answer to their request, by who ended them.",
+			ConstLabels: prometheus.Labels{"by": e.String()},
+		}, func() float64 { return float64(n.gate.Cut(e)) }))
+	}
 	for _, r := range btlistener.Reasons() {
 		n.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "bramleytack_heads_refused_total", Help: "Heads that were refused and connections that were closed for want of room.",
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -20,6 +20,7 @@
 	"bramleytack/btidentity"
 	"bramleytack/btretry"
 	"bramleytack/internal/fleet/btreplica"
+	"bramleytack/internal/node/btlistener"
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btadmission"
@@ -109,6 +110,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &activeRequest{h: h, w: w, id: r.Header.Get(h.Dialect.RequestID), received: h.Timer.Now()}
 	req.progress.since = req.received
+	btlistener.Identify(r.Context(), req.id)
 	h.requests.add(req)
 	defer h.requests.remove(req)
 	defer req.answerPanic()
