Gate: an answer is written although its connection is dropped after the handler

What callers saw: nothing known of this one by itself.

Cause: net/http writes a plain answer below 4 KiB only after its handler has returned, and the last chunk of a stream too. From that return on the request of a connection may make room for others, and a drop for want of memory put the write deadline into the past: the answer failed. Memory is short beside other callers and, from the same budget, beside objects of the store and of other daemons.

Change: a dropped connection has refusalTime for the write of what is left, counted from the write. A caller that reads gets it at once, one that does not is closed after that time.

--- a/internal/node/btlistener/answer_test.go
+++ b/internal/node/btlistener/answer_test.go
@@ -15,6 +15,27 @@
 	"bramleytack/btevent"
 )
 
+// dropper drops a connection between the return of its handler and the write of its answer, which
+// net/http keeps until then.
+type dropper struct{ next http.Handler }
+
+// ServeHTTP implements http.Handler.
+func (d *dropper) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.next.ServeHTTP(w, r)
+	r.Context().Value(connKey{}).(*Conn).drop(NoMemory)
+}
+
+// Guards against an answer that is lost because its connection is dropped, for want of memory,
+// after the handler has returned.
+func TestAnswerOutlivesDrop(t *testing.T) {
+	serve(t, memory(), 10, Limits{}, func(f *fixture) {
+		f.server.Handler = &dropper{f.server.Handler}
+		c := f.dial()
+		assert.Check(t, is.Equal(c.send(request("", "body")), http.StatusOK))
+		assert.Check(t, c.closed())
+	})
+}
+
 // Guards against logs and metrics that do not tell a connection that the daemon closes under a
 // request from one that its caller has closed, or that count whole answers and refusals.
 func TestCutsAreToldApart(t *testing.T) {
--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -72,6 +72,8 @@
 	drained    int
 	drainUntil atomic.Int64
 	incomplete atomic.Bool
+	// hurried is set if the connection was dropped while finishing.
+	hurried atomic.Bool
 	// dropped is set if the connection must not serve another request, for the reason in why.
 	dropped atomic.Bool
 	why     atomic.Uint32
@@ -174,10 +176,15 @@
 	c.dropped.Store(true)
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	if c.finishing.Load() {
-		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+		c.hurried.Store(true)
+		c.boundAnswer()
 	}
 }
 
+// boundAnswer bounds the write of what is left of an answer whose handler has returned. A caller
+// that reads gets it at once.
+func (c *Conn) boundAnswer() { _ = c.Conn.SetWriteDeadline(c.gate.Timer.Now().Add(refusalTime)) }
+
 // beginParse waits until net/http may parse a part of a request that was read, which it may until
 // endParse. A part of few lines is parsed at once. Of others few are parsed at a time, and what is
 // ready to run runs before each: a caller whose next part has always arrived already would use up
@@ -335,6 +342,10 @@
 	if c.refused.Load() {
 		return len(p), nil
 	}
+	if c.hurried.Load() {
+		// The time counts from the write: the process may have been paused since the drop.
+		c.boundAnswer()
+	}
 	n, err := c.Conn.Write(p)
 	c.exchange.wrote(n, err)
 	return n, err
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -20,7 +20,7 @@
 const (
 	// retryAfter is the Retry-After value of a refusal for want of memory or descriptors.
 	retryAfter = 400 * time.Millisecond
-	// refusalTime bounds the write of a refusal.
+	// refusalTime bounds the write of a refusal, and of an answer whose connection is dropped.
 	refusalTime = 100 * time.Millisecond
 	// closeWait is how long a new connection waits at most until the one that was dropped for
 	// it has closed.
