Gate: a raised limit on idle connections holds for those at rest

What callers saw: nothing known of this one by itself.

Cause: the deadline of a connection at rest was set by the limit in force when it came to rest. After a change that raises idle_timeout_ms the daemon closes connections that callers still use, for as long as the older limit lasts, and a request that crosses the close is lost. The same holds for the time of a head that has begun.

Change: a connection whose deadline has passed looks at the limits in force and waits on if they allow more.

--- a/internal/node/btlistener/answer_test.go
+++ b/internal/node/btlistener/answer_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +38,29 @@
 	})
 }
 
+// Callers reuse connections for most of the newest idle limit. Guards against a connection that
+// closes under a request because it came to rest under a shorter limit.
+func TestIdleLimitIsRaised(t *testing.T) {
+	serve(t, memory(), 10, Limits{}, func(f *fixture) {
+		var limit atomic.Int64
+		limit.Store(int64(5 * time.Second))
+		f.gate.Limits = func() Limits { return Limits{IdleTimeout: time.Duration(limit.Load())} }
+		used, unused := f.dial(), f.dial()
+		assert.Check(t, is.Equal(used.send(request("", "")), http.StatusOK))
+		time.Sleep(4 * time.Second)
+		limit.Store(int64(time.Minute))
+		time.Sleep(40 * time.Second)
+		for _, c := range []*client{used, unused} {
+			assert.Check(t, is.Equal(c.send(request("", "")), http.StatusOK))
+		}
+		started := time.Now()
+		_, err := used.r.Peek(1)
+		assert.Check(t, is.ErrorIs(err, io.EOF))
+		idle := time.Since(started)
+		assert.Check(t, idle >= time.Minute && idle < time.Minute+time.Second, "idle for %v", idle)
+	})
+}
+
 // Guards against logs and metrics that do not tell a connection that the daemon closes under a
 // request from one that its caller has closed, or that count whole answers and refusals.
 func TestCutsAreToldApart(t *testing.T) {
--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -52,6 +52,8 @@
 	account *btmemory.Account
 	// state is one of the states. net/http's read ahead may begin before stateServing is set.
 	state atomic.Uint32
+	// since is when the connection had its last request, or the first byte of its head.
+	since time.Time
 	// head and lines are the bytes and lines of the head so far, and charged what counts for
 	// them in account.
 	head    int
@@ -351,16 +353,45 @@
 	return n, err
 }
 
-// read waits once more for a moment after its deadline.
+// read waits once more for a moment after its deadline, and as long as a limit allows that was
+// raised since.
 func (c *Conn) read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.dropped.Load() {
-		return n, err
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.dropped.Load() {
+			return n, err
+		}
+		if !c.extend() {
+			break
+		}
 	}
 	c.setDeadline(lastLook)
 	return c.Conn.Read(p)
 }
 
+// extend sets the deadline of a connection without a request, or with a part of a head, by the limits
+// in force. It reports false if they do not allow more time.
+func (c *Conn) extend() bool {
+	l := c.gate.Limits()
+	limit := l.IdleTimeout
+	switch c.state.Load() {
+	case stateReading:
+		limit = l.HeadTimeout
+	case stateServing:
+		return false
+	}
+	if limit <= 0 {
+		c.bound(time.Time{})
+		return true
+	}
+	until := c.since.Add(limit)
+	if !until.After(c.gate.Timer.Now()) {
+		return false
+	}
+	c.bound(until)
+	return true
+}
+
 // begin notes the first byte of a head.
 func (c *Conn) begin(l Limits) {
 	if c.state.Load() != stateIdle {
@@ -372,7 +403,8 @@
 		c.place(&c.gate.reading)
 	}
 	c.gate.mu.Unlock()
-	c.exchange.begin(c.gate.Timer.Now())
+	c.since = c.gate.Timer.Now()
+	c.exchange.begin(c.since)
 	c.setDeadline(l.HeadTimeout)
 }
 
@@ -437,6 +469,12 @@
 		c.place(&c.gate.idle)
 	}
 	c.gate.mu.Unlock()
+	c.rested()
+}
+
+// rested bounds the time until the next request.
+func (c *Conn) rested() {
+	c.since = c.gate.Timer.Now()
 	c.setDeadline(c.gate.Limits().IdleTimeout)
 }
 
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -210,7 +210,7 @@
 		g.awaitClose(old)
 	}
 	if !raw {
-		c.setDeadline(g.Limits().IdleTimeout)
+		c.rested()
 	}
 	return c
 }
