--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -233,6 +233,10 @@
 // connections are ignored: those of Limits hold.
 func (c *Conn) SetReadDeadline(at time.Time) error {
 	if c.raw || c.state.Load() == stateServing {
+		if at.IsZero() {
+			// net/http has read the body to its end. A read ahead that it ends later is no failure.
+			c.drainUntil.Store(0)
+		}
 		c.bound(at)
 	}
 	return nil
