Gate: a request whose connection has been dropped is not passed on

A new connection beyond the bound drops the oldest one with an incomplete head. If that head has been read meanwhile, and net/http has not reported it yet, the request was served: it reached an upstream, its context ended at once, and its caller got 502 "caller has disconnected" and a closed connection, although it had not left. The window is the parsing of the head, and the wait for a turn of heads with more than 64 lines. The same holds for heads in net/http's buffer whose lines find no memory.

Cause: Admit and HandOver asked the memory account only, which does not end with the connection.

Change: Admit and HandOver report false for a dropped connection, and note the reason of the drop.

Result: the caller gets 503 with Retry-After, and the request has not run.

--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -97,14 +97,15 @@
 type connKey struct{}
 
 // Admit returns the account of what a request keeps, its head included, until its handler returns.
-// Fits is false if there is no memory to serve it now: then it need not be read, and must not be
-// passed on. A request that came by no Gate has no account; ok is false then.
+// Fits is false if there is no memory to serve it now or its connection has been dropped: then it
+// need not be read, and must not be passed on. A request that came by no Gate has no account; ok is
+// false then.
 func Admit(ctx context.Context) (account *btmemory.Account, fits, ok bool) {
 	c, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
 		return nil, true, false
 	}
-	return c.account, c.noteMemory(c.account.FitsHeld()), true
+	return c.account, c.noteFit(c.account.FitsHeld()), true
 }
 
 // Pace makes a connection wait for its turn where it has got a part of a body, until stop is
@@ -128,12 +129,18 @@
 	if !ok {
 		return true, false
 	}
-	return c.noteMemory(c.account.Hold()), true
+	return c.noteFit(c.account.Hold()), true
 }
 
-func (c *Conn) noteMemory(fits bool) bool {
+// noteFit reports whether a request that fits may be served. The connection may have been dropped
+// for another one after its head was read: then the request's context ends.
+func (c *Conn) noteFit(fits bool) bool {
+	r := NoMemory
+	if c.dropped.Load() {
+		fits, r = false, Reason(c.why.Load())
+	}
 	if !fits {
-		c.gate.note(NoMemory, c.RemoteAddr().String())
+		c.gate.note(r, c.RemoteAddr().String())
 	}
 	return fits
 }
--- a/internal/node/btlistener/told_test.go
+++ b/internal/node/btlistener/told_test.go
@@ -1,6 +1,8 @@
 package btlistener
 
 import (
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +11,42 @@
 	is "gotest.tools/v3/assert/cmp"
 )
 
+// A connection is dropped for a new one when net/http has read the whole head and has not reported
+// it yet. Guards against a request that is passed on although its context has ended with the
+// connection: its caller gets a broken answer, or a promise that is not kept.
+func TestRequestOfDroppedConnectionIsNotPassedOn(t *testing.T) {
+	serve(t, memory(), 1, Limits{}, func(f *fixture) {
+		read, dropped := make(chan struct{}), make(chan struct{})
+		f.server.ConnState = func(c net.Conn, s http.ConnState) {
+			if s == http.StateActive {
+				read <- struct{}{}
+				<-dropped
+			}
+			stateChanged(c, s)
+		}
+		passedOn := false
+		f.handler = func(w http.ResponseWriter, r *http.Request) {
+			if _, fits, _ := Admit(r.Context()); fits {
+				fits, _ = HandOver(r.Context())
+				passedOn = fits
+			}
+			time.Sleep(time.Second)
+			assert.Check(t, !passedOn || r.Context().Err() == nil, "the request's context has ended")
+			if !passedOn {
+				w.Header().Set("Retry-After", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}
+		c := f.dial()
+		c.write(request("", ""))
+		<-read
+		f.dial()
+		close(dropped)
+		assert.Check(t, is.Equal(c.status(), 503))
+		assert.Check(t, !passedOn)
+	})
+}
+
 // What is left of a body has come in time, but the caller reads the answer later than the rest of a
 // body may take. Guards against a sound connection that closes although its caller was not told.
 func TestConnectionIsKeptForSlowReader(t *testing.T) {
--- a/internal/serve/btentry/head_test.go
+++ b/internal/serve/btentry/head_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"bramleytack/internal/node/btlistener"
 	"bramleytack/internal/node/btmemory"
@@ -146,3 +148,35 @@
 		assert.Check(t, took >= deadline && took < deadline+100*time.Millisecond, "after %v", took)
 	})
 }
+
+// A new connection makes one close whose request has been read and not begun. Guards against a
+// request that is passed on although its context has ended.
+func TestRequestOfDroppedConnectionIsRefused(t *testing.T) {
+	for _, target := range []string{"/order/a", "/check/a", "/guide/a", "/tag/a"} {
+		t.Run(target, func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.startShop("s1")
+				h.startEngine("e1")
+				h.serveBehindGate(2<<20, 1)
+				server := h.daemons[0].server
+				changed := server.ConnState
+				var once sync.Once
+				server.ConnState = func(c net.Conn, s http.ConnState) {
+					if s == http.StateActive {
+						once.Do(func() {
+							next, err := h.dialEntry(h.entryAddr)
+							assert.Check(t, err)
+							time.Sleep(10 * time.Millisecond)
+							after(time.Minute, func() { next.Close() })
+						})
+					}
+					changed(c, s)
+				}
+				got := h.request(http.MethodPost, target, nil, 10*time.Second)
+				assert.Check(t, got.err)
+				assert.Check(t, is.Equal(got.status, http.StatusServiceUnavailable), got.body)
+				assert.Check(t, is.Equal(h.pool.Runs(got.id), 0))
+			})
+		})
+	}
+}
