Gate: an answer says that its connection closes

A request whose connection has been dropped, for want of memory before its hand-over or for a new connection, got 503 without `Connection: close`, and its connection was closed. A caller that sends its next request on it gets nothing.

Change: `Closes` tells what the gate knows. The entry's answers go through `writeHead`, which asks it, and the other ports' refusals through `Gate.Handler`.

Result: the refusal says that the connection closes.

--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -151,6 +151,13 @@
 	return ok && c.dropped.Load()
 }
 
+// Closes reports whether a request's connection closes after the answer, which has to say so:
+// callers would send their next requests on it. It does not know what net/http closes.
+func Closes(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	return ok && (c.dropped.Load() || c.incomplete.Load())
+}
+
 // stateChanged is called by net/http. A connection becomes active once a head was read.
 func stateChanged(nc net.Conn, s http.ConnState) {
 	c, ok := nc.(*Conn)
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -308,6 +308,9 @@
 			fits, _ = HandOver(r.Context())
 		}
 		if !fits {
+			if Closes(r.Context()) {
+				w.Header().Set("Connection", "close")
+			}
 			w.Header().Set("Retry-After", seconds(retryAfter))
 			http.Error(w, refusal(NoMemory), http.StatusServiceUnavailable)
 			return
--- a/internal/node/btlistener/told_test.go
+++ b/internal/node/btlistener/told_test.go
@@ -1,6 +1,7 @@
 package btlistener
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -11,6 +12,9 @@
 	is "gotest.tools/v3/assert/cmp"
 )
 
+// connOf returns the connection of a request.
+func connOf(r *http.Request) *Conn { return r.Context().Value(connKey{}).(*Conn) }
+
 // A connection is dropped for a new one when net/http has read the whole head and has not reported
 // it yet. Guards against a request that is passed on although its context has ended with the
 // connection: its caller gets a broken answer, or a promise that is not kept.
@@ -62,3 +66,27 @@
 		}
 	})
 }
+
+// The connection of a request is dropped before its handler answers. Guards against an answer that
+// does not say that the connection closes, on which callers would send their next requests.
+func TestAnswerSaysThatConnectionCloses(t *testing.T) {
+	serve(t, memory(), 100, Limits{}, func(f *fixture) {
+		inner := f.gate.Handler(http.HandlerFunc(leave))
+		f.handler = func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			connOf(r).drop(NoMemory)
+			inner.ServeHTTP(w, r)
+		}
+		for _, body := range []string{"", "body"} {
+			c := f.dial()
+			c.write(request("", body))
+			resp, err := http.ReadResponse(c.r, nil)
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.Check(t, err)
+			assert.Check(t, is.Equal(resp.StatusCode, 503))
+			assert.Check(t, resp.Close, "body %q", body)
+			assert.Check(t, c.closed())
+		}
+	})
+}
--- a/internal/serve/btentry/answer.go
+++ b/internal/serve/btentry/answer.go
@@ -10,10 +10,10 @@
 	"bramleytack/btevent"
 )
 
-// writeHead sends the head of the response. A daemon that is leaving closes the connection
-// after the response, so that its caller connects to another one.
+// writeHead sends the head of the response. It says so if the connection closes after the
+// response. That of a daemon that is leaving does, so that its caller connects to another one.
 func (req *activeRequest) writeHead(status int) {
-	if req.h.Leaving != nil && req.h.Leaving() {
+	if req.connCloses() || req.h.Leaving != nil && req.h.Leaving() {
 		req.w.Header().Set("Connection", "close")
 	}
 	req.answered = true
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -110,6 +110,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &activeRequest{h: h, w: w, id: r.Header.Get(h.Dialect.RequestID), received: h.Timer.Now()}
 	req.progress.since = req.received
+	req.connCloses = func() bool { return btlistener.Closes(r.Context()) }
 	btlistener.Identify(r.Context(), req.id)
 	h.requests.add(req)
 	defer h.requests.remove(req)
@@ -154,8 +155,11 @@
 
 // activeRequest is the state of one request while it is served.
 type activeRequest struct {
-	h         *Handler
-	w         http.ResponseWriter
+	h *Handler
+	w http.ResponseWriter
+	// connCloses reports whether the caller's connection closes after the response.
+	connCloses func() bool
+
 	snapshot  *bramleytack.Snapshot
 	route     *bramleytack.Route
 	service   string
--- a/internal/serve/btentry/head_test.go
+++ b/internal/serve/btentry/head_test.go
@@ -150,7 +150,8 @@
 }
 
 // A new connection makes one close whose request has been read and not begun. Guards against a
-// request that is passed on although its context has ended.
+// request that is passed on although its context has ended, and against a refusal on a connection
+// that closes without having said so.
 func TestRequestOfDroppedConnectionIsRefused(t *testing.T) {
 	for _, target := range []string{"/order/a", "/check/a", "/guide/a", "/tag/a"} {
 		t.Run(target, func(t *testing.T) {
@@ -175,6 +176,7 @@
 				got := h.request(http.MethodPost, target, nil, 10*time.Second)
 				assert.Check(t, got.err)
 				assert.Check(t, is.Equal(got.status, http.StatusServiceUnavailable), got.body)
+				assert.Check(t, got.closes)
 				assert.Check(t, is.Equal(h.pool.Runs(got.id), 0))
 			})
 		})
