Gate: tests that net/http's read ahead ends no sound request

Two ways were suspected by reading in which the daemon takes a caller for gone, or refuses a request that it serves. Neither exists, and tests guard against both now:

* The read ahead of net/http runs before the handler and is taken for the read of a head. net/http reports each head that it has read (it has lifted the limit of its reader by then, which is what the report depends on), also one that it had buffered.
With the report taken away, the test fails with 408 for a request that is served.
* The read deadline of a body passes between the body's end and the handler's call that lifts it. net/http lifts it itself before its read ahead begins.
If the gate does not pass that on, the test fails.

--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -50,7 +50,8 @@
 	raw  bool
 	// account counts each request from its first byte on until net/http has dropped it.
 	account *btmemory.Account
-	// state is one of the states. net/http's read ahead may begin before stateServing is set.
+	// state is one of the states. net/http reports a head that it has read, which sets stateServing,
+	// before its read ahead begins.
 	state atomic.Uint32
 	// since is when the connection had its last request, or the first byte of its head.
 	since time.Time
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -146,8 +146,8 @@
 	s.MaxHeaderBytes = math.MaxInt32
 }
 
-// servingHandler notes that a request is served while it calls a handler. net/http does not
-// report a connection as active whose request was in its buffer already.
+// servingHandler notes that the handler of a request has begun and returned. That the request is
+// served is known since its head was read: see stateChanged.
 type servingHandler struct{ next http.Handler }
 
 // ServeHTTP implements http.Handler.
--- a/internal/node/btlistener/told_test.go
+++ b/internal/node/btlistener/told_test.go
@@ -90,3 +90,55 @@
 		}
 	})
 }
+
+// Whole requests come on a kept connection, in one read each, and wait before their handler runs
+// for longer than a head may take. Guards against a read ahead of net/http that is taken for the
+// read of a head and refuses a request that is served.
+func TestReadAheadIsNoHead(t *testing.T) {
+	serve(t, memory(), 100, Limits{HeadBytes: 8000, HeadLines: 20, HeadTimeout: time.Second, IdleTimeout: 2 * time.Second}, func(f *fixture) {
+		serving := f.server.Handler
+		f.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(3 * time.Second)
+			serving.ServeHTTP(w, r)
+		})
+		c := f.dial()
+		for i := range 3 {
+			text := request(strings.Repeat("a:\n", 10), strings.Repeat("b", 10*i))
+			go (&writer{c, text, len(text)}).run()
+			assert.Check(t, is.Equal(c.status(), 200), "%d", i)
+		}
+		// The second one is in net/http's buffer before the first one is served.
+		text := request(strings.Repeat("a:\n", 15), "") + request(strings.Repeat("a:\n", 15), "")
+		go (&writer{c, text, len(text)}).run()
+		assert.Check(t, is.Equal(c.status(), 200))
+		assert.Check(t, is.Equal(c.status(), 200))
+		assert.Check(t, !c.closed())
+	})
+}
+
+// The read deadline that a handler sets for a body passes after the body's end, before the handler
+// lifts it. Guards against a caller that is taken for gone, and against its connection that closes.
+func TestDeadlineOfBodyEndsWithIt(t *testing.T) {
+	serve(t, memory(), 100, Limits{}, func(f *fixture) {
+		f.handler = func(w http.ResponseWriter, r *http.Request) {
+			conn := http.NewResponseController(w)
+			assert.Check(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+			_, err := io.Copy(io.Discard, r.Body)
+			assert.Check(t, err)
+			time.Sleep(2 * time.Second)
+			assert.Check(t, r.Context().Err())
+			assert.Check(t, !Closes(r.Context()))
+		}
+		c := f.dial()
+		for _, text := range []string{
+			request("", "b"), request("", strings.Repeat("b", 100_000)),
+			chunkedLine + "0\r\n\r\n", chunkedLine + "1\r\nb\r\n0\r\n\r\n", chunkedLine + chunks(100) + "0\r\na: b\r\n\r\n",
+		} {
+			assert.Check(t, is.Equal(c.send(text), 200), "%.80q", text)
+		}
+		c.write(request("Expect: 100-continue\r\n", "body"))
+		assert.Check(t, is.Equal(c.status(), 100))
+		assert.Check(t, is.Equal(c.status(), 200))
+		assert.Check(t, !c.closed())
+	})
+}
