Gate: a refused caller may send its whole request and read the answer

Requests that are answered or refused before they have been read (401, 404, 408, 413, 431, 503, and 400 of net/http) and whose connections close: callers that still sent got a broken pipe or a reset, and the read of the end of the connection failed. An answer of net/http without a length (400) was incomplete.

Cause: a close with unread bytes resets the connection. net/http's own closing of the sending side was hidden by the gate's connection, and what the gate refuses closed at once.

Change: `Conn.Close` and `Conn.CloseWrite` close the sending side of a connection whose request has not been read to its end, and read on within bounds of time, bytes and connections. Such connections make room first. A connection whose request was read closes as before.

--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -77,12 +77,18 @@
 	incomplete atomic.Bool
 	// hurried is set if the connection was dropped while finishing.
 	hurried atomic.Bool
+	// bodyRead is set once net/http has read a request to its end.
+	bodyRead atomic.Bool
 	// dropped is set if the connection must not serve another request, for the reason in why.
 	dropped atomic.Bool
 	why     atomic.Uint32
 	once    sync.Once
 	// refused is set once nothing may be written any more.
 	refused atomic.Bool
+	// answered is set once a refusal was written. lingering is zero, or what has become of the
+	// rest of a request after the answer.
+	answered  atomic.Bool
+	lingering atomic.Int32
 	// exchange is what has become of the request and its answer.
 	exchange exchange
 	// closed is closed after the connection.
@@ -251,6 +257,7 @@
 		if at.IsZero() {
 			// net/http has read the body to its end. A read ahead that it ends later is no failure.
 			c.drainUntil.Store(0)
+			c.bodyRead.Store(true)
 		}
 		c.bound(at)
 	}
@@ -479,6 +486,7 @@
 		c.drop(Late)
 	}
 	c.account.Release(c.charged)
+	c.bodyRead.Store(false)
 	c.state.Store(stateIdle)
 	c.head, c.lines, c.charged = 0, 0, 0
 	c.exchange.reset()
@@ -520,21 +528,32 @@
 func (c *Conn) answer(r Reason) {
 	_ = c.Conn.SetWriteDeadline(c.gate.Timer.Now().Add(refusalTime))
 	_, _ = io.WriteString(c.Conn, response(r))
+	c.answered.Store(true)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A connection that lingers closes after that.
 func (c *Conn) Close() error {
-	err := c.Conn.Close()
+	c.linger()
+	var err error
+	if !c.lingering.CompareAndSwap(lingerReads, lingerCloses) && c.lingering.Load() != lingerCloses {
+		err = c.end()
+	}
 	c.endParse()
 	c.once.Do(func() {
 		c.noteCut()
 		c.account.Close()
-		c.gate.leave(c)
 		close(c.closed)
 	})
 	return err
 }
 
+// end closes the connection, which counts until then.
+func (c *Conn) end() error {
+	err := c.Conn.Close()
+	c.gate.leave(c)
+	return err
+}
+
 // recentLines counts the lines in the bytes that may be left in net/http's read buffer.
 type recentLines struct {
 	bytes, newest int
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -114,8 +114,10 @@
 	refusing list.List
 	idle     list.List
 	reading  list.List
-	refused  [reasonCount]atomic.Uint64
-	logged   [reasonCount]btevent.Pace
+	// lingering counts the connections that are read on after their answers.
+	lingering int
+	refused   [reasonCount]atomic.Uint64
+	logged    [reasonCount]btevent.Pace
 	// cuts counts the connections that ended without a whole answer, by who ended them.
 	cuts [enderCount]atomic.Uint64
 }
@@ -198,12 +200,11 @@
 	c.account = g.Memory.OpenCaller(func() { c.drop(NoMemory) })
 	old, ok := g.enter(c)
 	if !ok {
-		c.account.Close()
 		g.note(TooManyConns, nc.RemoteAddr().String())
 		if !raw {
 			c.answer(TooManyConns)
 		}
-		_ = nc.Close()
+		_ = c.Close()
 		return nil
 	}
 	if old != nil {
