Streams without an event are answered before their callers leave

What callers saw: a stream whose engine sends nothing before the first event got neither an answer nor a refusal.

Evidence: TestStreamWithoutEventIsAnsweredBeforeItsCallerLeaves, with a way of 3 ms and a daemon that is 10 ms late: silent engine, silent engines of a resumable stream, and an engine that queues the stream failed before with "read pipe: i/o timeout". TestPauseOfBegunStreamMayLastAsLongAsItsCallerStays and TestTimeoutIsThatOfTheArrival passed before: a stream that has begun keeps all of its time, and a change of the timeout neither shortens nor leaves a request without an answer.

--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -141,6 +141,10 @@
 		req.release = context.AfterFunc(h.Finish, req.daemonEnds)
 		defer req.release()
 	}
+	if req.route.Streaming {
+		req.beginTimer = time.AfterFunc(req.beginBy.Sub(h.Timer.Now()), req.beginOverdue)
+		defer req.beginTimer.Stop()
+	}
 	h.Budget.Request(req.service)
 	req.progress.reach(stageChoosing, h.Timer.Now())
 	if req.route.Streaming {
@@ -171,6 +175,8 @@
 	// finish ends the request's context. release undoes that the end of the daemon does.
 	finish  context.CancelCauseFunc
 	release func() bool
+	// beginTimer ends the request of a stream at beginBy.
+	beginTimer *time.Timer
 	// begun is set once the caller gets a first byte.
 	begun atomic.Bool
 	// outlasts is set if no upstream was asked because the request would not have ended
@@ -181,10 +187,12 @@
 	deadline time.Time
 	// callerDeadline is the caller's own deadline, or the same without one.
 	callerDeadline time.Time
-	workspace      bramleytack.WorkspaceID
-	method         string
-	target         string
-	host           string
+	// beginBy is when the caller of a stream that has got no byte is told that it fails.
+	beginBy   time.Time
+	workspace bramleytack.WorkspaceID
+	method    string
+	target    string
+	host      string
 	// caller is the address of the caller's end of the connection.
 	caller string
 	header http.Header
@@ -309,20 +317,6 @@
 	return true
 }
 
-func (req *activeRequest) setDeadline(r *http.Request) {
-	req.deadline = req.received.Add(req.route.Timeout)
-	req.callerDeadline = req.deadline
-	ms, err := strconv.ParseInt(r.Header.Get(req.h.Dialect.DeadlineMillis), 10, 64)
-	if err != nil || ms < 0 {
-		return
-	}
-	d := req.received.Add(time.Duration(ms) * time.Millisecond)
-	req.callerDeadline = d
-	if req.route.Timeout <= 0 || d.Before(req.deadline) {
-		req.deadline = d
-	}
-}
-
 // headerFieldCost is what a field of a header takes besides its text, in bytes.
 const headerFieldCost = 100
 
--- a/internal/serve/btentry/leaving.go
+++ b/internal/serve/btentry/leaving.go
@@ -29,15 +29,20 @@
 // daemonEnds ends a request without a byte for its caller.
 func (req *activeRequest) daemonEnds() { req.finish(errDaemonEnds) }
 
-// begin lets a request go on until the daemon has ended, because its caller gets a first
-// byte. It reports false if the request has been ended for the end of the daemon already.
+// begin lets a request go on until its deadline and until the daemon has ended, because its
+// caller gets a first byte. It reports false if the request has been ended for want of one
+// already.
 func (req *activeRequest) begin() bool {
 	req.begun.Store(true)
-	if req.release == nil || req.release() {
-		return true
+	if req.release != nil && !req.release() {
+		req.daemonEnds()
+		return false
 	}
-	req.daemonEnds()
-	return false
+	if req.beginTimer != nil && !req.beginTimer.Stop() {
+		req.beginOverdue()
+		return false
+	}
+	return true
 }
 
 // endedByDaemon reports whether the daemon is about to end and the caller has got no byte.
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -37,8 +37,8 @@
 	// minSilence keeps engines with long intervals between events from being
 	// probed.
 	minSilence = 80 * time.Millisecond
-	// A stream whose engine sends no event ends after the longest of minStall, and
-	// stallTargets and stallPauses times the route's target latency and maximum pause.
+	// A stream that has begun and whose engine sends no event ends after the longest of minStall,
+	// and stallTargets and stallPauses times the route's target latency and maximum pause.
 	// Callers abandon a stream then. Bytes that are no event do not count.
 	minStall     = 2 * time.Second
 	stallTargets = 4
