--- a/internal/serve/btentry/admission.go
+++ b/internal/serve/btentry/admission.go
@@ -29,7 +29,7 @@
 func (req *activeRequest) admissionRequest() btadmission.Request {
 	r := btadmission.Request{
 		Service: req.service, Rank: req.rank(), Tenant: req.workspace, Arrived: req.received, Deadline: req.deadline,
-		Target: req.received.Add(req.route.TargetLatency), End: req.beginBy,
+		Target: req.received.Add(req.route.TargetLatency), End: req.received.Add(stallLimit(req.route)),
 		Prompt: req.need.Prompt, Memory: req.need.Prompt + req.need.Output, Short: req.need.MaxOutput < minBackupOutput,
 		Key: req.returnKey,
 	}
