Entry: a body whose end does not come in time is answered 408

What callers saw: 400 "body cannot be read" for a proper request with a chunked body whose last part came later than the deadline of the request, most often beside a configuration with a short timeout. 400 says that the request is wrong and must not come back; 408 promises that it has not run.

Cause: after the last chunk net/http returns an error of its own for a read that has ended at the deadline (transfer.go, readTrailer), so that errors.Is(err, os.ErrDeadlineExceeded) does not hold.

Result: TestUnreadableBodyIsRejected, two of its new cases were red before.

--- a/internal/serve/btentry/exit_test.go
+++ b/internal/serve/btentry/exit_test.go
@@ -150,6 +150,10 @@
 		{"chunks that end early", "Transfer-Encoding: chunked\r\n", "4\r\nbo", time.Millisecond, http.StatusBadRequest},
 		{"body shorter than its length", "Content-Length: 40\r\n", "body", time.Millisecond, http.StatusBadRequest},
 		{"body that does not come", "Content-Length: 40\r\n", "body", 0, http.StatusRequestTimeout},
+		{"chunk that does not come", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n", 0, http.StatusRequestTimeout},
+		{"last chunk without its end", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n", 0, http.StatusRequestTimeout},
+		{"trailer without its end", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\nSum: 1\r\n", 0, http.StatusRequestTimeout},
+		{"trailer that ends early", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\nSum: 1\r\n", time.Millisecond, http.StatusBadRequest},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, func(h *harness) {
