Entry: an engine whose stream has ended is not taken for silent

What callers saw: a whole stream without length or chunks, all events there, whose connection breaks off long before its deadline (LOST, BT510 after the last event, BT541), beside changes of the configuration on a busy machine, at daemons that are not stopped.

Cause: the end of such a stream counts once the engine was seen to listen, which takes up to two looks of 60 ms. Meanwhile the relay still had the engine's silence probed. If the probe got no answer in 50 ms, the generation went on from the backup, the end that was being looked at was dropped, and the successor, which had nothing left to send, ended without an event. With no doubt about the end before, that is a broken stream.

Change: nothing is handed over once nothing more arrives of the current segment. The item with its end decides: moves, copies, orders to stop and probes all ask for that.

--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -140,10 +140,11 @@
 // handleProbe continues from the copy if the current engine did not answer, or if
 // the backup engine accepted the connection. If the backup engine cannot be used,
 // it moves the generation. A current engine that answers in time, even by refusing
-// the connection, keeps the stream.
+// the connection, keeps the stream. So does one whose stream has ended: what is
+// known of its end decides.
 func (s *relay) handleProbe(r probeResult) {
 	s.probing = false
-	if r.segment != s.cur || s.cur.cancel == nil || s.next != nil {
+	if r.segment != s.cur || s.cur.cancel == nil || s.next != nil || s.cur.arrived.Load() {
 		return
 	}
 	switch {
--- a/internal/serve/btentry/segment.go
+++ b/internal/serve/btentry/segment.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"bramleytack"
@@ -74,6 +75,8 @@
 	// closed.
 	result *attemptResult
 	ended  chan struct{}
+	// arrived is set once nothing more arrives of the stream. Whether it is whole may still be looked at.
+	arrived atomic.Bool
 	// window is the time that the upstream was given. It may be read once the segment has
 	// sent an item.
 	window window
@@ -219,6 +222,7 @@
 			err = btmemory.ErrFull
 		}
 		if err != nil {
+			seg.arrived.Store(true)
 			seg.send(ctx, item{ended: true, err: seg.req.checkEnd(ctx, r, x, err, c)})
 			return
 		}
--- a/internal/serve/btentry/stop.go
+++ b/internal/serve/btentry/stop.go
@@ -130,7 +130,7 @@
 // mayReplaceCurrent reports whether the running current segment may be handed over to another
 // engine.
 func (s *relay) mayReplaceCurrent() bool {
-	return s.cur.running() && s.stopping == nil && !s.cur.unstoppable && s.canMove()
+	return s.cur.running() && !s.cur.arrived.Load() && s.stopping == nil && !s.cur.unstoppable && s.canMove()
 }
 
 // stopCurrent starts n once the engine of the current segment has stopped. What the engine still
@@ -160,7 +160,10 @@
 		return
 	}
 	if r.err == nil && !s.cur.lastEventAt.After(o.confirmedAt) {
-		s.begin(*o.then)
+		if !s.cur.arrived.Load() {
+			s.begin(*o.then)
+		}
+		// Otherwise the item with the end decides, which comes soon.
 		return
 	}
 	s.stopping = nil
