Entry: a whole stream whose engine cannot be reached at its end does not break off

What callers saw: a stream without length or chunks with all its events, whose connection breaks off with seconds left, on a busy machine or path. Two engines that went on had nothing to add, one from the copy and one from the last event.

Cause: the daemon gives an engine up that takes no connection for 50 ms, before the end of its stream has arrived; or the end has arrived and the engine answers neither of two looks. The successor has nothing left to send and ends its stream without an event (endEmpty), which counted only where an order to stop had put the end before in doubt.

Change: an end at an engine that neither accepts nor refuses connections has a name of its own (endUnseen), and so has a segment that is given up while it runs. If the successor has nothing to add, and the engine before takes connections by then, has not crashed as far as is known and was not replaced, the two agree that nothing was left. After a crash, or if the engine still cannot be reached, the stream is broken as before.

--- a/internal/serve/btentry/ending.go
+++ b/internal/serve/btentry/ending.go
@@ -47,6 +47,10 @@
 // cut short.
 var errEndUnknown = errors.New("btentry: response may be cut short")
 
+// errEndUnseen is returned for a stream that ended with its connection and whose engine could not be
+// reached since. Nothing else speaks against its end.
+var errEndUnseen = errors.New("btentry: stream has ended at an engine that does not answer")
+
 // errEndOrdered is returned for a stream that ended with its connection and whose engine may have
 // closed it because it was ordered to stop.
 var errEndOrdered = errors.New("btentry: stream may have been stopped by order")
@@ -67,6 +71,9 @@
 	// endUnknown responses ended with their connection, for which the upstream may have
 	// had another reason than their end.
 	endUnknown
+	// endUnseen responses ended with their connection, and the upstream neither accepts nor refuses
+	// another one. Nothing else speaks against their end.
+	endUnseen
 	// endOrdered responses ended with their connection while the upstream may have obeyed an
 	// order of this daemon to stop. Nothing else speaks against their end.
 	endOrdered
@@ -111,11 +118,22 @@
 			return endUnknown
 		}
 	}
-	if h.crashes.known(btsuspect.CrashOf(u), h.Timer.Now()) || !h.listens(ctx, u) || h.replaced(u) {
+	if h.crashes.known(btsuspect.CrashOf(u), h.Timer.Now()) {
 		return endUnknown
 	}
-	if ordered && req.stops.mayHaveStopped(u.ID, r.began) {
+	presence := h.presence(ctx, u)
+	switch {
+	case presence == absent || h.replaced(u):
+		return endUnknown
+	case ordered && req.stops.mayHaveStopped(u.ID, r.began):
+		if presence == unseen {
+			return endUnknown
+		}
 		return endOrdered
+	case presence == unseen && req.route.Streaming:
+		return endUnseen
+	case presence == unseen:
+		return endUnknown
 	}
 	if c == noFurtherContent {
 		return endEmpty
@@ -131,6 +149,8 @@
 		return nil
 	case endUnknown:
 		return errEndUnknown
+	case endUnseen:
+		return errEndUnseen
 	case endOrdered:
 		return errEndOrdered
 	case endEmpty:
@@ -142,16 +162,29 @@
 	return err
 }
 
-// listens reports whether an upstream accepts connections. Unlike inspect it shares no look
+// presence is what a look at an upstream shows.
+type presence uint8
+
+const (
+	// present upstreams accept connections, absent ones refuse them.
+	present presence = iota
+	absent
+	// unseen upstreams do not answer.
+	unseen
+)
+
+// presence looks whether an upstream accepts connections. Unlike inspect it shares no look
 // with other requests: one that began before the end of a response shows nothing of it.
-func (h *Handler) listens(ctx context.Context, u *bramleytack.Upstream) bool {
+func (h *Handler) presence(ctx context.Context, u *bramleytack.Upstream) presence {
 	for range endLooks {
-		err := h.look(ctx, u)
-		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
-			return err == nil
+		switch err := h.look(ctx, u); {
+		case err == nil:
+			return present
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return absent
 		}
 	}
-	return false
+	return unseen
 }
 
 // replaced reports whether an instance that started later has the address of u.
--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -241,6 +241,10 @@
 		if ordered {
 			s.cur.close(btaccount.Abandoned)
 		}
+		if s.cur.running() && s.headSent {
+			// Its stream may have ended already.
+			s.unseen = s.cur
+		}
 		s.replace(s.cur)
 	}
 	s.next = s.newSegment(n.upstream, n.origin, n.copyName)
--- a/internal/serve/btentry/stop.go
+++ b/internal/serve/btentry/stop.go
@@ -191,7 +191,16 @@
 // confirmsEnd reports whether the end of a segment shows that the stream was whole whose end is in
 // doubt: where the generation went on, it had no event left.
 func (s *relay) confirmsEnd(seg *segment, err error) bool {
-	return s.doubted != nil && seg == s.next && errors.Is(err, errEndEmpty)
+	if seg != s.next || !errors.Is(err, errEndEmpty) {
+		return false
+	}
+	return s.doubted != nil || s.unseen != nil && s.endedAlive(s.unseen.upstream)
+}
+
+// endedAlive reports whether an engine that could not be reached at the end of its stream runs on.
+func (s *relay) endedAlive(u *bramleytack.Upstream) bool {
+	h := s.req.h
+	return !h.crashes.known(btsuspect.CrashOf(u), h.Timer.Now()) && h.presence(s.ctx, u) == present && !h.replaced(u)
 }
 
 // awaitsAnswer reports whether the stream may turn out to be complete when an engine answers the
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -87,6 +87,9 @@
 	// doubted is the current segment if its stream has ended with its connection and it is not
 	// known whether an order to stop was the cause, or nil.
 	doubted *segment
+	// unseen is the current segment if its stream has ended with its connection and its engine could
+	// not be reached since, or was given up before its end was seen because the engine was silent, or nil.
+	unseen *segment
 	// kept is what engines keep that have stopped, until the generation goes on.
 	kept []bramleytack.EngineCopy
 	// firstEventLatency, with its parts, and the longest gap are measured as the caller sees them.
@@ -308,7 +311,7 @@
 func (s *relay) promote() {
 	old := s.cur
 	s.cur, s.next = s.next, nil
-	s.moving, s.moved, s.doubted = nil, nil, nil
+	s.moving, s.moved, s.doubted, s.unseen = nil, nil, nil, nil
 	s.replace(old)
 	s.stopOthers(s.cur.upstream)
 	s.freeKept()
@@ -411,6 +414,9 @@
 	if ordered && seg == s.cur {
 		s.doubted = seg
 	}
+	if errors.Is(err, errEndUnseen) && seg == s.cur {
+		s.unseen = seg
+	}
 	if seg == s.cur && s.stopping != nil {
 		s.begin(*s.stopping.then)
 		return
