--- a/internal/standin/btworker/worker.go
+++ b/internal/standin/btworker/worker.go
@@ -25,8 +25,9 @@
 	Gap  time.Duration
 	// Unframed streams have neither a length nor chunks.
 	Unframed bool
-	// Work is the time of a plain call.
-	Work time.Duration
+	// Work is the time of a plain call, Padding the number of bytes by which its answer is longer.
+	Work    time.Duration
+	Padding int
 	// Slots is the number of requests that run at once, zero for any. Others wait, up to
 	// Queue of them, zero for any, and get no byte before they run.
 	Slots int
@@ -383,7 +384,7 @@
 		rw.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
-	body := "answer of " + w.cfg.ID + " to " + id
+	body := "answer of " + w.cfg.ID + strings.Repeat(" ", w.cfg.Padding) + " to " + id
 	switch Fault(w.fault.Load()) {
 	case Lost:
 		panic(http.ErrAbortHandler)
