Entry: a late body of a stream is answered 408 too

A body may come until the caller is about to leave, which for a stream is before its deadline: a chunked body whose last part was late got 400, which says that the request must not come back.

Evidence: two cases of TestUnreadableBodyIsRejected with a stream and its caller's deadline were red before.

Change: the time until which the body may come decides.

--- a/internal/serve/btentry/body.go
+++ b/internal/serve/btentry/body.go
@@ -49,7 +49,7 @@
 	case errors.Is(err, btmemory.ErrFull):
 		req.reject(http.StatusServiceUnavailable, daemonRetryAfter, "too many bodies in memory")
 		return false
-	case errors.Is(err, os.ErrDeadlineExceeded), err != nil && req.remaining() <= 0:
+	case errors.Is(err, os.ErrDeadlineExceeded), err != nil && !req.h.Timer.Now().Before(req.beginBy):
 		// After the last chunk, net/http does not return the deadline's error but one of its own.
 		req.reject(http.StatusRequestTimeout, 0, "body has not come in time")
 		return false
--- a/internal/serve/btentry/exit_test.go
+++ b/internal/serve/btentry/exit_test.go
@@ -155,16 +155,20 @@
 		{"trailer without its end", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\nSum: 1\r\n", 0, http.StatusRequestTimeout},
 		{"trailer that ends early", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\nSum: 1\r\n", time.Millisecond, http.StatusBadRequest},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			run(t, func(h *harness) {
-				h.startShop("s1")
-				started := time.Now()
-				got := h.exchangeHalf(requestText("/order/a", c.headers, c.body), c.closeAfter, 3*time.Second)
-				assert.Check(t, is.Equal(got.status, c.status), "%q %v", got.body, got.err)
-				assert.Check(t, time.Since(started) <= 1200*time.Millisecond)
-				assert.Check(t, is.Equal(h.pool.Runs("half"), 0))
+		for _, target := range []string{"/order/a", "/guide/a"} {
+			t.Run(c.name+" "+target, func(t *testing.T) {
+				run(t, func(h *harness) {
+					h.startShop("s1")
+					h.startEngine("e1")
+					deadline := dialect.DeadlineMillis + ": 1200\r\n"
+					started := time.Now()
+					got := h.exchangeHalf(requestText(target, deadline+c.headers, c.body), c.closeAfter, 3*time.Second)
+					assert.Check(t, is.Equal(got.status, c.status), "%q %v", got.body, got.err)
+					assert.Check(t, time.Since(started) <= 1200*time.Millisecond)
+					assert.Check(t, is.Equal(h.pool.Runs("half"), 0))
+				})
 			})
-		})
+		}
 	}
 }
 
