Answers name how long their connection stays open

The request is in no log of any daemon: it arrived on a kept connection as the daemon closed that at its idle limit.

Cause: the daemon closed idle connections at a time that it had told nobody. Callers that do not know the limit use a connection until it closes, and the request of one of them crosses the close. HTTP has a header for that time, which callers respect, and the daemon did not send it.

TestAnswersNameTheIdleLimit and TestIdleConnectionIsKeptAsAnnounced were red before.

Change: each answer names the limit on idle connections in Keep-Alive, or says that the connection closes. The daemon keeps the connection a second longer than it has said, also if the limit is lowered meanwhile.

--- a/internal/node/btlistener/answer_test.go
+++ b/internal/node/btlistener/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -61,6 +62,40 @@
 	})
 }
 
+// Callers use a kept connection until the time that its last answer names. Guards against a
+// connection that closes sooner, under their next request, although the limit is lowered meanwhile.
+func TestIdleConnectionIsKeptAsAnnounced(t *testing.T) {
+	serve(t, memory(), 10, Limits{}, func(f *fixture) {
+		var limit atomic.Int64
+		limit.Store(int64(time.Minute))
+		f.gate.Limits = func() Limits {
+			d := time.Duration(limit.Load())
+			return Limits{IdleTimeout: d + time.Second, KeepAlive: d}
+		}
+		f.handler = func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Keep-Alive", KeepAlive(r.Context()))
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+			time.Sleep(10 * time.Second)
+		}
+		c := f.dial()
+		for _, d := range []time.Duration{time.Minute, 5 * time.Second} {
+			c.write(request("", ""))
+			resp, err := http.ReadResponse(c.r, nil)
+			assert.NilError(t, err)
+			assert.Check(t, is.Equal(resp.Header.Get("Keep-Alive"), fmt.Sprintf("timeout=%.0f", d.Seconds())))
+			// The limit is lowered while the answer is sent.
+			limit.Store(int64(5 * time.Second))
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.Check(t, err)
+			time.Sleep(d)
+			assert.Check(t, !c.closed(), "after %v", d)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Check(t, c.closed())
+	})
+}
+
 // Guards against logs and metrics that do not tell a connection that the daemon closes under a
 // request from one that its caller has closed, or that count whole answers and refusals.
 func TestCutsAreToldApart(t *testing.T) {
--- a/internal/node/btlistener/conn.go
+++ b/internal/node/btlistener/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,8 @@
 	// state is one of the states. net/http reports a head that it has read, which sets stateServing,
 	// before its read ahead begins.
 	state atomic.Uint32
+	// announced is the idle time that the last answer's KeepAlive goes by, in nanoseconds.
+	announced atomic.Int64
 	// since is when the connection had its last request, or the first byte of its head.
 	since time.Time
 	// head and lines are the bytes and lines of the head so far, and charged what counts for
@@ -165,6 +168,23 @@
 	return ok && (c.dropped.Load() || c.incomplete.Load())
 }
 
+// KeepAlive returns the value of the answer's Keep-Alive header, empty for none. The connection of
+// the request stays open for that long after it: a close that the caller does not expect crosses its
+// next request, which gets nothing.
+func KeepAlive(ctx context.Context) string {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return ""
+	}
+	l := c.gate.Limits()
+	s := int64(l.KeepAlive / time.Second)
+	if s < 1 {
+		return ""
+	}
+	c.announced.Store(int64(l.IdleTimeout))
+	return "timeout=" + strconv.FormatInt(s, 10)
+}
+
 // stateChanged is called by net/http. A connection becomes active once a head was read.
 func stateChanged(nc net.Conn, s http.ConnState) {
 	c, ok := nc.(*Conn)
@@ -399,7 +419,7 @@
 // in force. It reports false if they do not allow more time.
 func (c *Conn) extend() bool {
 	l := c.gate.Limits()
-	limit := l.IdleTimeout
+	limit := c.idleLimit(l)
 	switch c.state.Load() {
 	case stateReading:
 		limit = l.HeadTimeout
@@ -502,7 +522,15 @@
 // rested bounds the time until the next request.
 func (c *Conn) rested() {
 	c.since = c.gate.Timer.Now()
-	c.setDeadline(c.gate.Limits().IdleTimeout)
+	c.setDeadline(c.idleLimit(c.gate.Limits()))
+}
+
+// idleLimit returns how long the connection may be idle, zero for any time.
+func (c *Conn) idleLimit(l Limits) time.Duration {
+	if l.IdleTimeout <= 0 {
+		return 0
+	}
+	return max(l.IdleTimeout, time.Duration(c.announced.Load()))
 }
 
 // refuse answers a head, unless the connection is idle, and returns the error with which
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -90,6 +90,9 @@
 	// the time without one.
 	HeadTimeout time.Duration
 	IdleTimeout time.Duration
+	// KeepAlive is the time without a request that callers are told of. It is shorter than
+	// IdleTimeout by what their requests may take to arrive.
+	KeepAlive time.Duration
 }
 
 // Gate bounds the connections of its listeners and the heads that arrive on them. Its fields
--- a/internal/node/btnode/callers.go
+++ b/internal/node/btnode/callers.go
@@ -75,7 +75,7 @@
 	if s := n.table.Snapshot(); s != nil {
 		l = s.Limits
 	}
-	limits := btlistener.Limits{HeadBytes: maxRequestHead, HeadLines: n.settings.MaxHeadLines, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	limits := btlistener.Limits{HeadBytes: maxRequestHead, HeadLines: n.settings.MaxHeadLines, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout + timeSlack, KeepAlive: idleTimeout}
 	if l.HeaderBytes > 0 {
 		limits.HeadBytes = l.HeaderBytes + headSlack
 	}
@@ -83,7 +83,7 @@
 		limits.HeadTimeout = l.HeaderTimeout + timeSlack
 	}
 	if l.IdleTimeout > 0 {
-		limits.IdleTimeout = l.IdleTimeout + timeSlack
+		limits.IdleTimeout, limits.KeepAlive = l.IdleTimeout+timeSlack, l.IdleTimeout
 	}
 	return limits
 }
--- a/internal/serve/btentry/answer.go
+++ b/internal/serve/btentry/answer.go
@@ -10,11 +10,14 @@
 	"bramleytack/btevent"
 )
 
-// writeHead sends the head of the response. It says so if the connection closes after the
-// response. That of a daemon that is leaving does, so that its caller connects to another one.
+// writeHead sends the head of the response. It says how long the connection stays open without
+// another request, or that it closes after the response. That of a daemon that is leaving does,
+// so that its caller connects to another one.
 func (req *activeRequest) writeHead(status int) {
 	if req.connCloses() || req.h.Leaving != nil && req.h.Leaving() {
 		req.w.Header().Set("Connection", "close")
+	} else if v := req.keepAlive(); v != "" {
+		req.w.Header().Set("Keep-Alive", v)
 	}
 	req.answered = true
 	req.w.WriteHeader(status)
--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -111,6 +111,7 @@
 	req := &activeRequest{h: h, w: w, id: r.Header.Get(h.Dialect.RequestID), received: h.Timer.Now()}
 	req.progress.since = req.received
 	req.connCloses = func() bool { return btlistener.Closes(r.Context()) }
+	req.keepAlive = func() string { return btlistener.KeepAlive(r.Context()) }
 	btlistener.Identify(r.Context(), req.id)
 	h.requests.add(req)
 	defer h.requests.remove(req)
@@ -163,6 +164,8 @@
 	w http.ResponseWriter
 	// connCloses reports whether the caller's connection closes after the response.
 	connCloses func() bool
+	// keepAlive returns what the response says of how long that stays open.
+	keepAlive func() string
 
 	snapshot  *bramleytack.Snapshot
 	route     *bramleytack.Route
--- a/internal/serve/btentry/harness_test.go
+++ b/internal/serve/btentry/harness_test.go
@@ -28,6 +28,7 @@
 	"bramleytack/bttimer"
 	"bramleytack/internal/btmemnet"
 	"bramleytack/internal/fleet/btreplica"
+	"bramleytack/internal/node/btlistener"
 	"bramleytack/internal/node/btmemory"
 	"bramleytack/internal/route/btaccount"
 	"bramleytack/internal/route/btadmission"
@@ -97,6 +98,8 @@
 	upstreams map[string]*bramleytack.Upstream
 	workers   map[string]*btworker.Worker
 	revision  bramleytack.Revision
+	// limits are those of serveBehindGate, besides the bytes of heads.
+	limits btlistener.Limits
 	// reconfigure changes configurations from configRevision on. It may be nil.
 	reconfigure    func(s *bramleytack.Snapshot)
 	configRevision bramleytack.Revision
--- a/internal/serve/btentry/head_test.go
+++ b/internal/serve/btentry/head_test.go
@@ -23,7 +23,11 @@
 	d := h.daemons[0]
 	_ = d.server.Close()
 	d.handler.Memory = &btmemory.Budget{Limit: limit, Timer: h.timer}
-	gate := &btlistener.Gate{Memory: d.handler.Memory, Timer: h.timer, MaxConns: maxConns, Limits: func() btlistener.Limits { return btlistener.Limits{HeadBytes: 20_000} }}
+	gate := &btlistener.Gate{Memory: d.handler.Memory, Timer: h.timer, MaxConns: maxConns, Limits: func() btlistener.Limits {
+		l := h.limits
+		l.HeadBytes = 20_000
+		return l
+	}}
 	d.server = &http.Server{Handler: d.handler}
 	gate.Bind(d.server)
 	d.listener = gate.Listen(h.net.Listen(h.entryAddr))
@@ -182,3 +186,22 @@
 		})
 	}
 }
+
+// Callers use a kept connection until the time that its last answer names. Guards against answers
+// that do not name it, so that a next request crosses the close of an idle connection.
+func TestAnswersNameTheIdleLimit(t *testing.T) {
+	run(t, func(h *harness) {
+		h.startShop("s1")
+		h.startEngine("e1")
+		h.limits = btlistener.Limits{IdleTimeout: 16 * time.Second, KeepAlive: 15 * time.Second}
+		h.serveBehindGate(2<<20, 10)
+		for _, target := range []string{"/order/a", "/check/a", "/guide/a", "/tag/a", "/none/a"} {
+			got := h.generate(target)
+			assert.Check(t, got.err)
+			assert.Check(t, is.Equal(got.header.Get("Keep-Alive"), "timeout=15"), target)
+		}
+		h.handler.Leaving = func() bool { return true }
+		got := h.generate("/order/a")
+		assert.Check(t, got.closes && got.header.Get("Keep-Alive") == "")
+	})
+}
