Entry: no race between a second choice of an engine and the first send

A resumable stream whose first engine is late chooses a second one while the segment of the first may still send its request, which reads the choice of versions that the request's goroutine writes. Found by the race detector in TestStreamWithoutEventsIsAnsweredBeforeItsCallerLeaves (case "in the queues of two engines").

--- a/internal/serve/btentry/handler.go
+++ b/internal/serve/btentry/handler.go
@@ -216,8 +216,9 @@
 	quarantinedKey string
 	// expectedDelay is the delay that was expected of the last chosen upstream.
 	expectedDelay time.Duration
-	// choice is which versions of the upstreams the request may go to. It is set by eligible.
-	choice *btrollout.Choice
+	// choice is which versions of the upstreams the request may go to. It is set by eligible, perhaps
+	// while a segment of the request reads it.
+	choice atomic.Pointer[btrollout.Choice]
 	// visit is the request's place in admission, or nil. unreadAhead is the number of prompt
 	// tokens that its engine had to read before it, and refusal why it was rejected, or nil.
 	visit       *btadmission.Visit
--- a/internal/serve/btentry/rollout.go
+++ b/internal/serve/btentry/rollout.go
@@ -19,15 +19,17 @@
 // tried. A request that was drawn for a version on trial goes to the old one if the version
 // has no upstream for it.
 func (req *activeRequest) eligible(tried map[bramleytack.UpstreamID]bool) []*bramleytack.Upstream {
-	if req.choice == nil {
-		req.choice = req.h.Rollouts.Choose(req.service)
+	choice := req.choice.Load()
+	if choice == nil {
+		choice = req.h.Rollouts.Choose(req.service)
+		req.choice.Store(choice)
 	}
-	if req.choice == nil {
+	if choice == nil {
 		return req.h.Accounts.Eligible(req.snapshot, req.service, tried)
 	}
-	list := req.h.Accounts.EligibleOf(req.snapshot, req.service, tried, req.choice.Allows)
-	if len(list) == 0 && req.choice.Fall() {
-		list = req.h.Accounts.EligibleOf(req.snapshot, req.service, tried, req.choice.Allows)
+	list := req.h.Accounts.EligibleOf(req.snapshot, req.service, tried, choice.Allows)
+	if len(list) == 0 && choice.Fall() {
+		list = req.h.Accounts.EligibleOf(req.snapshot, req.service, tried, choice.Allows)
 	}
 	return list
 }
@@ -36,7 +38,7 @@
 // version.
 func (req *activeRequest) sentTo(u *bramleytack.Upstream) {
 	req.h.Rollouts.Sent(u)
-	req.choice.Fall()
+	req.choice.Load().Fall()
 }
 
 // versionCheck collects what one attempt shows of its upstream's version.
--- a/internal/serve/btentry/waitingroom.go
+++ b/internal/serve/btentry/waitingroom.go
@@ -215,10 +215,11 @@
 	req.snapshot = req.h.Table.Snapshot()
 	// The choice falls to the old version if the one on trial has no upstream.
 	list := req.eligible(nil)
-	if req.choice == nil || len(list) == 0 {
+	choice := req.choice.Load()
+	if choice == nil || len(list) == 0 {
 		return req.h.Accounts.Occupancy(req.snapshot, req.service), true
 	}
-	return req.h.Accounts.OccupancyOf(req.snapshot, req.service, req.choice.Allows), false
+	return req.h.Accounts.OccupancyOf(req.snapshot, req.service, choice.Allows), false
 }
 
 // withPlaces returns the upstreams of a list that have a free place, and reports whether the call
