Entry: copies that nobody uses are freed, and count at their engines

Cause: an engine leaves, a generation is moved to another one, mostly one that has just started, and ends before the copy is complete. Its end cancels the call of the move, so that nobody knows the name of the copy, which takes memory there for handle_s (5 s) and well longer. The same holds for backup copies of generations that have moved on. let such copies count in the load of their engine, but only where engines are divided by their pace; elsewhere the engine looks empty to all daemons, which send it streams that wait for memory while other engines have room.

TestUnusedCopyCountsAtItsEngine, both cases red before.

Change: the call of a move outlasts its request, and a copy that is not used is freed. Unused copies count at their engine everywhere.

--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -363,10 +363,11 @@
 func (m *move) run() {
 	s := m.relay
 	r := moveResult{move: m}
-	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
+	// The call outlasts the request: a copy can be freed only if its name is known.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), moveTimeout)
 	defer cancel()
 	r.copy, r.err = s.req.h.Mover.Move(ctx, m.source.upstream.Addr, m.target.Addr, s.req.id)
-	if r.err != nil && ctx.Err() == nil {
+	if r.err != nil && ctx.Err() == nil && s.ctx.Err() == nil {
 		// The target has less room than the loads tell, and all daemons learn of it.
 		m.lease.Keep(min(fullPeriod, m.copyLife))
 	} else {
@@ -376,13 +377,36 @@
 	select {
 	case s.moveResults <- r:
 	case <-s.ctx.Done():
+		s.req.log(btevent.MoveEnded).Str("from", string(m.source.upstream.ID)).Str("to", string(m.target.ID)).
+			Bool("unused", true).AnErr("cause", r.err).Send()
+		if r.err == nil {
+			m.free(r.copy)
+		}
+	}
+}
+
+// free frees the copy of a move that nobody will use. Where that fails, it takes room until its
+// time has passed.
+func (m *move) free(c bramleytack.EngineCopy) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if m.relay.req.h.Mover.Free(ctx, c) == nil {
+		m.lease.End()
+	}
+}
+
+// dropMoved frees the copy of the last move, which is not used.
+func (s *relay) dropMoved() {
+	if s.moved != nil {
+		go s.moved.move.free(s.moved.copy)
+		s.moved = nil
 	}
 }
 
 // handleMove continues the stream from the copy that a move made. If the generation has
 // gone on elsewhere since, the copy is kept until that succeeds or fails.
 func (s *relay) handleMove(r moveResult) {
-	m := r.move
+	m, made := r.move, r.err == nil
 	switch {
 	case r.err != nil:
 	case m != s.moving || s.next != nil:
@@ -392,13 +416,15 @@
 	}
 	s.req.log(btevent.MoveEnded).Str("from", string(m.source.upstream.ID)).Str("to", string(m.target.ID)).
 		AnErr("cause", r.err).Send()
+	if m == s.moving && (r.err == nil || errors.Is(r.err, errReplaced)) {
+		s.moved = &r
+	} else if made {
+		go m.free(r.copy)
+	}
 	if m != s.moving {
 		return
 	}
 	s.moving = nil
-	if r.err == nil || errors.Is(r.err, errReplaced) {
-		s.moved = &r
-	}
 	if s.next != nil || s.continueFromMove() || s.cur.cancel != nil {
 		return
 	}
@@ -409,10 +435,11 @@
 // It reports false if there is no copy or its engine accepts no work.
 func (s *relay) continueFromMove() bool {
 	r := s.moved
-	s.moved = nil
 	if r == nil || !s.req.mayHandOver(r.move.target) {
+		s.dropMoved()
 		return false
 	}
+	s.moved = nil
 	r.move.lease.End()
 	s.startNext(successor{upstream: r.move.target, origin: fromCopy, copyName: r.copy.String(), reason: "moved"})
 	return true
--- a/internal/serve/btentry/pace.go
+++ b/internal/serve/btentry/pace.go
@@ -65,10 +65,10 @@
 	s.moveTo(target)
 }
 
-// copyLife returns how long an engine keeps a copy that is not used, zero if that need not count:
-// only where engines are divided do many generations leave copies behind.
+// copyLife returns how long an engine keeps a copy that is not used. Engines that start while
+// others leave get many copies, and look empty if those do not count.
 func (req *activeRequest) copyLife() time.Duration {
-	if profile := req.snapshot.Engine(req.service); profile != nil && req.h.Accounts.Divided(req.snapshot, req.service) {
+	if profile := req.snapshot.Engine(req.service); profile != nil {
 		return min(profile.CopyLife, maxCopyLife)
 	}
 	return 0
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -311,7 +311,8 @@
 func (s *relay) promote() {
 	old := s.cur
 	s.cur, s.next = s.next, nil
-	s.moving, s.moved, s.doubted, s.unseen = nil, nil, nil, nil
+	s.dropMoved()
+	s.moving, s.doubted, s.unseen = nil, nil, nil
 	s.replace(old)
 	s.stopOthers(s.cur.upstream)
 	s.freeKept()
@@ -481,6 +482,7 @@
 	s.cur.close(btaccount.Abandoned)
 	s.next.close(btaccount.Abandoned)
 	s.freeKept()
+	s.dropMoved()
 }
 
 // silenceLimit returns the time without events after which an engine is probed.
--- a/internal/standin/btworker/memory.go
+++ b/internal/standin/btworker/memory.go
@@ -1,6 +1,9 @@
 package btworker
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // heldCopy is a copy of a run's memory, complete from a time on.
 type heldCopy struct {
@@ -23,6 +26,14 @@
 	delete(w.copies, name)
 }
 
+// KeepsMove reports whether the upstream keeps the copy of a generation that a move from a source made.
+func (w *Worker) KeepsMove(source netip.AddrPort, id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, ok := w.copies[moveCopy(source, id).String()]
+	return ok
+}
+
 // use takes a copy that has arrived, nil without one.
 func (w *Worker) use(name string) *heldCopy {
 	w.mu.Lock()
--- a/internal/standin/btworker/pool.go
+++ b/internal/standin/btworker/pool.go
@@ -37,6 +37,9 @@
 	// move.
 	CopyDelay time.Duration
 	MoveTime  time.Duration
+	// KeepsEnded makes moves outlast their calls and their generations, as those of most engines do.
+	// Others leave no copy then.
+	KeepsEnded bool
 	// KeepVisits makes the pool keep the stays of all requests.
 	KeepVisits bool
 
@@ -149,15 +152,25 @@
 // Move implements bramleytack.EngineMover.
 func (p *Pool) Move(ctx context.Context, source, target netip.AddrPort, id string) (bramleytack.EngineCopy, error) {
 	from, to := p.at(source), p.at(target)
-	if from == nil || to == nil || from.running(id) == nil || to.crashed.Load() {
+	if from == nil || to == nil || to.crashed.Load() {
+		return bramleytack.EngineCopy{}, errNoRun
+	}
+	begun := from.running(id)
+	if begun == nil {
 		return bramleytack.EngineCopy{}, errNoRun
 	}
 	select {
 	case <-time.After(p.MoveTime):
 	case <-ctx.Done():
+		if p.KeepsEnded {
+			to.keep(moveCopy(source, id).String(), begun, p.MoveTime)
+		}
 		return bramleytack.EngineCopy{}, ctx.Err()
 	}
 	run := from.running(id)
+	if run == nil && p.KeepsEnded {
+		run = begun
+	}
 	if run == nil || to.crashed.Load() {
 		return bramleytack.EngineCopy{}, errNoRun
 	}
