Answers of all ports name how long their connection stays open

The same cause as at the entry, by reading: readiness, the directory, metrics and the ports of bramleytackd closed idle connections at a time that they had told nobody. The gate's own handler names it now, and those of bramleytackd keep a connection a second longer than they say. TestOtherPortsNameTheIdleLimit was red before.

--- a/btdaemon/callers.go
+++ b/btdaemon/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"bramleytack/btfront"
 	"bramleytack/btmetric"
@@ -20,12 +21,15 @@
 	// that other daemons open, of which a cell has some ten.
 	maxCallerConns = 16 << 10
 	maxPeerConns   = 1 << 10
+	// idleSlack is the time beyond the one that callers are told of for which an idle connection
+	// is kept. Their requests arrive in it.
+	idleSlack = time.Second
 )
 
 // buildGates creates the gates of callers and operators, and of other daemons.
 func (d *Daemon) buildGates() {
 	limits := func() btlistener.Limits {
-		return btlistener.Limits{HeadBytes: maxHead, HeadTimeout: btfront.ReadHeaderTimeout, IdleTimeout: btfront.IdleTimeout}
+		return btlistener.Limits{HeadBytes: maxHead, HeadTimeout: btfront.ReadHeaderTimeout, IdleTimeout: btfront.IdleTimeout + idleSlack, KeepAlive: btfront.IdleTimeout}
 	}
 	d.gate = &btlistener.Gate{
 		Memory: &btmemory.Budget{Limit: maxHeadMemory, Timer: d.timers}, Timer: d.timers, Log: d.log, MaxConns: maxCallerConns, Limits: limits,
--- a/internal/node/btlistener/gate.go
+++ b/internal/node/btlistener/gate.go
@@ -303,10 +303,14 @@
 	g.Log.Event(btevent.CallerRefused).Stringer("reason", r).Uint64("count", count).Str("from", from).Send()
 }
 
-// Handler returns a handler that takes over each request before its body is read. A request that
-// finds no memory is answered 503. Handlers that keep bodies call Admit and HandOver themselves.
+// Handler returns a handler that takes over each request before its body is read, and whose answers
+// say how long the connection is kept. A request that finds no memory is answered 503. Handlers that
+// keep bodies call Admit, HandOver, KeepAlive and Closes themselves.
 func (g *Gate) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if v := KeepAlive(r.Context()); v != "" {
+			w.Header().Set("Keep-Alive", v)
+		}
 		_, fits, _ := Admit(r.Context())
 		if fits {
 			fits, _ = HandOver(r.Context())
@@ -314,6 +318,7 @@
 		if !fits {
 			if Closes(r.Context()) {
 				w.Header().Set("Connection", "close")
+				w.Header().Del("Keep-Alive")
 			}
 			w.Header().Set("Retry-After", seconds(retryAfter))
 			http.Error(w, refusal(NoMemory), http.StatusServiceUnavailable)
--- a/internal/node/btlistener/told_test.go
+++ b/internal/node/btlistener/told_test.go
@@ -12,6 +12,30 @@
 	is "gotest.tools/v3/assert/cmp"
 )
 
+// Guards against answers of ports other than the entry that do not name the idle limit, or name one
+// on a connection that closes.
+func TestOtherPortsNameTheIdleLimit(t *testing.T) {
+	serve(t, memory(), 100, Limits{IdleTimeout: 6 * time.Second, KeepAlive: 5 * time.Second}, func(f *fixture) {
+		drops := false
+		inner := f.gate.Handler(http.HandlerFunc(leave))
+		f.handler = func(w http.ResponseWriter, r *http.Request) {
+			if drops {
+				connOf(r).drop(NoMemory)
+			}
+			inner.ServeHTTP(w, r)
+		}
+		c := f.dial()
+		for _, drops = range []bool{false, true} {
+			c.write(request("", ""))
+			resp, err := http.ReadResponse(c.r, nil)
+			assert.NilError(t, err)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			assert.Check(t, is.Equal(resp.Close, drops))
+			assert.Check(t, is.Equal(resp.Header.Get("Keep-Alive") != "", !drops))
+		}
+	})
+}
+
 // connOf returns the connection of a request.
 func connOf(r *http.Request) *Conn { return r.Context().Value(connKey{}).(*Conn) }
 
