Entry: an engine is not taken for silent while the daemon reaches none

Cause: an engine that has sent nothing for 90 ms is dialled, and if that takes over 50 ms its stream is closed in favour of the copy. A daemon that is late itself, or whose link is full, hears and reaches no engine for so long; here its request to the engine had taken 145 ms, and two versions of the configuration came within 0.1 s. The sound engine's run is cut, the copy, begun 0.3 s before, is refused three times, and nothing is left to go on from. The class: the daemon's own silence is taken for another's.

TestStreamStaysWhileNoEngineIsReached was red before in 2 of 3 cases.

Change: the engine with the copy is dialled at the same moment. Only if it answers is the other one's silence its own, and only if no event has come meanwhile. A probe costs a second connection.

Result: the test is green, and so are the package's tests of streams and hand-overs.

--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -110,7 +110,11 @@
 		return
 	}
 	s.probing = true
-	go (&probe{relay: s, segment: s.cur, upstream: u}).run()
+	p := &probe{relay: s, segment: s.cur, upstream: u, eventCount: s.cur.eventCount}
+	if u == s.cur.upstream {
+		p.control = s.cur.backup
+	}
+	go p.run()
 }
 
 // probe is one check whether an engine accepts connections.
@@ -118,22 +122,46 @@
 	relay    *relay
 	segment  *segment
 	upstream *bramleytack.Upstream
+	// control is an engine that is checked at the same time, or nil. If it does not answer either,
+	// the daemon itself may be late, or its link full.
+	control *bramleytack.Upstream
+	// eventCount is that of the segment when the check began.
+	eventCount int
 }
 
 func (p *probe) run() {
 	s := p.relay
 	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
 	defer cancel()
+	controlled := make(chan error, 1)
+	if p.control != nil {
+		go (&controlCheck{p, controlled}).run(ctx)
+	} else {
+		controlled <- nil
+	}
 	err := s.req.h.Pool.Check(ctx, p.upstream.Addr)
-	s.probeResults <- probeResult{segment: p.segment, upstream: p.upstream, err: err, silent: ctx.Err() != nil && s.ctx.Err() == nil}
+	silent := err != nil && ctx.Err() != nil && s.ctx.Err() == nil && <-controlled == nil
+	s.probeResults <- probeResult{segment: p.segment, upstream: p.upstream, eventCount: p.eventCount, err: err, silent: silent}
+}
+
+// controlCheck is the check of a probe's control.
+type controlCheck struct {
+	probe  *probe
+	result chan<- error
+}
+
+func (c *controlCheck) run(ctx context.Context) {
+	c.result <- c.probe.relay.req.h.Pool.Check(ctx, c.probe.control.Addr)
 }
 
 // probeResult is the result of a probe.
 type probeResult struct {
 	segment  *segment
 	upstream *bramleytack.Upstream
-	err      error
-	// silent is set if the engine did not answer within probeTimeout.
+	// eventCount is that of the segment when the probe began.
+	eventCount int
+	err        error
+	// silent is set if the engine did not answer within probeTimeout, while the control did.
 	silent bool
 }
 
@@ -148,7 +176,7 @@
 		return
 	}
 	switch {
-	case r.upstream == s.cur.upstream && r.err != nil && r.silent:
+	case r.upstream == s.cur.upstream && r.silent && s.cur.eventCount == r.eventCount && len(s.cur.items) == 0:
 		if s.stopping != nil {
 			s.begin(*s.stopping.then)
 		} else if n := s.backupSuccessor("silent"); n != nil && s.givenUp() {
