Entry: a copy that is not reached at once is dialled again

Cause: only rejected hand-overs to a copy were repeated, not those that did not reach its engine. The generation has ended by then and the copy is the only way on.

Evidence: TestCopyIsReachedAtSecondAttempt was red before.

Change: a hand-over that was not sent is repeated too, as often, unless the connection was refused or the engine is left.

--- a/internal/serve/btentry/handover.go
+++ b/internal/serve/btentry/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -473,14 +474,17 @@
 	return true
 }
 
-// retryCopy repeats a handover to a copy that was rejected unexecuted: the copy can
-// be used only after the previous engine has noticed the end of the generation. It
-// reports whether the handover was repeated.
+// retryCopy repeats a handover to a copy that was rejected unexecuted or not reached: the
+// copy can be used only after the previous engine has noticed the end of the generation, and
+// the way to it may be lost for a moment. It reports whether the handover was repeated.
 func (s *relay) retryCopy(seg *segment, r *attemptResult) bool {
-	if seg.origin != fromCopy || r.outcome != bramleytack.NotRun || r.unsent || seg.retries >= copyRetries || s.req.h.Accounts.Paused(seg.upstream) {
+	if seg.origin != fromCopy || r.outcome != bramleytack.NotRun || r.limited || seg.retries >= copyRetries || s.req.h.Accounts.Paused(seg.upstream) {
 		return false
 	}
-	if seg.retries >= freeCopyRetries && !s.req.h.Budget.Retry(s.req.service) {
+	if r.unsent && (errors.Is(r.err, errLeft) || errors.Is(r.err, errRejected) || errors.Is(r.err, syscall.ECONNREFUSED)) {
+		return false
+	}
+	if !r.unsent && seg.retries >= freeCopyRetries && !s.req.h.Budget.Retry(s.req.service) {
 		return false
 	}
 	if s.req.h.Timer.Sleep(s.ctx, copyRetryPause) != nil {
--- a/internal/serve/btentry/ownsilence_test.go
+++ b/internal/serve/btentry/ownsilence_test.go
@@ -30,3 +30,25 @@
 		})
 	}
 }
+
+// An engine goes dark, and the one with the copy is not reached for a moment when it is to go on.
+// Guards against a stream that breaks off after a single attempt to reach its copy.
+func TestCopyIsReachedAtSecondAttempt(t *testing.T) {
+	run(t, func(h *harness) {
+		h.startEngines(2)
+		after(1500*time.Millisecond, func() {
+			from := h.runningEngine()
+			h.workers[from].Stall(true)
+			h.net.Block(h.entryAddr.Addr(), h.workers[from].Addr().Addr(), true)
+			for name, w := range h.workers {
+				if name == from {
+					continue
+				}
+				// The look at it is over, the send is not.
+				after(110*time.Millisecond, func() { h.net.Block(h.entryAddr.Addr(), w.Addr().Addr(), true) })
+				after(700*time.Millisecond, func() { h.net.Block(h.entryAddr.Addr(), w.Addr().Addr(), false) })
+			}
+		})
+		h.checkComplete(h.generate("/guide/a"))
+	})
+}
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -23,7 +23,7 @@
 	// backupReadyAfter is the time from the first event until the copy is assumed to
 	// be complete at the backup engine.
 	backupReadyAfter = 1200 * time.Millisecond
-	// copyRetries bounds the repeats of a handover to a copy that was rejected
+	// copyRetries bounds the repeats of a handover to a copy that was not reached, or rejected
 	// because the previous engine had not yet noticed the end of the generation.
 	// Those beyond freeCopyRetries count in the retry budget, since engines of a deployment may
 	// reject many copies at once.
