Entry: an engine that stops at the end of its time has not failed

What callers saw: 502 "upstream failed" instead of 504 for streams that reach the timeout of their route. Worse, each counts as a failure of its engine, so that a version with a short timeout on one route ejects engines for all routes.

Cause: engines are told whole milliseconds, and end a stream a fraction of one before the daemon's own deadline. Only a window that a leaving daemon had shortened excused them.

Change: a segment whose engine's window is over counts as abandoned, and its request is answered 504. Hung engines are not excused, since the daemon's own deadline ends their streams.

Result: TestEnginesThatKeepTheirTimeHaveNotFailed, red in both cases before. Not changed: an upstream's own 504 to a plain call at the end of its time still counts as its failure, and ejects it in the same way.

--- a/internal/serve/btentry/call.go
+++ b/internal/serve/btentry/call.go
@@ -180,7 +180,7 @@
 		req.rejectForReturn("no upstream available")
 	case !ran:
 		req.rejectForReturn("upstreams are full")
-	case ctx.Err() != nil || req.remaining() <= 0:
+	case ctx.Err() != nil || req.remaining() <= 0 || r != nil && r.window.over(req.h.Timer.Now()):
 		req.reject(http.StatusGatewayTimeout, 0, "timeout")
 	case r != nil && r.outcome == bramleytack.Unknown && r.err == nil:
 		req.reject(http.StatusBadGateway, 0, "upstream rejected the request without saying that it did not run")
--- a/internal/serve/btentry/stream.go
+++ b/internal/serve/btentry/stream.go
@@ -356,12 +356,17 @@
 func (s *relay) headFailed(seg *segment, r *attemptResult) {
 	s.req.logAttempt(r, seg.started)
 	health := s.req.health(r)
+	atEnd := !r.unsent && !r.misdirected && r.window.over(s.req.h.Timer.Now())
+	if atEnd {
+		// The engine has kept the time that it was told.
+		health = btaccount.Abandoned
+	}
 	seg.close(health)
 	if r.outcome == bramleytack.Unknown && r.err != nil {
 		s.unstopped = append(s.unstopped, seg.upstream)
 	}
 	seg.version.ended(r, health)
-	if r.err != nil && !r.unsent && !r.window.cutShort(s.req.h.Timer.Now()) {
+	if r.err != nil && !r.unsent && !atEnd {
 		s.inspectBreak(seg, r.err)
 	}
 	if !r.unsent && !r.misdirected {
@@ -425,8 +430,8 @@
 	s.unstopped = append(s.unstopped, seg.upstream)
 	s.req.noteLimit(seg.upstream, err)
 	// The engine may have run the request, even if a later attempt does not run.
-	s.noteResult(&attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown, err: err})
-	if ordered || seg.window.cutShort(s.req.h.Timer.Now()) {
+	s.noteResult(&attemptResult{upstream: seg.upstream, outcome: bramleytack.Unknown, err: err, window: seg.window})
+	if ordered || seg.window.over(s.req.h.Timer.Now()) {
 		seg.close(btaccount.Abandoned)
 	} else {
 		seg.close(btaccount.Failed)
