--- a/internal/serve/btentry/windowend_test.go
+++ b/internal/serve/btentry/windowend_test.go
@@ -41,3 +41,23 @@
 		})
 	}
 }
+
+// Guards against plain upstreams that count as failed because they end calls at the end of the time
+// that they are told, so that a route with a short timeout ejects them for all routes.
+func TestUpstreamsThatKeepTheirTimeHaveNotFailed(t *testing.T) {
+	run(t, func(h *harness) {
+		for _, r := range h.routes {
+			r.Timeout = 400700 * time.Microsecond
+		}
+		for _, name := range []string{"s1", "s2"} {
+			h.start(name, callService, btworker.Config{Work: time.Second})
+		}
+		for range 20 {
+			h.request(http.MethodPost, "/order/a", nil, callTimeout)
+			time.Sleep(100 * time.Millisecond)
+		}
+		for id, l := range h.accounts.OwnLoads() {
+			assert.Check(t, l.Ejections == 0, "%s was ejected", id)
+		}
+	})
+}
